--- /dev/null
+++ b/admin/run-tests.js
@@ -0,0 +1,78 @@
+/**
+ * Runs all tests under tap, passes over the failures listed in KNOWN-RED.txt and ends with one line
+ * "N passed, N failed, N skipped" that every CI reader knows.
+ */
+import {spawnSync} from 'node:child_process';
+import {existsSync, readFileSync} from 'node:fs';
+import path from 'node:path';
+import process from 'node:process';
+
+const root = path.resolve(import.meta.dirname, '..');
+const knownRedFile = path.join(root, 'KNOWN-RED.txt');
+const maxOutputBytes = 512 * 1024 * 1024;
+
+/** Names of tests that are known to fail: the lines that start with "test:". */
+function readKnownRed() {
+	if (!existsSync(knownRedFile)) {
+		return [];
+	}
+
+	return readFileSync(knownRedFile, 'utf8')
+		.split('\n')
+		.filter(line => line.startsWith('test:'))
+		.map(line => line.slice('test:'.length).trim());
+}
+
+/** Counts the named tests of a TAP text: the results one level below their file, and files that failed without any. */
+function countResults(tap) {
+	const counts = {passed: 0, failed: [], skipped: 0};
+	let testsOfFile = 0;
+	for (const line of tap.split('\n')) {
+		const match = /^(?<indent> {4})?(?<not>not )?ok \d+(?: - )?(?<name>.*)$/v.exec(line);
+		if (match === null) {
+			continue;
+		}
+
+		const isTest = match.groups.indent !== undefined;
+		const hadTests = testsOfFile > 0;
+		testsOfFile = isTest ? testsOfFile + 1 : 0;
+		if (isTest || (!hadTests && match.groups.not !== undefined)) {
+			addResult(counts, match.groups);
+		}
+	}
+
+	return counts;
+}
+
+function addResult(counts, groups) {
+	const name = groups.name.replace(/ # time=.*$/v, '').trim();
+	if (/# (?:SKIP|TODO)/iv.test(name)) {
+		counts.skipped += 1;
+	} else if (groups.not === undefined) {
+		counts.passed += 1;
+	} else {
+		counts.failed.push(name);
+	}
+}
+
+const result = spawnSync(path.join(root, 'node_modules/.bin/tap'), ['run', '--reporter=tap', ...process.argv.slice(2)], {
+	cwd: root, encoding: 'utf8', maxBuffer: maxOutputBytes, stdio: ['ignore', 'pipe', 'inherit'],
+});
+const counts = countResults(result.stdout);
+const knownRed = readKnownRed();
+const unknownFailures = counts.failed.filter(name => !knownRed.includes(name));
+if (counts.failed.length > 0 || result.status !== 0) {
+	process.stdout.write(result.stdout);
+}
+
+for (const name of counts.failed.filter(name => knownRed.includes(name))) {
+	process.stdout.write(`known red, passed over: ${name}\n`);
+}
+
+const isBroken = unknownFailures.length > 0 || counts.passed === 0 || (result.status !== 0 && counts.failed.length === 0);
+for (const name of unknownFailures) {
+	process.stdout.write(`failed: ${name}\n`);
+}
+
+process.stdout.write(`${counts.passed} passed, ${unknownFailures.length} failed, ${counts.skipped + counts.failed.length - unknownFailures.length} skipped\n`);
+process.exitCode = isBroken ? 1 : 0;
--- /dev/null
+++ b/packages/mulberrypitch-backends/src/engine-client.ts
@@ -0,0 +1,93 @@
+/** The wire format of model engines: OpenAI-compatible completions as server-sent events. */
+import {assumeType} from '@mulberrypitch/errors/assume-type';
+import {Agent, request} from 'undici';
+import {BackendFailedError} from '@mulberrypitch/errors/catalogue';
+import {createBackendFailure} from './failure.js';
+import type {BackendCall, Engine} from './types.js';
+
+const connectTimeoutMs = 1000;
+const silenceTimeoutMs = 10_000;
+const maxConnections = 256;
+const dataPrefix = 'data: ';
+const finishMarker = '[DONE]';
+
+type Completion = {
+	readonly choices?: ReadonlyArray<{
+		readonly text?: string;
+		readonly delta?: {readonly content?: string};
+	}>;
+};
+
+/** Streams from engines over HTTP. */
+export class EngineClient implements Engine {
+	readonly #agent = new Agent({
+		connect: {timeout: connectTimeoutMs}, connections: maxConnections, bodyTimeout: silenceTimeoutMs, headersTimeout: silenceTimeoutMs,
+	});
+
+	async * stream(call: BackendCall): AsyncGenerator<string, void> {
+		try {
+			const response = await request(`${call.address}${call.body.path}`, {
+				method: 'POST',
+				dispatcher: this.#agent,
+				signal: call.signal,
+				headers: {
+					'content-type': 'application/json', 'x-request-id': call.requestId, 'x-attempt': String(call.attempt),
+				},
+				body: createBody(call),
+			});
+			if (response.statusCode !== 200) {
+				await response.body.dump();
+				throw new BackendFailedError(`Engine ${call.address} answered ${response.statusCode}.`, {isNotSent: false, status: response.statusCode});
+			}
+
+			yield * readTokens(response.body, call.address);
+		} catch (error) {
+			throw createBackendFailure(error, call.address);
+		}
+	}
+
+	async dispose(): Promise<void> {
+		await this.#agent.destroy();
+	}
+}
+
+function createBody(call: BackendCall): string {
+	const body = assumeType<Record<string, unknown>>(JSON.parse(call.body.text));
+	return JSON.stringify({...body, stream: true, ...(call.tokens.length > 0 && {resumeTokens: call.tokens})});
+}
+
+async function * readTokens(body: AsyncIterable<Uint8Array>, address: string): AsyncGenerator<string, void> {
+	const decoder = new TextDecoder();
+	let pending = '';
+	for await (const data of body) {
+		pending += decoder.decode(data, {stream: true});
+		const lines = pending.split('\n');
+		pending = lines.pop()!;
+		for (const line of lines) {
+			if (!line.startsWith(dataPrefix)) {
+				continue;
+			}
+
+			const text = line.slice(dataPrefix.length);
+			if (text === finishMarker) {
+				return;
+			}
+
+			const token = getToken(text, address);
+			if (token !== '') {
+				yield token;
+			}
+		}
+	}
+
+	throw new BackendFailedError(`Engine ${address} ended the stream without its finish marker.`, {isNotSent: false});
+}
+
+function getToken(text: string, address: string): string {
+	try {
+		const choice = assumeType<Completion>(JSON.parse(text)).choices?.[0];
+		return choice?.delta?.content ?? choice?.text ?? '';
+	} catch (error) {
+		throw new BackendFailedError(`Engine ${address} sent a line that is not JSON.`, {isNotSent: false}, {cause: error});
+	}
+}
--- /dev/null
+++ b/packages/mulberrypitch-backends/src/plain-client.ts
@@ -0,0 +1,48 @@
+/** The wire format of plain services: one HTTP call, one answer. */
+import {Agent, request} from 'undici';
+import {TooLargeError} from '@mulberrypitch/errors/catalogue';
+import {createBackendFailure} from './failure.js';
+import type {BackendCall, PlainAnswer, PlainService} from './types.js';
+
+const connectTimeoutMs = 1000;
+const answerTimeoutMs = 10_000;
+const maxConnections = 256;
+const maxAnswerBytes = 1024 * 1024;
+
+/** Calls plain services over HTTP. */
+export class PlainClient implements PlainService {
+	readonly #agent = new Agent({
+		connect: {timeout: connectTimeoutMs}, connections: maxConnections, bodyTimeout: answerTimeoutMs, headersTimeout: answerTimeoutMs,
+	});
+
+	async run(call: BackendCall): Promise<PlainAnswer> {
+		try {
+			const {method, text, contentType} = call.body;
+			const response = await request(`${call.address}${call.body.path}`, {
+				method,
+				dispatcher: this.#agent,
+				signal: call.signal,
+				headers: {
+					'content-type': contentType, 'x-request-id': call.requestId, 'x-attempt': String(call.attempt),
+				},
+				...(method !== 'GET' && {body: text}),
+			});
+			const body = await response.body.text();
+			if (body.length > maxAnswerBytes) {
+				throw new TooLargeError('The answer of a plain service', maxAnswerBytes);
+			}
+
+			return {
+				status: response.statusCode,
+				contentType: String(response.headers['content-type'] ?? 'application/octet-stream'),
+				body,
+			};
+		} catch (error) {
+			throw createBackendFailure(error, call.address);
+		}
+	}
+
+	async dispose(): Promise<void> {
+		await this.#agent.destroy();
+	}
+}
--- /dev/null
+++ b/packages/mulberrypitch-config/src/__tests__/shared-configuration.test.ts
@@ -0,0 +1,44 @@
+/** The shared configuration. */
+import {readdirSync, readFileSync} from 'node:fs';
+import path from 'node:path';
+import t from 'tap';
+import {demoConfiguration} from '../defaults.js';
+import {getConfigurationDigest, listEffectiveValues, validateSharedConfiguration} from '../shared-configuration.js';
+
+const examples = path.resolve(import.meta.dirname, '../../../../examples');
+const base = {file: 'base.ini', text: demoConfiguration};
+
+await t.test('lets an overlay change one value and names the file that set it', async t => {
+	const overlay = {file: 'site.ini', text: '[service.advice]\nqueue-limit = 7\n'};
+	const configuration = validateSharedConfiguration({base, overlay});
+	t.equal(configuration.services.find(service => service.name === 'advice')!.queueLimit, 7);
+	const value = listEffectiveValues({base, overlay}).find(({key}) => key === 'queue-limit')!;
+	t.equal(value.file, 'site.ini');
+});
+
+await t.test('gives equal digests to equal configurations', async t => {
+	const reordered = {file: 'b.ini', text: demoConfiguration.split('\n\n').toReversed().join('\n\n')};
+	t.equal(getConfigurationDigest(validateSharedConfiguration({base})), getConfigurationDigest(validateSharedConfiguration({base: reordered})));
+});
+
+await t.test('rejects an unknown service of a workspace', async t => {
+	const text = demoConfiguration.replace('[workspace.demo]', '[workspace.demo]\nservices = advise');
+	t.throws(() => validateSharedConfiguration({base: {file: 'base.ini', text}}), {code: 'settings', nextStep: 'Did you mean "advice"?'});
+});
+
+await t.test('rejects a value out of bounds', async t => {
+	const text = demoConfiguration.replace('kind = engine', 'kind = engine\nqueue-limit = 0');
+	t.throws(() => validateSharedConfiguration({base: {file: 'base.ini', text}}), {message: /queue-limit/v});
+});
+
+for (const deployment of readdirSync(examples)) {
+	await t.test(`accepts the example ${deployment} with each overlay`, async t => {
+		const folder = path.join(examples, deployment);
+		const read = (file: string) => ({file, text: readFileSync(path.join(folder, file), 'utf8')});
+		const overlays = readdirSync(folder).filter(file => file.endsWith('.ini') && file !== 'base.ini');
+		t.equal(overlays.length, 3);
+		for (const file of overlays) {
+			t.equal(validateSharedConfiguration({base: read('base.ini'), overlay: read(file)}).workspaces.length, 5);
+		}
+	});
+}
--- /dev/null
+++ b/packages/mulberrypitch-control/src/control-service.ts
@@ -0,0 +1,233 @@
+/** What a control host offers to entry hosts: proposals, session renewals, look-ups and the account. */
+import {BackgroundTask} from '@mulberrypitch/lifecycle/background';
+import type {Clock} from '@mulberrypitch/lifecycle/clock';
+import {DisposableStore, type Resource} from '@mulberrypitch/lifecycle/disposable-store';
+import {
+	BadRequestError, NotLeaderError, ProtocolError, StaleEpochError,
+} from '@mulberrypitch/errors/catalogue';
+import {events} from '@mulberrypitch/logger/events';
+import type {Logger} from '@mulberrypitch/logger/logger';
+import type {Transport} from '@mulberrypitch/transport/types';
+import type {AccountStore} from '@mulberrypitch/account/account-store';
+import {getMessage} from '@mulberrypitch/errors/coded-error';
+import {commandSchema, type Command} from './commands.js';
+import type {ControlState} from './control-state.js';
+import type {Replica} from './replica.js';
+import type {
+	AccountPart, CommandResult, ControlOverview, ReplicaStatus, RequestLookup, View,
+} from './types.js';
+import {
+	accountReadSchema, emptySchema, proposalSchema, renewalSchema, requestLookupSchema, type Renewal,
+} from './messages.js';
+
+/** Time without a renewal after which the leader ends a session. */
+export const sessionLeaseMs = 4000;
+const backendLeaseMs = 5000;
+const watchIntervalMs = 250;
+const maxRecordsPerCall = 1000;
+
+/** What the service is made of. */
+export type ControlServiceOptions = {
+	readonly group: string;
+	readonly name: string;
+	readonly replica: Replica;
+	readonly state: ControlState;
+	readonly account: AccountStore;
+	readonly transport: Transport;
+	readonly clock: Clock;
+	readonly logger: Logger;
+};
+
+type NodeStatus = {
+	renewedAt: number;
+	revision: number;
+	digest: string;
+};
+
+/** Serves one replica's state. Only a leader within its lease answers. */
+export class ControlService implements Resource {
+	readonly #options: ControlServiceOptions;
+	readonly #resources = new DisposableStore();
+	readonly #nodes = new Map<string, NodeStatus>();
+	readonly #heardAt = new Map<string, number>();
+	#leadingTerm = 0;
+
+	constructor(options: ControlServiceOptions) {
+		this.#options = options;
+	}
+
+	/** Registers the methods and begins to watch sessions and back ends. */
+	start(): void {
+		const {transport, group} = this.#options;
+		transport.handle(`${group}.propose`, proposalSchema, async ({commands}) => this.#onPropose(commands));
+		transport.handle(`${group}.renew`, renewalSchema, async renewal => this.#onRenew(renewal));
+		transport.handle(`${group}.findRequest`, requestLookupSchema, async ({requestId}) => this.#onFindRequest(requestId));
+		transport.handle(`${group}.overview`, emptySchema, async () => this.#onOverview());
+		transport.handle(`${group}.status`, emptySchema, async () => this.getStatus());
+		transport.handle(`${group}.account`, accountReadSchema, async ({from}) => this.#onAccount(from));
+		this.#resources.add(new BackgroundTask(async signal => this.#watch(signal), error => {
+			this.#options.logger.log(events.taskFailed, {reason: getMessage(error)});
+		}));
+	}
+
+	/** Gives the status of this replica. */
+	getStatus(): ReplicaStatus {
+		const {replica, name, clock} = this.#options;
+		const now = clock.now();
+		return {
+			name,
+			role: replica.role,
+			term: replica.term,
+			...(replica.leader !== undefined && {leader: replica.leader}),
+			commitIndex: replica.commitIndex,
+			lastIndex: replica.lastIndex,
+			appliedIndex: replica.appliedIndex,
+			nodes: [...this.#nodes].map(([node, status]) => ({
+				node, revision: status.revision, digest: status.digest, ageMs: Math.round(now - status.renewedAt),
+			})),
+		};
+	}
+
+	async dispose(): Promise<void> {
+		await this.#resources.dispose();
+	}
+
+	async #onPropose(proposed: readonly unknown[]): Promise<CommandResult[]> {
+		const commands = parseCommands(proposed);
+		return Promise.all(commands.map(async command => this.#options.replica.propose(command)));
+	}
+
+	async #onRenew(renewal: Renewal): Promise<View> {
+		this.#requireLease();
+		const {state, clock, group} = this.#options;
+		if (renewal.group !== group) {
+			throw new ProtocolError(`Group ${renewal.group} is not served here.`);
+		}
+
+		if (state.getSession(renewal.node)?.epoch !== renewal.epoch) {
+			throw new StaleEpochError(`The session ${renewal.epoch} of host ${renewal.node} has ended.`);
+		}
+
+		const now = clock.now();
+		this.#nodes.set(renewal.node, {renewedAt: now, revision: renewal.knownRevision, digest: renewal.effectiveDigest});
+		for (const {id, incarnation} of renewal.heardBackends) {
+			this.#heardAt.set(`${id}/${incarnation}`, now);
+		}
+
+		return this.#createView(renewal);
+	}
+
+	#createView(renewal: Renewal): View {
+		const {state} = this.#options;
+		const revision = state.configuration?.revision ?? 0;
+		const isConfigurationNew = revision > renewal.knownRevision;
+		const isMembershipNew = state.membershipVersion !== renewal.knownMembership;
+		return {
+			revision,
+			...(isConfigurationNew && {configuration: state.configuration!}),
+			membershipVersion: state.membershipVersion,
+			...(isMembershipNew && {sessions: state.listSessions(), backends: state.listBackends()}),
+			assigned: state.listHeld(renewal.node).filter(request => request.epoch > 1),
+		};
+	}
+
+	async #onFindRequest(requestId: string): Promise<RequestLookup> {
+		this.#requireLease();
+		const request = this.#options.state.getRequest(requestId);
+		return request === undefined ? {} : {request};
+	}
+
+	async #onOverview(): Promise<ControlOverview> {
+		this.#requireLease();
+		const {configuration, head} = this.#options.state;
+		return {...(configuration !== undefined && {configuration}), head};
+	}
+
+	async #onAccount(from: number): Promise<AccountPart> {
+		const {account} = this.#options;
+		await account.sync();
+		return {records: account.read(from, maxRecordsPerCall), head: account.getHead()};
+	}
+
+	#requireLease(): void {
+		const {replica} = this.#options;
+		if (!replica.hasLease()) {
+			throw new NotLeaderError(replica.leader);
+		}
+	}
+
+	async #watch(signal: AbortSignal): Promise<void> {
+		const {replica, clock} = this.#options;
+		while (!signal.aborted) {
+			await clock.sleep(watchIntervalMs, signal);
+			if (!replica.hasLease()) {
+				continue;
+			}
+
+			if (this.#leadingTerm !== replica.term) {
+				this.#startTerm(replica.term);
+			}
+
+			await this.#expire();
+		}
+	}
+
+	/** A new leader knows nothing of earlier renewals, so all leases start anew. */
+	#startTerm(term: number): void {
+		const {state, clock} = this.#options;
+		this.#leadingTerm = term;
+		this.#nodes.clear();
+		this.#heardAt.clear();
+		const now = clock.now();
+		for (const session of state.listSessions()) {
+			this.#nodes.set(session.node, {renewedAt: now, revision: 0, digest: ''});
+		}
+	}
+
+	async #expire(): Promise<void> {
+		const {state, clock, replica, logger} = this.#options;
+		const now = clock.now();
+		const commands: Command[] = [];
+		for (const session of state.listSessions()) {
+			const status = this.#nodes.get(session.node) ?? this.#startNode(session.node);
+			if (now - status.renewedAt > sessionLeaseMs) {
+				logger.log(events.sessionExpired, {node: session.node, epoch: session.epoch});
+				commands.push({
+					kind: 'closeSession', node: session.node, epoch: session.epoch, cause: 'expired',
+				});
+			}
+		}
+
+		for (const backend of state.listBackends()) {
+			const key = `${backend.id}/${backend.incarnation}`;
+			const heardAt = this.#heardAt.get(key) ?? now;
+			this.#heardAt.set(key, heardAt);
+			if (now - heardAt > backendLeaseMs) {
+				logger.log(events.backendRemoved, {backend: backend.id, cause: 'silent'});
+				commands.push({
+					kind: 'removeBackend', id: backend.id, incarnation: backend.incarnation, cause: 'silent',
+				});
+			}
+		}
+
+		await Promise.allSettled(commands.map(async command => replica.propose(command)));
+	}
+
+	#startNode(node: string): NodeStatus {
+		const status = {renewedAt: this.#options.clock.now(), revision: 0, digest: ''};
+		this.#nodes.set(node, status);
+		return status;
+	}
+}
+
+function parseCommands(commands: readonly unknown[]): Command[] {
+	return commands.map(command => {
+		const parsed = commandSchema.safeParse(command);
+		if (!parsed.success) {
+			const issue = parsed.error.issues[0]!;
+			throw new BadRequestError(`A command is not valid: ${issue.path.join('.')} ${issue.message}.`);
+		}
+
+		return parsed.data;
+	});
+}
--- /dev/null
+++ b/packages/mulberrypitch-entry/src/caller-routes.ts
@@ -0,0 +1,258 @@
+/** What callers use: completions, calls of plain services, and reading an answer again. */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {BadRequestError, NotFoundError, UnauthorizedError} from '@mulberrypitch/errors/catalogue';
+import type {ServiceConfiguration, SharedConfiguration, Workspace} from '@mulberrypitch/config/types';
+import {ends, type Outcome} from '@mulberrypitch/control/types';
+import type {RequestService} from '@mulberrypitch/requests/request-service';
+import type {AcceptedRequest, AnswerEvent, IncomingCall} from '@mulberrypitch/requests/types';
+import {getWorkspace} from './authentication.js';
+import {
+	getStatus, parseJson, readBody, sendJson,
+} from './http-reply.js';
+
+const maxKeyLength = 200;
+const maxDeadlineMs = 3_600_000;
+const prefixLength = 1024;
+const defaultMaxTokens = 1024;
+const servicesPath = '/v1/services/';
+
+/** What the routes need. */
+export type CallerContext = {
+	readonly requests: RequestService;
+	readonly getConfiguration: () => SharedConfiguration;
+};
+
+/**
+Answers a completion, as server-sent events when the caller asks for a stream.
+
+@example
+```
+await answerCompletion(context, request, response, '/v1/chat/completions');
+```
+*/
+export async function answerCompletion(context: CallerContext, request: IncomingMessage, response: ServerResponse, path: string): Promise<void> {
+	const configuration = context.getConfiguration();
+	const workspace = getWorkspace(request, configuration);
+	const text = await readBody(request);
+	const body = parseJson(text);
+	const service = requireService(configuration, workspace, typeof body.model === 'string' ? body.model : '', 'engine');
+	const accepted = await context.requests.submit({
+		workspace,
+		service,
+		body: {
+			method: 'POST', path, contentType: 'application/json', text,
+		},
+		...getIdempotencyKey(request),
+		isIdempotent: true,
+		deadlineMs: getDeadlineMs(request, service),
+		prefix: getPrefix(body),
+		maxTokens: typeof body.max_tokens === 'number' ? body.max_tokens : defaultMaxTokens,
+	});
+	await (body.stream === true ? streamAnswer(accepted, response, 0) : sendCompletion(accepted, response));
+}
+
+/**
+Answers a call of a plain service at `/v1/services/{service}/{path}`.
+
+@example
+```
+await answerServiceCall(context, request, response);
+```
+*/
+export async function answerServiceCall(context: CallerContext, request: IncomingMessage, response: ServerResponse): Promise<void> {
+	const configuration = context.getConfiguration();
+	const workspace = getWorkspace(request, configuration);
+	const [name, ...segments] = request.url!.slice(servicesPath.length).split('/');
+	const service = requireService(configuration, workspace, decodeURIComponent(name!), 'plain');
+	const method = request.method === 'GET' ? 'GET' : 'POST';
+	const call: IncomingCall = {
+		workspace,
+		service,
+		body: {
+			method, path: `/${segments.join('/')}`, contentType: request.headers['content-type'] ?? 'application/json', text: await readBody(request),
+		},
+		...getIdempotencyKey(request),
+		isIdempotent: method === 'GET' || service.idempotentPaths.includes(segments[0]?.split('?')[0] ?? ''),
+		deadlineMs: getDeadlineMs(request, service),
+		prefix: '',
+		maxTokens: 0,
+	};
+	await sendPlain(await context.requests.submit(call), response);
+}
+
+/**
+Answers `GET /v1/requests/{id}`: the rest of an answer after `Last-Event-ID`, from any host.
+
+@example
+```
+await answerRead(context, request, response, requestId);
+```
+*/
+export async function answerRead(context: CallerContext, request: IncomingMessage, response: ServerResponse, requestId: string): Promise<void> {
+	const workspace = getWorkspace(request, context.getConfiguration());
+	const accepted = await context.requests.getRequest(requestId, workspace.name);
+	const last = request.headers['last-event-id'];
+	const fromOffset = last === undefined ? 0 : Number(last) + 1;
+	if (!Number.isSafeInteger(fromOffset) || fromOffset < 0) {
+		throw new BadRequestError('Last-Event-ID is not a number.');
+	}
+
+	await streamAnswer(accepted, response, fromOffset);
+}
+
+function requireService(configuration: SharedConfiguration, workspace: Workspace, name: string, kind: ServiceConfiguration['kind']): ServiceConfiguration {
+	const service = configuration.services.find(candidate => candidate.name === name && candidate.kind === kind);
+	if (service === undefined) {
+		throw new NotFoundError(`Service "${name}" is not known.`, `Use one of: ${configuration.services.filter(candidate => candidate.kind === kind).map(candidate => candidate.name).join(', ')}.`);
+	}
+
+	if (workspace.services.length > 0 && !workspace.services.includes(name)) {
+		throw new UnauthorizedError(`Workspace "${workspace.name}" may not use service "${name}".`);
+	}
+
+	return service;
+}
+
+function getIdempotencyKey(request: IncomingMessage): {idempotencyKey?: string} {
+	const key = request.headers['idempotency-key'];
+	if (key === undefined) {
+		return {};
+	}
+
+	if (typeof key !== 'string' || key === '' || key.length > maxKeyLength) {
+		throw new BadRequestError(`Idempotency-Key must have 1 to ${maxKeyLength} characters.`);
+	}
+
+	return {idempotencyKey: key};
+}
+
+function getDeadlineMs(request: IncomingMessage, service: ServiceConfiguration): number {
+	const header = request.headers['x-deadline-ms'];
+	if (header === undefined) {
+		return service.deadlineMs;
+	}
+
+	const deadlineMs = Number(header);
+	if (!Number.isFinite(deadlineMs) || deadlineMs <= 0 || deadlineMs > maxDeadlineMs) {
+		throw new BadRequestError(`X-Deadline-Ms must be between 1 and ${maxDeadlineMs}.`);
+	}
+
+	return deadlineMs;
+}
+
+function getPrefix(body: Record<string, unknown>): string {
+	return JSON.stringify(body.messages ?? body.prompt ?? '').slice(0, prefixLength);
+}
+
+async function streamAnswer(accepted: AcceptedRequest, response: ServerResponse, fromOffset: number): Promise<void> {
+	response.writeHead(200, {
+		'content-type': 'text/event-stream', 'cache-control': 'no-store', 'x-request-id': accepted.requestId,
+	});
+	response.flushHeaders();
+	for await (const event of accepted.read(fromOffset, getCloseSignal(response))) {
+		response.write(formatEvent(event, accepted.requestId));
+	}
+
+	response.end();
+}
+
+function formatEvent(event: AnswerEvent, requestId: string): string {
+	if (event.kind === 'chunk') {
+		const {offset, text} = event.chunk;
+		const data = {id: requestId, object: 'chat.completion.chunk', choices: [{index: 0, delta: {content: text}}]};
+		return `id: ${offset}\ndata: ${JSON.stringify(data)}\n\n`;
+	}
+
+	const {outcome} = event;
+	if (outcome.end !== ends.answered) {
+		return `event: error\ndata: ${JSON.stringify({error: createEndFailure(outcome)})}\n\n`;
+	}
+
+	return 'data: [DONE]\n\n';
+}
+
+async function sendCompletion(accepted: AcceptedRequest, response: ServerResponse): Promise<void> {
+	response.setHeader('x-request-id', accepted.requestId);
+	const {text, outcome} = await collect(accepted, response);
+	if (outcome === undefined) {
+		return;
+	}
+
+	if (outcome.end !== ends.answered) {
+		sendEndFailure(response, outcome);
+		return;
+	}
+
+	sendJson(response, 200, {
+		id: accepted.requestId,
+		object: 'chat.completion',
+		// eslint-disable-next-line @typescript-eslint/naming-convention -- The wire format's own name.
+		choices: [{index: 0, message: {role: 'assistant', content: text}, finish_reason: 'stop'}],
+	});
+}
+
+async function sendPlain(accepted: AcceptedRequest, response: ServerResponse): Promise<void> {
+	response.setHeader('x-request-id', accepted.requestId);
+	const {text, outcome, head} = await collect(accepted, response);
+	if (outcome === undefined) {
+		return;
+	}
+
+	if (outcome.end !== ends.answered) {
+		sendEndFailure(response, outcome);
+		return;
+	}
+
+	response.writeHead(head?.status ?? 200, {'content-type': head?.contentType ?? 'application/octet-stream'});
+	response.end(text);
+}
+
+type Collected = {
+	readonly text: string;
+	readonly outcome?: Outcome;
+	readonly head?: {readonly status: number; readonly contentType: string};
+};
+
+async function collect(accepted: AcceptedRequest, response: ServerResponse): Promise<Collected> {
+	let text = '';
+	for await (const event of accepted.read(0, getCloseSignal(response))) {
+		if (event.kind === 'end') {
+			return {text, outcome: event.outcome, ...(event.head !== undefined && {head: event.head})};
+		}
+
+		text += event.chunk.text;
+	}
+
+	return {text};
+}
+
+function sendEndFailure(response: ServerResponse, outcome: Outcome): void {
+	const failure = createEndFailure(outcome);
+	if (outcome.retryAfterSeconds !== undefined) {
+		response.setHeader('retry-after', String(outcome.retryAfterSeconds));
+	}
+
+	sendJson(response, getStatus(failure.code), {error: failure});
+}
+
+function createEndFailure(outcome: Outcome): {code: string; end: string; message: string; retryAfterSeconds?: number} {
+	const messages: Readonly<Record<string, string>> = {
+		[ends.notRun]: 'The request did not run and will not run.',
+		[ends.unknown]: 'The request may have run; check with the service before ordering again.',
+		[ends.failed]: 'The request was given up on.',
+	};
+	return {
+		code: outcome.code ?? outcome.end,
+		end: outcome.end,
+		message: messages[outcome.end] ?? outcome.end,
+		...(outcome.retryAfterSeconds !== undefined && {retryAfterSeconds: outcome.retryAfterSeconds}),
+	};
+}
+
+function getCloseSignal(response: ServerResponse): AbortSignal {
+	const controller = new AbortController();
+	response.once('close', () => {
+		controller.abort();
+	});
+	return controller.signal;
+}
--- /dev/null
+++ b/packages/mulberrypitch-entry/src/entry-server.ts
@@ -0,0 +1,276 @@
+/** The HTTP server of an entry host. */
+import type {AddressInfo} from 'node:net';
+import http, {type IncomingMessage, type ServerResponse} from 'node:http';
+import {assumeType} from '@mulberrypitch/errors/assume-type';
+import polka, {type Polka} from 'polka';
+import type {Clock} from '@mulberrypitch/lifecycle/clock';
+import type {Resource} from '@mulberrypitch/lifecycle/disposable-store';
+import {
+	BadRequestError, codes, NotFoundError, StaleViewError,
+} from '@mulberrypitch/errors/catalogue';
+import {CodedError, getMessage, hasCode} from '@mulberrypitch/errors/coded-error';
+import {events} from '@mulberrypitch/logger/events';
+import type {Logger} from '@mulberrypitch/logger/logger';
+import {getConfigurationDigest, validateSharedConfiguration} from '@mulberrypitch/config/shared-configuration';
+import type {HostSettings, SharedConfiguration} from '@mulberrypitch/config/types';
+import type {ControlClient} from '@mulberrypitch/control/control-client';
+import type {ReplicaStatus} from '@mulberrypitch/control/types';
+import type {MetricsRegistry} from '@mulberrypitch/metrics/registry';
+import type {RequestService} from '@mulberrypitch/requests/request-service';
+import {requireToken} from './authentication.js';
+import type {BackendDirectory} from './backend-directory.js';
+import {
+	answerCompletion, answerRead, answerServiceCall, type CallerContext,
+} from './caller-routes.js';
+import {
+	parseJson, readBody, sendFailure, sendJson,
+} from './http-reply.js';
+import {
+	announcementSchema, configurationChangeSchema, type EntryList,
+} from './types.js';
+
+const headersTimeoutMs = 10_000;
+const requestTimeoutMs = 30_000;
+const maxHeaderBytes = 16 * 1024;
+const maxHeaders = 64;
+const controlTimeoutMs = 2000;
+const temporaryRedirect = 307;
+const closeDelayMs = 1000;
+
+/** What the server is made of. */
+export type EntryServerOptions = {
+	readonly settings: HostSettings;
+	readonly control: ControlClient;
+	readonly requests: RequestService;
+	readonly backends: BackendDirectory;
+	readonly metrics: MetricsRegistry;
+	readonly clock: Clock;
+	readonly logger: Logger;
+	/** The configuration in force, once there is one. */
+	readonly getConfiguration: () => SharedConfiguration | undefined;
+	/** Begins a planned stop of this host. */
+	readonly onDrain: () => void;
+};
+
+type Route = (request: IncomingMessage, response: ServerResponse) => Promise<void>;
+
+/** Serves callers, back ends and operators. */
+export class EntryServer implements Resource {
+	readonly #options: EntryServerOptions;
+	readonly #server: http.Server;
+	readonly #callers: CallerContext;
+	#isDraining = false;
+
+	constructor(options: EntryServerOptions) {
+		this.#options = options;
+		this.#callers = {requests: options.requests, getConfiguration: () => this.#requireConfiguration()};
+		this.#server = http.createServer({maxHeaderSize: maxHeaderBytes});
+		this.#server.maxHeadersCount = maxHeaders;
+		this.#server.headersTimeout = headersTimeoutMs;
+		this.#server.requestTimeout = requestTimeoutMs;
+		const app = polka({
+			server: this.#server, onNoMatch(_request: IncomingMessage, response: ServerResponse) {
+				sendFailure(response, new NotFoundError('This path is not known.', 'See the list of paths in docs/operations.md.'));
+			},
+		});
+		this.#addCallerRoutes(app);
+		this.#addOperatorRoutes(app);
+		// Polka takes the server as it is; its handler is attached here because it doesn't own the listening.
+		this.#server.on('request', assumeType<http.RequestListener>(app.handler));
+	}
+
+	/** Starts to listen. Resolves with the port in use. */
+	async listen(): Promise<number> {
+		const [host, port] = splitAddress(this.#options.settings.httpListen);
+		return new Promise((resolve, reject) => {
+			this.#server.once('error', reject);
+			this.#server.listen(port, host, () => {
+				resolve(assumeType<AddressInfo>(this.#server.address()).port);
+			});
+		});
+	}
+
+	/** Leaves the list of entries at once; requests in progress go on. */
+	drain(): void {
+		this.#isDraining = true;
+	}
+
+	async dispose(): Promise<void> {
+		await new Promise<void>(resolve => {
+			this.#server.close(() => {
+				resolve();
+			});
+			this.#server.closeIdleConnections();
+			setTimeout(() => {
+				this.#server.closeAllConnections();
+			}, closeDelayMs).unref();
+		});
+	}
+
+	#addCallerRoutes(app: Polka): void {
+		for (const path of ['/v1/chat/completions', '/v1/completions']) {
+			this.#add(app, 'POST', path, async (request, response) => answerCompletion(this.#callers, request, response, path));
+		}
+
+		const answerService: Route = async (request, response) => answerServiceCall(this.#callers, request, response);
+		this.#add(app, 'GET', '/v1/services/*', answerService);
+		this.#add(app, 'POST', '/v1/services/*', answerService);
+		this.#add(app, 'GET', '/v1/requests/:id', async (request, response) => answerRead(this.#callers, request, response, getLastSegment(request)));
+		this.#add(app, 'GET', '/v1/entries', async (_request, response) => {
+			sendJson(response, 200, this.#listEntries());
+		});
+		this.#add(app, 'POST', '/v1/announce', async (request, response) => this.#announce(request, response));
+		this.#add(app, 'GET', '/healthz', async (_request, response) => {
+			sendJson(response, 200, {status: 'ok'});
+		});
+		this.#add(app, 'GET', '/readyz', async (_request, response) => {
+			const isReady = this.#isReady();
+			sendJson(response, isReady ? 200 : 503, {status: isReady ? 'ready' : 'not ready'});
+		});
+		this.#add(app, 'GET', '/metrics', async (_request, response) => {
+			response.writeHead(200, {'content-type': 'text/plain; version=0.0.4'});
+			response.end(this.#options.metrics.write());
+		});
+	}
+
+	#addOperatorRoutes(app: Polka): void {
+		const add = (method: 'GET' | 'POST', path: string, route: Route) => {
+			this.#add(app, method, path, async (request, response) => {
+				requireToken(request, this.#options.settings.operatorToken);
+				await route(request, response);
+			});
+		};
+
+		add('POST', '/v1/admin/configuration', async (request, response) => this.#applyConfiguration(request, response));
+		add('GET', '/v1/admin/configuration', async (_request, response) => this.#sendLeaderReply(response, 'overview', {}));
+		add('GET', '/v1/admin/status', async (_request, response) => this.#sendStatus(response));
+		add('GET', '/v1/admin/account', async (request, response) => {
+			const from = Number(new URL(request.url!, 'http://host').searchParams.get('from') ?? '1');
+			await this.#sendLeaderReply(response, 'account', {from});
+		});
+		add('POST', '/v1/admin/drain', async (_request, response) => {
+			this.#options.onDrain();
+			sendJson(response, 202, {status: 'draining'});
+		});
+	}
+
+	#add(app: Polka, method: 'GET' | 'POST', path: string, route: Route): void {
+		app.add(method, path, async (request, response) => {
+			try {
+				await route(request, response);
+			} catch (error) {
+				this.#fail(request, response, error);
+			}
+		});
+	}
+
+	#fail(request: IncomingMessage, response: ServerResponse, error: unknown): void {
+		const {logger, metrics} = this.#options;
+		const code = error instanceof CodedError ? error.code : codes.internal;
+		metrics.count('mulberrypitch_requests_refused_total', 'Requests refused by code.', {code});
+		logger.log(events.requestRefused, {code, reason: getMessage(error)});
+		if (response.headersSent) {
+			response.destroy();
+			return;
+		}
+
+		const other = this.#listEntries().entries[0];
+		if (hasCode(error, codes.draining) && other !== undefined) {
+			response.writeHead(temporaryRedirect, {location: `${other.address}${request.url}`, connection: 'close'});
+			response.end();
+			return;
+		}
+
+		sendFailure(response, error);
+	}
+
+	#requireConfiguration(): SharedConfiguration {
+		const configuration = this.#options.getConfiguration();
+		if (configuration === undefined) {
+			throw new StaleViewError(0);
+		}
+
+		return configuration;
+	}
+
+	#isReady(): boolean {
+		return !this.#isDraining && this.#options.control.isFresh() && this.#options.getConfiguration() !== undefined;
+	}
+
+	#listEntries(): EntryList {
+		const {control, settings} = this.#options;
+		const entries = control.sessions
+			.filter(session => !session.isDraining && (session.node !== settings.name || this.#isReady()))
+			.map(session => ({address: session.publicAddress, zone: session.zone}));
+		const start = entries.length === 0 ? 0 : Math.floor(Math.random() * entries.length);
+		return {entries: [...entries.slice(start), ...entries.slice(0, start)], ttlSeconds: settings.entriesTtlSeconds};
+	}
+
+	async #announce(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		requireToken(request, this.#options.settings.backendToken);
+		const parsed = announcementSchema.safeParse(parseJson(await readBody(request)));
+		if (!parsed.success) {
+			const issue = parsed.error.issues[0]!;
+			throw new BadRequestError(`Field "${issue.path.join('.')}": ${issue.message}.`);
+		}
+
+		await this.#options.backends.announce(parsed.data);
+		sendJson(response, 200, this.#listEntries());
+	}
+
+	async #applyConfiguration(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		const parsed = configurationChangeSchema.safeParse(parseJson(await readBody(request)));
+		if (!parsed.success) {
+			const issue = parsed.error.issues[0]!;
+			throw new BadRequestError(`Field "${issue.path.join('.')}": ${issue.message}.`);
+		}
+
+		const {base, overlays, ...change} = parsed.data;
+		const baseText = {file: 'base', text: base};
+		const digest = getConfigurationDigest(validateSharedConfiguration({base: baseText}));
+		for (const [site, text] of Object.entries(overlays)) {
+			validateSharedConfiguration({base: baseText, overlay: {file: site, text}});
+		}
+
+		const revision = await this.#options.control.propose({
+			kind: 'applyConfiguration', ...change, digest, files: {base, overlays},
+		});
+		sendJson(response, 200, revision);
+	}
+
+	async #sendLeaderReply(response: ServerResponse, method: string, parameters: unknown): Promise<void> {
+		sendJson(response, 200, await this.#options.control.callLeader(method, parameters, controlTimeoutMs));
+	}
+
+	async #sendStatus(response: ServerResponse): Promise<void> {
+		const {control, settings, requests} = this.#options;
+		let leader: ReplicaStatus | undefined;
+		try {
+			leader = await control.callLeader<ReplicaStatus>('status', {}, controlTimeoutMs);
+		} catch (error) {
+			if (!hasCode(error, codes.timeout) && !hasCode(error, codes.peerUnreachable)) {
+				throw error;
+			}
+		}
+
+		sendJson(response, 200, {
+			node: settings.name,
+			isReady: this.#isReady(),
+			revision: control.revision,
+			running: requests.running,
+			copies: requests.copies,
+			sessions: control.sessions,
+			backends: control.backends,
+			leader,
+		});
+	}
+}
+
+function getLastSegment(request: IncomingMessage): string {
+	return request.url!.split('?')[0]!.split('/').pop()!;
+}
+
+function splitAddress(address: string): [string, number] {
+	const separator = address.lastIndexOf(':');
+	return [address.slice(0, separator), Number(address.slice(separator + 1))];
+}
--- /dev/null
+++ b/packages/mulberrypitch-host/src/host.ts
@@ -0,0 +1,220 @@
+/** One host, composed from its roles. */
+import {randomUUID} from 'node:crypto';
+import path from 'node:path';
+import {AccountStore} from '@mulberrypitch/account/account-store';
+import {AdmissionQueue} from '@mulberrypitch/admission/admission-queue';
+import {EngineClient} from '@mulberrypitch/backends/engine-client';
+import {PlainClient} from '@mulberrypitch/backends/plain-client';
+import {getConfigurationDigest, validateSharedConfiguration} from '@mulberrypitch/config/shared-configuration';
+import {hostRoles, type HostSettings, type SharedConfiguration} from '@mulberrypitch/config/types';
+import {ControlClient} from '@mulberrypitch/control/control-client';
+import {ControlService} from '@mulberrypitch/control/control-service';
+import {ControlState} from '@mulberrypitch/control/control-state';
+import {Replica} from '@mulberrypitch/control/replica';
+import type {ConfigurationRevision} from '@mulberrypitch/control/types';
+import {BackendDirectory} from '@mulberrypitch/entry/backend-directory';
+import {EntryServer} from '@mulberrypitch/entry/entry-server';
+import type {Clock} from '@mulberrypitch/lifecycle/clock';
+import {DisposableStore, type Resource} from '@mulberrypitch/lifecycle/disposable-store';
+import type {Random} from '@mulberrypitch/lifecycle/random';
+import {events} from '@mulberrypitch/logger/events';
+import type {Logger} from '@mulberrypitch/logger/logger';
+import {MetricsRegistry} from '@mulberrypitch/metrics/registry';
+import {RequestService} from '@mulberrypitch/requests/request-service';
+import {LeastLoadedRouter} from '@mulberrypitch/routing/router';
+import {FileLog} from '@mulberrypitch/storage/file-log';
+import {MemoryLog} from '@mulberrypitch/storage/memory-log';
+import {NodeDisk} from '@mulberrypitch/storage/node-disk';
+import type {LogStore} from '@mulberrypitch/storage/types';
+import type {Transport} from '@mulberrypitch/transport/types';
+
+/** Outer parts of a host, replaceable in tests and in the demo. */
+export type HostOptions = {
+	readonly settings: HostSettings;
+	readonly transport: Transport;
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly logger: Logger;
+};
+
+/** Runs the roles of one host until it is drained or disposed of. */
+export class Host implements Resource {
+	readonly #options: HostOptions;
+	readonly #resources = new DisposableStore();
+	readonly #metrics = new MetricsRegistry();
+	readonly #incarnation = randomUUID();
+	#configuration: SharedConfiguration | undefined;
+	#effectiveDigest = '';
+	#control: ControlClient | undefined;
+	#requests: RequestService | undefined;
+	#server: EntryServer | undefined;
+	#stopping: Promise<void> | undefined;
+
+	constructor(options: HostOptions) {
+		this.#options = options;
+	}
+
+	/** Starts all roles. Resolves with the HTTP port in use, or nothing on a host without the entry role. */
+	async start(): Promise<number | undefined> {
+		const {settings, logger, transport} = this.#options;
+		this.#resources.add(transport);
+		if (settings.roles.includes(hostRoles.control)) {
+			await this.#startControl();
+		}
+
+		const port = settings.roles.includes(hostRoles.entry) ? await this.#startEntry() : undefined;
+		logger.log(events.hostStarted, {node: settings.name, zone: settings.zone, http: settings.httpListen});
+		return port;
+	}
+
+	/** Tells whether this host takes requests now. */
+	isReady(): boolean {
+		return this.#control?.isFresh() === true && this.#configuration !== undefined;
+	}
+
+	/** Stops without cutting off a request: leaves the entry list, finishes what is in progress, then ends the session. */
+	async drain(): Promise<void> {
+		this.#stopping ??= this.#drain();
+		return this.#stopping;
+	}
+
+	async dispose(): Promise<void> {
+		await this.#resources.dispose();
+	}
+
+	async #drain(): Promise<void> {
+		const {settings, logger, clock} = this.#options;
+		logger.log(events.hostDraining, {node: settings.name});
+		this.#server?.drain();
+		this.#requests?.drain();
+		const session = this.#control?.session;
+		if (session !== undefined) {
+			await this.#control!.propose({kind: 'drainSession', node: session.node, epoch: session.epoch});
+			await clock.sleep(settings.entriesTtlSeconds * 1000);
+		}
+
+		await this.#requests?.waitIdle();
+		await this.#control?.close();
+		await this.dispose();
+		logger.log(events.hostStopped, {node: settings.name});
+	}
+
+	async #startControl(): Promise<void> {
+		const {settings, transport, clock, random, logger} = this.#options;
+		const account = new AccountStore(this.#createStore('account'));
+		await account.load();
+		const state = new ControlState();
+		const replica = new Replica({
+			group: settings.group,
+			name: settings.name,
+			peers: settings.replicas,
+			store: this.#createStore('log'),
+			transport,
+			clock,
+			random,
+			logger,
+			machine: state,
+			onRecords(records) {
+				account.append(records);
+			},
+		});
+		const service = new ControlService({
+			group: settings.group, name: settings.name, replica, state, account, transport, clock, logger,
+		});
+		service.start();
+		await replica.start();
+		this.#resources.add(account);
+		this.#resources.add(replica);
+		this.#resources.add(service);
+	}
+
+	#createStore(part: string): LogStore {
+		const {settings} = this.#options;
+		return settings.dataFolder === undefined ? new MemoryLog() : new FileLog(path.join(settings.dataFolder, settings.group, part), new NodeDisk());
+	}
+
+	async #startEntry(): Promise<number> {
+		const {settings, transport, clock, logger} = this.#options;
+		const backends = new BackendDirectory({getControl: () => this.#control!, clock, logger});
+		this.#control = this.#createControlClient(backends);
+		const engine = this.#resources.add(new EngineClient());
+		const plain = this.#resources.add(new PlainClient());
+		this.#requests = this.#resources.add(new RequestService({
+			node: settings.name,
+			zone: settings.zone,
+			control: this.#control,
+			transport,
+			router: new LeastLoadedRouter(),
+			engine,
+			plain,
+			clock,
+			logger,
+			metrics: this.#metrics,
+			admission: new AdmissionQueue(),
+			getRetryPolicy: () => this.#configuration!.retry,
+		}));
+		this.#addGauges();
+		this.#server = this.#resources.add(new EntryServer({
+			settings,
+			control: this.#control,
+			requests: this.#requests,
+			backends,
+			metrics: this.#metrics,
+			clock,
+			logger,
+			getConfiguration: () => this.#configuration,
+			onDrain: () => {
+				void this.drain();
+			},
+		}));
+		this.#resources.add(this.#control);
+		this.#control.start();
+		return this.#server.listen();
+	}
+
+	#createControlClient(backends: BackendDirectory): ControlClient {
+		const {settings, transport, clock, logger} = this.#options;
+		return new ControlClient({
+			group: settings.group,
+			replicas: settings.replicas,
+			transport,
+			clock,
+			logger,
+			session: {
+				node: settings.name,
+				incarnation: this.#incarnation,
+				peerAddress: settings.peerListen,
+				publicAddress: settings.publicAddress,
+				zone: settings.zone,
+				region: settings.region,
+				site: settings.site,
+			},
+			takeHeardBackends: () => backends.takeHeard(),
+			getEffectiveDigest: () => this.#effectiveDigest,
+			onConfiguration: revision => {
+				this.#applyConfiguration(revision);
+			},
+			onAssigned: requests => {
+				this.#requests!.takeOver(requests);
+			},
+		});
+	}
+
+	#applyConfiguration({revision, files}: ConfigurationRevision): void {
+		const {settings, logger} = this.#options;
+		const overlay = files.overlays[settings.site];
+		this.#configuration = validateSharedConfiguration({
+			base: {file: 'base', text: files.base},
+			...(overlay !== undefined && {overlay: {file: settings.site, text: overlay}}),
+		});
+		this.#effectiveDigest = getConfigurationDigest(this.#configuration);
+		logger.log(events.configurationInForce, {revision, digest: this.#effectiveDigest});
+	}
+
+	#addGauges(): void {
+		this.#metrics.gauge('mulberrypitch_requests_running', 'Requests in progress.', () => this.#requests!.running);
+		this.#metrics.gauge('mulberrypitch_request_copies', 'Copies kept for other hosts.', () => this.#requests!.copies);
+		this.#metrics.gauge('mulberrypitch_view_fresh', 'One while this host may act on its view.', () => this.#control!.isFresh() ? 1 : 0);
+		this.#metrics.gauge('mulberrypitch_configuration_revision', 'Revision in force.', () => this.#control!.revision);
+	}
+}
--- /dev/null
+++ b/packages/mulberrypitch-logger/src/events.ts
@@ -0,0 +1,38 @@
+/** The numbered log events. `docs/log-events.md` explains each; a test compares the two. */
+
+/** Severity of an event. */
+export type Level = 'debug' | 'info' | 'warn' | 'error';
+
+/** The shape of one catalogued event. */
+export type CataloguedEvent = {
+	readonly number: number;
+	readonly level: Level;
+	readonly text: string;
+};
+
+/** All events, by name. Numbers don't change once released. */
+export const events = {
+	hostStarted: {number: 1001, level: 'info', text: 'host started'},
+	hostDraining: {number: 1002, level: 'info', text: 'host draining'},
+	hostStopped: {number: 1003, level: 'info', text: 'host stopped'},
+	taskFailed: {number: 1004, level: 'error', text: 'background task failed'},
+	peerRefused: {number: 1101, level: 'warn', text: 'peer refused'},
+	peerProtocol: {number: 1102, level: 'warn', text: 'peer broke the protocol'},
+	leaderElected: {number: 1201, level: 'info', text: 'leader elected'},
+	leaderStepped: {number: 1202, level: 'info', text: 'leader stepped down'},
+	storageFailed: {number: 1203, level: 'error', text: 'storage failed'},
+	sessionOpened: {number: 1301, level: 'info', text: 'session opened'},
+	sessionExpired: {number: 1302, level: 'warn', text: 'session expired'},
+	viewStale: {number: 1303, level: 'warn', text: 'view stale'},
+	configurationInForce: {number: 1304, level: 'info', text: 'configuration in force'},
+	backendRegistered: {number: 1401, level: 'info', text: 'back end registered'},
+	backendLeaving: {number: 1402, level: 'info', text: 'back end leaving'},
+	backendRemoved: {number: 1403, level: 'warn', text: 'back end removed'},
+	requestAccepted: {number: 1501, level: 'info', text: 'request accepted'},
+	requestDispatched: {number: 1502, level: 'debug', text: 'request dispatched'},
+	requestFinished: {number: 1503, level: 'info', text: 'request finished'},
+	requestRetried: {number: 1504, level: 'warn', text: 'request retried'},
+	requestRefused: {number: 1505, level: 'info', text: 'request refused'},
+	requestTakenOver: {number: 1506, level: 'warn', text: 'request taken over'},
+	requestFailed: {number: 1507, level: 'warn', text: 'request failed'},
+} as const satisfies Record<string, CataloguedEvent>;
--- /dev/null
+++ b/packages/mulberrypitch-requests/src/messages.ts
@@ -0,0 +1,34 @@
+/** Parameters of the calls between holders, standbys and readers, with their schemas. */
+import {z} from 'zod';
+
+const chunk = z.object({offset: z.number().int().nonnegative(), text: z.string()});
+
+/** A copy of a request for its standby. */
+export const heldCopySchema = z.object({
+	requestId: z.string(),
+	customer: z.string(),
+	service: z.string(),
+	body: z.object({
+		method: z.enum(['GET', 'POST']), path: z.string(), contentType: z.string(), text: z.string(),
+	}),
+	isIdempotent: z.boolean(),
+	deadlineAt: z.number(),
+	prefix: z.string(),
+	maxTokens: z.number(),
+	chunks: z.array(chunk),
+});
+
+/** New chunks of a request for its standby. */
+export const progressSchema = z.object({requestId: z.string(), chunks: z.array(chunk)});
+
+/** Tells a standby that the request has ended. */
+export const releaseSchema = z.object({requestId: z.string()});
+
+/** Reads an answer from an offset on. */
+export const readSchema = z.object({requestId: z.string(), fromOffset: z.number().int().nonnegative()});
+
+/** Parameters of a read. */
+export type ReadRequest = z.infer<typeof readSchema>;
+
+/** Parameters of progress. */
+export type Progress = z.infer<typeof progressSchema>;
--- /dev/null
+++ b/packages/mulberrypitch-routing/src/router.ts
@@ -0,0 +1,46 @@
+/** Routing by the host's own work in progress. */
+import type {
+	Candidate, Dispatch, Router, RoutingRequest,
+} from './types.js';
+
+/** Chooses the candidate with the smallest share of its slots in use by this host. */
+export class LeastLoadedRouter implements Router {
+	readonly #inFlight = new Map<string, number>();
+
+	choose(candidates: readonly Candidate[], request: RoutingRequest): Dispatch | undefined {
+		let best: Candidate | undefined;
+		for (const candidate of candidates) {
+			if (candidate.isLeaving || request.excluded.has(candidate.id)) {
+				continue;
+			}
+
+			if (best === undefined || this.#getLoad(candidate) < this.#getLoad(best)) {
+				best = candidate;
+			}
+		}
+
+		return best === undefined ? undefined : this.#begin(best.id);
+	}
+
+	#begin(backend: string): Dispatch {
+		this.#inFlight.set(backend, this.#getInFlight(backend) + 1);
+		let isFinished = false;
+		return {
+			backend,
+			finish: () => {
+				if (!isFinished) {
+					isFinished = true;
+					this.#inFlight.set(backend, this.#getInFlight(backend) - 1);
+				}
+			},
+		};
+	}
+
+	#getInFlight(backend: string): number {
+		return this.#inFlight.get(backend) ?? 0;
+	}
+
+	#getLoad(candidate: Candidate): number {
+		return this.#getInFlight(candidate.id) / candidate.slots;
+	}
+}
--- /dev/null
+++ b/packages/mulberrypitch-transport/src/tcp-transport.ts
@@ -0,0 +1,362 @@
+/** Calls between processes as JSON-RPC 2.0 over persistent TCP or TLS connections, one JSON text a line. */
+import {Buffer} from 'node:buffer';
+import {createHmac, randomBytes, timingSafeEqual} from 'node:crypto';
+import net from 'node:net';
+import tls from 'node:tls';
+import {assumeType} from '@mulberrypitch/errors/assume-type';
+import {
+	JSONRPCClient, JSONRPCErrorException, JSONRPCServer, type JSONRPCRequest, type JSONRPCResponse,
+} from 'json-rpc-2.0';
+import split2 from 'split2';
+import {CodedError, createErrorFromWire, type WireFailure} from '@mulberrypitch/errors/coded-error';
+import {
+	codes, PeerUnreachableError, ProtocolError, TimeoutError,
+} from '@mulberrypitch/errors/catalogue';
+import {Deferred} from '@mulberrypitch/lifecycle/background';
+import {events} from '@mulberrypitch/logger/events';
+import type {Logger} from '@mulberrypitch/logger/logger';
+import {createCheckedMethod} from './checked-method.js';
+import type {
+	Address, CallOptions, Method, Schema, Transport,
+} from './types.js';
+
+const maxFrameBytes = 8 * 1024 * 1024;
+const connectTimeoutMs = 1000;
+const handshakeTimeoutMs = 2000;
+const nonceBytes = 16;
+const jsonRpcServerError = -32_000;
+
+/** Certificates of this process, as PEM texts. */
+export type Certificates = {
+	readonly key: string;
+	readonly cert: string;
+	readonly ca: string;
+};
+
+/** How this process is reached and how peers prove who they are. */
+export type TcpTransportOptions = {
+	readonly name: string;
+	readonly listen: {readonly host: string; readonly port: number};
+	/** Shared secret of all processes. */
+	readonly secret: string;
+	readonly certificates?: Certificates;
+	readonly logger: Logger;
+};
+
+/** Calls over TCP. One connection to each peer carries all calls; a lost connection fails the calls on it. */
+export class TcpTransport implements Transport {
+	readonly #options: TcpTransportOptions;
+	readonly #server = new JSONRPCServer<string>({
+		errorListener() {
+		// Failures are answered to the peer, which logs them.
+		},
+	});
+
+	readonly #connections = new Map<Address, Promise<Connection>>();
+	readonly #sockets = new Set<net.Socket>();
+	readonly #methods = new Set<string>();
+	#listener: net.Server | undefined;
+
+	constructor(options: TcpTransportOptions) {
+		this.#options = options;
+		this.#server.mapErrorToJSONRPCErrorResponse = (id, error) => ({
+			jsonrpc: '2.0',
+			id,
+			error: {
+				code: jsonRpcServerError,
+				message: error instanceof Error ? error.message : 'Unknown failure.',
+				data: toWire(error),
+			},
+		});
+	}
+
+	/** Starts to listen. Resolves with the port in use. */
+	async listen(): Promise<number> {
+		const {certificates, listen} = this.#options;
+		const accept = (socket: net.Socket) => {
+			void this.#serveConnection(socket);
+		};
+
+		this.#listener = certificates === undefined
+			? net.createServer(accept)
+			: tls.createServer({...certificates, requestCert: true, rejectUnauthorized: true}, accept);
+		const listener = this.#listener;
+		return new Promise((resolve, reject) => {
+			listener.once('error', reject);
+			listener.listen(listen.port, listen.host, () => {
+				resolve(assumeType<net.AddressInfo>(listener.address()).port);
+			});
+		});
+	}
+
+	handle<Parameters>(method: string, schema: Schema<Parameters>, answer: Method<Parameters>): void {
+		if (this.#methods.has(method)) {
+			throw new ProtocolError(`Method ${method} is registered twice.`);
+		}
+
+		this.#methods.add(method);
+		this.#server.addMethod(method, createCheckedMethod(method, schema, answer));
+	}
+
+	async call<Reply>(address: Address, method: string, parameters: unknown, options: CallOptions): Promise<Reply> {
+		const connection = await this.#connect(address);
+		return assumeType<Reply>(await connection.request(method, parameters, options.timeoutMs));
+	}
+
+	async dispose(): Promise<void> {
+		for (const socket of this.#sockets) {
+			socket.destroy();
+		}
+
+		this.#connections.clear();
+		const listener = this.#listener;
+		if (listener !== undefined) {
+			await new Promise<void>(resolve => {
+				listener.close(() => {
+					resolve();
+				});
+			});
+		}
+	}
+
+	async #connect(address: Address): Promise<Connection> {
+		const known = this.#connections.get(address);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const opening = this.#openConnection(address);
+		this.#connections.set(address, opening);
+		try {
+			return await opening;
+		} catch (error) {
+			this.#connections.delete(address);
+			throw error;
+		}
+	}
+
+	async #openConnection(address: Address): Promise<Connection> {
+		const socket = await this.#openSocket(address);
+		this.#track(socket);
+		const lines = createLines(socket);
+		const connection = new Connection(address, socket);
+		socket.once('close', () => {
+			this.#connections.delete(address);
+			connection.fail();
+		});
+		const reader = lines[Symbol.asyncIterator]();
+		try {
+			await this.#proveToServer(socket, reader);
+		} catch (error) {
+			socket.destroy();
+			throw error instanceof CodedError ? error : new PeerUnreachableError(address, {cause: error});
+		}
+
+		void connection.readReplies(reader);
+		return connection;
+	}
+
+	async #openSocket(address: Address): Promise<net.Socket> {
+		const {host, port} = parseAddress(address);
+		const {certificates} = this.#options;
+		const socket = certificates === undefined
+			? net.connect({host, port, noDelay: true})
+			: tls.connect({
+				host, port, ...certificates, checkServerIdentity: () => undefined,
+			});
+		return new Promise((resolve, reject) => {
+			const timer = setTimeout(() => {
+				socket.destroy();
+				reject(new PeerUnreachableError(address));
+			}, connectTimeoutMs);
+			socket.once('error', error => {
+				clearTimeout(timer);
+				reject(new PeerUnreachableError(address, {cause: error}));
+			});
+			socket.once(certificates === undefined ? 'connect' : 'secureConnect', () => {
+				clearTimeout(timer);
+				socket.setNoDelay(true);
+				resolve(socket);
+			});
+		});
+	}
+
+	async #proveToServer(socket: net.Socket, reader: AsyncIterator<string>): Promise<void> {
+		const nonce = randomBytes(nonceBytes).toString('hex');
+		writeLine(socket, {name: this.#options.name, nonce});
+		const reply = await readHandshake(socket, reader);
+		const proof = this.#prove('server', nonce, reply.nonce);
+		if (!isSame(proof, reply.proof)) {
+			throw new ProtocolError('The peer does not hold the shared secret.');
+		}
+
+		writeLine(socket, {proof: this.#prove('client', nonce, reply.nonce)});
+	}
+
+	async #serveConnection(socket: net.Socket): Promise<void> {
+		this.#track(socket);
+		socket.setNoDelay(true);
+		const reader = createLines(socket)[Symbol.asyncIterator]();
+		try {
+			const from = await this.#checkClient(socket, reader);
+			for (let line = await reader.next(); !line.done; line = await reader.next()) {
+				void this.#answer(socket, parseLine<JSONRPCRequest>(line.value), from);
+			}
+		} catch (error) {
+			this.#options.logger.log(events.peerProtocol, {
+				peer: socket.remoteAddress, reason: error instanceof Error ? error.message : undefined,
+			});
+		}
+
+		socket.destroy();
+	}
+
+	async #checkClient(socket: net.Socket, reader: AsyncIterator<string>): Promise<string> {
+		const hello = await readHandshake(socket, reader);
+		const nonce = randomBytes(nonceBytes).toString('hex');
+		writeLine(socket, {nonce, proof: this.#prove('server', hello.nonce, nonce)});
+		const reply = await readHandshake(socket, reader);
+		if (!isSame(this.#prove('client', hello.nonce, nonce), reply.proof)) {
+			this.#options.logger.log(events.peerRefused, {peer: socket.remoteAddress, name: hello.name});
+			throw new ProtocolError('The peer does not hold the shared secret.');
+		}
+
+		return hello.name;
+	}
+
+	async #answer(socket: net.Socket, request: JSONRPCRequest, from: string): Promise<void> {
+		const response = await this.#server.receive(request, from);
+		if (response !== null && !socket.destroyed) {
+			writeLine(socket, response);
+		}
+	}
+
+	#prove(role: string, clientNonce: string, serverNonce: string): string {
+		return createHmac('sha256', this.#options.secret).update(`${role}:${clientNonce}:${serverNonce}`).digest('hex');
+	}
+
+	#track(socket: net.Socket): void {
+		this.#sockets.add(socket);
+		socket.on('error', () => {
+			// The close event that follows ends the connection.
+		});
+		socket.once('close', () => {
+			this.#sockets.delete(socket);
+		});
+	}
+}
+
+/** The calling end of one connection. */
+class Connection {
+	readonly #client: JSONRPCClient;
+	readonly #lost = new Deferred<never>();
+	readonly #address: Address;
+
+	constructor(address: Address, socket: net.Socket) {
+		this.#address = address;
+		this.#lost.promise.catch(() => {
+			// Calls in progress see the loss; an idle connection has none.
+		});
+		this.#client = new JSONRPCClient(async request => {
+			writeLine(socket, request);
+		});
+	}
+
+	async request(method: string, parameters: unknown, timeoutMs: number): Promise<unknown> {
+		const client = this.#client.timeout(timeoutMs, id => ({
+			jsonrpc: '2.0', id, error: {code: jsonRpcServerError, message: 'timeout', data: new TimeoutError(method, timeoutMs).toWire()},
+		}));
+		try {
+			return await Promise.race([client.request(method, parameters), this.#lost.promise]);
+		} catch (error) {
+			throw fromRpcError(error);
+		}
+	}
+
+	async readReplies(reader: AsyncIterator<string>): Promise<void> {
+		try {
+			for (let line = await reader.next(); !line.done; line = await reader.next()) {
+				this.#client.receive(parseLine<JSONRPCResponse>(line.value));
+			}
+		} catch {
+			// The close event of the socket fails the calls in progress.
+		}
+	}
+
+	fail(): void {
+		this.#lost.reject(new PeerUnreachableError(this.#address));
+	}
+}
+
+type Handshake = {
+	readonly name: string;
+	readonly nonce: string;
+	readonly proof: string;
+};
+
+function createLines(socket: net.Socket): AsyncIterable<string> {
+	const lines = split2({maxLength: maxFrameBytes});
+	lines.on('error', () => {
+		socket.destroy();
+	});
+	socket.once('close', () => {
+		lines.destroy();
+	});
+	return socket.pipe(lines);
+}
+
+function writeLine(socket: net.Socket, message: unknown): void {
+	socket.write(JSON.stringify(message) + '\n');
+}
+
+function parseLine<Message>(line: string): Message {
+	try {
+		return assumeType<Message>(JSON.parse(line));
+	} catch {
+		throw new ProtocolError('A line is not JSON.');
+	}
+}
+
+async function readHandshake(socket: net.Socket, reader: AsyncIterator<string>): Promise<Handshake> {
+	const timer = setTimeout(() => {
+		socket.destroy();
+	}, handshakeTimeoutMs);
+	const line = await reader.next();
+	clearTimeout(timer);
+	if (line.done) {
+		throw new ProtocolError('The peer closed the connection during the handshake.');
+	}
+
+	const message = parseLine<Partial<Handshake>>(line.value);
+	return {name: String(message.name ?? ''), nonce: String(message.nonce ?? ''), proof: String(message.proof ?? '')};
+}
+
+function parseAddress(address: Address): {host: string; port: number} {
+	const separator = address.lastIndexOf(':');
+	return {host: address.slice(0, separator), port: Number(address.slice(separator + 1))};
+}
+
+function isSame(expected: string, given: string): boolean {
+	const left = Buffer.from(expected);
+	const right = Buffer.from(given);
+	return left.length === right.length && timingSafeEqual(left, right);
+}
+
+function toWire(error: unknown): WireFailure {
+	if (error instanceof CodedError) {
+		return error.toWire();
+	}
+
+	return {
+		code: codes.internal, message: error instanceof Error ? error.message : 'Unknown failure.', nextStep: 'Report this with the log of the host.', details: {},
+	};
+}
+
+function fromRpcError(error: unknown): unknown {
+	if (!(error instanceof JSONRPCErrorException)) {
+		return error;
+	}
+
+	const wire = assumeType<WireFailure | undefined>(error.data);
+	return wire?.code === undefined ? new ProtocolError(error.message) : createErrorFromWire(wire);
+}
--- /dev/null
+++ b/packages/mulberrypitch/src/commands/config.ts
@@ -0,0 +1,138 @@
+/** `mulberrypitch config check|apply|show|status`: the shared configuration. */
+import {randomUUID} from 'node:crypto';
+import {userInfo} from 'node:os';
+import type {CAC} from 'cac';
+import {SettingsError} from '@mulberrypitch/errors/catalogue';
+import {
+	getConfigurationDigest, listEffectiveValues, validateSharedConfiguration, type ConfigurationTexts,
+} from '@mulberrypitch/config/shared-configuration';
+import type {ConfigurationRevision, ReplicaStatus} from '@mulberrypitch/control/types';
+import {callOperatorApi} from '../operator-client.js';
+import {
+	addTargetOptions, getSite, parseTarget, readTextFile, type TargetOptions,
+} from '../options.js';
+import {writeJson, writeLine, writeTable} from '../output.js';
+
+type ConfigOptions = TargetOptions & {
+	readonly expect?: number;
+	readonly changeId?: string;
+	readonly operator?: string;
+};
+
+/**
+Adds the command.
+
+@example
+```
+addConfigCommand(program);
+```
+*/
+export function addConfigCommand(program: CAC): void {
+	const command = program.command('config <action> [...files]', 'Check, apply or show the shared configuration: check|apply base.ini [site.ini ...], show, status');
+	addTargetOptions(command)
+		.option('--expect <revision>', 'Revision that the change is based on')
+		.option('--change-id <id>', 'Identifier to send again after a lost answer')
+		.option('--operator <name>', 'Name to record')
+		.action(async (action: string, files: string[], options: ConfigOptions) => run(action, files, options));
+}
+
+async function run(action: string, files: string[], options: ConfigOptions): Promise<void> {
+	switch (action) {
+		case 'check': {
+			check(files, options);
+			return;
+		}
+
+		case 'apply': {
+			return apply(files, options);
+		}
+
+		case 'show': {
+			return show(options);
+		}
+
+		case 'status': {
+			return showStatus(options);
+		}
+
+		default: {
+			throw new SettingsError(`"${action}" is not an action of config.`, 'Use check, apply, show or status.');
+		}
+	}
+}
+
+function check(files: string[], options: ConfigOptions): void {
+	for (const texts of readTexts(files)) {
+		const digest = getConfigurationDigest(validateSharedConfiguration(texts));
+		const site = texts.overlay === undefined ? '(base)' : getSite(texts.overlay.file);
+		if (options.json === true) {
+			writeJson({site, digest, values: listEffectiveValues(texts)});
+			continue;
+		}
+
+		writeLine(`site ${site}, digest ${digest}`);
+		writeTable(['section', 'key', 'value', 'set by'], listEffectiveValues(texts).map(({section, key, value, file}) =>
+			[section, key, key.includes('sha256') ? `${value.slice(0, 8)}…` : value, file]));
+	}
+}
+
+async function apply(files: string[], options: ConfigOptions): Promise<void> {
+	const texts = readTexts(files);
+	for (const pair of texts) {
+		validateSharedConfiguration(pair);
+	}
+
+	const target = parseTarget(options);
+	const expectedRevision = options.expect ?? await getRevision(options);
+	const changeId = options.changeId ?? randomUUID();
+	const accepted = await callOperatorApi<ConfigurationRevision>(target, 'POST', '/v1/admin/configuration', {
+		changeId,
+		expectedRevision,
+		operator: options.operator ?? userInfo().username,
+		base: texts[0]!.base.text,
+		overlays: Object.fromEntries(texts.flatMap(({overlay}) => overlay === undefined ? [] : [[getSite(overlay.file), overlay.text]])),
+	});
+	if (options.json === true) {
+		writeJson({revision: accepted.revision, digest: accepted.digest, changeId});
+		return;
+	}
+
+	writeLine(`Revision ${accepted.revision} accepted, digest ${accepted.digest}, change ${changeId}.`);
+}
+
+async function show(options: ConfigOptions): Promise<void> {
+	const {configuration} = await callOperatorApi<{configuration?: ConfigurationRevision}>(parseTarget(options), 'GET', '/v1/admin/configuration');
+	if (options.json === true) {
+		writeJson(configuration ?? {revision: 0});
+		return;
+	}
+
+	writeLine(configuration === undefined ? 'No configuration was accepted yet.' : `Revision ${configuration.revision} by ${configuration.operator}\n\n${configuration.files.base}`);
+}
+
+async function showStatus(options: ConfigOptions): Promise<void> {
+	const {leader} = await callOperatorApi<{leader?: ReplicaStatus}>(parseTarget(options), 'GET', '/v1/admin/status');
+	const nodes = leader?.nodes ?? [];
+	if (options.json === true) {
+		writeJson(nodes);
+		return;
+	}
+
+	writeTable(['node', 'revision', 'digest', 'age ms'], nodes.map(node => [node.node, node.revision, node.digest.slice(0, 12), node.ageMs]));
+}
+
+async function getRevision(options: ConfigOptions): Promise<number> {
+	const {configuration} = await callOperatorApi<{configuration?: ConfigurationRevision}>(parseTarget(options), 'GET', '/v1/admin/configuration');
+	return configuration?.revision ?? 0;
+}
+
+/** Gives the base alone, then the base with each overlay. */
+function readTexts(files: string[]): ConfigurationTexts[] {
+	const [baseFile, ...overlayFiles] = files;
+	if (baseFile === undefined) {
+		throw new SettingsError('No base file was given.', 'Give base.ini first, then the overlays.');
+	}
+
+	const base = {file: baseFile, text: readTextFile(baseFile)};
+	return [{base}, ...overlayFiles.map(file => ({base, overlay: {file, text: readTextFile(file)}}))];
+}
--- /dev/null
+++ b/packages/mulberrypitch/src/commands/serve.ts
@@ -0,0 +1,59 @@
+/** `mulberrypitch serve host.ini`: runs one host. */
+import {randomInt} from 'node:crypto';
+import process from 'node:process';
+import type {CAC} from 'cac';
+import {loadHostSettings} from '@mulberrypitch/config/host-settings';
+import type {HostSettings} from '@mulberrypitch/config/types';
+import {Host} from '@mulberrypitch/host/host';
+import {Deferred} from '@mulberrypitch/lifecycle/background';
+import {SystemClock} from '@mulberrypitch/lifecycle/clock';
+import {SeededRandom} from '@mulberrypitch/lifecycle/random';
+import {ConsoleLogger} from '@mulberrypitch/logger/logger';
+import {TcpTransport} from '@mulberrypitch/transport/tcp-transport';
+
+const maxSeed = 2 ** 31;
+
+/**
+Adds the command.
+
+@example
+```
+addServeCommand(program);
+```
+*/
+export function addServeCommand(program: CAC): void {
+	program.command('serve <settings>', 'Run one host from its settings file')
+		.action(async (file: string) => serve(loadHostSettings(file)));
+}
+
+async function serve(settings: HostSettings): Promise<void> {
+	const logger = new ConsoleLogger({level: settings.logLevel, fields: {node: settings.name}});
+	const transport = createTransport(settings, logger);
+	await transport.listen();
+	const host = new Host({
+		settings, transport, clock: new SystemClock(), random: new SeededRandom(randomInt(maxSeed)), logger,
+	});
+	await host.start();
+	const stopped = new Deferred<void>();
+	for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+		process.on(signal, () => {
+			void (async () => {
+				await host.drain();
+				stopped.resolve();
+			})();
+		});
+	}
+
+	await stopped.promise;
+}
+
+function createTransport(settings: HostSettings, logger: ConsoleLogger): TcpTransport {
+	const separator = settings.peerListen.lastIndexOf(':');
+	return new TcpTransport({
+		name: settings.name,
+		listen: {host: settings.peerListen.slice(0, separator), port: Number(settings.peerListen.slice(separator + 1))},
+		secret: settings.peerSecret,
+		...(settings.tls !== undefined && {certificates: settings.tls}),
+		logger,
+	});
+}
--- /dev/null
+++ b/packages/mulberrypitch/src/commands/status.ts
@@ -0,0 +1,44 @@
+/** `mulberrypitch status`: hosts, back ends and the leader as one entry host sees them. */
+import type {CAC} from 'cac';
+import type {BackendServer, ReplicaStatus, Session} from '@mulberrypitch/control/types';
+import {callOperatorApi} from '../operator-client.js';
+import {addTargetOptions, parseTarget, type TargetOptions} from '../options.js';
+import {writeJson, writeLine, writeTable} from '../output.js';
+
+type Status = {
+	readonly node: string;
+	readonly isReady: boolean;
+	readonly revision: number;
+	readonly running: number;
+	readonly sessions: readonly Session[];
+	readonly backends: readonly BackendServer[];
+	readonly leader?: ReplicaStatus;
+};
+
+/**
+Adds the command.
+
+@example
+```
+addStatusCommand(program);
+```
+*/
+export function addStatusCommand(program: CAC): void {
+	addTargetOptions(program.command('status', 'Show hosts, back ends and the leader'))
+		.action(async (options: TargetOptions) => showStatus(options));
+}
+
+async function showStatus(options: TargetOptions): Promise<void> {
+	const status = await callOperatorApi<Status>(parseTarget(options), 'GET', '/v1/admin/status');
+	if (options.json === true) {
+		writeJson(status);
+		return;
+	}
+
+	writeLine(`${status.node}: ${status.isReady ? 'ready' : 'not ready'}, revision ${status.revision}, ${status.running} requests in progress`);
+	writeLine(`leader: ${status.leader?.leader ?? 'not known'}, committed ${status.leader?.commitIndex ?? 0}`);
+	writeTable(['host', 'zone', 'address', 'state'], status.sessions.map(session =>
+		[session.node, session.zone, session.publicAddress, session.isDraining ? 'draining' : 'serving']));
+	writeTable(['back end', 'zone', 'services', 'slots', 'state'], status.backends.map(backend =>
+		[backend.id, backend.zone, backend.services.join(', '), backend.capabilities.slots, backend.isLeaving ? 'leaving' : 'serving']));
+}
--- /dev/null
+++ b/packages/mulberrypitch/src/main.ts
@@ -0,0 +1,9 @@
+/** The mulberrypitch command. */
+import process from 'node:process';
+import {runProgram} from './program.js';
+
+// The binary is a CommonJS bundle, which has no top-level await.
+// eslint-disable-next-line unicorn/prefer-top-level-await
+void (async () => {
+	process.exitCode = await runProgram(process.argv);
+})();
--- /dev/null
+++ b/packages/mulberrypitch/src/program.ts
@@ -0,0 +1,99 @@
+/** Parses the command line and turns failures into messages and exit codes. */
+import process from 'node:process';
+import {cac, type CAC} from 'cac';
+import {CodedError} from '@mulberrypitch/errors/coded-error';
+import {codes} from '@mulberrypitch/errors/catalogue';
+import {addAccountCommands} from './commands/account.js';
+import {addConfigCommand} from './commands/config.js';
+import {addDemoCommand} from './commands/demo.js';
+import {addDrainCommand} from './commands/drain.js';
+import {addServeCommand} from './commands/serve.js';
+import {addStatusCommand} from './commands/status.js';
+
+const version = '0.1.0';
+
+/** Exit codes of the command. */
+export const exitCodes = {
+	ok: 0,
+	failed: 1,
+	usage: 2,
+	settings: 3,
+	conflict: 4,
+	unreachable: 5,
+} as const;
+
+/**
+Runs the command and gives its exit code.
+
+@example
+```
+process.exitCode = await runProgram(process.argv);
+```
+*/
+export async function runProgram(argv: readonly string[]): Promise<number> {
+	const program = cac('mulberrypitch');
+	addServeCommand(program);
+	addDemoCommand(program);
+	addConfigCommand(program);
+	addStatusCommand(program);
+	addDrainCommand(program);
+	addAccountCommands(program);
+	program.help();
+	program.version(version);
+	try {
+		program.parse([...argv], {run: false});
+		return await runMatched(program);
+	} catch (error) {
+		return reportFailure(error);
+	}
+}
+
+async function runMatched(program: CAC): Promise<number> {
+	if (program.options.help === true || program.options.version === true) {
+		return exitCodes.ok;
+	}
+
+	if (program.matchedCommand === undefined) {
+		const word = program.args[0];
+		process.stderr.write(word === undefined ? 'No command given. Run "mulberrypitch --help".\n' : `"${word}" is not a command. Run "mulberrypitch --help".\n`);
+		return exitCodes.usage;
+	}
+
+	await program.runMatchedCommand();
+	return exitCodes.ok;
+}
+
+function reportFailure(error: unknown): number {
+	if (error instanceof CodedError) {
+		process.stderr.write(`${error.message} ${error.nextStep} [${error.code}]\n`);
+		return getExitCode(error.code);
+	}
+
+	if (error instanceof Error && error.name === 'CACError') {
+		process.stderr.write(`${error.message}. Run "mulberrypitch --help".\n`);
+		return exitCodes.usage;
+	}
+
+	throw error;
+}
+
+function getExitCode(code: string): number {
+	switch (code) {
+		case codes.settings: {
+			return exitCodes.settings;
+		}
+
+		case codes.conflict: {
+			return exitCodes.conflict;
+		}
+
+		case codes.peerUnreachable:
+		case codes.timeout: {
+			return exitCodes.unreachable;
+		}
+
+		default: {
+			return exitCodes.failed;
+		}
+	}
+}
