--- /dev/null
+++ b/packages/mulberrypitch-requests/src/__tests__/process-transport.ts
@@ -0,0 +1,71 @@
+/** The transport of a process that can die between any two steps. */
+import type {MemoryTransport} from '@mulberrypitch/fakes/memory-transport';
+import type {
+	Address, CallOptions, Method, Schema, Transport,
+} from '@mulberrypitch/transport/types';
+
+/** A point in the work of a process: before or after a call to a peer or to a back end. */
+export type Step = {
+	readonly when: 'before' | 'after';
+	/** Methods called; for proposals the kinds of their commands. */
+	readonly names: readonly string[];
+};
+
+/** Passes calls on until the process is killed; then nothing resolves any more. */
+export class ProcessTransport implements Transport {
+	readonly #inner: MemoryTransport;
+	readonly #onStep: (step: Step) => void;
+	#isDead = false;
+
+	constructor(inner: MemoryTransport, onStep: (step: Step) => void) {
+		this.#inner = inner;
+		this.#onStep = onStep;
+	}
+
+	get address(): Address {
+		return this.#inner.address;
+	}
+
+	handle<Parameters>(method: string, schema: Schema<Parameters>, answer: Method<Parameters>): void {
+		this.#inner.handle(method, schema, answer);
+	}
+
+	async call<Reply>(address: Address, method: string, parameters: unknown, options: CallOptions): Promise<Reply> {
+		const names = getNames(method, parameters);
+		await this.pass('before', ...names);
+		const reply = await this.#inner.call<Reply>(address, method, parameters, options);
+		await this.pass('after', ...names);
+		return reply;
+	}
+
+	/** Ends the process here when a test wants it so. */
+	async pass(when: Step['when'], ...names: string[]): Promise<void> {
+		if (!this.#isDead) {
+			this.#onStep({when, names});
+		}
+
+		if (this.#isDead) {
+			await new Promise(() => {
+				// A dead process goes no further.
+			});
+		}
+	}
+
+	kill(): void {
+		this.#isDead = true;
+		this.#inner.dispose();
+	}
+
+	dispose(): void {
+		this.#inner.dispose();
+	}
+}
+
+function getNames(method: string, parameters: unknown): string[] {
+	if (!method.endsWith('.propose')) {
+		return [method];
+	}
+
+	const {commands} = parameters as {commands: Array<{kind: string}>};
+	return commands.map(({kind}) => kind);
+}
--- /dev/null
+++ b/packages/mulberrypitch-requests/src/__tests__/request-cluster.ts
@@ -0,0 +1,367 @@
+/** Hosts, a control group and back ends on virtual time, for tests of the life of a request. */
+import {createHash} from 'node:crypto';
+import {AccountStore} from '@mulberrypitch/account/account-store';
+import {AdmissionQueue} from '@mulberrypitch/admission/admission-queue';
+import {ControlClient} from '@mulberrypitch/control/control-client';
+import {ControlService} from '@mulberrypitch/control/control-service';
+import {ControlState} from '@mulberrypitch/control/control-state';
+import {Replica} from '@mulberrypitch/control/replica';
+import {ends, type Outcome} from '@mulberrypitch/control/types';
+import {countTokens, MemoryBackends} from '@mulberrypitch/fakes/memory-backends';
+import {MemoryNetwork} from '@mulberrypitch/fakes/memory-transport';
+import {VirtualClock} from '@mulberrypitch/fakes/virtual-clock';
+import type {BackendCall} from '@mulberrypitch/backends/types';
+import {SeededRandom} from '@mulberrypitch/lifecycle/random';
+import {SilentLogger} from '@mulberrypitch/logger/logger';
+import {MetricsRegistry} from '@mulberrypitch/metrics/registry';
+import {LeastLoadedRouter} from '@mulberrypitch/routing/router';
+import {MemoryLog} from '@mulberrypitch/storage/memory-log';
+import {RequestService} from '../request-service.js';
+import type {AcceptedRequest, IncomingCall} from '../types.js';
+import {ProcessTransport, type Step} from './process-transport.js';
+
+const group = 'main';
+const zones = ['palermo', 'catania', 'agrigento'];
+const announceIntervalMs = 1000;
+const startLimitMs = 20_000;
+const deadlineMs = 60_000;
+
+/** One host process of the cluster. */
+export type ClusterHost = {
+	readonly name: string;
+	readonly transport: ProcessTransport;
+	readonly control: ControlClient;
+	readonly requests: RequestService;
+	readonly metrics: MetricsRegistry;
+};
+
+/** What a reader got. */
+export type Received = {
+	text: string;
+	outcome?: Outcome;
+};
+
+/** Several hosts before one control group. */
+export class RequestCluster {
+	readonly clock = new VirtualClock();
+	readonly network = new MemoryNetwork(this.clock);
+	readonly backends: MemoryBackends;
+	readonly hosts = new Map<string, ClusterHost>();
+	readonly state = new ControlState();
+	readonly leaving = new Set<string>();
+	/** Called at each step of each host; may kill the host. */
+	onStep: (host: string, step: Step) => void = () => undefined;
+	readonly #cut = new Set<string>();
+	readonly #dead = new Set<string>();
+	readonly #generations = new Map<string, number>();
+	readonly #disposal = new AbortController();
+
+	constructor(seed = 1) {
+		this.backends = new MemoryBackends({
+			clock: this.clock, random: new SeededRandom(seed), firstTokenMs: 30, tokenMs: 20, answerMs: 50,
+		});
+		this.network.setPolicy((from, to) => {
+			const isLost = [from, to].some(address => this.#dead.has(address) || this.#cut.has(address));
+			return {isLost: isLost && from !== to, delayMs: 1};
+		});
+	}
+
+	/** Starts the control group, hosts and back ends; resolves when all know each other. */
+	async start(hostCount = 4, engineCount = 2): Promise<void> {
+		await this.#startControl();
+		for (let index = 0; index < hostCount; index += 1) {
+			this.startHost(`host-${index + 1}`);
+		}
+
+		for (let index = 0; index < engineCount; index += 1) {
+			this.startBackend(`engine-${index + 1}`, 'engine');
+		}
+
+		this.startBackend('desk-1', 'plain');
+		this.startBackend('desk-2', 'plain');
+		await this.until(() => [...this.hosts.values()].every(({control}) => control.isFresh() && control.sessions.length === hostCount && control.backends.length === engineCount + 2));
+	}
+
+	getHost(name: string): ClusterHost {
+		return this.hosts.get(name)!;
+	}
+
+	/** Starts a host, also again after its death. */
+	startHost(name: string): ClusterHost {
+		const generation = (this.#generations.get(name) ?? 0) + 1;
+		this.#generations.set(name, generation);
+		const address = `${name}#${generation}`;
+		const transport = new ProcessTransport(this.network.join(address), step => {
+			this.onStep(name, step);
+		});
+		const zone = zones[(Number(name.split('-')[1]) - 1) % zones.length]!;
+		const {clock} = this;
+		const logger = new SilentLogger();
+		const metrics = new MetricsRegistry();
+		let requests: RequestService | undefined;
+		const control = new ControlClient({
+			group,
+			replicas: [{name: 'control', address: 'control'}],
+			transport,
+			clock,
+			logger,
+			session: {
+				node: name, incarnation: address, peerAddress: address, publicAddress: address, zone, region: 'sicily', site: 'sicily',
+			},
+			takeHeardBackends: () => this.#listHeard(),
+			getEffectiveDigest: () => '',
+			onConfiguration: () => undefined,
+			onAssigned(records) {
+				requests!.takeOver(records);
+			},
+		});
+		requests = new RequestService({
+			node: name,
+			zone,
+			control,
+			transport,
+			router: new LeastLoadedRouter(),
+			engine: {stream: call => this.#stream(transport, call)},
+			plain: {run: async call => this.#run(transport, call)},
+			clock,
+			logger,
+			metrics,
+			admission: new AdmissionQueue(),
+			getRetryPolicy: () => ({maxAttempts: 4, budgetRatio: 1}),
+		});
+		control.start();
+		const host = {
+			name, transport, control, requests, metrics,
+		};
+		this.hosts.set(name, host);
+		return host;
+	}
+
+	/** Ends a host as kill -9 does: nothing of it acts or answers any more. */
+	kill(name: string): void {
+		const host = this.hosts.get(name);
+		if (host !== undefined) {
+			this.hosts.delete(name);
+			this.#dead.add(host.transport.address);
+			host.transport.kill();
+			host.requests.dispose();
+			void host.control.dispose();
+		}
+	}
+
+	/** Cuts a host off from all others. */
+	cut(name: string): void {
+		this.#cut.add(this.getHost(name).transport.address);
+	}
+
+	/** Ends a cut. */
+	heal(name: string): void {
+		this.#cut.delete(this.getHost(name).transport.address);
+	}
+
+	/** Starts a back end and announces it. */
+	startBackend(id: string, kind: 'engine' | 'plain'): void {
+		this.backends.start(id);
+		void this.#announce(id, kind);
+	}
+
+	/** Gives notice that a back end is reclaimed, then ends it. */
+	async reclaim(id: string, noticeMs: number): Promise<void> {
+		this.leaving.add(id);
+		const host = [...this.hosts.values()].find(({control}) => control.isFresh());
+		await host?.control.propose({
+			kind: 'leaveBackend', id, incarnation: id, leavesAt: this.clock.wallTime() + noticeMs,
+		});
+		await this.clock.sleep(noticeMs);
+		this.backends.kill(id);
+	}
+
+	/** Lets time pass until the condition holds; throws when it does not within the limit. */
+	async until(isReached: () => boolean, limitMs = startLimitMs): Promise<void> {
+		if (!await this.clock.runUntil(isReached, limitMs)) {
+			throw new Error(`Waited ${limitMs} ms in vain until ${String(isReached)}.`);
+		}
+	}
+
+	/** Ends everything. */
+	async dispose(): Promise<void> {
+		this.#disposal.abort();
+		for (const name of this.hosts.keys()) {
+			this.kill(name);
+		}
+
+		await this.clock.runFor(1);
+	}
+
+	#listHeard(): Array<{id: string; incarnation: string}> {
+		return this.state.listBackends().filter(({id}) => this.backends.isAlive(id)).map(({id, incarnation}) => ({id, incarnation}));
+	}
+
+	async #startControl(): Promise<void> {
+		const transport = this.network.join('control');
+		const {clock, state} = this;
+		const logger = new SilentLogger();
+		const account = new AccountStore(new MemoryLog());
+		await account.load();
+		const replica = new Replica({
+			group,
+			name: 'control',
+			peers: [{name: 'control', address: 'control'}],
+			store: new MemoryLog(),
+			transport,
+			clock,
+			random: new SeededRandom(1),
+			logger,
+			machine: state,
+			onRecords(records) {
+				account.append(records);
+			},
+		});
+		new ControlService({
+			group, name: 'control', replica, state, account, transport, clock, logger,
+		}).start();
+		await replica.start();
+		this.#disposal.signal.addEventListener('abort', () => {
+			void replica.dispose();
+		});
+	}
+
+	async #announce(id: string, kind: 'engine' | 'plain'): Promise<void> {
+		while (!this.#disposal.signal.aborted && this.backends.isAlive(id) && this.state.getBackend(id) === undefined) {
+			const host = [...this.hosts.values()].find(({control}) => control.isFresh());
+			try {
+				await host?.control.propose({
+					kind: 'registerBackend',
+					id,
+					incarnation: id,
+					address: id,
+					zone: zones[(Number(id.split('-')[1]) - 1) % zones.length]!,
+					machineClass: 'small',
+					services: [kind === 'engine' ? 'advice' : 'bookings'],
+					backendKind: kind,
+					capabilities: {slots: 32, checksFencing: false, movesCache: false},
+				});
+			} catch {
+				// The back end announces itself again.
+			}
+
+			await this.clock.sleep(announceIntervalMs, this.#disposal.signal);
+		}
+	}
+
+	async * #stream(transport: ProcessTransport, call: BackendCall): AsyncGenerator<string, void> {
+		await transport.pass('before', 'dispatch');
+		for await (const token of this.backends.stream(call)) {
+			await transport.pass('after', 'token');
+			yield token;
+		}
+
+		await transport.pass('after', 'dispatch');
+	}
+
+	async #run(transport: ProcessTransport, call: BackendCall) {
+		await transport.pass('before', 'dispatch');
+		const running = this.backends.run(call);
+		running.catch(() => {
+			// Awaited below unless the host dies first.
+		});
+		await transport.pass('after', 'send');
+		const answer = await running;
+		await transport.pass('after', 'dispatch');
+		return answer;
+	}
+}
+
+/**
+Builds a document request of a number of tokens.
+
+@example
+```
+const accepted = await host.requests.submit(createDocument('plan', 50));
+```
+*/
+export function createDocument(prompt: string, tokens: number, idempotencyKey?: string): IncomingCall {
+	return {
+		...createCall('advice', 'engine'),
+		body: {
+			// eslint-disable-next-line @typescript-eslint/naming-convention -- The wire format's own name.
+			method: 'POST', path: '/v1/completions', contentType: 'application/json', text: JSON.stringify({prompt, max_tokens: tokens}),
+		},
+		isIdempotent: true,
+		maxTokens: tokens,
+		...(idempotencyKey !== undefined && {idempotencyKey}),
+	};
+}
+
+/**
+Builds a booking, which may not be repeated.
+
+@example
+```
+const accepted = await host.requests.submit(createBooking('filter', 'key-1'));
+```
+*/
+export function createBooking(text: string, idempotencyKey: string): IncomingCall {
+	return {
+		...createCall('bookings', 'plain'),
+		body: {
+			method: 'POST', path: '/book', contentType: 'application/json', text,
+		},
+		idempotencyKey,
+	};
+}
+
+/**
+Collects an answer while it comes.
+
+@example
+```
+const received = follow(accepted);
+```
+*/
+export function follow(accepted: AcceptedRequest, fromOffset = 0, signal: AbortSignal = new AbortController().signal): Received {
+	const received: Received = {text: ''};
+	void (async () => {
+		for await (const event of accepted.read(fromOffset, signal)) {
+			if (event.kind === 'chunk') {
+				received.text += event.chunk.text;
+			} else {
+				received.outcome = event.outcome;
+			}
+		}
+	})();
+
+	return received;
+}
+
+/**
+Tells whether a reader got the whole and exact document that its outcome promises.
+
+@example
+```
+t.ok(isWhole(received, 'plan', 50));
+```
+*/
+export function isWhole({text, outcome}: Received, prompt: string, tokens: number): boolean {
+	return outcome?.end === ends.answered
+		&& countTokens(text, prompt) === tokens
+		&& createHash('sha256').update(text).digest('hex') === outcome.digest;
+}
+
+function createCall(service: string, kind: 'engine' | 'plain'): IncomingCall {
+	return {
+		workspace: {
+			name: 'clinic', keyDigest: '', share: 1, maxInFlight: 1000, services: [],
+		},
+		service: {
+			name: service, kind, firstTokenMs: 500, betweenTokensMs: 100, deadlineMs, queueLimit: 1000, idempotentPaths: ['stock'],
+		},
+		body: {
+			method: 'POST', path: '/', contentType: 'application/json', text: '',
+		},
+		isIdempotent: false,
+		deadlineMs,
+		prefix: '',
+		maxTokens: 0,
+	};
+}
--- /dev/null
+++ b/packages/mulberrypitch-requests/src/__tests__/request-life.test.ts
@@ -0,0 +1,155 @@
+/** Whole answers, at most once, while hosts die at each step. */
+import t, {type Test} from 'tap';
+import {ends} from '@mulberrypitch/control/types';
+import {
+	createBooking, createDocument, follow, isWhole, RequestCluster,
+} from './request-cluster.js';
+
+const lifeLimitMs = 90_000;
+const holderName = 'host-1';
+const keeperName = 'host-2';
+
+async function startCluster(t: Test): Promise<RequestCluster> {
+	const cluster = new RequestCluster();
+	t.teardown(async () => cluster.dispose());
+	await cluster.start();
+	return cluster;
+}
+
+await t.test('Caltanissetta plan: the answer is whole and ends once', async t => {
+	const cluster = await startCluster(t);
+	const accepting = cluster.getHost(holderName).requests.submit(createDocument('plan', 50));
+	await cluster.clock.runFor(100);
+	const received = follow(await accepting);
+	await cluster.until(() => received.outcome !== undefined);
+	t.ok(isWhole(received, 'plan', 50));
+});
+
+await t.test('Caltanissetta plan: its holder dies at each of many moments, and any host gives the rest', async t => {
+	for (let afterMs = 0; afterMs <= 1000; afterMs += 125) {
+		const cluster = new RequestCluster();
+		await cluster.start();
+		const accepting = cluster.getHost(holderName).requests.submit(createDocument('plan', 50));
+		await cluster.clock.runFor(100);
+		const accepted = await accepting;
+		const first = follow(accepted);
+		await cluster.clock.runFor(afterMs);
+		const before = first.text;
+		cluster.kill(holderName);
+		const offset = before.split(' ').length - 1;
+		const resuming = cluster.getHost(keeperName).requests.getRequest(accepted.requestId, 'clinic');
+		await cluster.clock.runFor(100);
+		const rest = follow(await resuming, offset);
+		await cluster.until(() => rest.outcome !== undefined, lifeLimitMs);
+		t.ok(isWhole({text: before + rest.text, outcome: rest.outcome!}, 'plan', 50), `killed after ${afterMs} ms`);
+		await cluster.dispose();
+	}
+});
+
+await t.test('late report: a caller of a host that was cut off gets the rest through it from the new holder', async t => {
+	const cluster = await startCluster(t);
+	const accepting = cluster.getHost(holderName).requests.submit(createDocument('report', 400));
+	await cluster.clock.runFor(500);
+	const received = follow(await accepting);
+	cluster.cut(holderName);
+	await cluster.clock.runFor(6000);
+	cluster.heal(holderName);
+	await cluster.until(() => received.outcome !== undefined, lifeLimitMs);
+	t.ok(isWhole(received, 'report', 400));
+});
+
+await t.test('two holders die one after the other, and the answer is whole', async t => {
+	const cluster = await startCluster(t);
+	const accepting = cluster.getHost(holderName).requests.submit(createDocument('report', 700));
+	await cluster.clock.runFor(200);
+	const {requestId} = await accepting;
+	for (let death = 0; death < 2; death += 1) {
+		const {holder} = cluster.state.getRequest(requestId)!;
+		cluster.kill(holder);
+		await cluster.until(() => cluster.state.getRequest(requestId)!.holder !== holder);
+		await cluster.clock.runFor(1500);
+	}
+
+	const [reader] = cluster.hosts.values();
+	const reading = reader!.requests.getRequest(requestId, 'clinic');
+	await cluster.clock.runFor(100);
+	const received = follow(await reading);
+	await cluster.until(() => received.outcome !== undefined, lifeLimitMs);
+	t.ok(isWhole(received, 'report', 700));
+});
+
+await t.test('a standby that dies is replaced before the holder dies too', async t => {
+	const cluster = await startCluster(t);
+	const accepting = cluster.getHost(holderName).requests.submit(createDocument('report', 600));
+	await cluster.clock.runFor(200);
+	const {requestId} = await accepting;
+	const standby = cluster.state.getRequest(requestId)!.standby!;
+	cluster.kill(standby);
+	await cluster.clock.runFor(7000);
+	t.not(cluster.state.getRequest(requestId)!.standby, standby);
+	cluster.kill(holderName);
+	const [reader] = cluster.hosts.values();
+	const reading = reader!.requests.getRequest(requestId, 'clinic');
+	await cluster.clock.runFor(100);
+	const received = follow(await reading);
+	await cluster.until(() => received.outcome !== undefined, lifeLimitMs);
+	t.ok(isWhole(received, 'report', 600));
+});
+
+const bookingSteps = [
+	{name: 'request.hold', when: 'after', end: undefined},
+	{name: 'acceptRequest', when: 'after', end: ends.answered},
+	{name: 'recordIntent', when: 'before', end: ends.answered},
+	{name: 'recordIntent', when: 'after', end: ends.unknown},
+	{name: 'dispatch', when: 'before', end: ends.unknown},
+	{name: 'send', when: 'after', end: ends.unknown},
+	{name: 'finishRequest', when: 'before', end: ends.unknown},
+	{name: 'finishRequest', when: 'after', end: ends.answered},
+] as const;
+
+for (const {name, when, end} of bookingSteps) {
+	await t.test(`Ragusa double booking: its holder dies ${when} ${name}`, async t => {
+		const cluster = await startCluster(t);
+		cluster.onStep = (host, step) => {
+			if (host === holderName && step.when === when && step.names.includes(name)) {
+				cluster.kill(host);
+			}
+		};
+
+		const booking = createBooking('filter', 'ragusa-1');
+		void cluster.getHost(holderName).requests.submit(booking);
+		await cluster.clock.runFor(1000);
+		t.notOk(cluster.hosts.has(holderName), 'the holder died');
+		const resending = cluster.getHost(keeperName).requests.submit(booking);
+		await cluster.clock.runFor(1000);
+		const received = follow(await resending);
+		await cluster.until(() => received.outcome !== undefined, lifeLimitMs);
+		t.equal(received.outcome!.end, end ?? ends.answered);
+		t.ok(cluster.backends.calls.length <= 1, 'it ran at most once');
+		t.equal(cluster.backends.calls.length === 1, received.outcome!.end === ends.answered || ['send', 'finishRequest'].includes(name));
+	});
+}
+
+await t.test('unanswered question: it ends although its holder and its standby die together', async t => {
+	const cluster = await startCluster(t);
+	const accepting = cluster.getHost(holderName).requests.submit(createDocument('question', 50));
+	await cluster.clock.runFor(100);
+	const {requestId} = await accepting;
+	const {standby} = cluster.state.getRequest(requestId)!;
+	cluster.kill(holderName);
+	cluster.kill(standby!);
+	await cluster.until(() => cluster.state.getRequest(requestId)!.outcome !== undefined, lifeLimitMs);
+	t.equal(cluster.state.getRequest(requestId)!.outcome!.end, ends.failed);
+});
+
+await t.test('doubled batch order: resends by key over all hosts run once and get one answer', async t => {
+	const cluster = await startCluster(t);
+	const order = createBooking('ink', 'order-1');
+	const accepting = [...cluster.hosts.values()].map(async ({requests}) => requests.submit(order));
+	await cluster.clock.runFor(500);
+	const answers = (await Promise.all(accepting)).map(accepted => follow(accepted));
+	await cluster.until(() => answers.every(({outcome}) => outcome !== undefined));
+	t.equal(cluster.backends.calls.length, 1);
+	t.equal(new Set(answers.map(({text}) => text)).size, 1);
+	t.ok(answers.every(({outcome}) => outcome!.end === ends.answered));
+});
