Make answers whole and calls run at most once when hosts die

Cause: copies lagged and were never renewed, a holder without its session kept its readers waiting, time limits ran on real time, and a request whose holder and standby were both lost never ended. Change: StandbyLink keeps a standby at all times and confirms chunks before callers see them; AnswerReader follows from holder to holder and to the standby; copies carry epochs; control gives orphans to a living host (small change in control-state.ts); proposals of holders go on until they are fenced.

--- a/packages/mulberrypitch-control/src/control-state.ts
+++ b/packages/mulberrypitch-control/src/control-state.ts
@@ -224,6 +224,7 @@
 		const session: Session = {...facts, epoch: this.#epochs, isDraining: false};
 		this.#sessions.set(session.node, session);
 		this.#membershipVersion += 1;
+		this.#adoptOrphans(session.node, entry);
 		return session;
 	}
 
@@ -246,13 +247,31 @@
 
 	#transferAll(node: string, entry: LogEntry): void {
 		for (const request of this.listHeld(node)) {
-			const {standby} = request;
-			if (standby !== undefined && this.#sessions.has(standby)) {
-				this.#moveRequest(request, standby, entry);
+			const holder = this.#findNextHolder(request);
+			if (holder !== undefined) {
+				this.#moveRequest(request, holder, entry);
 			}
 		}
 	}
 
+	/** Chooses the standby, or any other host when holder and standby are both lost, so that the request still ends. */
+	#findNextHolder({holder, standby}: RequestRecord): string | undefined {
+		if (standby !== undefined && this.#sessions.has(standby)) {
+			return standby;
+		}
+
+		const others = this.listSessions().filter(({node}) => node !== holder);
+		return (others.find(({isDraining}) => !isDraining) ?? others[0])?.node;
+	}
+
+	/** Gives a new host the requests that no host with a session holds. */
+	#adoptOrphans(node: string, entry: LogEntry): void {
+		const lost = [...this.#heldBy.keys()].filter(holder => holder === node || !this.#sessions.has(holder));
+		for (const request of lost.flatMap(holder => this.listHeld(holder))) {
+			this.#moveRequest(request, node, entry);
+		}
+	}
+
 	#transferOne(command: CommandOf<'transferRequest'>, entry: LogEntry): RequestRecord {
 		const request = this.#requireRequest(command.requestId);
 		if (request.holder === command.holder && request.epoch === command.epoch + 1) {
--- a/packages/mulberrypitch-requests/src/__tests__/process-transport.ts
+++ b/packages/mulberrypitch-requests/src/__tests__/process-transport.ts
@@ -1,4 +1,5 @@
 /** The transport of a process that can die between any two steps. */
+import {assumeType} from '@mulberrypitch/errors/assume-type';
 import type {MemoryTransport} from '@mulberrypitch/fakes/memory-transport';
 import type {
 	Address, CallOptions, Method, Schema, Transport,
@@ -66,6 +67,6 @@
 		return [method];
 	}
 
-	const {commands} = parameters as {commands: Array<{kind: string}>};
+	const {commands} = assumeType<{commands: Array<{kind: string}>}>(parameters);
 	return commands.map(({kind}) => kind);
 }
--- a/packages/mulberrypitch-requests/src/__tests__/request-cluster.ts
+++ b/packages/mulberrypitch-requests/src/__tests__/request-cluster.ts
@@ -35,6 +35,9 @@
 	readonly metrics: MetricsRegistry;
 };
 
+/** Hears of each step of each host. */
+export type StepListener = (host: string, step: Step) => void;
+
 /** What a reader got. */
 export type Received = {
 	text: string;
@@ -49,12 +52,11 @@
 	readonly hosts = new Map<string, ClusterHost>();
 	readonly state = new ControlState();
 	readonly leaving = new Set<string>();
-	/** Called at each step of each host; may kill the host. */
-	onStep: (host: string, step: Step) => void = () => undefined;
 	readonly #cut = new Set<string>();
 	readonly #dead = new Set<string>();
 	readonly #generations = new Map<string, number>();
 	readonly #disposal = new AbortController();
+	#listener: StepListener | undefined;
 
 	constructor(seed = 1) {
 		this.backends = new MemoryBackends({
@@ -66,6 +68,11 @@
 		});
 	}
 
+	/** Calls a function at each step of each host; it may kill the host. */
+	setOnStep(listener: StepListener): void {
+		this.#listener = listener;
+	}
+
 	/** Starts the control group, hosts and back ends; resolves when all know each other. */
 	async start(hostCount = 4, engineCount = 2): Promise<void> {
 		await this.#startControl();
@@ -92,13 +99,12 @@
 		this.#generations.set(name, generation);
 		const address = `${name}#${generation}`;
 		const transport = new ProcessTransport(this.network.join(address), step => {
-			this.onStep(name, step);
+			this.#listener?.(name, step);
 		});
 		const zone = zones[(Number(name.split('-')[1]) - 1) % zones.length]!;
 		const {clock} = this;
 		const logger = new SilentLogger();
 		const metrics = new MetricsRegistry();
-		let requests: RequestService | undefined;
 		const control = new ControlClient({
 			group,
 			replicas: [{name: 'control', address: 'control'}],
@@ -112,10 +118,10 @@
 			getEffectiveDigest: () => '',
 			onConfiguration: () => undefined,
 			onAssigned(records) {
-				requests!.takeOver(records);
+				requests.takeOver(records);
 			},
 		});
-		requests = new RequestService({
+		const requests = new RequestService({
 			node: name,
 			zone,
 			control,
@@ -183,6 +189,18 @@
 		}
 	}
 
+	/** Lets time pass until a promise settles. */
+	async settle<Value>(promise: Promise<Value>): Promise<Value> {
+		const state = {isSettled: false};
+		void (async () => {
+			await Promise.allSettled([promise]);
+			state.isSettled = true;
+		})();
+
+		await this.until(() => state.isSettled);
+		return promise;
+	}
+
 	/** Ends everything. */
 	async dispose(): Promise<void> {
 		this.#disposal.abort();
--- a/packages/mulberrypitch-requests/src/__tests__/request-life.test.ts
+++ b/packages/mulberrypitch-requests/src/__tests__/request-life.test.ts
@@ -19,8 +19,7 @@
 await t.test('Caltanissetta plan: the answer is whole and ends once', async t => {
 	const cluster = await startCluster(t);
 	const accepting = cluster.getHost(holderName).requests.submit(createDocument('plan', 50));
-	await cluster.clock.runFor(100);
-	const received = follow(await accepting);
+	const received = follow(await cluster.settle(accepting));
 	await cluster.until(() => received.outcome !== undefined);
 	t.ok(isWhole(received, 'plan', 50));
 });
@@ -61,8 +60,7 @@
 await t.test('two holders die one after the other, and the answer is whole', async t => {
 	const cluster = await startCluster(t);
 	const accepting = cluster.getHost(holderName).requests.submit(createDocument('report', 700));
-	await cluster.clock.runFor(200);
-	const {requestId} = await accepting;
+	const {requestId} = await cluster.settle(accepting);
 	for (let death = 0; death < 2; death += 1) {
 		const {holder} = cluster.state.getRequest(requestId)!;
 		cluster.kill(holder);
@@ -72,8 +70,7 @@
 
 	const [reader] = cluster.hosts.values();
 	const reading = reader!.requests.getRequest(requestId, 'clinic');
-	await cluster.clock.runFor(100);
-	const received = follow(await reading);
+	const received = follow(await cluster.settle(reading));
 	await cluster.until(() => received.outcome !== undefined, lifeLimitMs);
 	t.ok(isWhole(received, 'report', 700));
 });
@@ -81,8 +78,7 @@
 await t.test('a standby that dies is replaced before the holder dies too', async t => {
 	const cluster = await startCluster(t);
 	const accepting = cluster.getHost(holderName).requests.submit(createDocument('report', 600));
-	await cluster.clock.runFor(200);
-	const {requestId} = await accepting;
+	const {requestId} = await cluster.settle(accepting);
 	const standby = cluster.state.getRequest(requestId)!.standby!;
 	cluster.kill(standby);
 	await cluster.clock.runFor(7000);
@@ -90,8 +86,7 @@
 	cluster.kill(holderName);
 	const [reader] = cluster.hosts.values();
 	const reading = reader!.requests.getRequest(requestId, 'clinic');
-	await cluster.clock.runFor(100);
-	const received = follow(await reading);
+	const received = follow(await cluster.settle(reading));
 	await cluster.until(() => received.outcome !== undefined, lifeLimitMs);
 	t.ok(isWhole(received, 'report', 600));
 });
@@ -110,19 +105,18 @@
 for (const {name, when, end} of bookingSteps) {
 	await t.test(`Ragusa double booking: its holder dies ${when} ${name}`, async t => {
 		const cluster = await startCluster(t);
-		cluster.onStep = (host, step) => {
+		cluster.setOnStep((host, step) => {
 			if (host === holderName && step.when === when && step.names.includes(name)) {
 				cluster.kill(host);
 			}
-		};
+		});
 
 		const booking = createBooking('filter', 'ragusa-1');
 		void cluster.getHost(holderName).requests.submit(booking);
 		await cluster.clock.runFor(1000);
 		t.notOk(cluster.hosts.has(holderName), 'the holder died');
 		const resending = cluster.getHost(keeperName).requests.submit(booking);
-		await cluster.clock.runFor(1000);
-		const received = follow(await resending);
+		const received = follow(await cluster.settle(resending));
 		await cluster.until(() => received.outcome !== undefined, lifeLimitMs);
 		t.equal(received.outcome!.end, end ?? ends.answered);
 		t.ok(cluster.backends.calls.length <= 1, 'it ran at most once');
@@ -133,8 +127,7 @@
 await t.test('unanswered question: it ends although its holder and its standby die together', async t => {
 	const cluster = await startCluster(t);
 	const accepting = cluster.getHost(holderName).requests.submit(createDocument('question', 50));
-	await cluster.clock.runFor(100);
-	const {requestId} = await accepting;
+	const {requestId} = await cluster.settle(accepting);
 	const {standby} = cluster.state.getRequest(requestId)!;
 	cluster.kill(holderName);
 	cluster.kill(standby!);
@@ -146,8 +139,8 @@
 	const cluster = await startCluster(t);
 	const order = createBooking('ink', 'order-1');
 	const accepting = [...cluster.hosts.values()].map(async ({requests}) => requests.submit(order));
-	await cluster.clock.runFor(500);
-	const answers = (await Promise.all(accepting)).map(accepted => follow(accepted));
+	const accepted = await cluster.settle(Promise.all(accepting));
+	const answers = accepted.map(request => follow(request));
 	await cluster.until(() => answers.every(({outcome}) => outcome !== undefined));
 	t.equal(cluster.backends.calls.length, 1);
 	t.equal(new Set(answers.map(({text}) => text)).size, 1);
--- a/packages/mulberrypitch-requests/src/messages.ts
+++ b/packages/mulberrypitch-requests/src/messages.ts
@@ -6,6 +6,7 @@
 /** A copy of a request for its standby. */
 export const heldCopySchema = z.object({
 	requestId: z.string(),
+	epoch: z.number().int().positive(),
 	customer: z.string(),
 	service: z.string(),
 	body: z.object({
@@ -18,8 +19,11 @@
 	chunks: z.array(chunk),
 });
 
+/** Asks for the copy of a request. */
+export const copySchema = z.object({requestId: z.string()});
+
 /** New chunks of a request for its standby. */
-export const progressSchema = z.object({requestId: z.string(), chunks: z.array(chunk)});
+export const progressSchema = z.object({requestId: z.string(), epoch: z.number().int().positive(), chunks: z.array(chunk)});
 
 /** Tells a standby that the request has ended. */
 export const releaseSchema = z.object({requestId: z.string()});
@@ -32,3 +36,8 @@
 
 /** Parameters of progress. */
 export type Progress = z.infer<typeof progressSchema>;
+
+/** Answer to progress: the chunks that the standby has. */
+export type ProgressReply = {
+	readonly length: number;
+};
--- a/packages/mulberrypitch-requests/src/request-holder.ts
+++ b/packages/mulberrypitch-requests/src/request-holder.ts
@@ -1,39 +1,40 @@
 /** Carries one accepted request to its end: dispatches, retries, progress to the standby, and the committed outcome. */
 import {Buffer} from 'node:buffer';
 import {CodedError, hasCode} from '@mulberrypitch/errors/coded-error';
-import {assertInvariant, codes} from '@mulberrypitch/errors/catalogue';
-import type {Clock} from '@mulberrypitch/lifecycle/clock';
+import {
+	assertInvariant, BackendFailedError, codes, StaleEpochError,
+} from '@mulberrypitch/errors/catalogue';
 import {events} from '@mulberrypitch/logger/events';
 import type {Logger} from '@mulberrypitch/logger/logger';
 import type {
 	BackendCall, Engine, PlainService,
 } from '@mulberrypitch/backends/types';
-import type {ControlClient} from '@mulberrypitch/control/control-client';
+import type {Command, CommandOf} from '@mulberrypitch/control/commands';
+import type {CommandValue} from '@mulberrypitch/control/command-value';
 import {
-	backendKinds, ends, type End, type BackendServer, type Outcome,
+	backendKinds, ends, type End, type BackendServer, type Outcome, type Session,
 } from '@mulberrypitch/control/types';
 import type {RetryPolicy} from '@mulberrypitch/config/types';
 import type {Dispatch, Router} from '@mulberrypitch/routing/types';
 import type {MetricsRegistry} from '@mulberrypitch/metrics/registry';
-import type {Transport} from '@mulberrypitch/transport/types';
 import {AnswerLog} from './answer-log.js';
-import {standbyMethods} from './request-standby.js';
+import {StandbyLink, type StandbyLinkContext} from './standby-link.js';
+import {TimeoutSignal} from './timeout-signal.js';
 import type {HeldCopy} from './types.js';
 
 const waitForBackendMs = 100;
-const progressIntervalMs = 50;
-const progressTimeoutMs = 1000;
-const maxKeptAnswerLength = 16_000;
+const maxBackoffMs = 2000;
+const proposalRetryMs = 200;
+const maxKeptAnswerLength = 64_000;
 const retryAfterSeconds = 2;
+/** Answers of idempotent calls that are worth another back end; for other calls any answer is the outcome. */
+const unavailableStatuses = new Set([502, 503, 504]);
 
 /** What all holders of one host share. */
-export type HolderContext = {
-	readonly control: ControlClient;
-	readonly transport: Transport;
+export type HolderContext = StandbyLinkContext & {
 	readonly router: Router;
 	readonly engine: Engine;
 	readonly plain: PlainService;
-	readonly clock: Clock;
 	readonly logger: Logger;
 	readonly metrics: MetricsRegistry;
 	readonly getRetryPolicy: () => RetryPolicy;
@@ -42,13 +43,12 @@
 /** Where a request stands when a holder begins with it. */
 export type HolderStart = {
 	readonly copy: HeldCopy;
-	readonly epoch: number;
 	/** Dispatches recorded so far. */
 	readonly attempts: number;
 	/** A dispatch may have reached a back end and has no outcome. */
 	readonly mayHaveRun: boolean;
-	/** Peer address of the standby. */
-	readonly standbyAddress?: string;
+	/** The host that has a copy already. */
+	readonly standby?: Session;
 };
 
 /** Holds one request. */
@@ -58,9 +58,9 @@
 	readonly #start: HolderStart;
 	readonly #abort = new AbortController();
 	readonly #excluded = new Set<string>();
+	readonly #link: StandbyLink;
 	#attempt: number;
-	#sentToStandby: number;
-	#isSendingProgress = false;
+	#dispatched = 0;
 	#lastFailure: CodedError | undefined;
 
 	constructor(context: HolderContext, start: HolderStart) {
@@ -68,31 +68,70 @@
 		this.#start = start;
 		this.#attempt = start.attempts;
 		this.answer = new AnswerLog(start.copy.chunks);
-		this.#sentToStandby = start.copy.chunks.length;
+		this.#link = new StandbyLink(context, {
+			copy: start.copy, answer: this.answer, ...(start.standby !== undefined && {standby: start.standby}),
+		});
 	}
 
 	get requestId(): string {
 		return this.#start.copy.requestId;
 	}
 
+	/** What another host needs to carry the request on from what callers have seen. */
+	getCopy(): HeldCopy {
+		return {...this.#start.copy, chunks: this.answer.getConfirmed()};
+	}
+
 	/** Runs the request to its end. Stops without an end when another host has taken it over. */
 	async run(): Promise<void> {
+		const linking = this.#runLink();
 		try {
 			const outcome = await this.#runAttempts();
 			await this.#finish(outcome);
 		} catch (error) {
-			if (hasCode(error, codes.staleEpoch)) {
-				this.#abort.abort();
-				return;
+			if (!hasCode(error, codes.staleEpoch) && !this.#abort.signal.aborted) {
+				throw error;
 			}
-
-			throw error;
+		} finally {
+			this.abandon();
+			await linking;
 		}
 	}
 
 	/** Breaks off all work; another host carries on. */
 	abandon(): void {
 		this.#abort.abort();
+		this.answer.abandon();
+	}
+
+	async #runLink(): Promise<void> {
+		try {
+			await this.#link.run(this.#abort.signal);
+		} catch (error) {
+			this.abandon();
+			if (!hasCode(error, codes.staleEpoch)) {
+				throw error;
+			}
+		}
+	}
+
+	/** Commits a command, however long the control group can't be reached. */
+	async #propose<Kind extends Command['kind']>(command: CommandOf<Kind>): Promise<CommandValue<Kind>> {
+		const {control, clock} = this.#context;
+		while (true) {
+			try {
+				return await control.propose(command);
+			} catch (error) {
+				if (![codes.timeout, codes.notLeader, codes.peerUnreachable].some(code => hasCode(error, code))) {
+					throw error;
+				}
+			}
+
+			await clock.sleep(proposalRetryMs, this.#abort.signal);
+			if (this.#abort.signal.aborted) {
+				throw new StaleEpochError(`Request ${this.requestId} was given up here.`);
+			}
+		}
 	}
 
 	async #runAttempts(): Promise<Outcome> {
@@ -103,11 +142,14 @@
 
 		const {maxAttempts} = this.#context.getRetryPolicy();
 		let failures = 0;
-		while (failures < maxAttempts && this.#getRemainingMs() > 0 && !this.#abort.signal.aborted) {
+		let waitMs = waitForBackendMs;
+		while (failures < maxAttempts && this.#getRemainingMs() > 0) {
+			this.#requireHeld();
 			const target = this.#choose();
 			if (target === undefined) {
 				this.#excluded.clear();
-				await this.#context.clock.sleep(waitForBackendMs, this.#abort.signal);
+				await this.#context.clock.sleep(waitMs, this.#abort.signal);
+				waitMs = Math.min(waitMs * 2, maxBackoffMs);
 				continue;
 			}
 
@@ -116,16 +158,29 @@
 				return outcome;
 			}
 
-			failures += 1;
+			failures += this.#isForeseen(target.backend) ? 0 : 1;
 			this.#excluded.add(target.backend.id);
 		}
 
-		return this.#giveUp(failures);
+		return this.#giveUp();
+	}
+
+	#requireHeld(): void {
+		if (this.#abort.signal.aborted) {
+			throw new StaleEpochError(`Request ${this.requestId} was given up here.`);
+		}
 	}
 
-	#giveUp(failures: number): Outcome {
+	/** Tells whether the last failure says nothing of the request: nothing was sent, or the back end's leaving was announced. */
+	#isForeseen(backend: BackendServer): boolean {
+		const isLeaving = this.#context.control.backends.find(({id, incarnation}) => id === backend.id && incarnation === backend.incarnation)?.isLeaving !== false;
+		return isLeaving || this.#lastFailure?.details.isNotSent === true;
+	}
+
+	#giveUp(): Outcome {
 		const code = this.#getRemainingMs() <= 0 ? codes.deadlineExceeded : this.#lastFailure?.code ?? codes.noBackend;
-		const isNotRun = !this.#start.copy.isIdempotent || (failures === 0 && this.#attempt === 0);
+		// An earlier holder may have sent idempotent work whose intent was never committed.
+		const isNotRun = !this.#start.copy.isIdempotent || (this.#start.copy.epoch === 1 && this.#dispatched === 0);
 		return createEnd(isNotRun ? ends.notRun : ends.failed, code);
 	}
 
@@ -168,6 +223,8 @@
 			logger.log(events.requestDispatched, {
 				request: this.requestId, customer: copy.customer, backend: backend.id, attempt: this.#attempt,
 			});
+			assertInvariant(this.#attempt > this.#dispatched, `Attempt ${this.#attempt} was dispatched already.`);
+			this.#dispatched = this.#attempt;
 			const outcome = await this.#runOn(backend);
 			isFailure = false;
 			await intent;
@@ -181,14 +238,14 @@
 	}
 
 	async #recordIntent(backend: string): Promise<void> {
-		const {control, clock} = this.#context;
-		await control.propose({
-			kind: 'recordIntent', requestId: this.requestId, epoch: this.#start.epoch, attempt: this.#attempt, backend, entryTime: clock.wallTime(),
+		const {clock} = this.#context;
+		await this.#propose({
+			kind: 'recordIntent', requestId: this.requestId, epoch: this.#start.copy.epoch, attempt: this.#attempt, backend, entryTime: clock.wallTime(),
 		});
 	}
 
 	async #onFailure(error: unknown, backend: BackendServer): Promise<Outcome | undefined> {
-		const {copy, epoch} = this.#start;
+		const {copy} = this.#start;
 		if (!(error instanceof CodedError) || error.code === codes.staleEpoch || error.code === codes.invariant) {
 			throw error;
 		}
@@ -206,15 +263,15 @@
 			return createEnd(ends.unknown, codes.outcomeUnknown);
 		}
 
-		await this.#context.control.propose({
-			kind: 'recordNotSent', requestId: this.requestId, epoch, attempt: this.#attempt,
+		await this.#propose({
+			kind: 'recordNotSent', requestId: this.requestId, epoch: copy.epoch, attempt: this.#attempt,
 		});
 		return undefined;
 	}
 
 	async #runOn(backend: BackendServer): Promise<Outcome> {
 		const {copy} = this.#start;
-		const {engine, plain} = this.#context;
+		const limit = new TimeoutSignal(this.#context.clock, this.#getRemainingMs(), this.#abort.signal);
 		const call: BackendCall = {
 			requestId: this.requestId,
 			attempt: this.#attempt,
@@ -222,18 +279,30 @@
 			address: backend.address,
 			body: copy.body,
 			tokens: this.answer.getChunks().map(chunk => chunk.text),
-			signal: AbortSignal.any([this.#abort.signal, AbortSignal.timeout(Math.max(1, this.#getRemainingMs()))]),
+			signal: limit.signal,
 		};
-		if (backend.kind === backendKinds.engine) {
-			for await (const token of engine.stream(call)) {
-				this.answer.append(token);
-				this.#sendProgress();
-			}
+		try {
+			return await (backend.kind === backendKinds.engine ? this.#runEngine(call) : this.#runPlain(call));
+		} finally {
+			limit.cancel();
+		}
+	}
 
-			return this.#createAnswered();
+	async #runEngine(call: BackendCall): Promise<Outcome> {
+		for await (const token of this.#context.engine.stream(call)) {
+			this.#requireHeld();
+			this.answer.append(token);
+		}
+
+		return this.#createAnswered();
+	}
+
+	async #runPlain(call: BackendCall): Promise<Outcome> {
+		const answer = await this.#context.plain.run(call);
+		if (this.#start.copy.isIdempotent && unavailableStatuses.has(answer.status)) {
+			throw new BackendFailedError(`Back end ${call.address} answered ${answer.status}.`, {isNotSent: false, status: answer.status});
 		}
 
-		const answer = await plain.run(call);
 		this.answer.setHead({status: answer.status, contentType: answer.contentType});
 		this.answer.append(answer.body);
 		return this.#createAnswered();
@@ -251,43 +320,23 @@
 		};
 	}
 
-	/** Sends new chunks to the standby, one call at a time. */
-	#sendProgress(): void {
-		const {standbyAddress} = this.#start;
-		if (standbyAddress !== undefined && !this.#isSendingProgress) {
-			this.#isSendingProgress = true;
-			void this.#runProgress(standbyAddress);
-		}
-	}
-
-	async #runProgress(address: string): Promise<void> {
-		const {clock, transport} = this.#context;
-		await clock.sleep(progressIntervalMs, this.#abort.signal);
-		const chunks = this.answer.getChunks(this.#sentToStandby);
-		this.#sentToStandby += chunks.length;
-		try {
-			await transport.call(address, standbyMethods.progress, {requestId: this.requestId, chunks}, {timeoutMs: progressTimeoutMs});
-		} catch {
-			this.#sentToStandby -= chunks.length;
+	async #finish(outcome: Outcome): Promise<void> {
+		const {clock, logger, metrics} = this.#context;
+		const {copy} = this.#start;
+		if (outcome.end === ends.answered && outcome.answer === undefined) {
+			await this.answer.waitConfirmed(this.answer.length - 1, this.#abort.signal);
+			this.#requireHeld();
 		}
 
-		this.#isSendingProgress = false;
-	}
-
-	async #finish(outcome: Outcome): Promise<void> {
-		const {control, clock, logger, metrics, transport} = this.#context;
-		const {copy, epoch, standbyAddress} = this.#start;
-		await control.propose({
-			kind: 'finishRequest', requestId: this.requestId, epoch, entryTime: clock.wallTime(), outcome,
+		await this.#propose({
+			kind: 'finishRequest', requestId: this.requestId, epoch: copy.epoch, entryTime: clock.wallTime(), outcome,
 		});
 		this.answer.end(outcome);
 		logger.log(events.requestFinished, {
 			request: this.requestId, customer: copy.customer, end: outcome.end, code: outcome.code,
 		});
 		metrics.count('mulberrypitch_requests_finished_total', 'Requests by end.', {service: copy.service, end: outcome.end});
-		if (standbyAddress !== undefined) {
-			await transport.call(standbyAddress, standbyMethods.release, {requestId: this.requestId}, {timeoutMs: progressTimeoutMs}).catch(() => undefined);
-		}
+		await this.#link.release();
 	}
 
 	#getRemainingMs(): number {
--- a/packages/mulberrypitch-requests/src/request-service.ts
+++ b/packages/mulberrypitch-requests/src/request-service.ts
@@ -1,44 +1,29 @@
 /** Accepts requests on one host, carries on those it takes over, and lets any host read their answers. */
 import {createHash, randomUUID} from 'node:crypto';
 import {CodedError, getMessage} from '@mulberrypitch/errors/coded-error';
-import {
-	DrainingError, NotFoundError, PeerUnreachableError,
-} from '@mulberrypitch/errors/catalogue';
+import {DrainingError, NotFoundError} from '@mulberrypitch/errors/catalogue';
 import type {Resource} from '@mulberrypitch/lifecycle/disposable-store';
 import {events} from '@mulberrypitch/logger/events';
-import {
-	ends, type Outcome, type RequestRecord, type Session,
-} from '@mulberrypitch/control/types';
+import type {RequestRecord, Session} from '@mulberrypitch/control/types';
 import type {Admission, Ticket} from '@mulberrypitch/admission/types';
-import {AnswerLog} from './answer-log.js';
-import {readSchema, type ReadRequest} from './messages.js';
+import {AnswerReader} from './answer-reader.js';
+import {copySchema} from './messages.js';
 import {RequestHolder, type HolderContext, type HolderStart} from './request-holder.js';
-import {RequestStandby, standbyMethods} from './request-standby.js';
-import type {
-	AcceptedRequest, AnswerChunk, AnswerEvent, AnswerHead, HeldCopy, IncomingCall,
-} from './types.js';
-
-const holdTimeoutMs = 1000;
-const readWaitMs = 1000;
-const readTimeoutMs = 3000;
+import {RequestStandby} from './request-standby.js';
+import {copyToStandby} from './standby-link.js';
+import type {AcceptedRequest, HeldCopy, IncomingCall} from './types.js';
+
+const copyTimeoutMs = 1000;
+const copySearchMs = 10_000;
 const retryDelayMs = 200;
-const maxStandbyTries = 3;
 const finishedRetentionMs = 60_000;
-const readMethod = 'request.read';
+const copyMethod = 'request.copy';
 
 /** What the service is made of. */
 export type RequestServiceOptions = HolderContext & {
-	readonly node: string;
-	readonly zone: string;
 	readonly admission: Admission;
 };
 
-type ReadReply = {
-	readonly chunks: readonly AnswerChunk[];
-	readonly outcome?: Outcome;
-	readonly head?: AnswerHead;
-};
-
 type Held = {
 	readonly holder: RequestHolder;
 	readonly epoch: number;
@@ -48,6 +33,8 @@
 export class RequestService implements Resource {
 	readonly #options: RequestServiceOptions;
 	readonly #standby: RequestStandby;
+	readonly #reader: AnswerReader;
+	readonly #searching = new Map<string, number>();
 	readonly #held = new Map<string, Held>();
 	readonly #disposal = new AbortController();
 	#isDraining = false;
@@ -55,9 +42,12 @@
 
 	constructor(options: RequestServiceOptions) {
 		this.#options = options;
-		this.#standby = new RequestStandby(options.clock);
+		this.#standby = new RequestStandby(options.clock, requestId => this.#held.get(requestId)?.epoch ?? 0);
 		this.#standby.register(options.transport);
-		options.transport.handle(readMethod, readSchema, async request => this.#onRead(request));
+		this.#reader = new AnswerReader({
+			...options, standby: this.#standby, getAnswer: requestId => this.#held.get(requestId)?.holder.answer,
+		});
+		options.transport.handle(copyMethod, copySchema, async ({requestId}) => this.#requireCopy(requestId));
 	}
 
 	/** Requests in progress on this host. */
@@ -119,10 +109,10 @@
 	/** Carries on requests whose holder is gone. */
 	takeOver(records: readonly RequestRecord[]): void {
 		for (const record of records) {
-			const held = this.#held.get(record.requestId);
-			if (held === undefined || held.epoch < record.epoch) {
-				held?.holder.abandon();
-				this.#resume(record);
+			const known = Math.max(this.#held.get(record.requestId)?.epoch ?? 0, this.#searching.get(record.requestId) ?? 0);
+			if (known < record.epoch) {
+				this.#held.get(record.requestId)?.holder.abandon();
+				void this.#resume(record);
 			}
 		}
 	}
@@ -147,7 +137,7 @@
 	async #accept(call: IncomingCall, session: Session, ticket: Ticket): Promise<AcceptedRequest> {
 		const {control, clock, logger, node} = this.#options;
 		const copy = createCopy(call, clock.wallTime());
-		const standby = await this.#copyToStandby(copy);
+		const standby = await copyToStandby(this.#options, copy);
 		const digest = getDigest(call);
 		const acceptance = await control.propose({
 			kind: 'acceptRequest',
@@ -169,44 +159,16 @@
 		}
 
 		logger.log(events.requestAccepted, {request: copy.requestId, customer: copy.customer, service: copy.service});
-		const holder = this.#hold({
-			copy, epoch: 1, attempts: 0, mayHaveRun: false, ...(standby !== undefined && {standbyAddress: standby.peerAddress}),
+		this.#hold({
+			copy, attempts: 0, mayHaveRun: false, ...(standby !== undefined && {standby}),
 		}, ticket);
-		return {requestId: copy.requestId, read: (fromOffset, signal) => holder.answer.read(fromOffset, signal)};
+		return this.#follow(acceptance.request);
 	}
 
-	/** Leaves a copy on a host that is not about to stop, in another zone where there is one. */
-	async #copyToStandby(copy: HeldCopy): Promise<Session | undefined> {
-		const {control, transport, node, zone} = this.#options;
-		const others = control.sessions.filter(session => session.node !== node && !session.isDraining);
-		const start = Number.parseInt(copy.requestId.slice(0, 8), 16);
-		const ordered = others
-			.map((session, index) => ({session, order: ((index + start) % others.length) + (session.zone === zone ? others.length : 0)}))
-			.toSorted((left, right) => left.order - right.order)
-			.slice(0, maxStandbyTries);
-		for (const {session} of ordered) {
-			try {
-				await transport.call(session.peerAddress, standbyMethods.hold, copy, {timeoutMs: holdTimeoutMs});
-				return session;
-			} catch (error) {
-				if (!(error instanceof CodedError)) {
-					throw error;
-				}
-			}
-		}
-
-		if (others.length > 0) {
-			throw new PeerUnreachableError(others[0]!.peerAddress);
-		}
-
-		return undefined;
-	}
-
-	#hold(start: HolderStart, ticket?: Ticket): RequestHolder {
+	#hold(start: HolderStart, ticket?: Ticket): void {
 		const holder = new RequestHolder(this.#options, start);
-		this.#held.set(holder.requestId, {holder, epoch: start.epoch});
+		this.#held.set(holder.requestId, {holder, epoch: start.copy.epoch});
 		void this.#run(holder, ticket);
-		return holder;
 	}
 
 	async #run(holder: RequestHolder, ticket: Ticket | undefined): Promise<void> {
@@ -226,61 +188,59 @@
 		}
 	}
 
-	#resume(record: RequestRecord): void {
+	async #resume(record: RequestRecord): Promise<void> {
 		const {logger, clock} = this.#options;
-		logger.log(events.requestTakenOver, {request: record.requestId, customer: record.customer, epoch: record.epoch});
-		const copy = this.#standby.get(record.requestId) ?? createLostCopy(record, clock.wallTime());
-		this.#standby.drop(record.requestId);
+		const {requestId, epoch} = record;
+		logger.log(events.requestTakenOver, {request: requestId, customer: record.customer, epoch});
+		this.#searching.set(requestId, epoch);
+		const copy = this.#findCopy(requestId) ?? await this.#searchCopy(requestId) ?? createLostCopy(record, clock.wallTime());
+		if (this.#searching.get(requestId) !== epoch || this.#disposal.signal.aborted) {
+			return;
+		}
+
+		this.#searching.delete(requestId);
+		this.#standby.drop(requestId);
 		this.#hold({
-			copy,
-			epoch: record.epoch,
+			copy: {...copy, epoch},
 			attempts: record.attempts.length,
 			mayHaveRun: record.attempts.some(attempt => !attempt.isNotSent),
 		});
 	}
 
-	async #follow(record: RequestRecord): Promise<AcceptedRequest> {
-		return {requestId: record.requestId, read: (fromOffset, signal) => this.#readAnywhere(record, fromOffset, signal)};
+	#findCopy(requestId: string): HeldCopy | undefined {
+		return getNewest([this.#standby.get(requestId), this.#held.get(requestId)?.holder.getCopy()]);
 	}
 
-	async * #readAnywhere(first: RequestRecord, fromOffset: number, signal: AbortSignal): AsyncGenerator<AnswerEvent, void> {
-		let record = first;
-		let offset = fromOffset;
-		while (!signal.aborted) {
-			const reply = await this.#readOnce(record, offset);
-			for (const chunk of reply?.chunks ?? []) {
-				yield {kind: 'chunk', chunk};
-				offset += 1;
-			}
+	#requireCopy(requestId: string): HeldCopy {
+		const copy = this.#findCopy(requestId);
+		if (copy === undefined) {
+			throw new NotFoundError(`This host keeps no copy of request ${requestId}.`);
+		}
 
-			if (reply?.outcome !== undefined) {
-				yield {kind: 'end', outcome: reply.outcome, ...(reply.head !== undefined && {head: reply.head})};
-				return;
-			}
+		return copy;
+	}
 
-			if (reply === undefined) {
-				await this.#options.clock.sleep(retryDelayMs, signal);
-				record = await this.#options.control.lookupRequest(record.requestId) ?? record;
+	/** Asks all hosts for the copy of a request, for some time: one of them may be cut off. */
+	async #searchCopy(requestId: string): Promise<HeldCopy | undefined> {
+		const {clock, control, node} = this.#options;
+		const end = clock.now() + copySearchMs;
+		while (clock.now() < end && !this.#disposal.signal.aborted) {
+			const others = control.sessions.filter(session => session.node !== node);
+			const copies = await Promise.all(others.map(async session => this.#fetchCopy(session, requestId)));
+			const newest = getNewest(copies);
+			if (newest !== undefined) {
+				return newest;
 			}
-		}
-	}
 
-	/** Reads once from the holder. Gives nothing when the holder can't be reached or has changed. */
-	async #readOnce(record: RequestRecord, fromOffset: number): Promise<ReadReply | undefined> {
-		const {control, transport, node} = this.#options;
-		const kept = getKeptAnswer(record, fromOffset);
-		if (kept !== undefined) {
-			return kept;
+			await clock.sleep(retryDelayMs, this.#disposal.signal);
 		}
 
-		const parameters: ReadRequest = {requestId: record.requestId, fromOffset};
-		try {
-			if (record.holder === node) {
-				return await this.#onRead(parameters);
-			}
+		return undefined;
+	}
 
-			const holder = control.sessions.find(session => session.node === record.holder);
-			return holder === undefined ? undefined : await transport.call<ReadReply>(holder.peerAddress, readMethod, parameters, {timeoutMs: readTimeoutMs});
+	async #fetchCopy(session: Session, requestId: string): Promise<HeldCopy | undefined> {
+		try {
+			return await this.#options.transport.call<HeldCopy>(session.peerAddress, copyMethod, {requestId}, {timeoutMs: copyTimeoutMs});
 		} catch (error) {
 			if (error instanceof CodedError) {
 				return undefined;
@@ -290,25 +250,22 @@
 		}
 	}
 
-	async #onRead({requestId, fromOffset}: ReadRequest): Promise<ReadReply> {
-		const held = this.#held.get(requestId);
-		if (held === undefined) {
-			throw new NotFoundError(`Request ${requestId} is not held here.`);
-		}
-
-		const {answer} = held.holder;
-		await answer.wait(fromOffset, AbortSignal.timeout(readWaitMs));
-		return {
-			chunks: answer.getChunks(fromOffset),
-			...(answer.outcome !== undefined && {outcome: answer.outcome}),
-			...(answer.head !== undefined && {head: answer.head}),
-		};
+	#follow(record: RequestRecord): AcceptedRequest {
+		return {requestId: record.requestId, read: (fromOffset, signal) => this.#reader.read(record, fromOffset, signal)};
 	}
 }
 
+/** Chooses the copy of the latest holder, then the longest. */
+function getNewest(copies: ReadonlyArray<HeldCopy | undefined>): HeldCopy | undefined {
+	return copies
+		.filter(copy => copy !== undefined)
+		.toSorted((left, right) => right.epoch - left.epoch || right.chunks.length - left.chunks.length)[0];
+}
+
 function createCopy(call: IncomingCall, now: number): HeldCopy {
 	return {
 		requestId: randomUUID(),
+		epoch: 1,
 		customer: call.workspace.name,
 		service: call.service.name,
 		body: call.body,
@@ -324,6 +281,7 @@
 function createLostCopy(record: RequestRecord, now: number): HeldCopy {
 	return {
 		requestId: record.requestId,
+		epoch: record.epoch,
 		customer: record.customer,
 		service: record.service,
 		body: {
@@ -341,19 +299,3 @@
 	const {method, path, text} = call.body;
 	return createHash('sha256').update(JSON.stringify([call.service.name, method, path, text])).digest('hex');
 }
-
-/** Answers from the record itself once the request has ended with a kept answer or without one. */
-function getKeptAnswer(record: RequestRecord, fromOffset: number): ReadReply | undefined {
-	const {outcome} = record;
-	if (outcome === undefined || (outcome.end === ends.answered && outcome.answer === undefined)) {
-		return undefined;
-	}
-
-	if (outcome.answer === undefined) {
-		return {chunks: [], outcome};
-	}
-
-	const {body, ...head} = outcome.answer;
-	const log = new AnswerLog([{offset: 0, text: body}]);
-	return {chunks: log.getChunks(fromOffset), outcome, head};
-}
--- a/packages/mulberrypitch-requests/src/request-standby.ts
+++ b/packages/mulberrypitch-requests/src/request-standby.ts
@@ -1,14 +1,17 @@
 /** Copies of requests that other hosts hold, kept to carry them on. */
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
-import {OverloadedError} from '@mulberrypitch/errors/catalogue';
+import {
+	assertInvariant, NotFoundError, OverloadedError, StaleEpochError,
+} from '@mulberrypitch/errors/catalogue';
 import type {Transport} from '@mulberrypitch/transport/types';
 import {
-	heldCopySchema, progressSchema, releaseSchema, type Progress,
+	heldCopySchema, progressSchema, releaseSchema, type Progress, type ProgressReply,
 } from './messages.js';
 import type {AnswerChunk, HeldCopy} from './types.js';
 
 const maxCopies = 100_000;
 const releasedRetentionMs = 60_000;
+const lostRetentionMs = 60_000;
 
 /** Method names of the standby. */
 export const standbyMethods = {
@@ -28,8 +31,12 @@
 	readonly #copies = new Map<string, Copy>();
 	readonly #clock: Clock;
 
-	constructor(clock: Clock) {
+	readonly #getHeldEpoch: (requestId: string) => number;
+
+	/** `getHeldEpoch` gives the epoch with which this host holds a request itself, or zero. */
+	constructor(clock: Clock, getHeldEpoch: (requestId: string) => number) {
 		this.#clock = clock;
+		this.#getHeldEpoch = getHeldEpoch;
 	}
 
 	get size(): number {
@@ -41,9 +48,7 @@
 		transport.handle(standbyMethods.hold, heldCopySchema, async copy => {
 			this.#hold(copy);
 		});
-		transport.handle(standbyMethods.progress, progressSchema, async progress => {
-			this.#progress(progress);
-		});
+		transport.handle(standbyMethods.progress, progressSchema, async progress => this.#progress(progress));
 		transport.handle(standbyMethods.release, releaseSchema, async ({requestId}) => {
 			this.#release(requestId);
 		});
@@ -61,25 +66,40 @@
 	}
 
 	#hold(held: HeldCopy): void {
-		this.#dropReleased();
+		this.#dropExpired();
 		if (this.#copies.size >= maxCopies) {
 			throw new OverloadedError('This host keeps too many copies of requests.', 1);
 		}
 
+		this.#requireCurrent(held.requestId, held.epoch);
 		this.#copies.set(held.requestId, {held, chunks: [...held.chunks]});
 	}
 
-	#progress({requestId, chunks}: Progress): void {
+	/** Adds what follows the chunks here; repeated and early chunks are skipped, and the holder sends them again. */
+	#progress({requestId, epoch, chunks}: Progress): ProgressReply {
+		this.#requireCurrent(requestId, epoch);
 		const copy = this.#copies.get(requestId);
 		if (copy === undefined) {
-			return;
+			throw new NotFoundError(`This host keeps no copy of request ${requestId}.`);
 		}
 
 		for (const chunk of chunks) {
+			const known = copy.chunks[chunk.offset];
+			assertInvariant(known === undefined || known.text === chunk.text, `Chunk ${chunk.offset} of request ${requestId} differs from the one given before.`);
 			if (chunk.offset === copy.chunks.length) {
 				copy.chunks.push(chunk);
 			}
 		}
+
+		return {length: copy.chunks.length};
+	}
+
+	/** Refuses a holder that another one has replaced, so that its chunks never mix with those of the new one. */
+	#requireCurrent(requestId: string, epoch: number): void {
+		const current = Math.max(this.#getHeldEpoch(requestId), this.#copies.get(requestId)?.held.epoch ?? 0);
+		if (epoch < current) {
+			throw new StaleEpochError(`Request ${requestId} has another holder.`);
+		}
 	}
 
 	#release(requestId: string): void {
@@ -89,10 +109,12 @@
 		}
 	}
 
-	#dropReleased(): void {
-		const before = this.#clock.now() - releasedRetentionMs;
+	/** Drops copies released some time ago, and those whose holder died without a release. */
+	#dropExpired(): void {
+		const releasedBefore = this.#clock.now() - releasedRetentionMs;
+		const dueBefore = this.#clock.wallTime() - lostRetentionMs;
 		for (const [requestId, copy] of this.#copies) {
-			if (copy.releasedAt !== undefined && copy.releasedAt < before) {
+			if ((copy.releasedAt ?? Number.POSITIVE_INFINITY) < releasedBefore || copy.held.deadlineAt < dueBefore) {
 				this.#copies.delete(requestId);
 			}
 		}
--- /dev/null
+++ b/packages/mulberrypitch-requests/src/standby-link.ts
@@ -0,0 +1,193 @@
+/** Keeps one request copied on a second host: chooses the standby, brings it up to date, and replaces it when it is lost. */
+import {CodedError, hasCode} from '@mulberrypitch/errors/coded-error';
+import {
+	assertInvariant, codes, PeerUnreachableError,
+} from '@mulberrypitch/errors/catalogue';
+import type {Clock} from '@mulberrypitch/lifecycle/clock';
+import type {ControlClient} from '@mulberrypitch/control/control-client';
+import type {Session} from '@mulberrypitch/control/types';
+import type {Transport} from '@mulberrypitch/transport/types';
+import type {AnswerLog} from './answer-log.js';
+import type {ProgressReply} from './messages.js';
+import {standbyMethods} from './request-standby.js';
+import {TimeoutSignal} from './timeout-signal.js';
+import type {HeldCopy} from './types.js';
+
+const holdTimeoutMs = 1000;
+const progressTimeoutMs = 1000;
+const checkIntervalMs = 500;
+const retryDelayMs = 200;
+const maxStandbyTries = 3;
+
+/** What links are made of. */
+export type StandbyLinkContext = {
+	readonly node: string;
+	readonly zone: string;
+	readonly control: ControlClient;
+	readonly transport: Transport;
+	readonly clock: Clock;
+};
+
+/** The request that a link copies. */
+export type LinkedRequest = {
+	readonly copy: HeldCopy;
+	readonly answer: AnswerLog;
+	/** The host that has a copy already. */
+	readonly standby?: Session;
+};
+
+/**
+Lists hosts that may keep a copy: those that are not about to stop, in other zones first.
+
+@example
+```
+const [best] = listStandbys(context, requestId);
+```
+*/
+export function listStandbys({control, node, zone}: StandbyLinkContext, requestId: string): readonly Session[] {
+	const others = control.sessions.filter(session => session.node !== node && !session.isDraining);
+	const start = Number.parseInt(requestId.slice(0, 8), 16);
+	return others
+		.map((session, index) => ({session, order: ((index + start) % others.length) + (session.zone === zone ? others.length : 0)}))
+		.toSorted((left, right) => left.order - right.order)
+		.map(({session}) => session);
+}
+
+/**
+Leaves a copy of a request on the first host that takes it. Gives nothing when there is no other host.
+
+@example
+```
+const standby = await copyToStandby(context, copy);
+```
+*/
+export async function copyToStandby(context: StandbyLinkContext, copy: HeldCopy): Promise<Session | undefined> {
+	const candidates = listStandbys(context, copy.requestId);
+	for (const session of candidates.slice(0, maxStandbyTries)) {
+		try {
+			await context.transport.call(session.peerAddress, standbyMethods.hold, copy, {timeoutMs: holdTimeoutMs});
+			return session;
+		} catch (error) {
+			if (!(error instanceof CodedError) || error.code === codes.staleEpoch) {
+				throw error;
+			}
+		}
+	}
+
+	if (candidates.length > 0) {
+		throw new PeerUnreachableError(candidates[0]!.peerAddress);
+	}
+
+	return undefined;
+}
+
+/** Copies one request while it runs. */
+export class StandbyLink {
+	readonly #context: StandbyLinkContext;
+	readonly #request: LinkedRequest;
+	#standby: Session | undefined;
+
+	constructor(context: StandbyLinkContext, request: LinkedRequest) {
+		this.#context = context;
+		this.#request = request;
+		this.#standby = request.standby;
+	}
+
+	/** Runs until the signal aborts. Throws `StaleEpochError` when another host holds the request. */
+	async run(signal: AbortSignal): Promise<void> {
+		while (!signal.aborted) {
+			try {
+				await this.#step(signal);
+			} catch (error) {
+				if (!(error instanceof CodedError) || error.code === codes.staleEpoch || error.code === codes.invariant) {
+					throw error;
+				}
+
+				if (error.code !== codes.conflict) {
+					this.#standby = undefined;
+				}
+
+				await this.#context.clock.sleep(retryDelayMs, signal);
+			}
+		}
+	}
+
+	/** Tells the standby that the request has ended. */
+	async release(): Promise<void> {
+		await this.#release(this.#standby);
+	}
+
+	async #step(signal: AbortSignal): Promise<void> {
+		const {answer, copy} = this.#request;
+		if (!this.#hasStandby()) {
+			if (listStandbys(this.#context, copy.requestId).length > 0) {
+				await this.#replace();
+				return;
+			}
+
+			answer.confirm(answer.length);
+		}
+
+		if (this.#standby !== undefined && answer.length > answer.confirmed) {
+			await this.#push(this.#standby);
+			return;
+		}
+
+		await this.#waitForChunks(signal);
+	}
+
+	async #waitForChunks(signal: AbortSignal): Promise<void> {
+		const {answer} = this.#request;
+		const check = new TimeoutSignal(this.#context.clock, checkIntervalMs, signal);
+		await (answer.isAbandoned || answer.outcome !== undefined ? this.#context.clock.sleep(checkIntervalMs, signal) : answer.waitAppended(answer.confirmed, check.signal));
+
+		check.cancel();
+	}
+
+	#hasStandby(): boolean {
+		const standby = this.#standby;
+		return this.#context.control.sessions.some(session => session.node === standby?.node && session.epoch === standby.epoch && !session.isDraining);
+	}
+
+	async #replace(): Promise<void> {
+		const {copy, answer} = this.#request;
+		const former = this.#standby;
+		const chunks = answer.getChunks();
+		const standby = await copyToStandby(this.#context, {...copy, chunks});
+		if (standby === undefined) {
+			return;
+		}
+
+		await this.#context.control.propose({
+			kind: 'changeStandby', requestId: copy.requestId, epoch: copy.epoch, standby: standby.node,
+		});
+		this.#standby = standby;
+		answer.confirm(chunks.length);
+		if (former !== undefined && former.node !== standby.node) {
+			await this.#release(former);
+		}
+	}
+
+	async #push(standby: Session): Promise<void> {
+		const {copy, answer} = this.#request;
+		const progress = {requestId: copy.requestId, epoch: copy.epoch, chunks: answer.getChunks(answer.confirmed)};
+		const {length} = await this.#context.transport.call<ProgressReply>(standby.peerAddress, standbyMethods.progress, progress, {timeoutMs: progressTimeoutMs});
+		assertInvariant(length <= answer.length, `Standby ${standby.node} has more chunks than its holder.`);
+		answer.confirm(length);
+	}
+
+	async #release(standby: Session | undefined): Promise<void> {
+		if (standby === undefined) {
+			return;
+		}
+
+		try {
+			await this.#context.transport.call(standby.peerAddress, standbyMethods.release, {requestId: this.#request.copy.requestId}, {timeoutMs: progressTimeoutMs});
+		} catch (error) {
+			// A copy that is not released is dropped after the deadline of its request.
+			if (hasCode(error, codes.invariant)) {
+				throw error;
+			}
+		}
+	}
+}
