Run requests through randomised faults on virtual time

Cause: scripted deaths don't show what faults do together. Change: request-simulation.ts runs 24 callers over 5 hosts with host kills and cuts, engine deaths, reclaim waves, lost and delayed messages. Found and mended: an outdated copy of a former standby was resumed from (records now name the epoch of the last whole copy); a reader was shown a standby's unconfirmed chunks; a caller that had the whole answer never got its end once holder and standby were gone (outcomes count their chunks); a lost request ended with a wrong code.

--- a/packages/mulberrypitch-control/src/commands.ts
+++ b/packages/mulberrypitch-control/src/commands.ts
@@ -18,6 +18,7 @@
 	end: z.enum(['answered', 'notRun', 'unknown', 'failed']),
 	digest: z.string(),
 	lengthBytes: integer,
+	chunkCount: integer.optional(),
 	code: name.optional(),
 	retryAfterSeconds: z.number().optional(),
 	answer: z.strictObject({
--- a/packages/mulberrypitch-control/src/control-state.ts
+++ b/packages/mulberrypitch-control/src/control-state.ts
@@ -256,7 +256,7 @@
 
 	/** Chooses the standby, or any other host when holder and standby are both lost, so that the request still ends. */
 	#findNextHolder({holder, standby}: RequestRecord): string | undefined {
-		if (standby !== undefined && this.#sessions.has(standby)) {
+		if (standby !== undefined && standby !== holder && this.#sessions.has(standby)) {
 			return standby;
 		}
 
@@ -288,8 +288,7 @@
 
 	#moveRequest(request: RequestRecord, holder: string, entry: LogEntry): RequestRecord {
 		this.#heldBy.get(request.holder)?.delete(request.requestId);
-		const {standby, ...rest} = request;
-		const moved: RequestRecord = {...rest, holder, epoch: request.epoch + 1};
+		const moved: RequestRecord = {...request, holder, epoch: request.epoch + 1};
 		this.#requests.set(moved.requestId, moved);
 		this.#getHeldBy(holder).add(moved.requestId);
 		this.#record({
@@ -337,7 +336,7 @@
 		this.#requireSession(command.holder, command.holderEpoch);
 		const {kind, holderEpoch, entryTime, ...facts} = command;
 		const request: RequestRecord = {
-			...facts, epoch: 1, acceptedAt: entry.time, attempts: [],
+			...facts, epoch: 1, copyEpoch: 1, acceptedAt: entry.time, attempts: [],
 		};
 		this.#requests.set(request.requestId, request);
 		this.#getHeldBy(request.holder).add(request.requestId);
@@ -398,7 +397,7 @@
 	#changeStandby(command: CommandOf<'changeStandby'>): void {
 		const request = this.#requireRequest(command.requestId);
 		this.#requireUnfinished(request, command.epoch);
-		this.#requests.set(request.requestId, {...request, standby: command.standby});
+		this.#requests.set(request.requestId, {...request, standby: command.standby, copyEpoch: command.epoch});
 	}
 
 	#finishRequest(command: CommandOf<'finishRequest'>, entry: LogEntry): RequestRecord {
--- a/packages/mulberrypitch-control/src/types.ts
+++ b/packages/mulberrypitch-control/src/types.ts
@@ -83,6 +83,8 @@
 	/** SHA-256 of the answer in hex. */
 	readonly digest: string;
 	readonly lengthBytes: number;
+	/** Chunks of a whole answer: a reader that has them all needs no host that keeps them. */
+	readonly chunkCount?: number;
 	/** Failure code when the request was not answered. */
 	readonly code?: string;
 	readonly retryAfterSeconds?: number;
@@ -108,9 +110,12 @@
 	/** May be run again without harm. */
 	readonly isIdempotent: boolean;
 	readonly holder: string;
+	/** The host that got the last whole copy. */
 	readonly standby?: string;
 	/** Grows each time the holder changes. */
 	readonly epoch: number;
+	/** Epoch of the holder that left the last whole copy; later holders have shown callers nothing. */
+	readonly copyEpoch: number;
 	readonly acceptedAt: number;
 	readonly attempts: readonly Attempt[];
 	readonly outcome?: Outcome;
--- a/packages/mulberrypitch-requests/src/__tests__/process-transport.ts
+++ b/packages/mulberrypitch-requests/src/__tests__/process-transport.ts
@@ -16,13 +16,18 @@
 export class ProcessTransport implements Transport {
 	readonly #inner: MemoryTransport;
 	readonly #onStep: (step: Step) => void;
-	#isDead = false;
+	readonly #death = new AbortController();
 
 	constructor(inner: MemoryTransport, onStep: (step: Step) => void) {
 		this.#inner = inner;
 		this.#onStep = onStep;
 	}
 
+	/** Aborts when the process dies. */
+	get death(): AbortSignal {
+		return this.#death.signal;
+	}
+
 	get address(): Address {
 		return this.#inner.address;
 	}
@@ -41,11 +46,11 @@
 
 	/** Ends the process here when a test wants it so. */
 	async pass(when: Step['when'], ...names: string[]): Promise<void> {
-		if (!this.#isDead) {
+		if (!this.death.aborted) {
 			this.#onStep({when, names});
 		}
 
-		if (this.#isDead) {
+		if (this.death.aborted) {
 			await new Promise(() => {
 				// A dead process goes no further.
 			});
@@ -53,7 +58,7 @@
 	}
 
 	kill(): void {
-		this.#isDead = true;
+		this.#death.abort();
 		this.#inner.dispose();
 	}
 
--- a/packages/mulberrypitch-requests/src/__tests__/request-cluster.ts
+++ b/packages/mulberrypitch-requests/src/__tests__/request-cluster.ts
@@ -51,20 +51,26 @@
 	readonly backends: MemoryBackends;
 	readonly hosts = new Map<string, ClusterHost>();
 	readonly state = new ControlState();
-	readonly leaving = new Set<string>();
+	/** Share of messages that get lost. */
+	lossRatio = 0;
+	/** Longest extra delay of a message. */
+	jitterMs = 0;
 	readonly #cut = new Set<string>();
 	readonly #dead = new Set<string>();
 	readonly #generations = new Map<string, number>();
 	readonly #disposal = new AbortController();
 	#listener: StepListener | undefined;
+	#requestCount = 0;
 
 	constructor(seed = 1) {
+		const random = new SeededRandom(seed);
 		this.backends = new MemoryBackends({
-			clock: this.clock, random: new SeededRandom(seed), firstTokenMs: 30, tokenMs: 20, answerMs: 50,
+			clock: this.clock, random, firstTokenMs: 30, tokenMs: 20, answerMs: 50,
 		});
 		this.network.setPolicy((from, to) => {
 			const isLost = [from, to].some(address => this.#dead.has(address) || this.#cut.has(address));
-			return {isLost: isLost && from !== to, delayMs: 1};
+			const isUnlucky = random.next() < this.lossRatio;
+			return {isLost: (isLost || isUnlucky) && from !== to, delayMs: 1 + (random.next() * this.jitterMs)};
 		});
 	}
 
@@ -133,6 +139,7 @@
 			logger,
 			metrics,
 			admission: new AdmissionQueue(),
+			createRequestId: () => this.#createRequestId(),
 			getRetryPolicy: () => ({maxAttempts: 4, budgetRatio: 1}),
 		});
 		control.start();
@@ -155,14 +162,16 @@
 		}
 	}
 
-	/** Cuts a host off from all others. */
-	cut(name: string): void {
-		this.#cut.add(this.getHost(name).transport.address);
+	/** Cuts a process off from all others; gives its address. */
+	cut(name: string): string {
+		const {address} = this.getHost(name).transport;
+		this.#cut.add(address);
+		return address;
 	}
 
-	/** Ends a cut. */
-	heal(name: string): void {
-		this.#cut.delete(this.getHost(name).transport.address);
+	/** Ends the cut of an address. */
+	heal(address: string): void {
+		this.#cut.delete(address);
 	}
 
 	/** Starts a back end and announces it. */
@@ -173,7 +182,6 @@
 
 	/** Gives notice that a back end is reclaimed, then ends it. */
 	async reclaim(id: string, noticeMs: number): Promise<void> {
-		this.leaving.add(id);
 		const host = [...this.hosts.values()].find(({control}) => control.isFresh());
 		await host?.control.propose({
 			kind: 'leaveBackend', id, incarnation: id, leavesAt: this.clock.wallTime() + noticeMs,
@@ -215,6 +223,11 @@
 		return this.state.listBackends().filter(({id}) => this.backends.isAlive(id)).map(({id, incarnation}) => ({id, incarnation}));
 	}
 
+	#createRequestId(): string {
+		this.#requestCount += 1;
+		return `${createHash('sha256').update(String(this.#requestCount)).digest('hex').slice(0, 8)}-${this.#requestCount}`;
+	}
+
 	async #startControl(): Promise<void> {
 		const transport = this.network.join('control');
 		const {clock, state} = this;
--- a/packages/mulberrypitch-requests/src/__tests__/request-life.test.ts
+++ b/packages/mulberrypitch-requests/src/__tests__/request-life.test.ts
@@ -50,9 +50,9 @@
 	const accepting = cluster.getHost(holderName).requests.submit(createDocument('report', 400));
 	await cluster.clock.runFor(500);
 	const received = follow(await accepting);
-	cluster.cut(holderName);
+	const address = cluster.cut(holderName);
 	await cluster.clock.runFor(6000);
-	cluster.heal(holderName);
+	cluster.heal(address);
 	await cluster.until(() => received.outcome !== undefined, lifeLimitMs);
 	t.ok(isWhole(received, 'report', 400));
 });
--- /dev/null
+++ b/packages/mulberrypitch-requests/src/__tests__/request-simulation.ts
@@ -0,0 +1,171 @@
+/** One randomised run: callers, deaths, cuts and reclaims on virtual time, and what was wrong at its end. */
+import {ends} from '@mulberrypitch/control/types';
+import {assumeType} from '@mulberrypitch/errors/assume-type';
+import {countTokens} from '@mulberrypitch/fakes/memory-backends';
+import {getBetween, SeededRandom} from '@mulberrypitch/lifecycle/random';
+import {
+	createBooking, createDocument, isWhole, RequestCluster,
+} from './request-cluster.js';
+import {SimulatedCaller} from './simulated-caller.js';
+
+const hostCount = 5;
+const engineCount = 4;
+const callerCount = 24;
+const faultsMs = 20_000;
+const endLimitMs = 120_000;
+const reclaimNoticeMs = 3000;
+const maxFaultMs = 8000;
+const maxFaultGapMs = 2500;
+/** Quiet time after each host fault of a mild run: a lease, and time to copy all requests again. */
+const recoveryMs = 9000;
+
+/** What a run gave. */
+export type SimulationReport = {
+	readonly seed: number;
+	readonly problems: readonly string[];
+	/** Requests by kind and end. */
+	readonly counts: Readonly<Record<string, number>>;
+};
+
+/** One run of a seed. In a mild run (odd seeds) one host fails at a time, and nothing may be lost. */
+export class RequestSimulation {
+	readonly #seed: number;
+	readonly #isMild: boolean;
+	readonly #random: SeededRandom;
+	readonly #cluster: RequestCluster;
+	readonly #callers: SimulatedCaller[] = [];
+	readonly #failures: string[] = [];
+	#engines = 0;
+	#finished = 0;
+	#quietUntil = 0;
+
+	constructor(seed: number) {
+		this.#seed = seed;
+		this.#isMild = seed % 2 === 1;
+		this.#random = new SeededRandom(seed);
+		this.#cluster = new RequestCluster(seed);
+	}
+
+	/** Runs to the end of all requests and checks what each caller got. */
+	async run(): Promise<SimulationReport> {
+		const cluster = this.#cluster;
+		await cluster.start(hostCount, engineCount);
+		this.#engines = engineCount;
+		cluster.jitterMs = 20 * this.#random.next();
+		cluster.lossRatio = 0.005 * this.#random.next();
+		const endAt = cluster.clock.now() + faultsMs;
+		void this.#runFaults(endAt);
+		for (let index = 0; index < callerCount; index += 1) {
+			void this.#runCaller(index);
+		}
+
+		await cluster.clock.runUntil(() => this.#finished === callerCount && cluster.clock.now() >= endAt, endLimitMs, 100);
+		const report = this.#check();
+		await cluster.dispose();
+		return report;
+	}
+
+	async #runCaller(index: number): Promise<void> {
+		const {clock} = this.#cluster;
+		await clock.sleep(getBetween(this.#random, 0, faultsMs / 2));
+		const key = `key-${index}`;
+		const isBooking = index % 2 === 0;
+		const tokens = Math.floor(getBetween(this.#random, 20, 300));
+		const call = isBooking ? createBooking(`booking-${index}`, key) : createDocument(`document-${index}`, tokens, index % 4 === 1 ? key : undefined);
+		const caller = new SimulatedCaller(this.#cluster, this.#random, call);
+		this.#callers.push(caller);
+		try {
+			await caller.run();
+		} catch (error) {
+			this.#failures.push(String(error));
+		}
+
+		this.#finished += 1;
+	}
+
+	async #runFaults(endAt: number): Promise<void> {
+		const {clock} = this.#cluster;
+		while (clock.now() < endAt) {
+			await clock.sleep(getBetween(this.#random, 0, maxFaultGapMs));
+			const faults = [async () => this.#killHost(), async () => this.#cutHost(), async () => this.#killEngine(), async () => this.#reclaimWave()];
+			void faults[Math.floor(this.#random.next() * faults.length)]!();
+		}
+	}
+
+	#chooseHost(): string | undefined {
+		const now = this.#cluster.clock.now();
+		if (this.#isMild && now < this.#quietUntil) {
+			return undefined;
+		}
+
+		this.#quietUntil = now + maxFaultMs + recoveryMs;
+		const names = [...this.#cluster.hosts.keys()];
+		return names[Math.floor(this.#random.next() * names.length)];
+	}
+
+	async #killHost(): Promise<void> {
+		const {clock} = this.#cluster;
+		const name = this.#chooseHost();
+		if (name === undefined || this.#cluster.hosts.size < hostCount - 1) {
+			return;
+		}
+
+		this.#cluster.kill(name);
+		await clock.sleep(getBetween(this.#random, 100, maxFaultMs));
+		this.#cluster.startHost(name);
+	}
+
+	async #cutHost(): Promise<void> {
+		const name = this.#chooseHost();
+		const host = name === undefined ? undefined : this.#cluster.hosts.get(name);
+		if (host !== undefined) {
+			this.#cluster.cut(host.name);
+			await this.#cluster.clock.sleep(getBetween(this.#random, 100, maxFaultMs));
+			this.#cluster.heal(host.transport.address);
+		}
+	}
+
+	async #killEngine(): Promise<void> {
+		const id = this.#replaceEngine();
+		this.#cluster.backends.kill(id);
+	}
+
+	async #reclaimWave(): Promise<void> {
+		const ids = [this.#replaceEngine(), this.#replaceEngine()];
+		await Promise.allSettled(ids.map(async id => this.#cluster.reclaim(id, reclaimNoticeMs)));
+	}
+
+	/** Starts a new engine and names the oldest one, which is to go. */
+	#replaceEngine(): string {
+		this.#engines += 1;
+		this.#cluster.startBackend(`engine-${this.#engines}`, 'engine');
+		return `engine-${this.#engines - engineCount}`;
+	}
+
+	#check(): SimulationReport {
+		const counts: Record<string, number> = {};
+		const problems = [...this.#failures];
+		for (const caller of this.#callers) {
+			const kind = caller.call.isIdempotent ? 'document' : 'booking';
+			const end = caller.received.outcome?.end ?? (caller.isGone ? 'no longer kept' : 'none');
+			counts[`${kind} ${end}`] = (counts[`${kind} ${end}`] ?? 0) + 1;
+			problems.push(...caller.call.isIdempotent ? this.#checkDocument(caller) : this.#checkBooking(caller));
+		}
+
+		return {seed: this.#seed, problems, counts};
+	}
+
+	#checkDocument({call, received, requestId, isGone}: SimulatedCaller): string[] {
+		const {prompt, max_tokens: tokens} = assumeType<{prompt: string; max_tokens: number}>(JSON.parse(call.body.text));
+		const isLost = !this.#isMild && (isGone || received.outcome?.end === ends.failed) && countTokens(received.text, prompt) !== undefined;
+		const isRight = isLost || isWhole(received, prompt, tokens);
+		return isRight ? [] : [`${prompt} (${requestId}) of ${tokens} tokens ended ${received.outcome?.end} ${received.outcome?.code ?? ''} with ${received.text.split(' ').length - 1} tokens`];
+	}
+
+	#checkBooking({call, received, requestId}: SimulatedCaller): string[] {
+		const runs = this.#cluster.backends.calls.filter(({body}) => body === call.body.text).length;
+		const end = received.outcome?.end;
+		const isRight = (end === ends.answered && runs === 1) || (end === ends.notRun && runs === 0) || (end === ends.unknown && runs <= 1);
+		return isRight ? [] : [`${call.body.text} (${requestId}) ended ${end} and ran ${runs} times`];
+	}
+}
--- /dev/null
+++ b/packages/mulberrypitch-requests/src/__tests__/simulated-caller.ts
@@ -0,0 +1,99 @@
+/** A caller that resends and resumes through other hosts until its request has ended. */
+import {codes} from '@mulberrypitch/errors/catalogue';
+import {CodedError} from '@mulberrypitch/errors/coded-error';
+import type {Random} from '@mulberrypitch/lifecycle/random';
+import type {AcceptedRequest, IncomingCall} from '../types.js';
+import type {ClusterHost, Received, RequestCluster} from './request-cluster.js';
+
+const patienceMs = 400;
+
+/** One request of a caller and all that it got. */
+export class SimulatedCaller {
+	readonly call: IncomingCall;
+	readonly received: Received = {text: ''};
+	readonly #cluster: RequestCluster;
+	readonly #random: Random;
+	#requestId: string | undefined;
+	#isGone = false;
+	#chunks = 0;
+
+	constructor(cluster: RequestCluster, random: Random, call: IncomingCall) {
+		this.#cluster = cluster;
+		this.#random = random;
+		this.call = call;
+	}
+
+	get requestId(): string | undefined {
+		return this.#requestId;
+	}
+
+	/** The request was answered, but no host keeps its answer any more. */
+	get isGone(): boolean {
+		return this.#isGone;
+	}
+
+	/** Runs until the end of the request is known. */
+	async run(): Promise<void> {
+		while (this.received.outcome === undefined && !this.#isGone) {
+			const hosts = [...this.#cluster.hosts.values()];
+			const host = hosts[Math.floor(this.#random.next() * hosts.length)];
+			try {
+				if (host !== undefined) {
+					await this.#use(host);
+				}
+			} catch (error) {
+				if (!(error instanceof CodedError)) {
+					throw error;
+				}
+
+				this.#isGone = error.code === codes.notFound;
+			}
+
+			await this.#cluster.clock.sleep(patienceMs);
+		}
+	}
+
+	async #use(host: ClusterHost): Promise<void> {
+		const accepted = await getUnlessDead(host, this.#ask(host));
+		if (accepted === undefined) {
+			return;
+		}
+
+		this.#requestId = accepted.requestId;
+		const events = accepted.read(this.#chunks, host.transport.death);
+		for (let next = await getUnlessDead(host, events.next()); next?.done === false; next = await getUnlessDead(host, events.next())) {
+			if (next.value.kind === 'end') {
+				this.received.outcome = next.value.outcome;
+				return;
+			}
+
+			this.received.text += next.value.chunk.text;
+			this.#chunks += 1;
+		}
+	}
+
+	async #ask(host: ClusterHost): Promise<AcceptedRequest> {
+		const isResent = this.call.idempotencyKey !== undefined && this.#random.next() < 0.5;
+		return this.#requestId === undefined || isResent ? host.requests.submit(this.call) : host.requests.getRequest(this.#requestId, 'clinic');
+	}
+}
+
+async function getUnlessDead<Value>(host: ClusterHost, promise: Promise<Value>): Promise<Value | undefined> {
+	const {death} = host.transport;
+	return new Promise((resolve, reject) => {
+		const onDeath = () => {
+			resolve(undefined);
+		};
+
+		death.addEventListener('abort', onDeath, {once: true});
+		void (async () => {
+			try {
+				resolve(await promise);
+			} catch (error) {
+				reject(error instanceof Error ? error : new TypeError('A failure is not an error.'));
+			} finally {
+				death.removeEventListener('abort', onDeath);
+			}
+		})();
+	});
+}
--- a/packages/mulberrypitch-requests/src/answer-reader.ts
+++ b/packages/mulberrypitch-requests/src/answer-reader.ts
@@ -34,8 +34,6 @@
 	readonly head?: AnswerHead;
 	/** The one who was asked does not carry the request on. */
 	readonly isAbandoned?: boolean;
-	/** The chunks are those of a standby; more come from the holder. */
-	readonly isCopy?: boolean;
 };
 
 /** Reads answers for the callers of one host and for other hosts. */
@@ -65,7 +63,7 @@
 				return;
 			}
 
-			if (reply === undefined || reply.isAbandoned === true || reply.isCopy === true) {
+			if (reply === undefined || reply.isAbandoned === true) {
 				readsOfEnded += record.outcome === undefined ? 0 : 1;
 				if (readsOfEnded > maxReadsOfEnded) {
 					throw new NotFoundError(`The answer of request ${record.requestId} is no longer kept.`, 'The request was answered; do not order again.');
@@ -104,20 +102,19 @@
 			return kept;
 		}
 
-		const {holder, standby, outcome} = record;
-		const reply = await this.#readFrom(holder, record.requestId, fromOffset);
+		const {requestId, holder, standby, copyEpoch, outcome} = record;
+		const reply = await this.#readFrom(holder, {requestId, fromOffset});
 		if (outcome === undefined || reply?.outcome !== undefined) {
 			return reply;
 		}
 
 		// A standby has the whole answer before the end is committed.
-		const copied = standby === undefined ? undefined : await this.#readFrom(standby, record.requestId, fromOffset);
+		const copied = standby === undefined ? undefined : await this.#readFrom(standby, {requestId, fromOffset, endedCopyEpoch: copyEpoch});
 		return copied === undefined || copied.isAbandoned === true ? undefined : {...copied, outcome};
 	}
 
-	async #readFrom(host: string, requestId: string, fromOffset: number): Promise<ReadReply | undefined> {
+	async #readFrom(host: string, parameters: ReadRequest): Promise<ReadReply | undefined> {
 		const {control, transport, node} = this.#options;
-		const parameters: ReadRequest = {requestId, fromOffset};
 		try {
 			if (host === node) {
 				return await this.#onRead(parameters);
@@ -134,16 +131,16 @@
 		}
 	}
 
-	async #onRead({requestId, fromOffset}: ReadRequest): Promise<ReadReply> {
+	async #onRead({requestId, fromOffset, endedCopyEpoch}: ReadRequest): Promise<ReadReply> {
 		const {standby, clock, getAnswer} = this.#options;
 		const answer = getAnswer(requestId);
 		if (answer === undefined) {
 			const copy = standby.get(requestId);
-			if (copy === undefined) {
+			if (copy?.epoch !== endedCopyEpoch || copy === undefined) {
 				throw new NotFoundError(`Request ${requestId} is not held here.`);
 			}
 
-			return {chunks: copy.chunks.slice(fromOffset), isCopy: true};
+			return {chunks: copy.chunks.slice(fromOffset)};
 		}
 
 		const limit = new TimeoutSignal(clock, readWaitMs);
@@ -161,7 +158,12 @@
 /** Answers from the record itself once the request has ended with a kept answer or without one. */
 function getKeptAnswer(record: RequestRecord, fromOffset: number): ReadReply | undefined {
 	const {outcome} = record;
-	if (outcome === undefined || (outcome.end === ends.answered && outcome.answer === undefined)) {
+	if (outcome === undefined) {
+		return undefined;
+	}
+
+	const isMissing = outcome.end === ends.answered && fromOffset < (outcome.chunkCount ?? Number.POSITIVE_INFINITY);
+	if (outcome.answer === undefined && isMissing) {
 		return undefined;
 	}
 
--- a/packages/mulberrypitch-requests/src/messages.ts
+++ b/packages/mulberrypitch-requests/src/messages.ts
@@ -19,8 +19,10 @@
 	chunks: z.array(chunk),
 });
 
-/** Asks for the copy of a request. */
-export const copySchema = z.object({requestId: z.string()});
+/** Asks for the copy of a request as its record names it. */
+export const copySchema = z.object({
+	requestId: z.string(), copyEpoch: z.number().int().positive(), standby: z.string().optional(),
+});
 
 /** New chunks of a request for its standby. */
 export const progressSchema = z.object({requestId: z.string(), epoch: z.number().int().positive(), chunks: z.array(chunk)});
@@ -28,8 +30,10 @@
 /** Tells a standby that the request has ended. */
 export const releaseSchema = z.object({requestId: z.string()});
 
-/** Reads an answer from an offset on. */
-export const readSchema = z.object({requestId: z.string(), fromOffset: z.number().int().nonnegative()});
+/** Reads an answer from an offset on. For a request that has ended, the copy of the last holder's epoch will do. */
+export const readSchema = z.object({
+	requestId: z.string(), fromOffset: z.number().int().nonnegative(), endedCopyEpoch: z.number().int().positive().optional(),
+});
 
 /** Parameters of a read. */
 export type ReadRequest = z.infer<typeof readSchema>;
@@ -41,3 +45,6 @@
 export type ProgressReply = {
 	readonly length: number;
 };
+
+/** Parameters of a look-up of a copy. */
+export type CopyRequest = z.infer<typeof copySchema>;
--- a/packages/mulberrypitch-requests/src/request-holder.ts
+++ b/packages/mulberrypitch-requests/src/request-holder.ts
@@ -49,6 +49,8 @@
 	readonly mayHaveRun: boolean;
 	/** The host that has a copy already. */
 	readonly standby?: Session;
+	/** Holder and standby were lost together, so the request can only be ended. */
+	readonly isLost?: boolean;
 };
 
 /** Holds one request. */
@@ -135,11 +137,15 @@
 	}
 
 	async #runAttempts(): Promise<Outcome> {
-		const {copy, mayHaveRun} = this.#start;
+		const {copy, mayHaveRun, isLost = false} = this.#start;
 		if (mayHaveRun && !copy.isIdempotent) {
 			return createEnd(ends.unknown, codes.outcomeUnknown);
 		}
 
+		if (isLost) {
+			return createEnd(copy.isIdempotent ? ends.failed : ends.notRun, codes.peerUnreachable);
+		}
+
 		const {maxAttempts} = this.#context.getRetryPolicy();
 		let failures = 0;
 		let waitMs = waitForBackendMs;
@@ -316,6 +322,7 @@
 			end: ends.answered,
 			digest: this.answer.getDigest(),
 			lengthBytes: Buffer.byteLength(text),
+			chunkCount: this.answer.length,
 			...(isKept && {answer: {...head, body: text}}),
 		};
 	}
--- a/packages/mulberrypitch-requests/src/request-service.ts
+++ b/packages/mulberrypitch-requests/src/request-service.ts
@@ -7,7 +7,7 @@
 import type {RequestRecord, Session} from '@mulberrypitch/control/types';
 import type {Admission, Ticket} from '@mulberrypitch/admission/types';
 import {AnswerReader} from './answer-reader.js';
-import {copySchema} from './messages.js';
+import {copySchema, type CopyRequest} from './messages.js';
 import {RequestHolder, type HolderContext, type HolderStart} from './request-holder.js';
 import {RequestStandby} from './request-standby.js';
 import {copyToStandby} from './standby-link.js';
@@ -22,6 +22,8 @@
 /** What the service is made of. */
 export type RequestServiceOptions = HolderContext & {
 	readonly admission: Admission;
+	/** Gives identifiers of requests; random ones when it is left out. */
+	readonly createRequestId?: () => string;
 };
 
 type Held = {
@@ -42,12 +44,12 @@
 
 	constructor(options: RequestServiceOptions) {
 		this.#options = options;
-		this.#standby = new RequestStandby(options.clock, requestId => this.#held.get(requestId)?.epoch ?? 0);
+		this.#standby = new RequestStandby(options.clock, requestId => this.#getEpoch(requestId));
 		this.#standby.register(options.transport);
 		this.#reader = new AnswerReader({
 			...options, standby: this.#standby, getAnswer: requestId => this.#held.get(requestId)?.holder.answer,
 		});
-		options.transport.handle(copyMethod, copySchema, async ({requestId}) => this.#requireCopy(requestId));
+		options.transport.handle(copyMethod, copySchema, async wanted => this.#requireCopy(wanted));
 	}
 
 	/** Requests in progress on this host. */
@@ -109,8 +111,7 @@
 	/** Carries on requests whose holder is gone. */
 	takeOver(records: readonly RequestRecord[]): void {
 		for (const record of records) {
-			const known = Math.max(this.#held.get(record.requestId)?.epoch ?? 0, this.#searching.get(record.requestId) ?? 0);
-			if (known < record.epoch) {
+			if (this.#getEpoch(record.requestId) < record.epoch) {
 				this.#held.get(record.requestId)?.holder.abandon();
 				void this.#resume(record);
 			}
@@ -135,8 +136,10 @@
 	}
 
 	async #accept(call: IncomingCall, session: Session, ticket: Ticket): Promise<AcceptedRequest> {
-		const {control, clock, logger, node} = this.#options;
-		const copy = createCopy(call, clock.wallTime());
+		const {
+			control, clock, logger, node, createRequestId = randomUUID,
+		} = this.#options;
+		const copy = createCopy(call, createRequestId(), clock.wallTime());
 		const standby = await copyToStandby(this.#options, copy);
 		const digest = getDigest(call);
 		const acceptance = await control.propose({
@@ -193,7 +196,7 @@
 		const {requestId, epoch} = record;
 		logger.log(events.requestTakenOver, {request: requestId, customer: record.customer, epoch});
 		this.#searching.set(requestId, epoch);
-		const copy = this.#findCopy(requestId) ?? await this.#searchCopy(requestId) ?? createLostCopy(record, clock.wallTime());
+		const copy = this.#findCopy(record) ?? await this.#searchCopy(record);
 		if (this.#searching.get(requestId) !== epoch || this.#disposal.signal.aborted) {
 			return;
 		}
@@ -201,35 +204,48 @@
 		this.#searching.delete(requestId);
 		this.#standby.drop(requestId);
 		this.#hold({
-			copy: {...copy, epoch},
+			copy: {...copy ?? createLostCopy(record, clock.wallTime()), epoch},
+			isLost: copy === undefined,
 			attempts: record.attempts.length,
 			mayHaveRun: record.attempts.some(attempt => !attempt.isNotSent),
 		});
 	}
 
-	#findCopy(requestId: string): HeldCopy | undefined {
-		return getNewest([this.#standby.get(requestId), this.#held.get(requestId)?.holder.getCopy()]);
+	/** Gives the epoch with which this host holds a request or is about to, or zero. */
+	#getEpoch(requestId: string): number {
+		return Math.max(this.#held.get(requestId)?.epoch ?? 0, this.#searching.get(requestId) ?? 0);
 	}
 
-	#requireCopy(requestId: string): HeldCopy {
-		const copy = this.#findCopy(requestId);
+	/** Finds a copy here that lacks nothing that callers have seen: that of the committed standby, or of the last holder. */
+	#findCopy({requestId, copyEpoch, standby}: CopyRequest): HeldCopy | undefined {
+		const held = this.#held.get(requestId);
+		if (held?.epoch === copyEpoch) {
+			return held.holder.getCopy();
+		}
+
+		const copy = standby === this.#options.node ? this.#standby.get(requestId) : undefined;
+		return copy?.epoch === copyEpoch ? copy : undefined;
+	}
+
+	#requireCopy(record: CopyRequest): HeldCopy {
+		const copy = this.#findCopy(record);
 		if (copy === undefined) {
-			throw new NotFoundError(`This host keeps no copy of request ${requestId}.`);
+			throw new NotFoundError(`This host keeps no copy of request ${record.requestId}.`);
 		}
 
 		return copy;
 	}
 
-	/** Asks all hosts for the copy of a request, for some time: one of them may be cut off. */
-	async #searchCopy(requestId: string): Promise<HeldCopy | undefined> {
+	/** Asks the standby and all others for the copy of a request, for some time: they may be cut off. */
+	async #searchCopy(record: RequestRecord): Promise<HeldCopy | undefined> {
 		const {clock, control, node} = this.#options;
 		const end = clock.now() + copySearchMs;
 		while (clock.now() < end && !this.#disposal.signal.aborted) {
 			const others = control.sessions.filter(session => session.node !== node);
-			const copies = await Promise.all(others.map(async session => this.#fetchCopy(session, requestId)));
-			const newest = getNewest(copies);
-			if (newest !== undefined) {
-				return newest;
+			const copies = await Promise.all(others.map(async session => this.#fetchCopy(session, record)));
+			const found = copies.find(copy => copy !== undefined);
+			if (found !== undefined) {
+				return found;
 			}
 
 			await clock.sleep(retryDelayMs, this.#disposal.signal);
@@ -238,9 +254,10 @@
 		return undefined;
 	}
 
-	async #fetchCopy(session: Session, requestId: string): Promise<HeldCopy | undefined> {
+	async #fetchCopy(session: Session, record: RequestRecord): Promise<HeldCopy | undefined> {
+		const {requestId, copyEpoch, standby} = record;
 		try {
-			return await this.#options.transport.call<HeldCopy>(session.peerAddress, copyMethod, {requestId}, {timeoutMs: copyTimeoutMs});
+			return await this.#options.transport.call<HeldCopy>(session.peerAddress, copyMethod, {requestId, copyEpoch, standby}, {timeoutMs: copyTimeoutMs});
 		} catch (error) {
 			if (error instanceof CodedError) {
 				return undefined;
@@ -255,16 +272,9 @@
 	}
 }
 
-/** Chooses the copy of the latest holder, then the longest. */
-function getNewest(copies: ReadonlyArray<HeldCopy | undefined>): HeldCopy | undefined {
-	return copies
-		.filter(copy => copy !== undefined)
-		.toSorted((left, right) => right.epoch - left.epoch || right.chunks.length - left.chunks.length)[0];
-}
-
-function createCopy(call: IncomingCall, now: number): HeldCopy {
+function createCopy(call: IncomingCall, requestId: string, now: number): HeldCopy {
 	return {
-		requestId: randomUUID(),
+		requestId,
 		epoch: 1,
 		customer: call.workspace.name,
 		service: call.service.name,
@@ -277,7 +287,7 @@
 	};
 }
 
-/** Stands for a request whose body was lost with its holder: its deadline has passed, so it ends at once. */
+/** Stands for a request that was lost with its holder and its standby. */
 function createLostCopy(record: RequestRecord, now: number): HeldCopy {
 	return {
 		requestId: record.requestId,
--- a/packages/mulberrypitch-requests/src/request-standby.ts
+++ b/packages/mulberrypitch-requests/src/request-standby.ts
@@ -72,7 +72,9 @@
 		}
 
 		this.#requireCurrent(held.requestId, held.epoch);
-		this.#copies.set(held.requestId, {held, chunks: [...held.chunks]});
+		const known = this.#copies.get(held.requestId);
+		const isLate = known?.held.epoch === held.epoch && known.chunks.length > held.chunks.length;
+		this.#copies.set(held.requestId, {held, chunks: isLate ? known.chunks : [...held.chunks]});
 	}
 
 	/** Adds what follows the chunks here; repeated and early chunks are skipped, and the holder sends them again. */
