Plan each reclaim: finish, move the KV cache, or resume

Cause: requests on a reclaimed back end ran on until it died and were then recomputed elsewhere. Change: reclaim-planner.ts decides by tokens, weights, time and room, the longest first; reclaim-watch.ts carries it out; engines export and import KV caches; new work goes to zones without a notice; recomputed tokens are counted. Ruled out: resuming at once on notice, which gives away tokens of the notice. The wire format for caches has met no engine yet.

--- a/packages/mulberrypitch-backends/src/engine-client.ts
+++ b/packages/mulberrypitch-backends/src/engine-client.ts
@@ -3,7 +3,9 @@
 import {Agent, request} from 'undici';
 import {BackendFailedError} from '@mulberrypitch/errors/catalogue';
 import {createBackendFailure} from './failure.js';
-import type {BackendCall, Engine} from './types.js';
+import type {
+	BackendCall, CacheCall, Engine, ExportedCache,
+} from './types.js';
 
 const connectTimeoutMs = 1000;
 const silenceTimeoutMs = 10_000;
@@ -46,9 +48,42 @@
 		}
 	}
 
+	async exportCache(call: CacheCall): Promise<ExportedCache> {
+		const {handle, tokens} = await this.#postCache(call, 'export', {requestId: call.requestId});
+		if (handle === undefined || tokens === undefined) {
+			throw new BackendFailedError(`Engine ${call.address} exported a cache without handle and tokens.`, {isNotSent: false});
+		}
+
+		return {handle, tokens, source: call.address};
+	}
+
+	async importCache(call: CacheCall, cache: ExportedCache): Promise<void> {
+		await this.#postCache(call, 'import', {requestId: call.requestId, ...cache});
+	}
+
 	async dispose(): Promise<void> {
 		await this.#agent.destroy();
 	}
+
+	async #postCache(call: CacheCall, operation: 'export' | 'import', body: Readonly<Record<string, string | number>>): Promise<Partial<ExportedCache>> {
+		try {
+			const response = await request(`${call.address}/v1/cache/${operation}`, {
+				method: 'POST',
+				dispatcher: this.#agent,
+				signal: call.signal,
+				headers: {'content-type': 'application/json'},
+				body: JSON.stringify(body),
+			});
+			if (response.statusCode !== 200) {
+				await response.body.dump();
+				throw new BackendFailedError(`Engine ${call.address} answered ${response.statusCode} to a cache ${operation}.`, {isNotSent: false, status: response.statusCode});
+			}
+
+			return assumeType<Partial<ExportedCache>>(await response.body.json());
+		} catch (error) {
+			throw createBackendFailure(error, call.address);
+		}
+	}
 }
 
 function createBody(call: BackendCall): string {
--- a/packages/mulberrypitch-backends/src/types.ts
+++ b/packages/mulberrypitch-backends/src/types.ts
@@ -28,6 +28,22 @@
 	readonly body: string;
 };
 
+/** A request on an engine, for its KV cache. */
+export type CacheCall = {
+	readonly requestId: string;
+	readonly address: string;
+	readonly signal: AbortSignal;
+};
+
+/** A KV cache that its engine has made ready for another one. */
+export type ExportedCache = {
+	readonly handle: string;
+	/** Base address of the engine that keeps it. */
+	readonly source: string;
+	/** Tokens of the answer in it. */
+	readonly tokens: number;
+};
+
 /** Runs requests on model engines. */
 export type Engine = {
 	/**
@@ -35,6 +51,10 @@
 	Throws `BackendFailedError`; its detail `isNotSent` tells that no byte reached the engine.
 	*/
 	stream(call: BackendCall): AsyncGenerator<string, void>;
+	/** Makes the KV cache of a running request ready for another engine; the stream goes on. */
+	exportCache(call: CacheCall): Promise<ExportedCache>;
+	/** Fetches a cache from its engine, for the next stream of the request. */
+	importCache(call: CacheCall, cache: ExportedCache): Promise<void>;
 };
 
 /** Runs requests on plain services. */
--- a/packages/mulberrypitch-fakes/src/memory-backends.ts
+++ b/packages/mulberrypitch-fakes/src/memory-backends.ts
@@ -4,7 +4,7 @@
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
 import type {Random} from '@mulberrypitch/lifecycle/random';
 import type {
-	BackendCall, Engine, PlainAnswer, PlainService,
+	BackendCall, CacheCall, Engine, ExportedCache, PlainAnswer, PlainService,
 } from '@mulberrypitch/backends/types';
 
 const defaultMaxTokens = 64;
@@ -19,6 +19,10 @@
 	readonly firstTokenMs: number;
 	readonly tokenMs: number;
 	readonly answerMs: number;
+	/** Time to recompute a token that came with the call. */
+	readonly recomputeMs?: number;
+	/** Time to move the cache of a token. */
+	readonly transferMs?: number;
 };
 
 /** One call that a back end began to run. */
@@ -37,7 +41,11 @@
 	readonly calls: MemoryCall[] = [];
 	readonly #options: MemoryBackendsOptions;
 	readonly #alive = new Set<string>();
+	/** Tokens of the running requests and of imported caches, by engine and request. */
+	readonly #contexts = new Map<string, number>();
+	readonly #imported = new Map<string, number>();
 	#generated = 0;
+	#recomputed = 0;
 	#deaths = 0;
 
 	constructor(options: MemoryBackendsOptions) {
@@ -49,6 +57,11 @@
 		return this.#generated;
 	}
 
+	/** Tokens of earlier attempts that were computed again. */
+	get recomputed(): number {
+		return this.#recomputed;
+	}
+
 	/** Back ends that a poisonous request killed. */
 	get deaths(): number {
 		return this.#deaths;
@@ -68,19 +81,45 @@
 		return this.#alive.has(address);
 	}
 
-	async * stream(call: BackendCall): AsyncGenerator<string, void> {
+	/** Streams tokens; an engine that restarts decodes the known ones again before it gives a new one. */
+	async * stream(call: BackendCall, isRestarting = false): AsyncGenerator<string, void> {
 		this.#begin(call);
-		const {firstTokenMs, tokenMs, random} = this.#options;
+		const {
+			firstTokenMs, tokenMs, random, recomputeMs = 0,
+		} = this.#options;
 		const body = assumeType<{prompt: string; max_tokens?: number}>(JSON.parse(call.body.text));
 		const count = body.max_tokens ?? defaultMaxTokens;
-		await this.#work(call, firstTokenMs);
+		const key = getKey(call);
+		const recomputed = Math.max(0, call.tokens.length - (this.#imported.get(key) ?? 0));
+		this.#imported.delete(key);
+		this.#recomputed += recomputed;
+		await this.#work(call, firstTokenMs + (recomputed * (isRestarting ? tokenMs : recomputeMs)));
 		for (let position = call.tokens.length; position < count; position += 1) {
 			this.#generated += 1;
+			this.#contexts.set(key, position + 1);
 			yield `${body.prompt}/${position}/${Math.floor(random.next() * sampleRange)} `;
 			await this.#work(call, tokenMs);
 		}
 	}
 
+	async exportCache(call: CacheCall): Promise<ExportedCache> {
+		const tokens = this.#contexts.get(getKey(call));
+		if (tokens === undefined || !this.#alive.has(call.address)) {
+			throw new BackendFailedError(`Back end ${call.address} has no cache of request ${call.requestId}.`, {isNotSent: false});
+		}
+
+		return {handle: call.requestId, source: call.address, tokens};
+	}
+
+	async importCache(call: CacheCall, cache: ExportedCache): Promise<void> {
+		await this.#options.clock.sleep(cache.tokens * (this.#options.transferMs ?? 0), call.signal);
+		if (!this.#alive.has(call.address) || !this.#alive.has(cache.source)) {
+			throw new BackendFailedError(`Back end ${call.address} could not fetch a cache from ${cache.source}.`, {isNotSent: false});
+		}
+
+		this.#imported.set(getKey(call), cache.tokens);
+	}
+
 	async run(call: BackendCall): Promise<PlainAnswer> {
 		this.#begin(call);
 		await this.#work(call, this.#options.answerMs);
@@ -115,6 +154,10 @@
 	}
 }
 
+function getKey({address, requestId}: {readonly address: string; readonly requestId: string}): string {
+	return `${address}/${requestId}`;
+}
+
 /**
 Gives the number of tokens of a text from `MemoryBackends`, or nothing when it is not one prompt's tokens in order.
 
--- a/packages/mulberrypitch-host/src/host.ts
+++ b/packages/mulberrypitch-host/src/host.ts
@@ -152,6 +152,7 @@
 			metrics: this.#metrics,
 			admission: new AdmissionQueue(),
 			getRetryPolicy: () => this.#configuration!.retry,
+			getReclaimPolicy: () => this.#configuration!.reclaim,
 		}));
 		this.#addGauges();
 		this.#server = this.#resources.add(new EntryServer({
--- a/packages/mulberrypitch-requests/src/__tests__/request-cluster.ts
+++ b/packages/mulberrypitch-requests/src/__tests__/request-cluster.ts
@@ -53,6 +53,10 @@
 	readonly state = new ControlState();
 	/** Share of messages that get lost. */
 	lossRatio = 0;
+	/** Engines started from now on export and import KV caches. */
+	movesCache = true;
+	/** Engines compute an answer from its start again instead of resuming it. */
+	isRestarting = false;
 	/** Longest extra delay of a message. */
 	jitterMs = 0;
 	readonly #cut = new Set<string>();
@@ -65,7 +69,7 @@
 	constructor(seed = 1) {
 		const random = new SeededRandom(seed);
 		this.backends = new MemoryBackends({
-			clock: this.clock, random, firstTokenMs: 30, tokenMs: 20, answerMs: 50,
+			clock: this.clock, random, firstTokenMs: 30, tokenMs: 20, answerMs: 50, recomputeMs: 0.5, transferMs: 0.05,
 		});
 		this.network.setPolicy((from, to) => {
 			const isLost = [from, to].some(address => this.#dead.has(address) || this.#cut.has(address));
@@ -133,7 +137,11 @@
 			control,
 			transport,
 			router: new LeastLoadedRouter(),
-			engine: {stream: call => this.#stream(transport, call)},
+			engine: {
+				stream: call => this.#stream(transport, call),
+				exportCache: async call => this.backends.exportCache(call),
+				importCache: async (call, cache) => this.backends.importCache(call, cache),
+			},
 			plain: {run: async call => this.#run(transport, call)},
 			clock,
 			logger,
@@ -141,6 +149,7 @@
 			admission: new AdmissionQueue(),
 			createRequestId: () => this.#createRequestId(),
 			getRetryPolicy: () => ({maxAttempts: 4, budgetRatio: 1}),
+			getReclaimPolicy: () => ({costWeight: 1, recomputeWeight: 1}),
 		});
 		control.start();
 		const host = {
@@ -270,7 +279,7 @@
 					machineClass: 'small',
 					services: [kind === 'engine' ? 'advice' : 'bookings'],
 					backendKind: kind,
-					capabilities: {slots: 32, checksFencing: false, movesCache: false},
+					capabilities: {slots: 32, checksFencing: false, movesCache: this.movesCache},
 				});
 			} catch {
 				// The back end announces itself again.
@@ -282,7 +291,7 @@
 
 	async * #stream(transport: ProcessTransport, call: BackendCall): AsyncGenerator<string, void> {
 		await transport.pass('before', 'dispatch');
-		for await (const token of this.backends.stream(call)) {
+		for await (const token of this.backends.stream(call, this.isRestarting)) {
 			await transport.pass('after', 'token');
 			yield token;
 		}
--- /dev/null
+++ b/packages/mulberrypitch-requests/src/reclaim-watch.ts
@@ -0,0 +1,76 @@
+/** Watches for back ends that leave and carries out the plan for the requests that this host has on them. */
+import type {ReclaimPolicy} from '@mulberrypitch/config/types';
+import type {ControlClient} from '@mulberrypitch/control/control-client';
+import type {BackendServer} from '@mulberrypitch/control/types';
+import type {Clock} from '@mulberrypitch/lifecycle/clock';
+import {planReclaim, reclaimChoices} from './reclaim-planner.js';
+import type {RequestHolder} from './request-holder.js';
+
+const watchIntervalMs = 100;
+const transferMsPerToken = 0.05;
+const recomputeMsPerToken = 0.5;
+/** Time before the end of the notice at which requests that resume elsewhere stop. */
+const leaveEarlyMs = 300;
+
+/** What the watch is made of. */
+export type ReclaimWatchOptions = {
+	readonly control: ControlClient;
+	readonly clock: Clock;
+	readonly getHolders: () => readonly RequestHolder[];
+	readonly getPolicy: () => ReclaimPolicy;
+};
+
+/** Plans each reclaim once. */
+export class ReclaimWatch {
+	readonly #options: ReclaimWatchOptions;
+	readonly #planned = new Set<string>();
+
+	constructor(options: ReclaimWatchOptions) {
+		this.#options = options;
+	}
+
+	/** Runs until the signal aborts. */
+	async run(signal: AbortSignal): Promise<void> {
+		const {control, clock} = this.#options;
+		while (!signal.aborted) {
+			const leaving = control.backends.filter(backend => backend.isLeaving);
+			for (const backend of leaving.filter(({incarnation}) => !this.#planned.has(incarnation))) {
+				this.#planned.add(backend.incarnation);
+				void this.#carryOut(backend, signal);
+			}
+
+			await clock.sleep(watchIntervalMs, signal);
+		}
+	}
+
+	async #carryOut(backend: BackendServer, signal: AbortSignal): Promise<void> {
+		const {clock, getHolders, getPolicy} = this.#options;
+		const leavesAt = backend.leavesAt ?? clock.wallTime();
+		const holders = getHolders().filter(holder => holder.backend?.incarnation === backend.incarnation);
+		const decisions = planReclaim({
+			requests: holders.map(holder => holder.getProgress()),
+			noticeMs: leavesAt - clock.wallTime(),
+			room: backend.capabilities.movesCache ? this.#getRoom(backend) : 0,
+			transferMsPerToken,
+			recomputeMsPerToken,
+			policy: getPolicy(),
+		});
+		for (const {requestId} of decisions.filter(({choice}) => choice === reclaimChoices.move)) {
+			await holders.find(holder => holder.requestId === requestId)!.moveCache(backend);
+		}
+
+		await clock.sleep(leavesAt - leaveEarlyMs - clock.wallTime(), signal);
+		for (const holder of holders) {
+			holder.leaveBackend(backend);
+		}
+	}
+
+	/** Counts this host's share of the slots of other back ends that import caches. */
+	#getRoom({services, id}: BackendServer): number {
+		const {control} = this.#options;
+		const slots = control.backends
+			.filter(backend => backend.id !== id && !backend.isLeaving && backend.capabilities.movesCache && backend.services.some(service => services.includes(service)))
+			.reduce((sum, backend) => sum + backend.capabilities.slots, 0);
+		return Math.ceil(slots / Math.max(1, control.sessions.length));
+	}
+}
--- a/packages/mulberrypitch-requests/src/request-holder.ts
+++ b/packages/mulberrypitch-requests/src/request-holder.ts
@@ -14,10 +14,11 @@
 import {
 	backendKinds, ends, type End, type BackendServer, type Outcome, type Session,
 } from '@mulberrypitch/control/types';
-import type {RetryPolicy} from '@mulberrypitch/config/types';
+import type {ReclaimPolicy, RetryPolicy} from '@mulberrypitch/config/types';
 import type {Dispatch, Router} from '@mulberrypitch/routing/types';
 import type {MetricsRegistry} from '@mulberrypitch/metrics/registry';
 import {AnswerLog} from './answer-log.js';
+import type {ReclaimedRequest} from './reclaim-planner.js';
 import {StandbyLink, type StandbyLinkContext} from './standby-link.js';
 import {TimeoutSignal} from './timeout-signal.js';
 import type {HeldCopy} from './types.js';
@@ -25,6 +26,9 @@
 const waitForBackendMs = 100;
 const maxBackoffMs = 2000;
 const proposalRetryMs = 200;
+const cacheTimeoutMs = 5000;
+const charactersPerToken = 4;
+const defaultTokenMs = 50;
 const maxKeptAnswerLength = 64_000;
 const retryAfterSeconds = 2;
 /** Answers of idempotent calls that are worth another back end; for other calls any answer is the outcome. */
@@ -38,6 +42,7 @@
 	readonly logger: Logger;
 	readonly metrics: MetricsRegistry;
 	readonly getRetryPolicy: () => RetryPolicy;
+	readonly getReclaimPolicy: () => ReclaimPolicy;
 };
 
 /** Where a request stands when a holder begins with it. */
@@ -53,6 +58,13 @@
 	readonly isLost?: boolean;
 };
 
+type Target = {
+	readonly backend: BackendServer;
+	readonly dispatch: Dispatch;
+	/** Tokens of the answer whose KV cache is there already. */
+	readonly cachedTokens: number;
+};
+
 /** Holds one request. */
 export class RequestHolder {
 	readonly answer: AnswerLog;
@@ -63,6 +75,11 @@
 	readonly #link: StandbyLink;
 	#attempt: number;
 	#dispatched = 0;
+	#detour = new AbortController();
+	#current: Target | undefined;
+	#moved: Target | undefined;
+	#attemptTokens = 0;
+	#attemptStartedAt = 0;
 	#lastFailure: CodedError | undefined;
 
 	constructor(context: HolderContext, start: HolderStart) {
@@ -79,6 +96,59 @@
 		return this.#start.copy.requestId;
 	}
 
+	/** The back end that runs the request now. */
+	get backend(): BackendServer | undefined {
+		return this.#current?.backend;
+	}
+
+	/** Tells how far the request is, for the plan of a reclaim. */
+	getProgress(): ReclaimedRequest {
+		const {copy} = this.#start;
+		const count = this.answer.length - this.#attemptTokens;
+		const promptTokens = Math.ceil(copy.body.text.length / charactersPerToken);
+		return {
+			requestId: this.requestId,
+			contextTokens: promptTokens + this.answer.length,
+			remainingTokens: Math.max(0, copy.maxTokens - this.answer.length),
+			tokenMs: count === 0 ? defaultTokenMs : (this.#context.clock.now() - this.#attemptStartedAt) / count,
+		};
+	}
+
+	/** Moves the KV cache from a back end that leaves to another one, and goes on there. */
+	async moveCache(from: BackendServer): Promise<void> {
+		const {engine, clock} = this.#context;
+		if (this.#current?.backend.incarnation !== from.incarnation || !this.#canMove()) {
+			return;
+		}
+
+		const target = this.#choose();
+		if (target?.backend.capabilities.movesCache !== true) {
+			target?.dispatch.finish({isFailure: false});
+			return;
+		}
+
+		const limit = new TimeoutSignal(clock, cacheTimeoutMs, this.#abort.signal);
+		const call = {requestId: this.requestId, signal: limit.signal};
+		try {
+			const cache = await engine.exportCache({...call, address: from.address});
+			await engine.importCache({...call, address: target.backend.address}, cache);
+			this.#moved = {...target, cachedTokens: cache.tokens};
+			this.leaveBackend(from);
+		} catch {
+			// The request stays where it is until the back end goes, and then resumes from its tokens.
+			target.dispatch.finish({isFailure: true});
+		} finally {
+			limit.cancel();
+		}
+	}
+
+	/** Breaks off work on a back end that goes; the request goes on elsewhere. Work that may not be repeated stays. */
+	leaveBackend(from: BackendServer): void {
+		if (this.#current?.backend.incarnation === from.incarnation && this.#canMove()) {
+			this.#detour.abort();
+		}
+	}
+
 	/** What another host needs to carry the request on from what callers have seen. */
 	getCopy(): HeldCopy {
 		return {...this.#start.copy, chunks: this.answer.getConfirmed()};
@@ -151,7 +221,7 @@
 		let waitMs = waitForBackendMs;
 		while (failures < maxAttempts && this.#getRemainingMs() > 0) {
 			this.#requireHeld();
-			const target = this.#choose();
+			const target = this.#takeMoved() ?? this.#choose();
 			if (target === undefined) {
 				this.#excluded.clear();
 				await this.#context.clock.sleep(waitMs, this.#abort.signal);
@@ -159,7 +229,7 @@
 				continue;
 			}
 
-			const outcome = await this.#tryBackend(target.backend, target.dispatch);
+			const outcome = await this.#tryBackend(target);
 			if (outcome !== undefined) {
 				return outcome;
 			}
@@ -171,6 +241,28 @@
 		return this.#giveUp();
 	}
 
+	#canMove(): boolean {
+		return this.#start.copy.isIdempotent && this.answer.outcome === undefined && this.#current?.backend.kind === backendKinds.engine;
+	}
+
+	/** Takes the back end that has the cache, unless it leaves by now. */
+	#takeMoved(): Target | undefined {
+		const moved = this.#moved;
+		this.#moved = undefined;
+		if (moved !== undefined && !this.#isUsable(moved.backend)) {
+			moved.dispatch.finish({isFailure: false});
+			return undefined;
+		}
+
+		return moved;
+	}
+
+	#isUsable({id, incarnation}: BackendServer): boolean {
+		const {control} = this.#context;
+		const known = control.backends.find(backend => backend.id === id);
+		return control.isFresh() && known?.incarnation === incarnation && !known.isLeaving;
+	}
+
 	#requireHeld(): void {
 		if (this.#abort.signal.aborted) {
 			throw new StaleEpochError(`Request ${this.requestId} was given up here.`);
@@ -190,7 +282,7 @@
 		return createEnd(isNotRun ? ends.notRun : ends.failed, code);
 	}
 
-	#choose(): {backend: BackendServer; dispatch: Dispatch} | undefined {
+	#choose(): Target | undefined {
 		const {control, router} = this.#context;
 		const {copy} = this.#start;
 		if (!control.isFresh()) {
@@ -198,20 +290,30 @@
 		}
 
 		const candidates = control.backends.filter(backend => backend.services.includes(copy.service));
+		const zonesUnderNotice = new Set(candidates.filter(backend => backend.isLeaving).map(backend => backend.zone));
+		const excluded = new Set(this.#excluded);
+		const isSafe = (backend: BackendServer) => !zonesUnderNotice.has(backend.zone) && !excluded.has(backend.id);
+		if (candidates.some(backend => isSafe(backend))) {
+			for (const backend of candidates.filter(candidate => !isSafe(candidate))) {
+				excluded.add(backend.id);
+			}
+		}
+
 		const dispatch = router.choose(candidates.map(backend => ({
 			id: backend.id, zone: backend.zone, slots: backend.capabilities.slots, isLeaving: backend.isLeaving,
-		})), {service: copy.service, prefix: copy.prefix, excluded: this.#excluded});
+		})), {service: copy.service, prefix: copy.prefix, excluded});
 		if (dispatch === undefined) {
 			return undefined;
 		}
 
 		const backend = candidates.find(candidate => candidate.id === dispatch.backend)!;
 		assertInvariant(!backend.isLeaving, `Back end ${backend.id} is leaving.`);
-		return {backend, dispatch};
+		return {backend, dispatch, cachedTokens: 0};
 	}
 
 	/** Runs the request on one back end. Gives nothing when it may be tried on another one. */
-	async #tryBackend(backend: BackendServer, dispatch: Dispatch): Promise<Outcome | undefined> {
+	async #tryBackend(target: Target): Promise<Outcome | undefined> {
+		const {backend, dispatch} = target;
 		const {copy} = this.#start;
 		const {control, logger} = this.#context;
 		this.#attempt += 1;
@@ -231,7 +333,7 @@
 			});
 			assertInvariant(this.#attempt > this.#dispatched, `Attempt ${this.#attempt} was dispatched already.`);
 			this.#dispatched = this.#attempt;
-			const outcome = await this.#runOn(backend);
+			const outcome = await this.#runOn(target);
 			isFailure = false;
 			await intent;
 			return outcome;
@@ -275,9 +377,11 @@
 		return undefined;
 	}
 
-	async #runOn(backend: BackendServer): Promise<Outcome> {
+	async #runOn(target: Target): Promise<Outcome> {
+		const {backend} = target;
 		const {copy} = this.#start;
-		const limit = new TimeoutSignal(this.#context.clock, this.#getRemainingMs(), this.#abort.signal);
+		this.#begin(target);
+		const limit = new TimeoutSignal(this.#context.clock, this.#getRemainingMs(), AbortSignal.any([this.#abort.signal, this.#detour.signal]));
 		const call: BackendCall = {
 			requestId: this.requestId,
 			attempt: this.#attempt,
@@ -291,6 +395,19 @@
 			return await (backend.kind === backendKinds.engine ? this.#runEngine(call) : this.#runPlain(call));
 		} finally {
 			limit.cancel();
+			this.#current = undefined;
+		}
+	}
+
+	#begin(target: Target): void {
+		const {clock, metrics} = this.#context;
+		this.#detour = new AbortController();
+		this.#current = target;
+		this.#attemptTokens = this.answer.length;
+		this.#attemptStartedAt = clock.now();
+		const recomputed = this.answer.length - target.cachedTokens;
+		if (target.backend.kind === backendKinds.engine && recomputed > 0) {
+			metrics.count('mulberrypitch_tokens_recomputed_total', 'Tokens of answers computed again.', {service: this.#start.copy.service}, recomputed);
 		}
 	}
 
--- a/packages/mulberrypitch-requests/src/request-service.ts
+++ b/packages/mulberrypitch-requests/src/request-service.ts
@@ -8,6 +8,7 @@
 import type {Admission, Ticket} from '@mulberrypitch/admission/types';
 import {AnswerReader} from './answer-reader.js';
 import {copySchema, type CopyRequest} from './messages.js';
+import {ReclaimWatch} from './reclaim-watch.js';
 import {RequestHolder, type HolderContext, type HolderStart} from './request-holder.js';
 import {RequestStandby} from './request-standby.js';
 import {copyToStandby} from './standby-link.js';
@@ -49,6 +50,12 @@
 		this.#reader = new AnswerReader({
 			...options, standby: this.#standby, getAnswer: requestId => this.#held.get(requestId)?.holder.answer,
 		});
+		void new ReclaimWatch({
+			control: options.control,
+			clock: options.clock,
+			getHolders: () => [...this.#held.values()].map(({holder}) => holder),
+			getPolicy: options.getReclaimPolicy,
+		}).run(this.#disposal.signal);
 		options.transport.handle(copyMethod, copySchema, async wanted => this.#requireCopy(wanted));
 	}
 
