Give listening failures a type, and the command an end without a stack

Cause: a port in use or out of range ended the command with a stack; listening stood four times. Ruled out: a check of the port in each command, as a port in use would still pass it.

--- a/packages/mulberrypitch-entry/src/entry-server.ts
+++ b/packages/mulberrypitch-entry/src/entry-server.ts
@@ -1,9 +1,9 @@
 /** The HTTP server of an entry host. */
-import type {AddressInfo} from 'node:net';
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
 import {assumeType} from '@mulberrypitch/errors/assume-type';
 import polka, {type Polka} from 'polka';
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
+import {listenOn} from '@mulberrypitch/lifecycle/listen';
 import type {Resource} from '@mulberrypitch/lifecycle/disposable-store';
 import {
 	BadRequestError, codes, NotFoundError, StaleViewError,
@@ -82,12 +82,7 @@
 	/** Starts to listen. Resolves with the port in use. */
 	async listen(): Promise<number> {
 		const [host, port] = splitAddress(this.#options.settings.httpListen);
-		return new Promise((resolve, reject) => {
-			this.#server.once('error', reject);
-			this.#server.listen(port, host, () => {
-				resolve(assumeType<AddressInfo>(this.#server.address()).port);
-			});
-		});
+		return listenOn(this.#server, host, port);
 	}
 
 	/** Leaves the list of entries at once; requests in progress go on. */
--- a/packages/mulberrypitch-errors/src/catalogue.ts
+++ b/packages/mulberrypitch-errors/src/catalogue.ts
@@ -22,6 +22,7 @@
 	peerUnreachable: 'peer_unreachable',
 	protocol: 'protocol',
 	settings: 'settings',
+	listen: 'listen',
 	storage: 'storage',
 	corruptLog: 'corrupt_log',
 	invariant: 'invariant',
@@ -200,6 +201,15 @@
 	}
 }
 
+/** An address that a process can't listen on. */
+export class ListenError extends CodedError {
+	override readonly name = 'ListenError';
+
+	constructor(address: string, reason: string) {
+		super(codes.listen, `Can't listen on ${address}: ${reason}.`, 'Check that the address belongs to this machine and that no other process uses it.');
+	}
+}
+
 /** A disk operation that failed; nothing after it counts as stored. */
 export class StorageError extends CodedError {
 	override readonly name = 'StorageError';
--- a/packages/mulberrypitch-fakes/src/engine-server.ts
+++ b/packages/mulberrypitch-fakes/src/engine-server.ts
@@ -1,9 +1,9 @@
 /** A stand-in model engine: streams tokens that depend only on the prompt, at a set rate. */
 import {createHash} from 'node:crypto';
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
-import type {AddressInfo} from 'node:net';
 import {assumeType} from '@mulberrypitch/errors/assume-type';
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
+import {listenOn} from '@mulberrypitch/lifecycle/listen';
 import type {Resource} from '@mulberrypitch/lifecycle/disposable-store';
 
 const defaultMaxTokens = 64;
@@ -75,12 +75,7 @@
 	/** Starts to listen. Resolves with the base address. */
 	async listen(): Promise<string> {
 		const {host, port} = this.#options;
-		return new Promise((resolve, reject) => {
-			this.#server.once('error', reject);
-			this.#server.listen(port, host, () => {
-				resolve(`http://${host}:${assumeType<AddressInfo>(this.#server.address()).port}`);
-			});
-		});
+		return `http://${host}:${await listenOn(this.#server, host, port)}`;
 	}
 
 	/** Dies at once, as a reclaimed machine does. */
--- a/packages/mulberrypitch-fakes/src/plain-server.ts
+++ b/packages/mulberrypitch-fakes/src/plain-server.ts
@@ -1,8 +1,7 @@
 /** A stand-in plain service that takes bookings and answers look-ups, and counts what it ran. */
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
-import type {AddressInfo} from 'node:net';
-import {assumeType} from '@mulberrypitch/errors/assume-type';
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
+import {listenOn} from '@mulberrypitch/lifecycle/listen';
 import type {Resource} from '@mulberrypitch/lifecycle/disposable-store';
 import {readText} from './engine-server.js';
 
@@ -44,12 +43,7 @@
 	/** Starts to listen. Resolves with the base address. */
 	async listen(): Promise<string> {
 		const {host, port} = this.#options;
-		return new Promise((resolve, reject) => {
-			this.#server.once('error', reject);
-			this.#server.listen(port, host, () => {
-				resolve(`http://${host}:${assumeType<AddressInfo>(this.#server.address()).port}`);
-			});
-		});
+		return `http://${host}:${await listenOn(this.#server, host, port)}`;
 	}
 
 	/** Dies at once. */
--- a/packages/mulberrypitch-transport/src/tcp-transport.ts
+++ b/packages/mulberrypitch-transport/src/tcp-transport.ts
@@ -12,6 +12,7 @@
 import {
 	codes, PeerUnreachableError, ProtocolError, TimeoutError,
 } from '@mulberrypitch/errors/catalogue';
+import {listenOn} from '@mulberrypitch/lifecycle/listen';
 import {Deferred} from '@mulberrypitch/lifecycle/background';
 import {events} from '@mulberrypitch/logger/events';
 import type {Logger} from '@mulberrypitch/logger/logger';
@@ -80,13 +81,7 @@
 		this.#listener = certificates === undefined
 			? net.createServer(accept)
 			: tls.createServer({...certificates, requestCert: true, rejectUnauthorized: true}, accept);
-		const listener = this.#listener;
-		return new Promise((resolve, reject) => {
-			listener.once('error', reject);
-			listener.listen(listen.port, listen.host, () => {
-				resolve(assumeType<net.AddressInfo>(listener.address()).port);
-			});
-		});
+		return listenOn(this.#listener, listen.host, listen.port);
 	}
 
 	handle<Parameters>(method: string, schema: Schema<Parameters>, answer: Method<Parameters>): void {
--- a/packages/mulberrypitch/src/program.ts
+++ b/packages/mulberrypitch/src/program.ts
@@ -1,7 +1,7 @@
 /** Parses the command line and turns failures into messages and exit codes. */
 import process from 'node:process';
 import {cac, type CAC} from 'cac';
-import {CodedError} from '@mulberrypitch/errors/coded-error';
+import {CodedError, getMessage} from '@mulberrypitch/errors/coded-error';
 import {codes} from '@mulberrypitch/errors/catalogue';
 import {addAccountCommands} from './commands/account.js';
 import {addConfigCommand} from './commands/config.js';
@@ -74,11 +74,13 @@
 		return exitCodes.usage;
 	}
 
-	throw error;
+	process.stderr.write(`Unexpected failure: ${getMessage(error)}. Report this with the command line. [${codes.internal}]\n`);
+	return exitCodes.failed;
 }
 
 function getExitCode(code: string): number {
 	switch (code) {
+		case codes.listen:
 		case codes.settings: {
 			return exitCodes.settings;
 		}
