Add the benchmark tool: path, log and capacity

Change: a private package `mulberrypitch-bench` with `npm run bench -- path|log|capacity`. It runs hosts of the binary, and stand-ins, as processes with their data on the disk, and reads processor time, memory and bytes from the operating system. Calls through an entry and directly to the stand-in take turns, so that a ratio compares one machine with itself. Ruled out: hosts composed in the bench process (the load and the hosts would share one core), and timed asserts (they would fail on a busy machine).

--- /dev/null
+++ b/packages/mulberrypitch-bench/src/lanes.ts
@@ -0,0 +1,24 @@
+/** Work done side by side. */
+
+/**
+Runs steps in a number of lanes for a time; each lane starts its next step when the last one ended.
+
+@example
+```
+const steps = await runLanes(8, 5000, async () => step());
+```
+*/
+export async function runLanes<Result>(lanes: number, durationMs: number, step: (position: number) => Promise<Result>): Promise<Result[]> {
+	const end = performance.now() + durationMs;
+	const results: Result[] = [];
+	let position = 0;
+	const runLane = async () => {
+		while (performance.now() < end) {
+			position += 1;
+			results.push(await step(position));
+		}
+	};
+
+	await Promise.all(Array.from({length: lanes}, runLane));
+	return results;
+}
--- /dev/null
+++ b/packages/mulberrypitch-bench/src/log-part.ts
@@ -0,0 +1,181 @@
+/** Commits, recovery and failover of the replicated log. */
+import {rmSync} from 'node:fs';
+import path from 'node:path';
+import {MemoryNetwork, type MemoryTransport} from '@mulberrypitch/fakes/memory-transport';
+import {VirtualClock} from '@mulberrypitch/fakes/virtual-clock';
+import {ControlState} from '@mulberrypitch/control/control-state';
+import {Replica} from '@mulberrypitch/control/replica';
+import type {Command} from '@mulberrypitch/control/commands';
+import {SystemClock, type Clock} from '@mulberrypitch/lifecycle/clock';
+import {SeededRandom} from '@mulberrypitch/lifecycle/random';
+import {SilentLogger} from '@mulberrypitch/logger/logger';
+import {FileLog} from '@mulberrypitch/storage/file-log';
+import {MemoryLog} from '@mulberrypitch/storage/memory-log';
+import {NodeDisk} from '@mulberrypitch/storage/node-disk';
+import type {LogStore} from '@mulberrypitch/storage/types';
+import {runLanes} from './lanes.js';
+import {printPart, type Row} from './report.js';
+import {SingleAppendLog} from './single-append-log.js';
+import {getQuantile, round} from './statistics.js';
+
+const folder = path.resolve(import.meta.dirname, '../../../build/bench-log');
+const names = ['a', 'b', 'c'];
+const commitLanes = [1, 8, 64];
+const commitMs = 3000;
+const recoveryEntries = 10_000;
+const elections = 100;
+const electionLimitMs = 10_000;
+const electionStepMs = 5;
+const linkDelayMs = 1;
+const batch = 200;
+
+type Group = {
+	readonly network: MemoryNetwork;
+	readonly replicas: readonly Replica[];
+};
+
+/**
+Measures the log and prints the figures.
+
+@example
+```
+await measureLog();
+```
+*/
+export async function measureLog(): Promise<void> {
+	await measureCommits();
+	await measureRecovery();
+	await measureFailover();
+	rmSync(folder, {recursive: true, force: true});
+}
+
+async function startGroup(clock: Clock, seed: number, createStore: (name: string) => LogStore): Promise<Group> {
+	const network = new MemoryNetwork(clock);
+	const join = (name: string): MemoryTransport => network.join(name);
+	const replicas = names.map((name, index) => new Replica({
+		group: 'main',
+		name,
+		peers: names.map(peer => ({name: peer, address: peer})),
+		store: createStore(name),
+		transport: join(name),
+		clock,
+		random: new SeededRandom((seed * names.length) + index),
+		logger: new SilentLogger(),
+		machine: new ControlState(),
+		onRecords() {
+			// The account is measured apart.
+		},
+	}));
+	await Promise.all(replicas.map(async replica => replica.start()));
+	return {network, replicas};
+}
+
+function findLeader({replicas}: Group): Replica | undefined {
+	return replicas.find(replica => replica.hasLease());
+}
+
+function createAcceptance(position: number): Command {
+	return {
+		kind: 'acceptRequest',
+		requestId: `request-${position}`,
+		customer: 'bench',
+		service: 'advice',
+		digest: 'd'.repeat(64),
+		fingerprint: 'd'.repeat(64),
+		isIdempotent: true,
+		holder: 'entry',
+		holderEpoch: 1,
+		entryTime: Date.now(),
+	};
+}
+
+async function measureCommits(): Promise<void> {
+	const rows: Row[] = [];
+	for (const lanes of commitLanes) {
+		const single = await runCommits(lanes, store => new SingleAppendLog(store));
+		const grouped = await runCommits(lanes, store => store);
+		rows.push({
+			lanes,
+			singlePerS: Math.round(single.perSecond),
+			singleP50Ms: round(single.p50Ms),
+			singleP99Ms: round(single.p99Ms),
+			groupedPerS: Math.round(grouped.perSecond),
+			groupedP50Ms: round(grouped.p50Ms),
+			groupedP99Ms: round(grouped.p99Ms),
+			ratio: round(grouped.perSecond / single.perSecond),
+		});
+	}
+
+	printPart('commits of three replicas in one process, synced to disk; single = one entry a sync', rows);
+}
+
+async function runCommits(lanes: number, wrap: (store: LogStore) => LogStore): Promise<{perSecond: number; p50Ms: number; p99Ms: number}> {
+	rmSync(folder, {recursive: true, force: true});
+	const clock = new SystemClock();
+	const group = await startGroup(clock, 1, name => wrap(new FileLog(path.join(folder, name), new NodeDisk())));
+	while (findLeader(group) === undefined) {
+		await clock.sleep(electionStepMs);
+	}
+
+	const leader = findLeader(group)!;
+	await leader.propose({
+		kind: 'openSession', node: 'entry', incarnation: 'one', peerAddress: 'a', publicAddress: 'a', zone: 'z', region: 'r', site: 's',
+	});
+	const durations = await runLanes(lanes, commitMs, async position => {
+		const startedAt = performance.now();
+		await leader.propose(createAcceptance(position));
+		return performance.now() - startedAt;
+	});
+	await Promise.all(group.replicas.map(async replica => replica.dispose()));
+	return {perSecond: durations.length / (commitMs / 1000), p50Ms: getQuantile(durations, 0.5), p99Ms: getQuantile(durations, 0.99)};
+}
+
+async function measureRecovery(): Promise<void> {
+	rmSync(folder, {recursive: true, force: true});
+	const store = new FileLog(path.join(folder, 'recovery'), new NodeDisk());
+	await store.load();
+	for (let first = 1; first <= recoveryEntries; first += batch) {
+		await store.append(Array.from({length: batch}, (_, offset) => ({
+			index: first + offset, term: 1, time: Date.now(), command: createAcceptance(first + offset),
+		})));
+	}
+
+	await store.dispose();
+	const startedAt = performance.now();
+	const again = new FileLog(path.join(folder, 'recovery'), new NodeDisk());
+	const {entries} = await again.load();
+	const loadedAt = performance.now();
+	const state = new ControlState();
+	for (const entry of entries) {
+		state.apply(entry);
+	}
+
+	const appliedAt = performance.now();
+	await again.dispose();
+	printPart(`recovery of ${entries.length} entries without a snapshot`, [{loadMs: round(loadedAt - startedAt), applyMs: round(appliedAt - loadedAt)}]);
+}
+
+async function measureFailover(): Promise<void> {
+	const times: number[] = [];
+	for (let seed = 1; seed <= elections; seed += 1) {
+		times.push(await runFailover(seed));
+	}
+
+	printPart(`failover over ${elections} elections on virtual time, ${linkDelayMs} ms a way`, [{
+		medianMs: getQuantile(times, 0.5), p95Ms: getQuantile(times, 0.95), worstMs: Math.max(...times),
+	}]);
+}
+
+/** Cuts off the leader and gives the time until another replica holds the lease. */
+async function runFailover(seed: number): Promise<number> {
+	const clock = new VirtualClock();
+	const group = await startGroup(clock, seed, () => new MemoryLog());
+	group.network.setPolicy(() => ({isLost: false, delayMs: linkDelayMs}));
+	await clock.runUntil(() => findLeader(group) !== undefined, electionLimitMs);
+	const old = findLeader(group)!;
+	const oldName = old.leader!;
+	const cutAt = clock.now();
+	group.network.setPolicy((from, to) => ({isLost: from === oldName || to === oldName, delayMs: linkDelayMs}));
+	await clock.runUntil(() => group.replicas.some(replica => replica !== old && replica.hasLease()), electionLimitMs, electionStepMs);
+	return clock.now() - cutAt;
+}
--- /dev/null
+++ b/packages/mulberrypitch-bench/src/statistics.ts
@@ -0,0 +1,42 @@
+/** Figures drawn from samples. */
+
+/**
+Gives the value below which a share of the samples lies.
+
+@example
+```
+getQuantile([3, 1, 2], 0.5); // 2
+```
+*/
+export function getQuantile(samples: readonly number[], share: number): number {
+	const sorted = samples.toSorted((left, right) => left - right);
+	return sorted[Math.min(sorted.length - 1, Math.floor(share * sorted.length))] ?? Number.NaN;
+}
+
+/**
+Rounds to two decimals for printing.
+
+@example
+```
+round(1.2345); // 1.23
+```
+*/
+export function round(value: number): number {
+	return Math.round(value * 100) / 100;
+}
+
+/**
+Fits a straight line by least squares and gives its slope.
+
+@example
+```
+getSlope([[1, 2], [2, 4]]); // 2
+```
+*/
+export function getSlope(points: ReadonlyArray<readonly [number, number]>): number {
+	const meanX = points.reduce((sum, [x]) => sum + x, 0) / points.length;
+	const meanY = points.reduce((sum, [, y]) => sum + y, 0) / points.length;
+	const covariance = points.reduce((sum, [x, y]) => sum + ((x - meanX) * (y - meanY)), 0);
+	const variance = points.reduce((sum, [x]) => sum + ((x - meanX) ** 2), 0);
+	return covariance / variance;
+}
