Add the load experiment and the load generator

Cause: admission and routing could not be measured, so no change of them could be judged.

Change: package load. The experiment draws arrivals by seed in an open loop and runs the real admission and router of 7 or 8 entries against stand-in engines on virtual time: continuous batching, serial prefill, a prefix cache of limited size. It has no network and no control group; views of load lag by 1 s. Arms of the same run and seed: present, round robin with retries after 3 s, plain FIFO. `mulberrypitch load experiment` and `mulberrypitch load run`. Ruled out: an event per token; progress is computed when a batch changes (not measured against each other). `load run` has not been run yet.

--- /dev/null
+++ b/packages/mulberrypitch-load/src/baselines.ts
@@ -0,0 +1,76 @@
+/** Plain policies that the experiment compares with. */
+import PQueue from 'p-queue';
+import {OverloadedError} from '@mulberrypitch/errors/catalogue';
+import {Deferred} from '@mulberrypitch/lifecycle/background';
+import type {Admission, AdmissionRequest, Ticket} from '@mulberrypitch/admission/types';
+import type {
+	Candidate, Dispatch, Router, RoutingRequest,
+} from '@mulberrypitch/routing/types';
+
+const retryAfterSeconds = 1;
+
+/** Admits everything at once. */
+export class OpenAdmission implements Admission {
+	async acquire(): Promise<Ticket> {
+		return {
+			release() {
+				// Nothing is counted.
+			},
+		};
+	}
+
+	getQueueLength(): number {
+		return 0;
+	}
+}
+
+/** Admits in order of arrival, with the whole capacity of a service on each host. */
+export class FirstComeAdmission implements Admission {
+	readonly #queues = new Map<string, PQueue>();
+
+	async acquire(request: AdmissionRequest): Promise<Ticket> {
+		const queue = this.#queues.get(request.service) ?? new PQueue();
+		this.#queues.set(request.service, queue);
+		queue.concurrency = Math.max(1, request.capacity);
+		if (queue.size >= request.queueLimit) {
+			throw new OverloadedError('The queue is full.', retryAfterSeconds);
+		}
+
+		const started = new Deferred<void>();
+		const released = new Deferred<void>();
+		void queue.add(async () => {
+			started.resolve();
+			await released.promise;
+		});
+		await started.promise;
+		return {
+			release() {
+				released.resolve();
+			},
+		};
+	}
+
+	getQueueLength(service: string): number {
+		return this.#queues.get(service)?.size ?? 0;
+	}
+}
+
+/** Takes the candidates in turn. */
+export class RoundRobinRouter implements Router {
+	#next = 0;
+
+	choose(candidates: readonly Candidate[], request: RoutingRequest): Dispatch | undefined {
+		const usable = candidates.filter(candidate => !candidate.isLeaving && !request.excluded.has(candidate.id));
+		if (usable.length === 0) {
+			return undefined;
+		}
+
+		this.#next += 1;
+		return {
+			backend: usable[this.#next % usable.length]!.id,
+			finish() {
+				// Nothing is learned.
+			},
+		};
+	}
+}
--- /dev/null
+++ b/packages/mulberrypitch-load/src/experiment-arms.ts
@@ -0,0 +1,52 @@
+/** The policies that the experiment compares, each as the parts of one entry host. */
+import {AdmissionQueue} from '@mulberrypitch/admission/admission-queue';
+import type {Admission} from '@mulberrypitch/admission/types';
+import type {Clock} from '@mulberrypitch/lifecycle/clock';
+import type {Random} from '@mulberrypitch/lifecycle/random';
+import {LeastLoadedRouter} from '@mulberrypitch/routing/router';
+import type {Router} from '@mulberrypitch/routing/types';
+import {FirstComeAdmission, OpenAdmission, RoundRobinRouter} from './baselines.js';
+
+/** What the parts of an entry host may use. */
+export type EntryContext = {
+	readonly name: string;
+	readonly zone: string;
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly entries: number;
+	/** Index of the entry among all. */
+	readonly rank: number;
+};
+
+/** The deciding parts of one entry host. */
+export type EntryParts = {
+	readonly admission: Admission;
+	readonly router: Router;
+};
+
+/** One policy. */
+export type Arm = {
+	readonly name: string;
+	/** Time after which an attempt without a first token is tried elsewhere; none when absent. */
+	readonly attemptTimeoutMs?: number;
+	createEntry(context: EntryContext): EntryParts;
+};
+
+const attemptTimeoutMs = 3000;
+
+/** All policies, by name. */
+export const arms = {
+	present: {
+		name: 'present',
+		createEntry: () => ({admission: new AdmissionQueue(), router: new LeastLoadedRouter()}),
+	},
+	roundRobin: {
+		name: 'round robin, retries',
+		attemptTimeoutMs,
+		createEntry: () => ({admission: new OpenAdmission(), router: new RoundRobinRouter()}),
+	},
+	firstCome: {
+		name: 'plain FIFO',
+		createEntry: () => ({admission: new FirstComeAdmission(), router: new RoundRobinRouter()}),
+	},
+} as const satisfies Record<string, Arm>;
