Admit fairly within each host's part, and refuse early

Cause: each of 7 hosts admitted up to all slots of a service, in order of arrival.

Change: Quota (EvenQuota: an even split over the sessions, whose parts add up to the total) bounds slots and maxInFlight; FairOrder is start-time fair queueing by expected slot time, charged with the time really used, with virtual times for each class, short answers first, a floor of a quarter of the slots for long ones and deadlines within; ServiceTimes learns how long slots are held; what can't finish in time is refused at once with Retry-After, also while it waits; a full queue drops the last request of whoever exceeds its share most. p-queue still bounds what runs.

Left: parts by demand, hosts' parts when limits are smaller than the number of hosts (each host may use one).

--- a/packages/mulberrypitch-admission/src/admission-queue.ts
+++ b/packages/mulberrypitch-admission/src/admission-queue.ts
@@ -1,47 +1,43 @@
-/** First-come admission with a bounded queue for each service. */
-import PQueue from 'p-queue';
-import {OverloadedError} from '@mulberrypitch/errors/catalogue';
-import {Deferred} from '@mulberrypitch/lifecycle/background';
+/** Admission of one host: a fair, bounded queue for each service. */
+import type {Clock} from '@mulberrypitch/lifecycle/clock';
+import type {Quota} from './quota.js';
+import {ServiceQueue} from './service-queue.js';
 import type {Admission, AdmissionRequest, Ticket} from './types.js';
 
-const retryAfterSeconds = 1;
+/** What admission is made of. */
+export type AdmissionQueueOptions = {
+	readonly clock: Clock;
+	/** This host's part of slots and limits. */
+	readonly quota: Quota;
+};
 
-/** Admits in order of arrival, up to the capacity of each service. */
-export class AdmissionQueue implements Admission {
-	readonly #queues = new Map<string, PQueue>();
+/**
+Admits within this host's part of the capacity, fairly between customers.
 
-	async acquire(request: AdmissionRequest): Promise<Ticket> {
-		const queue = this.#getQueue(request);
-		if (queue.size >= request.queueLimit) {
-			throw new OverloadedError(`Service ${request.service} has ${queue.size} requests waiting.`, retryAfterSeconds);
-		}
+@example
+```
+const admission = new AdmissionQueue({clock, quota: new EvenQuota(() => ({hosts: 7, rank: 0}))});
+```
+*/
+export class AdmissionQueue implements Admission {
+	readonly #options: AdmissionQueueOptions;
+	readonly #queues = new Map<string, ServiceQueue>();
 
-		const started = new Deferred<void>();
-		const released = new Deferred<void>();
-		void queue.add(async () => {
-			started.resolve();
-			await released.promise;
-		});
-		await started.promise;
-		return {
-			release() {
-				released.resolve();
-			},
-		};
+	constructor(options: AdmissionQueueOptions) {
+		this.#options = options;
 	}
 
-	getQueueLength(service: string): number {
-		return this.#queues.get(service)?.size ?? 0;
-	}
-
-	#getQueue(request: AdmissionRequest): PQueue {
+	async acquire(request: AdmissionRequest): Promise<Ticket> {
 		let queue = this.#queues.get(request.service);
 		if (queue === undefined) {
-			queue = new PQueue({concurrency: Math.max(1, request.capacity)});
+			queue = new ServiceQueue(this.#options.clock, this.#options.quota);
 			this.#queues.set(request.service, queue);
 		}
 
-		queue.concurrency = Math.max(1, request.capacity);
-		return queue;
+		return queue.acquire(request);
+	}
+
+	getQueueLength(service: string): number {
+		return this.#queues.get(service)?.size ?? 0;
 	}
 }
--- a/packages/mulberrypitch-host/src/host.ts
+++ b/packages/mulberrypitch-host/src/host.ts
@@ -3,6 +3,7 @@
 import path from 'node:path';
 import {AccountStore} from '@mulberrypitch/account/account-store';
 import {AdmissionQueue} from '@mulberrypitch/admission/admission-queue';
+import {EvenQuota, getMembership, type Membership} from '@mulberrypitch/admission/quota';
 import {EngineClient} from '@mulberrypitch/backends/engine-client';
 import {PlainClient} from '@mulberrypitch/backends/plain-client';
 import {getConfigurationDigest, validateSharedConfiguration} from '@mulberrypitch/config/shared-configuration';
@@ -150,7 +151,7 @@
 			clock,
 			logger,
 			metrics: this.#metrics,
-			admission: new AdmissionQueue(),
+			admission: new AdmissionQueue({clock, quota: new EvenQuota(() => this.#getMembership())}),
 			getRetryPolicy: () => this.#configuration!.retry,
 		}));
 		this.#addGauges();
@@ -211,6 +212,12 @@
 		logger.log(events.configurationInForce, {revision, digest: this.#effectiveDigest});
 	}
 
+	/** Gives the place of this host among those that take requests. */
+	#getMembership(): Membership {
+		const hosts = this.#control!.sessions.filter(session => !session.isDraining).map(session => session.node);
+		return getMembership(hosts, this.#options.settings.name);
+	}
+
 	#addGauges(): void {
 		this.#metrics.gauge('mulberrypitch_requests_running', 'Requests in progress.', () => this.#requests!.running);
 		this.#metrics.gauge('mulberrypitch_request_copies', 'Copies kept for other hosts.', () => this.#requests!.copies);
--- a/packages/mulberrypitch-load/src/experiment-arms.ts
+++ b/packages/mulberrypitch-load/src/experiment-arms.ts
@@ -1,5 +1,6 @@
 /** The policies that the experiment compares, each as the parts of one entry host. */
 import {AdmissionQueue} from '@mulberrypitch/admission/admission-queue';
+import {EvenQuota} from '@mulberrypitch/admission/quota';
 import type {Admission} from '@mulberrypitch/admission/types';
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
 import type {Random} from '@mulberrypitch/lifecycle/random';
@@ -34,11 +35,19 @@
 
 const attemptTimeoutMs = 3000;
 
+function createAdmission({clock, entries, rank}: EntryContext): AdmissionQueue {
+	return new AdmissionQueue({clock, quota: new EvenQuota(() => ({hosts: entries, rank}))});
+}
+
 /** All policies, by name. */
 export const arms = {
-	present: {
-		name: 'present',
-		createEntry: () => ({admission: new AdmissionQueue(), router: new LeastLoadedRouter()}),
+	fairLeastLoaded: {
+		name: 'admission, least loaded',
+		createEntry: context => ({admission: createAdmission(context), router: new LeastLoadedRouter()}),
+	},
+	firstComeLeastLoaded: {
+		name: 'plain FIFO, least loaded',
+		createEntry: () => ({admission: new FirstComeAdmission(), router: new LeastLoadedRouter()}),
 	},
 	roundRobin: {
 		name: 'round robin, retries',
--- a/packages/mulberrypitch-load/src/experiment.ts
+++ b/packages/mulberrypitch-load/src/experiment.ts
@@ -1,5 +1,6 @@
 /** Runs a policy against stand-in engines on virtual time, in an open loop. */
 import {VirtualClock} from '@mulberrypitch/fakes/virtual-clock';
+import {CodedError} from '@mulberrypitch/errors/coded-error';
 import {SeededRandom} from '@mulberrypitch/lifecycle/random';
 import type {Ticket} from '@mulberrypitch/admission/types';
 import type {Candidate, Dispatch} from '@mulberrypitch/routing/types';
@@ -143,7 +144,11 @@
 				capacity: backends.reduce((sum, backend) => sum + backend.speed.slots, 0),
 				maxTokens: arrival.maxTokens,
 			});
-		} catch {
+		} catch (error) {
+			if (!(error instanceof CodedError)) {
+				throw error;
+			}
+
 			this.#recorder.addEnd(arrival, runEnds.refused);
 			return;
 		}
@@ -204,7 +209,11 @@
 			});
 			dispatch.finish({isFailure: false, firstTokenMs: answer.firstTokenAt - startedAt});
 			return answer;
-		} catch {
+		} catch (error) {
+			if (!(error instanceof CodedError)) {
+				throw error;
+			}
+
 			dispatch.finish({isFailure: true});
 			return undefined;
 		} finally {
--- a/packages/mulberrypitch-load/src/workload.ts
+++ b/packages/mulberrypitch-load/src/workload.ts
@@ -136,6 +136,23 @@
 	return tokensPerSecond / tokensPerRequest;
 }
 
+/**
+Gives the deployment with one workspace sending more, and the factor by which all requests grow.
+
+@example
+```
+const {deployment, growth} = flood(deployments['aria-pulita']!, 'office', 12);
+```
+*/
+export function flood(deployment: Deployment, workspace: string, factor: number): {deployment: Deployment; growth: number} {
+	const workspaces = deployment.workspaces.map(mix => mix.name === workspace ? {...mix, weight: mix.weight * factor} : mix);
+	return {deployment: {...deployment, workspaces}, growth: getWeight(workspaces) / getWeight(deployment.workspaces)};
+}
+
+function getWeight(workspaces: readonly WorkspaceMix[]): number {
+	return workspaces.reduce((sum, {weight}) => sum + weight, 0);
+}
+
 /**
 Draws the arrivals of a run, in order of time.
 
