Route by prompt prefix with bounded load, a retry budget and outlier ejection

Cause: the least-loaded router knew nothing of prefix caches (a third of the prompt tokens cached) and sent new work to failing back ends again and again: they look idle.

Change: AffinityRouter. Rendezvous hashing on the prompt prefix, two places per prefix, corrected by hints (cached-token counts of answers, cache events with their time); a bound of 1.25 times the mean load; else two choices by the larger of own work and the lagged report plus own dispatches since, with a small cost for another zone; a stable subset of about 32 that spans zones when back ends are many; ejection after 3 failures in a row, longer each time, that takes a whole zone only when its members failed again, and three quarters at most; RetryBudget, a token bucket by configuration.retry.budgetRatio. An accepted request without budget waits within its deadline.

Live back ends do not report load or cached tokens yet; the fields are optional.

--- a/packages/mulberrypitch-host/src/host.ts
+++ b/packages/mulberrypitch-host/src/host.ts
@@ -22,7 +22,7 @@
 import type {Logger} from '@mulberrypitch/logger/logger';
 import {MetricsRegistry} from '@mulberrypitch/metrics/registry';
 import {RequestService} from '@mulberrypitch/requests/request-service';
-import {LeastLoadedRouter} from '@mulberrypitch/routing/router';
+import {AffinityRouter} from '@mulberrypitch/routing/affinity-router';
 import {FileLog} from '@mulberrypitch/storage/file-log';
 import {MemoryLog} from '@mulberrypitch/storage/memory-log';
 import {NodeDisk} from '@mulberrypitch/storage/node-disk';
@@ -135,7 +135,7 @@
 	}
 
 	async #startEntry(): Promise<number> {
-		const {settings, transport, clock, logger} = this.#options;
+		const {settings, transport, clock, random, logger} = this.#options;
 		const backends = new BackendDirectory({getControl: () => this.#control!, clock, logger});
 		this.#control = this.#createControlClient(backends);
 		const engine = this.#resources.add(new EngineClient());
@@ -145,7 +145,9 @@
 			zone: settings.zone,
 			control: this.#control,
 			transport,
-			router: new LeastLoadedRouter(),
+			router: new AffinityRouter({
+				host: settings.name, zone: settings.zone, clock, random, getRetryRatio: () => this.#configuration?.retry.budgetRatio ?? 0,
+			}),
 			engine,
 			plain,
 			clock,
--- a/packages/mulberrypitch-load/src/experiment-arms.ts
+++ b/packages/mulberrypitch-load/src/experiment-arms.ts
@@ -4,6 +4,7 @@
 import type {Admission} from '@mulberrypitch/admission/types';
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
 import type {Random} from '@mulberrypitch/lifecycle/random';
+import {AffinityRouter} from '@mulberrypitch/routing/affinity-router';
 import {LeastLoadedRouter} from '@mulberrypitch/routing/router';
 import type {Router} from '@mulberrypitch/routing/types';
 import {FirstComeAdmission, OpenAdmission, RoundRobinRouter} from './baselines.js';
@@ -34,13 +35,29 @@
 };
 
 const attemptTimeoutMs = 3000;
+const defaultRetryRatio = 0.2;
+const unboundedRetryRatio = 1000;
 
 function createAdmission({clock, entries, rank}: EntryContext): AdmissionQueue {
 	return new AdmissionQueue({clock, quota: new EvenQuota(() => ({hosts: entries, rank}))});
 }
 
+function createRouter({name, zone, clock, random}: EntryContext, retryRatio = defaultRetryRatio): AffinityRouter {
+	return new AffinityRouter({
+		host: name, zone, clock, random, getRetryRatio: () => retryRatio,
+	});
+}
+
 /** All policies, by name. */
 export const arms = {
+	mulberrypitch: {
+		name: 'mulberrypitch',
+		createEntry: context => ({admission: createAdmission(context), router: createRouter(context)}),
+	},
+	unboundedRetries: {
+		name: 'mulberrypitch, retries without budget',
+		createEntry: context => ({admission: createAdmission(context), router: createRouter(context, unboundedRetryRatio)}),
+	},
 	fairLeastLoaded: {
 		name: 'admission, least loaded',
 		createEntry: context => ({admission: createAdmission(context), router: new LeastLoadedRouter()}),
--- a/packages/mulberrypitch-load/src/experiment-result.ts
+++ b/packages/mulberrypitch-load/src/experiment-result.ts
@@ -33,7 +33,9 @@
 	readonly cachedPart: number;
 	/** Percentile 95 of the time to the first token of good answers, by class, in milliseconds. */
 	readonly firstTokenP95Ms: Readonly<Record<RequestClass, number>>;
-	/** The same for short answers, by workspace. */
+	/** Part of the requests that ended well, by class. */
+	readonly classGoodPart: Readonly<Record<string, number>>;
+	/** The same percentile for short answers, by workspace. */
 	readonly workspaceP95Ms: Readonly<Record<string, number>>;
 	/** Part of the engine requests that ended well, by workspace. */
 	readonly workspaceGoodPart: Readonly<Record<string, number>>;
@@ -45,6 +47,7 @@
 export class ResultRecorder {
 	readonly #firstToken = new Map<RequestClass, Histogram>();
 	readonly #byWorkspace = new Map<string, Histogram>();
+	readonly #classTallies = new Map<string, Tally>();
 	readonly #tallies = new Map<string, Tally>();
 	readonly #counts: Record<RunEnd, number> = {
 		good: 0, refused: 0, late: 0, failed: 0,
@@ -80,9 +83,9 @@
 
 		this.#counts[end] += 1;
 		const isGood = end === runEnds.good;
+		addToTally(this.#classTallies, arrival.requestClass, isGood);
 		if (arrival.maxTokens > 0) {
-			const tally = this.#tallies.get(arrival.workspace.name) ?? {good: 0, all: 0};
-			this.#tallies.set(arrival.workspace.name, {good: tally.good + (isGood ? 1 : 0), all: tally.all + 1});
+			addToTally(this.#tallies, arrival.workspace.name, isGood);
 		}
 
 		if (isGood && firstTokenMs !== undefined) {
@@ -112,11 +115,21 @@
 				booking: getPercentile(this.#firstToken.get('booking')),
 			},
 			workspaceP95Ms: Object.fromEntries([...this.#byWorkspace].map(([name, histogram]) => [name, getPercentile(histogram)])),
-			workspaceGoodPart: Object.fromEntries([...this.#tallies].map(([name, {good, all}]) => [name, round(good / all)])),
+			workspaceGoodPart: getGoodParts(this.#tallies),
+			classGoodPart: getGoodParts(this.#classTallies),
 		};
 	}
 }
 
+function addToTally(tallies: Map<string, Tally>, name: string, isGood: boolean): void {
+	const tally = tallies.get(name) ?? {good: 0, all: 0};
+	tallies.set(name, {good: tally.good + (isGood ? 1 : 0), all: tally.all + 1});
+}
+
+function getGoodParts(tallies: ReadonlyMap<string, Tally>): Record<string, number> {
+	return Object.fromEntries([...tallies].map(([name, {good, all}]) => [name, round(good / all)]));
+}
+
 function getHistogram<Key>(histograms: Map<Key, Histogram>, key: Key): Histogram {
 	const histogram = histograms.get(key) ?? build();
 	histograms.set(key, histogram);
--- a/packages/mulberrypitch-load/src/experiment.ts
+++ b/packages/mulberrypitch-load/src/experiment.ts
@@ -27,8 +27,15 @@
 	readonly seed: number;
 	readonly durationMs: number;
 	readonly warmUpMs: number;
-	/** Time at which half of the engines begin to fail; never when absent. */
-	readonly failHalfAtMs?: number;
+	/** Failure of some engines; none when absent. */
+	readonly outage?: Outage;
+};
+
+/** Engines that begin to fail all new work. */
+export type Outage = {
+	readonly atMs: number;
+	/** Part of the engines. */
+	readonly part: number;
 };
 
 type Backend = {
@@ -80,7 +87,7 @@
 		const arrivals = drawArrivals(deployment, new SeededRandom(seed), load * getCapacity(deployment), durationMs);
 		void this.#send(arrivals);
 		void this.#report();
-		void this.#failHalf();
+		void this.#failEngines();
 		await this.#clock.runFor(durationMs + drainMs);
 		return this.#recorder.getResult({
 			arm: arm.name, load, seed, measuredMs: durationMs - warmUpMs,
@@ -115,14 +122,14 @@
 		}
 	}
 
-	async #failHalf(): Promise<void> {
-		const {failHalfAtMs} = this.#experiment;
-		if (failHalfAtMs === undefined) {
+	async #failEngines(): Promise<void> {
+		const {outage} = this.#experiment;
+		if (outage === undefined) {
 			return;
 		}
 
-		await this.#clock.sleep(failHalfAtMs);
-		for (const backend of this.#engines.slice(0, Math.floor(this.#engines.length / 2))) {
+		await this.#clock.sleep(outage.atMs);
+		for (const backend of this.#engines.slice(0, Math.floor(this.#engines.length * outage.part))) {
 			backend.engine.isFailing = true;
 		}
 	}
@@ -170,7 +177,7 @@
 		let attempts = 0;
 		while (attempts < maxAttempts && this.#clock.now() < deadline) {
 			const dispatch = router.choose(backends.map(backend => toCandidate(backend)), {
-				service: backends[0]!.id, prefix: arrival.prefix, excluded,
+				service: backends[0]!.id, prefix: arrival.prefix, excluded, isRetry: attempts > 0,
 			});
 			if (dispatch === undefined) {
 				excluded.clear();
@@ -207,7 +214,7 @@
 			const answer = await backend.engine.run(arrival, cancel.signal, () => {
 				firstToken.abort();
 			});
-			dispatch.finish({isFailure: false, firstTokenMs: answer.firstTokenAt - startedAt});
+			dispatch.finish({isFailure: false, firstTokenMs: answer.firstTokenAt - startedAt, cachedTokens: answer.cachedTokens});
 			return answer;
 		} catch (error) {
 			if (!(error instanceof CodedError)) {
@@ -229,9 +236,9 @@
 	}
 }
 
-function toCandidate({id, zone, speed}: Backend): Candidate {
+function toCandidate({id, zone, speed, reported}: Backend): Candidate {
 	return {
-		id, zone, slots: speed.slots, isLeaving: false,
+		id, zone, slots: speed.slots, isLeaving: false, load: reported,
 	};
 }
 
--- a/packages/mulberrypitch-requests/src/request-holder.ts
+++ b/packages/mulberrypitch-requests/src/request-holder.ts
@@ -139,7 +139,9 @@
 		const candidates = control.backends.filter(backend => backend.services.includes(copy.service));
 		const dispatch = router.choose(candidates.map(backend => ({
 			id: backend.id, zone: backend.zone, slots: backend.capabilities.slots, isLeaving: backend.isLeaving,
-		})), {service: copy.service, prefix: copy.prefix, excluded: this.#excluded});
+		})), {
+			service: copy.service, prefix: copy.prefix, excluded: this.#excluded, isRetry: this.#lastFailure !== undefined,
+		});
 		if (dispatch === undefined) {
 			return undefined;
 		}
--- /dev/null
+++ b/packages/mulberrypitch-routing/src/rendezvous.ts
@@ -0,0 +1,45 @@
+/** Rendezvous hashing: each key ranks the nodes in its own stable order. */
+/* eslint-disable no-bitwise -- Hash functions work on bits. */
+
+const offsetBasis = 0x81_1C_9D_C5;
+const prime = 0x01_00_01_93;
+
+/**
+Hashes a text to 32 bits (FNV-1a with a final mix).
+
+@example
+```
+const fingerprint = hashText(prompt);
+```
+*/
+export function hashText(text: string): number {
+	let hash = offsetBasis;
+	for (let index = 0; index < text.length; index += 1) {
+		hash = Math.imul(hash ^ text.codePointAt(index)!, prime);
+	}
+
+	return mix(hash);
+}
+
+/**
+Sorts nodes by their rank for a key, best first. The loss of a node moves only the keys that it was best for.
+
+@example
+```
+const [best] = rankNodes(hashText(prefix), ['engine-1', 'engine-2'], id => id);
+```
+*/
+export function rankNodes<Node>(key: number, nodes: readonly Node[], getId: (node: Node) => string): Node[] {
+	return nodes
+		.map(node => ({node, score: mix(key ^ hashText(getId(node)))}))
+		.toSorted((left, right) => right.score - left.score)
+		.map(({node}) => node);
+}
+
+/** Spreads the bits of a number. */
+function mix(value: number): number {
+	let hash = value;
+	hash = Math.imul(hash ^ (hash >>> 16), 0x85_EB_CA_6B);
+	hash = Math.imul(hash ^ (hash >>> 13), 0xC2_B2_AE_35);
+	return (hash ^ (hash >>> 16)) >>> 0;
+}
