Rank entry hosts in their own module; count only real failures against back ends

Cause: the list of entries was built inside the HTTP server from an unseeded random number and knew no overload; a request that was broken off or ran out of time counted as a failure of its back end, so three slow answers could have ejected one.

Change: entry-ranking.ts: rotation from a random start, overloaded hosts last, draining and stale hosts left out. A host counts itself as overloaded when a queue is more than half full; sessions carry no load, so it can't tell for others. A dispatch reports a failure only while the request is neither aborted nor out of time.

--- a/packages/mulberrypitch-entry/src/entry-server.ts
+++ b/packages/mulberrypitch-entry/src/entry-server.ts
@@ -4,6 +4,7 @@
 import {assumeType} from '@mulberrypitch/errors/assume-type';
 import polka, {type Polka} from 'polka';
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
+import type {Random} from '@mulberrypitch/lifecycle/random';
 import type {Resource} from '@mulberrypitch/lifecycle/disposable-store';
 import {
 	BadRequestError, codes, NotFoundError, StaleViewError,
@@ -22,6 +23,7 @@
 import {
 	answerCompletion, answerRead, answerServiceCall, type CallerContext,
 } from './caller-routes.js';
+import {rankEntries} from './entry-ranking.js';
 import {
 	parseJson, readBody, sendFailure, sendJson,
 } from './http-reply.js';
@@ -45,7 +47,10 @@
 	readonly backends: BackendDirectory;
 	readonly metrics: MetricsRegistry;
 	readonly clock: Clock;
+	readonly random: Random;
 	readonly logger: Logger;
+	/** Tells whether requests wait on this host so long that callers should use others. */
+	readonly isOverloaded: () => boolean;
 	/** The configuration in force, once there is one. */
 	readonly getConfiguration: () => SharedConfiguration | undefined;
 	/** Begins a planned stop of this host. */
@@ -198,12 +203,16 @@
 	}
 
 	#listEntries(): EntryList {
-		const {control, settings} = this.#options;
+		const {control, random, settings} = this.#options;
 		const entries = control.sessions
-			.filter(session => !session.isDraining && (session.node !== settings.name || this.#isReady()))
-			.map(session => ({address: session.publicAddress, zone: session.zone}));
-		const start = entries.length === 0 ? 0 : Math.floor(Math.random() * entries.length);
-		return {entries: [...entries.slice(start), ...entries.slice(0, start)], ttlSeconds: settings.entriesTtlSeconds};
+			.filter(session => session.node !== settings.name || this.#isReady())
+			.map(session => ({
+				address: session.publicAddress,
+				zone: session.zone,
+				isDraining: session.isDraining,
+				isOverloaded: session.node === settings.name && this.#options.isOverloaded(),
+			}));
+		return {entries: rankEntries(entries, random), ttlSeconds: settings.entriesTtlSeconds};
 	}
 
 	async #announce(request: IncomingMessage, response: ServerResponse): Promise<void> {
--- a/packages/mulberrypitch-host/src/host.ts
+++ b/packages/mulberrypitch-host/src/host.ts
@@ -29,6 +29,9 @@
 import type {LogStore} from '@mulberrypitch/storage/types';
 import type {Transport} from '@mulberrypitch/transport/types';
 
+/** Part of a queue's bound beyond which callers are sent to other hosts. */
+const overloadedQueuePart = 0.5;
+
 /** Outer parts of a host, replaceable in tests and in the demo. */
 export type HostOptions = {
 	readonly settings: HostSettings;
@@ -140,6 +143,7 @@
 		this.#control = this.#createControlClient(backends);
 		const engine = this.#resources.add(new EngineClient());
 		const plain = this.#resources.add(new PlainClient());
+		const admission = new AdmissionQueue({clock, quota: new EvenQuota(() => this.#getMembership())});
 		this.#requests = this.#resources.add(new RequestService({
 			node: settings.name,
 			zone: settings.zone,
@@ -153,7 +157,7 @@
 			clock,
 			logger,
 			metrics: this.#metrics,
-			admission: new AdmissionQueue({clock, quota: new EvenQuota(() => this.#getMembership())}),
+			admission,
 			getRetryPolicy: () => this.#configuration!.retry,
 		}));
 		this.#addGauges();
@@ -164,7 +168,9 @@
 			backends,
 			metrics: this.#metrics,
 			clock,
+			random,
 			logger,
+			isOverloaded: () => this.#configuration?.services.some(({name, queueLimit}) => admission.getQueueLength(name) > queueLimit * overloadedQueuePart) === true,
 			getConfiguration: () => this.#configuration,
 			onDrain: () => {
 				void this.drain();
--- a/packages/mulberrypitch-load/src/experiment.ts
+++ b/packages/mulberrypitch-load/src/experiment.ts
@@ -221,7 +221,7 @@
 				throw error;
 			}
 
-			dispatch.finish({isFailure: true});
+			dispatch.finish({isFailure: !cancel.signal.aborted});
 			return undefined;
 		} finally {
 			done.abort();
--- a/packages/mulberrypitch-requests/src/request-holder.ts
+++ b/packages/mulberrypitch-requests/src/request-holder.ts
@@ -178,7 +178,8 @@
 			await intent;
 			return await this.#onFailure(error, backend);
 		} finally {
-			dispatch.finish({isFailure});
+			// A request that was broken off or ran out of time says nothing of the back end.
+			dispatch.finish({isFailure: isFailure && !this.#abort.signal.aborted && this.#getRemainingMs() > 0});
 		}
 	}
 
