--- a/packages/mulberrypitch-requests/src/request-holder.ts
+++ b/packages/mulberrypitch-requests/src/request-holder.ts
@@ -139,7 +139,9 @@
 		const candidates = control.backends.filter(backend => backend.services.includes(copy.service));
 		const dispatch = router.choose(candidates.map(backend => ({
 			id: backend.id, zone: backend.zone, slots: backend.capabilities.slots, isLeaving: backend.isLeaving,
-		})), {service: copy.service, prefix: copy.prefix, excluded: this.#excluded});
+		})), {
+			service: copy.service, prefix: copy.prefix, excluded: this.#excluded, isRetry: this.#lastFailure !== undefined,
+		});
 		if (dispatch === undefined) {
 			return undefined;
 		}
@@ -176,7 +178,8 @@
 			await intent;
 			return await this.#onFailure(error, backend);
 		} finally {
-			dispatch.finish({isFailure});
+			// A request that was broken off or ran out of time says nothing of the back end.
+			dispatch.finish({isFailure: isFailure && !this.#abort.signal.aborted && this.#getRemainingMs() > 0});
 		}
 	}
 
