Accept configurations once, refuse them whole, and show what is in force

Cause: the leader took what an entry host had checked, without the sites; a conflict named whoever applied last, not the winner of the race; every accepted text was kept for ever with its change; the digest left the overlays out; and `config status` had nothing to compare digests with. A host that restarted without a standby for its requests kept them under its old process, so nobody finished them. A failed renewal lost the back ends heard.

The leader checks base and all overlays against the sites that ever had a session; the conflict names operator, change and revision that took the expected place; the last 256 changes are kept, without texts, and a change that was dropped can't be accepted twice because its expected revision has passed. A change id with other content is a conflict. Ruled out: checking inside the replicated state, since replicas of two versions could decide differently; refusing only sites with an open session, since a site that is down would block every change.

--- a/packages/mulberrypitch-config/src/shared-configuration.ts
+++ b/packages/mulberrypitch-config/src/shared-configuration.ts
@@ -51,6 +51,50 @@
 	readonly overlay?: NamedText;
 };
 
+/** The accepted texts: the base and the overlay of each site. */
+export type ConfigurationFiles = {
+	readonly base: string;
+	readonly overlays: Readonly<Record<string, string>>;
+};
+
+/**
+Gives the texts that count for one site. A site without an overlay has the base alone.
+
+@example
+```
+const texts = createConfigurationTexts(revision.files, 'palermo');
+```
+*/
+export function createConfigurationTexts({base, overlays}: ConfigurationFiles, site: string): ConfigurationTexts {
+	const overlay = Object.hasOwn(overlays, site) ? overlays[site] : undefined;
+	return {
+		base: {file: 'base', text: base},
+		...(overlay !== undefined && {overlay: {file: site, text: overlay}}),
+	};
+}
+
+/**
+Checks the base alone and with each overlay, and gives the digest over all of them.
+An overlay of a site that is not known is refused with the nearest known name, unless no site is known yet.
+
+@example
+```
+const digest = validateConfigurationFiles(files, new Set(['palermo', 'catania']));
+```
+*/
+export function validateConfigurationFiles(files: ConfigurationFiles, knownSites: ReadonlySet<string>): string {
+	const digests = [['', getConfigurationDigest(validateSharedConfiguration({base: {file: 'base', text: files.base}}))]];
+	for (const site of Object.keys(files.overlays).toSorted()) {
+		if (knownSites.size > 0 && !knownSites.has(site)) {
+			throw createUnknownError(`site "${site}"`, site, [...knownSites], site);
+		}
+
+		digests.push([site, getConfigurationDigest(validateSharedConfiguration(createConfigurationTexts(files, site)))]);
+	}
+
+	return createHash('sha256').update(JSON.stringify(digests)).digest('hex');
+}
+
 /**
 Checks base and overlay and gives the effective configuration. Throws `SettingsError` for the first fault.
 
--- /dev/null
+++ b/packages/mulberrypitch-control/src/backend-table.ts
@@ -0,0 +1,60 @@
+/** The back ends that announced themselves. */
+import type {CommandOf} from './commands.js';
+import {memberKinds, type MembershipFeed} from './membership-feed.js';
+import type {BackendServer} from './types.js';
+
+/** Back ends by identifier. */
+export class BackendTable {
+	readonly #feed: MembershipFeed;
+	readonly #backends = new Map<string, BackendServer>();
+
+	constructor(feed: MembershipFeed) {
+		this.#feed = feed;
+	}
+
+	get(id: string): BackendServer | undefined {
+		return this.#backends.get(id);
+	}
+
+	list(): readonly BackendServer[] {
+		return [...this.#backends.values()];
+	}
+
+	register(command: CommandOf<'registerBackend'>): BackendServer {
+		const known = this.#backends.get(command.id);
+		if (known?.incarnation === command.incarnation) {
+			return known;
+		}
+
+		const {kind, backendKind, ...facts} = command;
+		const backend: BackendServer = {...facts, kind: backendKind, isLeaving: false};
+		this.#put(backend);
+		return backend;
+	}
+
+	leave(command: CommandOf<'leaveBackend'>): void {
+		const known = this.#backends.get(command.id);
+		if (known?.incarnation === command.incarnation && !known.isLeaving) {
+			this.#put({...known, isLeaving: true, leavesAt: command.leavesAt});
+		}
+	}
+
+	remove(command: CommandOf<'removeBackend'>): void {
+		if (this.#backends.get(command.id)?.incarnation === command.incarnation) {
+			this.#backends.delete(command.id);
+			this.#feed.add(memberKinds.backend, command.id);
+		}
+	}
+
+	restore(backends: readonly BackendServer[]): void {
+		this.#backends.clear();
+		for (const backend of backends) {
+			this.#backends.set(backend.id, backend);
+		}
+	}
+
+	#put(backend: BackendServer): void {
+		this.#backends.set(backend.id, backend);
+		this.#feed.add(memberKinds.backend, backend.id);
+	}
+}
--- a/packages/mulberrypitch-control/src/command-value.ts
+++ b/packages/mulberrypitch-control/src/command-value.ts
@@ -1,7 +1,7 @@
 /** The values that commands give. */
 import type {Command} from './commands.js';
 import type {
-	BackendServer, ConfigurationRevision, RequestRecord, Session,
+	BackendServer, ConfigurationChange, RequestRecord, Session,
 } from './types.js';
 
 /** The value of `acceptRequest`: the request that counts, which is an earlier one for a known idempotency key. */
@@ -17,7 +17,7 @@
 	readonly acceptRequest: Acceptance;
 	readonly transferRequest: RequestRecord;
 	readonly finishRequest: RequestRecord;
-	readonly applyConfiguration: ConfigurationRevision;
+	readonly applyConfiguration: ConfigurationChange;
 };
 
 /** The value of one command kind. */
--- /dev/null
+++ b/packages/mulberrypitch-control/src/configuration-table.ts
@@ -0,0 +1,85 @@
+/** The accepted configuration and the changes that led to it. */
+import {assertInvariant, ConflictError} from '@mulberrypitch/errors/catalogue';
+import type {CommandOf} from './commands.js';
+import type {ConfigurationChange, ConfigurationRevision} from './types.js';
+
+const maxChanges = 256;
+
+/** The JSON form of the table. */
+export type CapturedConfiguration = {
+	readonly current?: ConfigurationRevision;
+	readonly changes: readonly ConfigurationChange[];
+};
+
+/** Accepts one change a revision. The revision never goes down. */
+export class ConfigurationTable {
+	#current: ConfigurationRevision | undefined;
+	#changes: ConfigurationChange[] = [];
+
+	/** The configuration in force. */
+	get current(): ConfigurationRevision | undefined {
+		return this.#current;
+	}
+
+	get revision(): number {
+		return this.#current?.revision ?? 0;
+	}
+
+	/** Finds an accepted change by its identifier. */
+	findChange(changeId: string): ConfigurationChange | undefined {
+		return this.#changes.find(change => change.changeId === changeId);
+	}
+
+	/**
+	Accepts a change that is based on the revision in force. A change that is sent again gets the first answer.
+	A change whose identifier was dropped can't be accepted twice, because its expected revision has passed.
+	*/
+	apply(command: CommandOf<'applyConfiguration'>): ConfigurationChange {
+		const known = this.findChange(command.changeId);
+		if (known !== undefined) {
+			return requireSameContent(known, command);
+		}
+
+		if (command.expectedRevision !== this.revision) {
+			throw this.#createConflict(command.expectedRevision);
+		}
+
+		const {changeId, operator, digest, files} = command;
+		const change: ConfigurationChange = {
+			revision: this.revision + 1, changeId, operator, digest,
+		};
+		this.#current = {...change, files};
+		this.#changes = [...this.#changes, change].slice(-maxChanges);
+		return change;
+	}
+
+	capture(): CapturedConfiguration {
+		return {...(this.#current !== undefined && {current: this.#current}), changes: this.#changes};
+	}
+
+	restore({current, changes}: CapturedConfiguration): void {
+		const revision = current?.revision ?? 0;
+		assertInvariant(revision >= this.revision, `Revision ${this.revision} would go back to ${revision}.`);
+		this.#current = current;
+		this.#changes = [...changes];
+	}
+
+	#createConflict(expectedRevision: number): ConflictError {
+		const winner = this.#changes.find(change => change.revision === expectedRevision + 1) ?? this.#current;
+		const by = winner === undefined ? '' : ` Revision ${winner.revision} is change ${winner.changeId} by ${winner.operator}.`;
+		return new ConflictError(`Revision ${this.revision} is in force, not ${expectedRevision}.${by}`, 'Read the configuration in force, merge, and apply again.', {
+			revision: this.revision,
+			winner: winner?.operator ?? '',
+			winnerChangeId: winner?.changeId ?? '',
+			winnerRevision: winner?.revision ?? 0,
+		});
+	}
+}
+
+function requireSameContent(known: ConfigurationChange, {digest, changeId}: CommandOf<'applyConfiguration'>): ConfigurationChange {
+	if (known.digest !== digest) {
+		throw new ConflictError(`Change ${changeId} was accepted with other content.`, 'Use a new change identifier for a new change.', {revision: known.revision, winner: known.operator});
+	}
+
+	return known;
+}
--- a/packages/mulberrypitch-control/src/control-client.ts
+++ b/packages/mulberrypitch-control/src/control-client.ts
@@ -14,6 +14,7 @@
 import type {Transport} from '@mulberrypitch/transport/types';
 import type {Command, CommandOf} from './commands.js';
 import type {CommandValue} from './command-value.js';
+import {MembershipView} from './membership-view.js';
 import type {
 	BackendServer, CommandResult, ConfigurationRevision, Peer, RequestLookup, RequestRecord, Session, View,
 } from './types.js';
@@ -57,10 +58,11 @@
 	#leader: string | undefined;
 	#session: Session | undefined;
 	#freshUntil = Number.NEGATIVE_INFINITY;
+	readonly #membership = new MembershipView();
+	/** Back ends that the leader was not yet told of. */
+	#heard = new Map<string, string>();
 	#revision = 0;
-	#membershipVersion = -1;
-	#sessions: readonly Session[] = [];
-	#backends: readonly BackendServer[] = [];
+	#term = 0;
 	#wasFresh = false;
 
 	constructor(options: ControlClientOptions) {
@@ -68,11 +70,11 @@
 	}
 
 	get sessions(): readonly Session[] {
-		return this.#sessions;
+		return this.#membership.sessions;
 	}
 
 	get backends(): readonly BackendServer[] {
-		return this.#backends;
+		return this.#membership.backends;
 	}
 
 	get revision(): number {
@@ -211,9 +213,7 @@
 					throw error;
 				}
 
-				if (error.code === codes.staleEpoch) {
-					this.#session = undefined;
-				}
+				this.#onFailure(error);
 			}
 
 			if (this.#wasFresh && !this.isFresh()) {
@@ -225,20 +225,36 @@
 		}
 	}
 
+	#onFailure(error: CodedError): void {
+		const {logger} = this.#options;
+		if (error.code === codes.staleEpoch) {
+			logger.log(events.sessionLost, {epoch: this.#session?.epoch ?? 0});
+			this.#session = undefined;
+		} else if (!isRetryable(error)) {
+			logger.log(events.viewRejected, {code: error.code, reason: error.message});
+		}
+	}
+
 	async #renew(): Promise<void> {
 		const {clock, group, takeHeardBackends, getEffectiveDigest} = this.#options;
+		for (const {id, incarnation} of takeHeardBackends()) {
+			this.#heard.set(id, incarnation);
+		}
+
 		const session = this.#session ?? await this.#open();
+		const heard = this.#heard;
 		const sentAt = clock.now();
 		const view = await this.callLeader<View>('renew', {
 			group,
 			node: session.node,
 			epoch: session.epoch,
 			knownRevision: this.#revision,
-			knownMembership: this.#membershipVersion,
-			heardBackends: takeHeardBackends(),
+			knownMembership: this.#membership.version,
+			heardBackends: [...heard].map(([id, incarnation]) => ({id, incarnation})),
 			effectiveDigest: getEffectiveDigest(),
 		}, callTimeoutMs);
 		this.#take(view);
+		this.#heard = new Map();
 		this.#freshUntil = sentAt + freshnessMs;
 	}
 
@@ -250,16 +266,17 @@
 	}
 
 	#take(view: View): void {
-		assertInvariant(view.revision >= this.#revision, 'A configuration revision must not decrease.');
-		if (view.configuration !== undefined) {
+		assertInvariant(view.term >= this.#term, `The view of term ${view.term} came after one of term ${this.#term}.`);
+		assertInvariant(view.revision >= this.#revision, `Revision ${this.#revision} would go back to ${view.revision}.`);
+		if (view.revision > this.#revision) {
+			assertInvariant(view.configuration?.revision === view.revision, `Revision ${view.revision} came without its texts.`);
 			this.#options.onConfiguration(view.configuration);
-			this.#revision = view.revision;
 		}
 
-		if (view.sessions !== undefined && view.backends !== undefined) {
-			this.#sessions = view.sessions;
-			this.#backends = view.backends;
-			this.#membershipVersion = view.membershipVersion;
+		this.#term = view.term;
+		this.#revision = view.revision;
+		if (view.membership !== undefined) {
+			this.#membership.take(view.membership, view.membershipVersion);
 		}
 
 		if (view.assigned.length > 0) {
--- a/packages/mulberrypitch-control/src/control-service.ts
+++ b/packages/mulberrypitch-control/src/control-service.ts
@@ -3,18 +3,20 @@
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
 import {DisposableStore, type Resource} from '@mulberrypitch/lifecycle/disposable-store';
 import {
-	BadRequestError, NotLeaderError, ProtocolError, StaleEpochError,
+	assertInvariant, BadRequestError, codes, NotLeaderError, ProtocolError, StaleEpochError,
 } from '@mulberrypitch/errors/catalogue';
 import {events} from '@mulberrypitch/logger/events';
 import type {Logger} from '@mulberrypitch/logger/logger';
 import type {Transport} from '@mulberrypitch/transport/types';
 import type {AccountStore} from '@mulberrypitch/account/account-store';
-import {getMessage} from '@mulberrypitch/errors/coded-error';
-import {commandSchema, type Command} from './commands.js';
+import {getMessage, hasCode} from '@mulberrypitch/errors/coded-error';
+import {validateConfigurationFiles} from '@mulberrypitch/config/shared-configuration';
+import {commandSchema, type Command, type CommandOf} from './commands.js';
 import type {ControlState} from './control-state.js';
+import {EffectiveDigests} from './effective-digests.js';
 import type {Replica} from './replica.js';
 import type {
-	AccountPart, CommandResult, ControlOverview, ReplicaStatus, RequestLookup, View,
+	AccountPart, CommandResult, ControlOverview, NodeConfiguration, ReplicaStatus, RequestLookup, View,
 } from './types.js';
 import {
 	accountReadSchema, emptySchema, proposalSchema, renewalSchema, requestLookupSchema, type Renewal,
@@ -24,6 +26,8 @@
 export const sessionLeaseMs = 4000;
 const backendLeaseMs = 5000;
 const watchIntervalMs = 250;
+/** Time between two looks at the leases after which the watch itself was held up. */
+const maxWatchGapMs = 1500;
 const maxRecordsPerCall = 1000;
 
 /** What the service is made of. */
@@ -50,7 +54,9 @@
 	readonly #resources = new DisposableStore();
 	readonly #nodes = new Map<string, NodeStatus>();
 	readonly #heardAt = new Map<string, number>();
+	readonly #digests = new EffectiveDigests();
 	#leadingTerm = 0;
+	#watchedAt = Number.NEGATIVE_INFINITY;
 
 	constructor(options: ControlServiceOptions) {
 		this.#options = options;
@@ -82,9 +88,7 @@
 			commitIndex: replica.commitIndex,
 			lastIndex: replica.lastIndex,
 			appliedIndex: replica.appliedIndex,
-			nodes: [...this.#nodes].map(([node, status]) => ({
-				node, revision: status.revision, digest: status.digest, ageMs: Math.round(now - status.renewedAt),
-			})),
+			nodes: [...this.#nodes].map(([node, status]) => this.#describeNode(node, status, now)),
 		};
 	}
 
@@ -92,9 +96,49 @@
 		await this.#resources.dispose();
 	}
 
+	#describeNode(node: string, status: NodeStatus, now: number): NodeConfiguration {
+		const {state} = this.#options;
+		const site = state.getSession(node)?.site ?? '';
+		return {
+			node,
+			site,
+			revision: status.revision,
+			digest: status.digest,
+			expectedDigest: this.#digests.get(state.configuration, site),
+			ageMs: Math.round(now - status.renewedAt),
+		};
+	}
+
 	async #onPropose(proposed: readonly unknown[]): Promise<CommandResult[]> {
 		const commands = parseCommands(proposed);
-		return Promise.all(commands.map(async command => this.#options.replica.propose(command)));
+		return Promise.all(commands.map(async command => this.#proposeChecked(command)));
+	}
+
+	async #proposeChecked(command: Command): Promise<CommandResult> {
+		if (command.kind !== 'applyConfiguration') {
+			return this.#options.replica.propose(command);
+		}
+
+		this.#requireLease();
+		try {
+			return await this.#options.replica.propose(this.#checkConfiguration(command));
+		} catch (error) {
+			if (hasCode(error, codes.settings)) {
+				return {failure: error.toWire()};
+			}
+
+			throw error;
+		}
+	}
+
+	/** Refuses a change whole when one overlay is not valid. A change that was accepted before gets its first answer. */
+	#checkConfiguration(command: CommandOf<'applyConfiguration'>): CommandOf<'applyConfiguration'> {
+		const {state} = this.#options;
+		if (state.findChange(command.changeId) !== undefined) {
+			return command;
+		}
+
+		return {...command, digest: validateConfigurationFiles(command.files, state.sites)};
 	}
 
 	async #onRenew(renewal: Renewal): Promise<View> {
@@ -110,23 +154,25 @@
 
 		const now = clock.now();
 		this.#nodes.set(renewal.node, {renewedAt: now, revision: renewal.knownRevision, digest: renewal.effectiveDigest});
-		for (const {id, incarnation} of renewal.heardBackends) {
-			this.#heardAt.set(`${id}/${incarnation}`, now);
+		for (const heard of renewal.heardBackends) {
+			this.#heardAt.set(getIncarnationKey(heard), now);
 		}
 
 		return this.#createView(renewal);
 	}
 
 	#createView(renewal: Renewal): View {
-		const {state} = this.#options;
+		const {state, replica} = this.#options;
 		const revision = state.configuration?.revision ?? 0;
+		assertInvariant(revision >= renewal.knownRevision, `Host ${renewal.node} has revision ${renewal.knownRevision}, after ${revision}.`);
 		const isConfigurationNew = revision > renewal.knownRevision;
 		const isMembershipNew = state.membershipVersion !== renewal.knownMembership;
 		return {
+			term: replica.term,
 			revision,
 			...(isConfigurationNew && {configuration: state.configuration!}),
 			membershipVersion: state.membershipVersion,
-			...(isMembershipNew && {sessions: state.listSessions(), backends: state.listBackends()}),
+			...(isMembershipNew && {membership: state.getMembershipSince(renewal.knownMembership)}),
 			assigned: state.listHeld(renewal.node).filter(request => request.epoch > 1),
 		};
 	}
@@ -161,19 +207,25 @@
 		while (!signal.aborted) {
 			await clock.sleep(watchIntervalMs, signal);
 			if (!replica.hasLease()) {
+				this.#leadingTerm = 0;
 				continue;
 			}
 
-			if (this.#leadingTerm !== replica.term) {
-				this.#startTerm(replica.term);
+			const isLate = clock.now() - this.#watchedAt > maxWatchGapMs;
+			this.#watchedAt = clock.now();
+			if (this.#leadingTerm !== replica.term || isLate) {
+				this.#startLeases(replica.term);
 			}
 
-			await this.#expire();
+			this.#expire();
 		}
 	}
 
-	/** A new leader knows nothing of earlier renewals, so all leases start anew. */
-	#startTerm(term: number): void {
+	/**
+	A new leader knows nothing of earlier renewals, and one that was frozen or cut off could not hear any,
+	so all leases start anew.
+	*/
+	#startLeases(term: number): void {
 		const {state, clock} = this.#options;
 		this.#leadingTerm = term;
 		this.#nodes.clear();
@@ -184,8 +236,31 @@
 		}
 	}
 
-	async #expire(): Promise<void> {
-		const {state, clock, replica, logger} = this.#options;
+	#expire(): void {
+		this.#forgetGone();
+		const commands = [...this.#findExpiredSessions(), ...this.#findSilentBackends()];
+		// The watch goes on while these commit; each is safe to propose again.
+		void Promise.allSettled(commands.map(async command => this.#options.replica.propose(command)));
+	}
+
+	#forgetGone(): void {
+		const {state} = this.#options;
+		for (const node of this.#nodes.keys()) {
+			if (state.getSession(node) === undefined) {
+				this.#nodes.delete(node);
+			}
+		}
+
+		const present = new Set(state.listBackends().map(backend => getIncarnationKey(backend)));
+		for (const key of this.#heardAt.keys()) {
+			if (!present.has(key)) {
+				this.#heardAt.delete(key);
+			}
+		}
+	}
+
+	#findExpiredSessions(): Command[] {
+		const {state, clock, logger} = this.#options;
 		const now = clock.now();
 		const commands: Command[] = [];
 		for (const session of state.listSessions()) {
@@ -198,8 +273,15 @@
 			}
 		}
 
+		return commands;
+	}
+
+	#findSilentBackends(): Command[] {
+		const {state, clock, logger} = this.#options;
+		const now = clock.now();
+		const commands: Command[] = [];
 		for (const backend of state.listBackends()) {
-			const key = `${backend.id}/${backend.incarnation}`;
+			const key = getIncarnationKey(backend);
 			const heardAt = this.#heardAt.get(key) ?? now;
 			this.#heardAt.set(key, heardAt);
 			if (now - heardAt > backendLeaseMs) {
@@ -210,7 +292,7 @@
 			}
 		}
 
-		await Promise.allSettled(commands.map(async command => replica.propose(command)));
+		return commands;
 	}
 
 	#startNode(node: string): NodeStatus {
@@ -220,6 +302,10 @@
 	}
 }
 
+function getIncarnationKey({id, incarnation}: {readonly id: string; readonly incarnation: string}): string {
+	return `${id}/${incarnation}`;
+}
+
 function parseCommands(commands: readonly unknown[]): Command[] {
 	return commands.map(command => {
 		const parsed = commandSchema.safeParse(command);
--- /dev/null
+++ b/packages/mulberrypitch-control/src/effective-digests.ts
@@ -0,0 +1,29 @@
+/** Digests that the accepted configuration has for each site. */
+import {createConfigurationTexts, getConfigurationDigest, validateSharedConfiguration} from '@mulberrypitch/config/shared-configuration';
+import type {ConfigurationRevision} from './types.js';
+
+/** Computes each digest once a revision. */
+export class EffectiveDigests {
+	readonly #digests = new Map<string, string>();
+	#revision = 0;
+
+	/** Gives the digest of a site, which is empty before the first revision. */
+	get(configuration: ConfigurationRevision | undefined, site: string): string {
+		if (configuration === undefined) {
+			return '';
+		}
+
+		if (configuration.revision !== this.#revision) {
+			this.#digests.clear();
+			this.#revision = configuration.revision;
+		}
+
+		let digest = this.#digests.get(site);
+		if (digest === undefined) {
+			digest = getConfigurationDigest(validateSharedConfiguration(createConfigurationTexts(configuration.files, site)));
+			this.#digests.set(site, digest);
+		}
+
+		return digest;
+	}
+}
--- /dev/null
+++ b/packages/mulberrypitch-control/src/request-commands.ts
@@ -0,0 +1,184 @@
+/** The commands that change requests. */
+import type {RecordFacts} from '@mulberrypitch/account/types';
+import {
+	assertInvariant, ConflictError, NotFoundError, StaleEpochError,
+} from '@mulberrypitch/errors/catalogue';
+import type {LogEntry} from '@mulberrypitch/storage/types';
+import type {AccountRecorder} from './account-recorder.js';
+import type {Acceptance} from './command-value.js';
+import type {CommandOf} from './commands.js';
+import type {RequestTable} from './request-table.js';
+import type {SessionTable} from './session-table.js';
+import type {RequestRecord} from './types.js';
+
+/** The parts of the state that request commands touch. */
+export type RequestContext = {
+	readonly requests: RequestTable;
+	readonly sessions: SessionTable;
+	readonly recorder: AccountRecorder;
+};
+
+/** Applies the commands of requests. */
+export class RequestCommands {
+	readonly #context: RequestContext;
+
+	constructor(context: RequestContext) {
+		this.#context = context;
+	}
+
+	/** Gives the requests of a host whose session ended to their standbys. */
+	transferAll(node: string, entry: LogEntry): void {
+		for (const request of this.#listInOrder(node)) {
+			const {standby} = request;
+			if (standby !== undefined && this.#context.sessions.has(standby)) {
+				this.#moveRequest(request, standby, entry);
+			}
+		}
+	}
+
+	/** Gives a host that restarted, and so holds nothing any more, the requests that had no standby. */
+	returnAll(node: string, entry: LogEntry): void {
+		for (const request of this.#listInOrder(node)) {
+			this.#moveRequest(request, node, entry);
+		}
+	}
+
+	/** Gives one request to another host. */
+	transfer(command: CommandOf<'transferRequest'>, entry: LogEntry): RequestRecord {
+		const request = this.#context.requests.require(command.requestId);
+		if (request.holder === command.holder && request.epoch === command.epoch + 1) {
+			return request;
+		}
+
+		this.#requireUnfinished(request, command.epoch);
+		if (!this.#context.sessions.has(command.holder)) {
+			throw new NotFoundError(`Host ${command.holder} has no session.`);
+		}
+
+		return this.#moveRequest(request, command.holder, entry);
+	}
+
+	/** Accepts a request, or gives the earlier one of its idempotency key. */
+	accept(command: CommandOf<'acceptRequest'>, entry: LogEntry): Acceptance {
+		const duplicate = this.#findDuplicate(command);
+		if (duplicate !== undefined) {
+			return {isDuplicate: duplicate.requestId !== command.requestId, request: duplicate};
+		}
+
+		this.#context.sessions.require(command.holder, command.holderEpoch);
+		const {kind, holderEpoch, entryTime, ...facts} = command;
+		const request: RequestRecord = {
+			...facts, epoch: 1, acceptedAt: entry.time, attempts: [],
+		};
+		this.#context.requests.put(request);
+		this.#context.recorder.record({
+			...getRequestFacts(request), kind: 'accepted', entryTime, host: request.holder, digest: request.digest,
+		}, entry);
+		return {isDuplicate: false, request};
+	}
+
+	/** Records that an attempt is about to be sent. */
+	recordIntent(command: CommandOf<'recordIntent'>, entry: LogEntry): void {
+		const request = this.#context.requests.require(command.requestId);
+		const known = request.attempts.find(attempt => attempt.number === command.attempt);
+		if (known?.backend === command.backend && request.epoch === command.epoch) {
+			return;
+		}
+
+		this.#requireUnfinished(request, command.epoch);
+		if (command.attempt !== request.attempts.length + 1) {
+			throw new ConflictError(`Attempt ${command.attempt} is not the next one.`, 'Read the request again.', {attempts: request.attempts.length});
+		}
+
+		if (!request.isIdempotent && request.attempts.some(attempt => !attempt.isNotSent)) {
+			throw new ConflictError('The request may have run and may not be repeated.', 'Record its outcome as unknown.', {attempts: request.attempts.length});
+		}
+
+		const attempt = {number: command.attempt, backend: command.backend, isNotSent: false};
+		this.#context.requests.put({...request, attempts: [...request.attempts, attempt]});
+		this.#context.recorder.record({
+			...getRequestFacts(request), kind: 'dispatched', entryTime: command.entryTime, host: request.holder, backend: command.backend, attempt: command.attempt,
+		}, entry);
+	}
+
+	/** Records that an attempt never reached its back end. */
+	recordNotSent(command: CommandOf<'recordNotSent'>): void {
+		const request = this.#context.requests.require(command.requestId);
+		this.#requireUnfinished(request, command.epoch);
+		const attempts = request.attempts.map(attempt => attempt.number === command.attempt ? {...attempt, isNotSent: true} : attempt);
+		this.#context.requests.put({...request, attempts});
+	}
+
+	/** Names another standby. */
+	changeStandby(command: CommandOf<'changeStandby'>): void {
+		const request = this.#context.requests.require(command.requestId);
+		this.#requireUnfinished(request, command.epoch);
+		this.#context.requests.put({...request, standby: command.standby});
+	}
+
+	/** Records the end of a request. */
+	finish(command: CommandOf<'finishRequest'>, entry: LogEntry): RequestRecord {
+		const request = this.#context.requests.require(command.requestId);
+		if (request.outcome !== undefined && request.epoch === command.epoch) {
+			return request;
+		}
+
+		this.#requireUnfinished(request, command.epoch);
+		const {outcome} = command;
+		const mayHaveRun = request.attempts.some(attempt => !attempt.isNotSent);
+		assertInvariant(outcome.end !== 'notRun' || !mayHaveRun || request.isIdempotent, `Request ${request.requestId} may have run.`);
+		const finished: RequestRecord = {...request, outcome, finishedAt: entry.time};
+		this.#context.requests.put(finished);
+		this.#context.recorder.record({
+			...getRequestFacts(finished), kind: 'finished', entryTime: command.entryTime, host: finished.holder, end: outcome.end, digest: outcome.digest, lengthBytes: outcome.lengthBytes,
+		}, entry);
+		return finished;
+	}
+
+	/** The order must not depend on whether this replica was restored from a snapshot. */
+	#listInOrder(node: string): RequestRecord[] {
+		return this.#context.requests.listHeld(node).toSorted(compareAcceptance);
+	}
+
+	#moveRequest(request: RequestRecord, holder: string, entry: LogEntry): RequestRecord {
+		const {standby, ...rest} = request;
+		const moved: RequestRecord = {...rest, holder, epoch: request.epoch + 1};
+		this.#context.requests.put(moved);
+		this.#context.recorder.record({
+			...getRequestFacts(moved), kind: 'transferred', entryTime: entry.time, host: holder,
+		}, entry);
+		return moved;
+	}
+
+	#findDuplicate(command: CommandOf<'acceptRequest'>): RequestRecord | undefined {
+		const same = this.#context.requests.get(command.requestId);
+		if (same !== undefined || command.idempotencyKey === undefined) {
+			return same;
+		}
+
+		const earlier = this.#context.requests.findByKey(command.customer, command.service, command.idempotencyKey);
+		if (earlier !== undefined && earlier.digest !== command.digest) {
+			throw new ConflictError('The idempotency key was used for another request.', 'Use a new key for a new request.', {requestId: earlier.requestId});
+		}
+
+		return earlier;
+	}
+
+	#requireUnfinished(request: RequestRecord, epoch: number): void {
+		if (request.epoch !== epoch) {
+			throw new StaleEpochError(`Request ${request.requestId} has another holder.`);
+		}
+
+		if (request.outcome !== undefined) {
+			throw new ConflictError(`Request ${request.requestId} has ended.`, 'Read its outcome.', {end: request.outcome.end});
+		}
+	}
+}
+
+function getRequestFacts(request: RequestRecord): Pick<RecordFacts, 'requestId' | 'customer' | 'service'> {
+	return {requestId: request.requestId, customer: request.customer, service: request.service};
+}
+
+function compareAcceptance(left: RequestRecord, right: RequestRecord): number {
+	return left.acceptedAt - right.acceptedAt || (left.requestId < right.requestId ? -1 : 1);
+}
--- a/packages/mulberrypitch-control/src/types.ts
+++ b/packages/mulberrypitch-control/src/types.ts
@@ -124,12 +124,17 @@
 	readonly overlays: Readonly<Record<string, string>>;
 };
 
-/** One accepted configuration. */
-export type ConfigurationRevision = {
+/** One accepted change of the configuration. */
+export type ConfigurationChange = {
 	readonly revision: number;
 	readonly changeId: string;
 	readonly operator: string;
+	/** Digest over the effective configurations of all sites. */
 	readonly digest: string;
+};
+
+/** One accepted configuration. */
+export type ConfigurationRevision = ConfigurationChange & {
 	readonly files: ConfigurationFiles;
 };
 
@@ -174,13 +179,26 @@
 	readonly address: string;
 };
 
+/** Sessions and back ends that changed, or all of them. */
+export type MembershipChanges = {
+	/** Names all members; those that are not named are gone. */
+	readonly isWhole: boolean;
+	readonly sessions: readonly Session[];
+	readonly backends: readonly BackendServer[];
+	/** Hosts whose sessions ended. */
+	readonly endedSessions: readonly string[];
+	/** Identifiers of back ends that were removed. */
+	readonly removedBackends: readonly string[];
+};
+
 /** What an entry learns at each renewal of its session. Parts that it already knows are left out. */
 export type View = {
+	/** Term of the leader that answered. */
+	readonly term: number;
 	readonly revision: number;
 	readonly configuration?: ConfigurationRevision;
 	readonly membershipVersion: number;
-	readonly sessions?: readonly Session[];
-	readonly backends?: readonly BackendServer[];
+	readonly membership?: MembershipChanges;
 	/** Unfinished requests that this entry took over and has to finish. */
 	readonly assigned: readonly RequestRecord[];
 };
@@ -211,6 +229,17 @@
 	readonly commitIndex: number;
 	readonly lastIndex: number;
 	readonly appliedIndex: number;
-	/** Sites and digests in force by node, known to the leader only. */
-	readonly nodes: ReadonlyArray<{readonly node: string; readonly revision: number; readonly digest: string; readonly ageMs: number}>;
+	/** Configuration in force by node, known to the leader only. */
+	readonly nodes: readonly NodeConfiguration[];
+};
+
+/** The configuration in force on one node, as it said at its last renewal. */
+export type NodeConfiguration = {
+	readonly node: string;
+	readonly site: string;
+	readonly revision: number;
+	readonly digest: string;
+	/** Digest that the accepted configuration has for the site of the node. */
+	readonly expectedDigest: string;
+	readonly ageMs: number;
 };
--- a/packages/mulberrypitch-entry/src/entry-server.ts
+++ b/packages/mulberrypitch-entry/src/entry-server.ts
@@ -11,7 +11,7 @@
 import {CodedError, getMessage, hasCode} from '@mulberrypitch/errors/coded-error';
 import {events} from '@mulberrypitch/logger/events';
 import type {Logger} from '@mulberrypitch/logger/logger';
-import {getConfigurationDigest, validateSharedConfiguration} from '@mulberrypitch/config/shared-configuration';
+import {validateConfigurationFiles} from '@mulberrypitch/config/shared-configuration';
 import type {HostSettings, SharedConfiguration} from '@mulberrypitch/config/types';
 import type {ControlClient} from '@mulberrypitch/control/control-client';
 import type {ReplicaStatus} from '@mulberrypitch/control/types';
@@ -226,16 +226,11 @@
 		}
 
 		const {base, overlays, ...change} = parsed.data;
-		const baseText = {file: 'base', text: base};
-		const digest = getConfigurationDigest(validateSharedConfiguration({base: baseText}));
-		for (const [site, text] of Object.entries(overlays)) {
-			validateSharedConfiguration({base: baseText, overlay: {file: site, text}});
-		}
-
-		const revision = await this.#options.control.propose({
-			kind: 'applyConfiguration', ...change, digest, files: {base, overlays},
+		const files = {base, overlays};
+		const accepted = await this.#options.control.propose({
+			kind: 'applyConfiguration', ...change, digest: validateConfigurationFiles(files, new Set()), files,
 		});
-		sendJson(response, 200, revision);
+		sendJson(response, 200, accepted);
 	}
 
 	async #sendLeaderReply(response: ServerResponse, method: string, parameters: unknown): Promise<void> {
--- a/packages/mulberrypitch-host/src/host.ts
+++ b/packages/mulberrypitch-host/src/host.ts
@@ -5,7 +5,7 @@
 import {AdmissionQueue} from '@mulberrypitch/admission/admission-queue';
 import {EngineClient} from '@mulberrypitch/backends/engine-client';
 import {PlainClient} from '@mulberrypitch/backends/plain-client';
-import {getConfigurationDigest, validateSharedConfiguration} from '@mulberrypitch/config/shared-configuration';
+import {createConfigurationTexts, getConfigurationDigest, validateSharedConfiguration} from '@mulberrypitch/config/shared-configuration';
 import {hostRoles, type HostSettings, type SharedConfiguration} from '@mulberrypitch/config/types';
 import {ControlClient} from '@mulberrypitch/control/control-client';
 import {ControlService} from '@mulberrypitch/control/control-service';
@@ -202,11 +202,7 @@
 
 	#applyConfiguration({revision, files}: ConfigurationRevision): void {
 		const {settings, logger} = this.#options;
-		const overlay = files.overlays[settings.site];
-		this.#configuration = validateSharedConfiguration({
-			base: {file: 'base', text: files.base},
-			...(overlay !== undefined && {overlay: {file: settings.site, text: overlay}}),
-		});
+		this.#configuration = validateSharedConfiguration(createConfigurationTexts(files, settings.site));
 		this.#effectiveDigest = getConfigurationDigest(this.#configuration);
 		logger.log(events.configurationInForce, {revision, digest: this.#effectiveDigest});
 	}
--- a/packages/mulberrypitch-logger/src/events.ts
+++ b/packages/mulberrypitch-logger/src/events.ts
@@ -25,6 +25,8 @@
 	sessionExpired: {number: 1302, level: 'warn', text: 'session expired'},
 	viewStale: {number: 1303, level: 'warn', text: 'view stale'},
 	configurationInForce: {number: 1304, level: 'info', text: 'configuration in force'},
+	viewRejected: {number: 1305, level: 'error', text: 'view rejected'},
+	sessionLost: {number: 1306, level: 'warn', text: 'session lost'},
 	backendRegistered: {number: 1401, level: 'info', text: 'back end registered'},
 	backendLeaving: {number: 1402, level: 'info', text: 'back end leaving'},
 	backendRemoved: {number: 1403, level: 'warn', text: 'back end removed'},
--- a/packages/mulberrypitch/src/commands/config.ts
+++ b/packages/mulberrypitch/src/commands/config.ts
@@ -4,9 +4,11 @@
 import type {CAC} from 'cac';
 import {SettingsError} from '@mulberrypitch/errors/catalogue';
 import {
-	getConfigurationDigest, listEffectiveValues, validateSharedConfiguration, type ConfigurationTexts,
+	createConfigurationTexts, getConfigurationDigest, listEffectiveValues, validateSharedConfiguration, type ConfigurationTexts,
 } from '@mulberrypitch/config/shared-configuration';
-import type {ConfigurationRevision, ReplicaStatus} from '@mulberrypitch/control/types';
+import type {
+	ConfigurationChange, ConfigurationRevision, NodeConfiguration, ReplicaStatus,
+} from '@mulberrypitch/control/types';
 import {callOperatorApi} from '../operator-client.js';
 import {
 	addTargetOptions, getSite, parseTarget, readTextFile, type TargetOptions,
@@ -17,6 +19,7 @@
 	readonly expect?: number;
 	readonly changeId?: string;
 	readonly operator?: string;
+	readonly site?: string;
 };
 
 /**
@@ -33,6 +36,7 @@
 		.option('--expect <revision>', 'Revision that the change is based on')
 		.option('--change-id <id>', 'Identifier to send again after a lost answer')
 		.option('--operator <name>', 'Name to record')
+		.option('--site <site>', 'Show the effective values of one site')
 		.action(async (action: string, files: string[], options: ConfigOptions) => run(action, files, options));
 }
 
@@ -71,11 +75,15 @@
 		}
 
 		writeLine(`site ${site}, digest ${digest}`);
-		writeTable(['section', 'key', 'value', 'set by'], listEffectiveValues(texts).map(({section, key, value, file}) =>
-			[section, key, key.includes('sha256') ? `${value.slice(0, 8)}…` : value, file]));
+		writeValues(texts);
 	}
 }
 
+function writeValues(texts: ConfigurationTexts): void {
+	writeTable(['section', 'key', 'value', 'set by'], listEffectiveValues(texts).map(({section, key, value, file}) =>
+		[section, key, key.includes('sha256') ? `${value.slice(0, 8)}…` : value, file]));
+}
+
 async function apply(files: string[], options: ConfigOptions): Promise<void> {
 	const texts = readTexts(files);
 	for (const pair of texts) {
@@ -85,7 +93,7 @@
 	const target = parseTarget(options);
 	const expectedRevision = options.expect ?? await getRevision(options);
 	const changeId = options.changeId ?? randomUUID();
-	const accepted = await callOperatorApi<ConfigurationRevision>(target, 'POST', '/v1/admin/configuration', {
+	const accepted = await callOperatorApi<ConfigurationChange>(target, 'POST', '/v1/admin/configuration', {
 		changeId,
 		expectedRevision,
 		operator: options.operator ?? userInfo().username,
@@ -102,6 +110,11 @@
 
 async function show(options: ConfigOptions): Promise<void> {
 	const {configuration} = await callOperatorApi<{configuration?: ConfigurationRevision}>(parseTarget(options), 'GET', '/v1/admin/configuration');
+	if (options.site !== undefined && configuration !== undefined) {
+		showSite(configuration, options.site, options);
+		return;
+	}
+
 	if (options.json === true) {
 		writeJson(configuration ?? {revision: 0});
 		return;
@@ -110,6 +123,20 @@
 	writeLine(configuration === undefined ? 'No configuration was accepted yet.' : `Revision ${configuration.revision} by ${configuration.operator}\n\n${configuration.files.base}`);
 }
 
+function showSite(configuration: ConfigurationRevision, site: string, options: ConfigOptions): void {
+	const texts = createConfigurationTexts(configuration.files, site);
+	const digest = getConfigurationDigest(validateSharedConfiguration(texts));
+	if (options.json === true) {
+		writeJson({
+			revision: configuration.revision, site, digest, values: listEffectiveValues(texts),
+		});
+		return;
+	}
+
+	writeLine(`revision ${configuration.revision}, site ${site}, digest ${digest}`);
+	writeValues(texts);
+}
+
 async function showStatus(options: ConfigOptions): Promise<void> {
 	const {leader} = await callOperatorApi<{leader?: ReplicaStatus}>(parseTarget(options), 'GET', '/v1/admin/status');
 	const nodes = leader?.nodes ?? [];
@@ -118,7 +145,12 @@
 		return;
 	}
 
-	writeTable(['node', 'revision', 'digest', 'age ms'], nodes.map(node => [node.node, node.revision, node.digest.slice(0, 12), node.ageMs]));
+	writeTable(['node', 'site', 'revision', 'digest', 'age ms', 'state'], nodes.map(node =>
+		[node.node, node.site, node.revision, node.digest.slice(0, 12), node.ageMs, getState(node)]));
+}
+
+function getState(node: NodeConfiguration): string {
+	return node.digest === node.expectedDigest ? 'in force' : `MISMATCH, expected ${node.expectedDigest.slice(0, 12)}`;
 }
 
 async function getRevision(options: ConfigOptions): Promise<number> {
