--- a/packages/mulberrypitch-control/src/__tests__/control-group.ts
+++ b/packages/mulberrypitch-control/src/__tests__/control-group.ts
@@ -4,6 +4,7 @@
 import {demoConfiguration} from '@mulberrypitch/config/defaults';
 import {MemoryNetwork} from '@mulberrypitch/fakes/memory-transport';
 import {VirtualClock} from '@mulberrypitch/fakes/virtual-clock';
+import type {Clock} from '@mulberrypitch/lifecycle/clock';
 import {SeededRandom} from '@mulberrypitch/lifecycle/random';
 import {SilentLogger} from '@mulberrypitch/logger/logger';
 import {MemoryLog} from '@mulberrypitch/storage/memory-log';
@@ -15,6 +16,7 @@
 
 const group = 'main';
 const sites = ['palermo', 'catania', 'agrigento'];
+const steadyRates = {entry: 1, control: 1};
 const replicaNames = ['a', 'b', 'c'];
 
 /** Configuration of the demo with a queue limit that tells revisions apart. */
@@ -22,6 +24,25 @@
 	return {base: demoConfiguration.replace('kind = engine', `kind = engine\nqueue-limit = ${queueLimit}`), overlays};
 }
 
+/** A clock that runs faster or slower than virtual time. */
+class DriftingClock implements Clock {
+	constructor(readonly clock: VirtualClock, readonly rate: number) {
+		// Both are fixed for one run.
+	}
+
+	now(): number {
+		return this.clock.now() * this.rate;
+	}
+
+	wallTime(): number {
+		return this.clock.wallTime();
+	}
+
+	async sleep(durationMs: number, signal?: AbortSignal): Promise<void> {
+		return this.clock.sleep(durationMs / this.rate, signal);
+	}
+}
+
 /** One control host, which can be stopped and started again with or without its disk. */
 export class ControlHost {
 	replica!: Replica;
@@ -31,7 +52,7 @@
 
 	#log = new MemoryLog();
 
-	constructor(readonly name: string, readonly network: MemoryNetwork, readonly clock: VirtualClock, readonly seed: number) {
+	constructor(readonly name: string, readonly network: MemoryNetwork, readonly clock: Clock, readonly seed: number) {
 		this.network.join(name);
 	}
 
@@ -82,11 +103,12 @@
 	readonly client: ControlClient;
 	readonly site: string;
 	readonly assigned: RequestRecord[] = [];
+	readonly lostEpochs: number[] = [];
 	heard: Array<{id: string; incarnation: string}> = [];
 	queueLimit = 0;
 	#digest = '';
 
-	constructor(readonly name: string, index: number, incarnation: string, {network, clock}: ControlGroup) {
+	constructor(readonly name: string, index: number, incarnation: string, {network, entryClock: clock}: ControlGroup) {
 		this.site = sites[index % sites.length]!;
 		this.client = new ControlClient({
 			group,
@@ -107,6 +129,9 @@
 			onAssigned: requests => {
 				this.assigned.push(...requests);
 			},
+			onSessionLost: epoch => {
+				this.lostEpochs.push(epoch);
+			},
 		});
 		this.client.start();
 	}
@@ -116,9 +141,16 @@
 export class ControlGroup {
 	readonly clock = new VirtualClock();
 	readonly network = new MemoryNetwork(this.clock);
-	readonly controls = replicaNames.map((name, index) => new ControlHost(name, this.network, this.clock, index + 1));
+	readonly entryClock: Clock;
+	readonly controls: readonly ControlHost[];
 	readonly entries: EntryHost[] = [];
 
+	constructor(rates: {readonly entry: number; readonly control: number} = steadyRates) {
+		this.entryClock = new DriftingClock(this.clock, rates.entry);
+		const controlClock = new DriftingClock(this.clock, rates.control);
+		this.controls = replicaNames.map((name, index) => new ControlHost(name, this.network, controlClock, index + 1));
+	}
+
 	async start(entryCount: number): Promise<void> {
 		await Promise.all(this.controls.map(async host => host.start()));
 		for (let index = 0; index < entryCount; index += 1) {
@@ -161,6 +193,38 @@
 		}));
 	}
 
+	/** Accepts a request on one host with its copy on another. */
+	async accept(holder: EntryHost, requestId: string, standby?: EntryHost) {
+		return this.settle(holder.client.propose({
+			kind: 'acceptRequest',
+			requestId,
+			customer: 'clinic',
+			service: 'advice',
+			digest: 'd',
+			fingerprint: 'f',
+			isIdempotent: true,
+			holder: holder.name,
+			holderEpoch: holder.client.session!.epoch,
+			...(standby !== undefined && {standby: standby.name}),
+			entryTime: 0,
+		}));
+	}
+
+	/** Registers a back end that one host hears. */
+	async register(entry: EntryHost, id: string) {
+		return this.settle(entry.client.propose({
+			kind: 'registerBackend',
+			id,
+			incarnation: 'first',
+			address: 'http://127.0.0.9:1',
+			zone: 'palermo',
+			machineClass: 'standard',
+			services: ['advice'],
+			backendKind: 'engine',
+			capabilities: {slots: 1, checksFencing: true, movesCache: false},
+		}));
+	}
+
 	async dispose(): Promise<void> {
 		await this.settle(Promise.all(this.entries.map(async ({client}) => client.dispose())));
 		await this.settle(Promise.all(this.controls.map(async host => host.dispose())));
--- a/packages/mulberrypitch-control/src/control-client.ts
+++ b/packages/mulberrypitch-control/src/control-client.ts
@@ -42,6 +42,8 @@
 	readonly getEffectiveDigest: () => string;
 	readonly onConfiguration: (revision: ConfigurationRevision) => void;
 	readonly onAssigned: (requests: readonly RequestRecord[]) => void;
+	/** Called when the leader has ended the session: what this host still holds may belong to others by now. */
+	readonly onSessionLost?: (epoch: number) => void;
 };
 
 type Waiting = {
@@ -226,10 +228,13 @@
 	}
 
 	#onFailure(error: CodedError): void {
-		const {logger} = this.#options;
-		if (error.code === codes.staleEpoch) {
-			logger.log(events.sessionLost, {epoch: this.#session?.epoch ?? 0});
+		const {logger, onSessionLost} = this.#options;
+		const session = this.#session;
+		if (error.code === codes.staleEpoch && session !== undefined) {
+			logger.log(events.sessionLost, {epoch: session.epoch});
 			this.#session = undefined;
+			this.#freshUntil = Number.NEGATIVE_INFINITY;
+			onSessionLost?.(session.epoch);
 		} else if (!isRetryable(error)) {
 			logger.log(events.viewRejected, {code: error.code, reason: error.message});
 		}
