--- a/packages/mulberrypitch-control/src/commands.ts
+++ b/packages/mulberrypitch-control/src/commands.ts
@@ -27,6 +27,14 @@
 	}).optional(),
 });
 
+const maxLoaded = 100;
+
+const desired = z.strictObject({
+	role: name,
+	models: z.array(name).max(maxLoaded),
+	adapters: z.array(name).max(maxLoaded),
+});
+
 /** Schema of all commands. */
 export const commandSchema = z.discriminatedUnion('kind', [
 	z.strictObject({kind: z.literal('leaderStarted'), leader: name}),
@@ -106,6 +114,7 @@
 			overlays: z.record(name, z.string().max(maxConfigurationLength)),
 		}),
 	}),
+	z.strictObject({kind: z.literal('setDesired'), backend: name, desired: desired.optional()}),
 ]);
 
 /** A command of the replicated log. */
--- a/packages/mulberrypitch-control/src/control-state.ts
+++ b/packages/mulberrypitch-control/src/control-state.ts
@@ -8,12 +8,13 @@
 import {BackendTable} from './backend-table.js';
 import type {Command, CommandOf} from './commands.js';
 import {ConfigurationTable, type CapturedConfiguration} from './configuration-table.js';
+import {DesiredTable} from './desired-table.js';
 import {MembershipFeed} from './membership-feed.js';
 import {RequestCommands} from './request-commands.js';
 import {RequestTable} from './request-table.js';
 import {SessionTable, type CapturedSessions} from './session-table.js';
 import type {
-	Applied, BackendServer, CommandResult, ConfigurationChange, ConfigurationRevision, MembershipChanges, RequestRecord, Session, StateMachine,
+	Applied, BackendServer, CommandResult, ConfigurationChange, ConfigurationRevision, DesiredState, MembershipChanges, RequestRecord, Session, StateMachine,
 } from './types.js';
 
 /** The JSON form of the whole state. */
@@ -22,6 +23,7 @@
 	readonly backends: readonly BackendServer[];
 	readonly requests: readonly RequestRecord[];
 	readonly configuration: CapturedConfiguration;
+	readonly desired: ReadonlyArray<readonly [string, DesiredState]>;
 	readonly membershipVersion: number;
 	readonly head: ChainHead;
 };
@@ -35,6 +37,7 @@
 	readonly #backends = new BackendTable(this.#feed);
 	readonly #requests = new RequestTable();
 	readonly #configuration = new ConfigurationTable();
+	readonly #desired = new DesiredTable();
 	readonly #recorder = new AccountRecorder();
 	readonly #requestCommands = new RequestCommands({
 		requests: this.#requests, sessions: this.#sessions, recorder: this.#recorder,
@@ -95,6 +98,16 @@
 		return this.#requests.listHeld(node);
 	}
 
+	/** Gives the state that a back end should be in. */
+	getDesired(backend: string): DesiredState | undefined {
+		return this.#desired.get(backend);
+	}
+
+	/** Lists the back ends that have a desired state. */
+	listDesired(): readonly string[] {
+		return this.#desired.list().map(([backend]) => backend);
+	}
+
 	/** Finds an accepted change of the configuration by its identifier. */
 	findChange(changeId: string): ConfigurationChange | undefined {
 		return this.#configuration.findChange(changeId);
@@ -126,6 +139,7 @@
 			backends: this.listBackends(),
 			requests: this.#requests.list(),
 			configuration: this.#configuration.capture(),
+			desired: this.#desired.list(),
 			membershipVersion: this.#feed.version,
 			head: this.#recorder.head,
 		};
@@ -137,6 +151,7 @@
 		this.#backends.restore(captured.backends);
 		this.#requests.restore(captured.requests);
 		this.#configuration.restore(captured.configuration);
+		this.#desired.restore(captured.desired);
 		this.#feed.restore(captured.membershipVersion);
 		this.#recorder.restore(captured.head);
 	}
@@ -191,6 +206,9 @@
 			transferRequest: command => requests.transfer(command, entry),
 			finishRequest: command => requests.finish(command, entry),
 			applyConfiguration: command => this.#configuration.apply(command),
+			setDesired: command => {
+				this.#desired.set(command);
+			},
 		};
 	}
 
--- a/packages/mulberrypitch-control/src/types.ts
+++ b/packages/mulberrypitch-control/src/types.ts
@@ -138,6 +138,15 @@
 	readonly files: ConfigurationFiles;
 };
 
+/** The state that a back end should be in. */
+export type DesiredState = {
+	readonly role: string;
+	/** Models to hold, each with its version, for example `advice@7`. */
+	readonly models: readonly string[];
+	/** Adapters to hold, each with its version. */
+	readonly adapters: readonly string[];
+};
+
 /** What applying one log entry gave. */
 export type Applied = {
 	readonly result: CommandResult;
--- a/packages/mulberrypitch-logger/src/events.ts
+++ b/packages/mulberrypitch-logger/src/events.ts
@@ -37,4 +37,6 @@
 	requestRefused: {number: 1505, level: 'info', text: 'request refused'},
 	requestTakenOver: {number: 1506, level: 'warn', text: 'request taken over'},
 	requestFailed: {number: 1507, level: 'warn', text: 'request failed'},
+	orderSent: {number: 1601, level: 'info', text: 'order sent'},
+	orderFailed: {number: 1602, level: 'warn', text: 'order failed'},
 } as const satisfies Record<string, CataloguedEvent>;
