--- a/packages/mulberrypitch-control/src/request-commands.ts
+++ b/packages/mulberrypitch-control/src/request-commands.ts
@@ -26,19 +26,20 @@
 		this.#context = context;
 	}
 
-	/** Gives the requests of a host whose session ended to their standbys. */
+	/** Gives the requests of a host whose session ended to their standbys, or to any other host so that they still end. */
 	transferAll(node: string, entry: LogEntry): void {
-		for (const request of this.#listInOrder(node)) {
-			const {standby} = request;
-			if (standby !== undefined && this.#context.sessions.has(standby)) {
-				this.#moveRequest(request, standby, entry);
+		for (const request of this.#listInOrder(candidate => candidate.holder === node)) {
+			const holder = this.#findNextHolder(request);
+			if (holder !== undefined) {
+				this.#moveRequest(request, holder, entry);
 			}
 		}
 	}
 
-	/** Gives a host that restarted, and so holds nothing any more, the requests that had no standby. */
-	returnAll(node: string, entry: LogEntry): void {
-		for (const request of this.#listInOrder(node)) {
+	/** Gives a host that just opened its session the requests that no host with a session holds, and its own of before. */
+	adoptOrphans(node: string, entry: LogEntry): void {
+		const {sessions} = this.#context;
+		for (const request of this.#listInOrder(({holder}) => holder === node || !sessions.has(holder))) {
 			this.#moveRequest(request, node, entry);
 		}
 	}
@@ -135,9 +136,21 @@
 		return finished;
 	}
 
-	/** The order must not depend on whether this replica was restored from a snapshot. */
-	#listInOrder(node: string): RequestRecord[] {
-		return this.#context.requests.listHeld(node).toSorted(compareAcceptance);
+	#findNextHolder({holder, standby}: RequestRecord): string | undefined {
+		const {sessions} = this.#context;
+		if (standby !== undefined && sessions.has(standby)) {
+			return standby;
+		}
+
+		const others = sessions.list().filter(({node}) => node !== holder);
+		return (others.find(({isDraining}) => !isDraining) ?? others[0])?.node;
+	}
+
+	/** Lists unfinished requests. The order must not depend on whether this replica was restored from a snapshot. */
+	#listInOrder(isWanted: (request: RequestRecord) => boolean): RequestRecord[] {
+		return this.#context.requests.list()
+			.filter(request => request.outcome === undefined && isWanted(request))
+			.toSorted(compareAcceptance);
 	}
 
 	#moveRequest(request: RequestRecord, holder: string, entry: LogEntry): RequestRecord {
