--- a/packages/mulberrypitch-requests/src/__tests__/request-cluster.ts
+++ b/packages/mulberrypitch-requests/src/__tests__/request-cluster.ts
@@ -2,6 +2,7 @@
 import {createHash} from 'node:crypto';
 import {AccountStore} from '@mulberrypitch/account/account-store';
 import {AdmissionQueue} from '@mulberrypitch/admission/admission-queue';
+import {EvenQuota} from '@mulberrypitch/admission/quota';
 import {ControlClient} from '@mulberrypitch/control/control-client';
 import {ControlService} from '@mulberrypitch/control/control-service';
 import {ControlState} from '@mulberrypitch/control/control-state';
@@ -146,7 +147,7 @@
 			clock,
 			logger,
 			metrics,
-			admission: new AdmissionQueue(),
+			admission: new AdmissionQueue({clock, quota: new EvenQuota(() => ({hosts: 1, rank: 0}))}),
 			createRequestId: () => this.#createRequestId(),
 			getRetryPolicy: () => ({maxAttempts: 4, budgetRatio: 1}),
 			getReclaimPolicy: () => ({costWeight: 1, recomputeWeight: 1}),
