Quarantine requests that kill back ends

Cause: a request that crashes its back end was retried on one after another. Change: charges in the replicated state (quarantine-table.ts, new command chargeFingerprint, isSuspect on intents and acceptances, wired in control-state.ts and request-commands.ts); charged requests run apart; two confirmed charges end them with quarantined and a time to come back. The fingerprint now covers the workspace. Ruled out: charging without a confirmed death (a cut link would quarantine innocents); a free back end for each suspect.

--- a/packages/mulberrypitch-control/src/command-value.ts
+++ b/packages/mulberrypitch-control/src/command-value.ts
@@ -8,6 +8,8 @@
 export type Acceptance = {
 	readonly isDuplicate: boolean;
 	readonly request: RequestRecord;
+	/** A back end that ran the same content has died. */
+	readonly isSuspect: boolean;
 };
 
 /** Values by command kind; commands that are not named give nothing. */
--- a/packages/mulberrypitch-control/src/commands.ts
+++ b/packages/mulberrypitch-control/src/commands.ts
@@ -90,6 +90,8 @@
 		epoch: integer,
 		attempt: z.number().int().positive(),
 		backend: name,
+		/** The request has a charge, and the intent is refused unless it runs apart from others with one. */
+		isSuspect: z.boolean().optional(),
 		entryTime: z.number(),
 	}),
 	z.strictObject({
@@ -116,6 +118,9 @@
 		}),
 	}),
 	z.strictObject({kind: z.literal('setDesired'), backend: name, desired: desired.optional()}),
+	z.strictObject({
+		kind: z.literal('chargeFingerprint'), fingerprint: name, backend: name, incarnation: name,
+	}),
 ]);
 
 /** A command of the replicated log. */
--- a/packages/mulberrypitch-control/src/control-state.ts
+++ b/packages/mulberrypitch-control/src/control-state.ts
@@ -10,6 +10,7 @@
 import {ConfigurationTable, type CapturedConfiguration} from './configuration-table.js';
 import {DesiredTable} from './desired-table.js';
 import {MembershipFeed} from './membership-feed.js';
+import {QuarantineTable, type CapturedQuarantine} from './quarantine-table.js';
 import {RequestCommands} from './request-commands.js';
 import {RequestTable} from './request-table.js';
 import {SessionTable, type CapturedSessions} from './session-table.js';
@@ -24,6 +25,7 @@
 	readonly requests: readonly RequestRecord[];
 	readonly configuration: CapturedConfiguration;
 	readonly desired: ReadonlyArray<readonly [string, DesiredState]>;
+	readonly quarantine: CapturedQuarantine;
 	readonly membershipVersion: number;
 	readonly head: ChainHead;
 };
@@ -38,9 +40,10 @@
 	readonly #requests = new RequestTable();
 	readonly #configuration = new ConfigurationTable();
 	readonly #desired = new DesiredTable();
+	readonly #quarantine = new QuarantineTable(this.#backends);
 	readonly #recorder = new AccountRecorder();
 	readonly #requestCommands = new RequestCommands({
-		requests: this.#requests, sessions: this.#sessions, recorder: this.#recorder,
+		requests: this.#requests, sessions: this.#sessions, recorder: this.#recorder, quarantine: this.#quarantine,
 	});
 
 	/** Version of sessions and back ends together; grows with each change of either. */
@@ -140,6 +143,7 @@
 			requests: this.#requests.list(),
 			configuration: this.#configuration.capture(),
 			desired: this.#desired.list(),
+			quarantine: this.#quarantine.capture(),
 			membershipVersion: this.#feed.version,
 			head: this.#recorder.head,
 		};
@@ -152,6 +156,7 @@
 		this.#requests.restore(captured.requests);
 		this.#configuration.restore(captured.configuration);
 		this.#desired.restore(captured.desired);
+		this.#quarantine.restore(captured.quarantine);
 		this.#feed.restore(captured.membershipVersion);
 		this.#recorder.restore(captured.head);
 	}
@@ -186,11 +191,23 @@
 					requests.transferAll(node, entry);
 				}
 			},
-			registerBackend: command => this.#backends.register(command),
+			registerBackend: command => {
+				const known = this.#backends.get(command.id);
+				if (known?.incarnation !== command.incarnation) {
+					this.#quarantine.confirm(known, entry.time);
+				}
+
+				return this.#backends.register(command);
+			},
 			leaveBackend: command => {
 				this.#backends.leave(command);
 			},
 			removeBackend: command => {
+				const known = this.#backends.get(command.id);
+				if (known?.incarnation === command.incarnation && command.cause !== 'left') {
+					this.#quarantine.confirm(known, entry.time);
+				}
+
 				this.#backends.remove(command);
 			},
 			acceptRequest: command => requests.accept(command, entry),
@@ -209,6 +226,9 @@
 			setDesired: command => {
 				this.#desired.set(command);
 			},
+			chargeFingerprint: command => {
+				this.#quarantine.charge(command, entry.time);
+			},
 		};
 	}
 
--- a/packages/mulberrypitch-control/src/request-commands.ts
+++ b/packages/mulberrypitch-control/src/request-commands.ts
@@ -7,6 +7,7 @@
 import type {AccountRecorder} from './account-recorder.js';
 import type {Acceptance} from './command-value.js';
 import type {CommandOf} from './commands.js';
+import type {QuarantineTable} from './quarantine-table.js';
 import type {RequestTable} from './request-table.js';
 import type {SessionTable} from './session-table.js';
 import type {RequestRecord} from './types.js';
@@ -16,6 +17,7 @@
 	readonly requests: RequestTable;
 	readonly sessions: SessionTable;
 	readonly recorder: AccountRecorder;
+	readonly quarantine: QuarantineTable;
 };
 
 /** Applies the commands of requests. */
@@ -63,9 +65,10 @@
 	accept(command: CommandOf<'acceptRequest'>, entry: LogEntry): Acceptance {
 		const duplicate = this.#findDuplicate(command);
 		if (duplicate !== undefined) {
-			return {isDuplicate: duplicate.requestId !== command.requestId, request: duplicate};
+			return {isDuplicate: duplicate.requestId !== command.requestId, request: duplicate, isSuspect: this.#isSuspect(duplicate, entry)};
 		}
 
+		this.#context.quarantine.requireAllowed(command.fingerprint, entry.time);
 		this.#context.sessions.require(command.holder, command.holderEpoch);
 		const {kind, holderEpoch, entryTime, ...facts} = command;
 		const request: RequestRecord = {
@@ -75,7 +78,7 @@
 		this.#context.recorder.record({
 			...getRequestFacts(request), kind: 'accepted', entryTime, host: request.holder, digest: request.digest,
 		}, entry);
-		return {isDuplicate: false, request};
+		return {isDuplicate: false, request, isSuspect: this.#isSuspect(request, entry)};
 	}
 
 	/** Records that an attempt is about to be sent. */
@@ -95,6 +98,10 @@
 			throw new ConflictError('The request may have run and may not be repeated.', 'Record its outcome as unknown.', {attempts: request.attempts.length});
 		}
 
+		if (command.isSuspect === true) {
+			this.#requireApart(request, command.backend, entry);
+		}
+
 		const attempt = {number: command.attempt, backend: command.backend, isNotSent: false};
 		this.#context.requests.put({...request, attempts: [...request.attempts, attempt]});
 		this.#context.recorder.record({
@@ -130,6 +137,10 @@
 		assertInvariant(outcome.end !== 'notRun' || !mayHaveRun || request.isIdempotent, `Request ${request.requestId} may have run.`);
 		const finished: RequestRecord = {...request, outcome, finishedAt: entry.time};
 		this.#context.requests.put(finished);
+		if (outcome.end === 'answered') {
+			this.#context.quarantine.clear(finished.fingerprint);
+		}
+
 		this.#context.recorder.record({
 			...getRequestFacts(finished), kind: 'finished', entryTime: command.entryTime, host: finished.holder, end: outcome.end, digest: outcome.digest, lengthBytes: outcome.lengthBytes,
 		}, entry);
@@ -153,6 +164,33 @@
 			.toSorted(compareAcceptance);
 	}
 
+	#isSuspect({fingerprint}: RequestRecord, entry: LogEntry): boolean {
+		return this.#context.quarantine.getCharges(fingerprint, entry.time).length > 0;
+	}
+
+	/**
+	Lets a charged request run only where no other charged one runs, and nowhere while its content runs or while two
+	deaths are not yet confirmed, so that the blame for the next death is clear.
+	*/
+	#requireApart(request: RequestRecord, backend: string, entry: LogEntry): void {
+		const {quarantine, requests} = this.#context;
+		quarantine.requireAllowed(request.fingerprint, entry.time);
+		const charges = quarantine.getCharges(request.fingerprint, entry.time);
+		if (charges.length === 0) {
+			return;
+		}
+
+		const isKnownDanger = charges.length > 1 || charges.some(charge => charge.backend === backend);
+		const isShared = requests.list().some(other => {
+			const attempt = other.attempts.at(-1);
+			const isRunning = other.outcome === undefined && other.requestId !== request.requestId && attempt?.isNotSent === false;
+			return isRunning && (other.fingerprint === request.fingerprint || (attempt.backend === backend && this.#isSuspect(other, entry)));
+		});
+		if (isKnownDanger || isShared) {
+			throw new ConflictError('The request may have killed a back end and must run apart.', 'Try another back end.', {charges: charges.length});
+		}
+	}
+
 	#moveRequest(request: RequestRecord, holder: string, entry: LogEntry): RequestRecord {
 		const moved: RequestRecord = {...request, holder, epoch: request.epoch + 1};
 		this.#context.requests.put(moved);
--- a/packages/mulberrypitch-requests/src/messages.ts
+++ b/packages/mulberrypitch-requests/src/messages.ts
@@ -6,6 +6,7 @@
 /** A copy of a request for its standby. */
 export const heldCopySchema = z.object({
 	requestId: z.string(),
+	fingerprint: z.string(),
 	epoch: z.number().int().positive(),
 	customer: z.string(),
 	service: z.string(),
--- a/packages/mulberrypitch-requests/src/request-holder.ts
+++ b/packages/mulberrypitch-requests/src/request-holder.ts
@@ -27,6 +27,7 @@
 const maxBackoffMs = 2000;
 const proposalRetryMs = 200;
 const cacheTimeoutMs = 5000;
+const apartRetryMs = 500;
 const charactersPerToken = 4;
 const defaultTokenMs = 50;
 const maxKeptAnswerLength = 64_000;
@@ -56,6 +57,8 @@
 	readonly standby?: Session;
 	/** Holder and standby were lost together, so the request can only be ended. */
 	readonly isLost?: boolean;
+	/** A back end that ran the same content has died. */
+	readonly isSuspect?: boolean;
 };
 
 type Target = {
@@ -75,6 +78,7 @@
 	readonly #link: StandbyLink;
 	#attempt: number;
 	#dispatched = 0;
+	#isSuspect: boolean;
 	#detour = new AbortController();
 	#current: Target | undefined;
 	#moved: Target | undefined;
@@ -86,6 +90,7 @@
 		this.#context = context;
 		this.#start = start;
 		this.#attempt = start.attempts;
+		this.#isSuspect = start.isSuspect === true || start.attempts > 0;
 		this.answer = new AnswerLog(start.copy.chunks);
 		this.#link = new StandbyLink(context, {
 			copy: start.copy, answer: this.answer, ...(start.standby !== undefined && {standby: start.standby}),
@@ -272,7 +277,7 @@
 	/** Tells whether the last failure says nothing of the request: nothing was sent, or the back end's leaving was announced. */
 	#isForeseen(backend: BackendServer): boolean {
 		const isLeaving = this.#context.control.backends.find(({id, incarnation}) => id === backend.id && incarnation === backend.incarnation)?.isLeaving !== false;
-		return isLeaving || this.#lastFailure?.details.isNotSent === true;
+		return isLeaving || this.#lastFailure?.details.isNotSent === true || this.#lastFailure?.code === codes.conflict;
 	}
 
 	#giveUp(): Outcome {
@@ -325,6 +330,14 @@
 		});
 		let isFailure = true;
 		try {
+			if (this.#isSuspect) {
+				const refusal = await this.#getRefusal(intent);
+				if (refusal !== undefined) {
+					isFailure = false;
+					return await this.#onRefusal(refusal);
+				}
+			}
+
 			if (!copy.isIdempotent) {
 				await intent;
 				control.requireFresh();
@@ -351,7 +364,47 @@
 	async #recordIntent(backend: string): Promise<void> {
 		const {clock} = this.#context;
 		await this.#propose({
-			kind: 'recordIntent', requestId: this.requestId, epoch: this.#start.copy.epoch, attempt: this.#attempt, backend, entryTime: clock.wallTime(),
+			kind: 'recordIntent', requestId: this.requestId, epoch: this.#start.copy.epoch, attempt: this.#attempt, backend, isSuspect: this.#isSuspect, entryTime: clock.wallTime(),
+		});
+	}
+
+	/** Gives the failure of an intent that the control group refuses because the content may kill back ends. */
+	async #getRefusal(intent: Promise<void>): Promise<CodedError | undefined> {
+		try {
+			await intent;
+		} catch (error) {
+			if (error instanceof CodedError && (error.code === codes.quarantined || error.code === codes.conflict)) {
+				return error;
+			}
+
+			throw error;
+		}
+
+		return undefined;
+	}
+
+	/** Ends a quarantined request at once; another one waits until it may run apart. */
+	async #onRefusal(refusal: CodedError): Promise<Outcome | undefined> {
+		this.#attempt -= 1;
+		this.#lastFailure = refusal;
+		if (refusal.code === codes.quarantined) {
+			return {...createEnd(ends.failed, codes.quarantined), retryAfterSeconds: Number(refusal.details.retryAfterSeconds)};
+		}
+
+		await this.#context.clock.sleep(apartRetryMs, this.#abort.signal);
+		return undefined;
+	}
+
+	/** Charges the content with a back end that broke it off without a notice. */
+	async #chargeBackend(error: CodedError, backend: BackendServer): Promise<void> {
+		const isBrokenOff = error.code === codes.backendFailed && error.details.isNotSent !== true && error.details.status === undefined;
+		if (!isBrokenOff || this.#isForeseen(backend) || this.#abort.signal.aborted || this.#getRemainingMs() <= 0) {
+			return;
+		}
+
+		this.#isSuspect = true;
+		await this.#propose({
+			kind: 'chargeFingerprint', fingerprint: this.#start.copy.fingerprint, backend: backend.id, incarnation: backend.incarnation,
 		});
 	}
 
@@ -362,6 +415,7 @@
 		}
 
 		this.#lastFailure = error;
+		await this.#chargeBackend(error, backend);
 		this.#context.logger.log(events.requestRetried, {
 			request: this.requestId, customer: copy.customer, backend: backend.id, attempt: this.#attempt, reason: error.message,
 		});
--- a/packages/mulberrypitch-requests/src/request-service.ts
+++ b/packages/mulberrypitch-requests/src/request-service.ts
@@ -148,7 +148,7 @@
 		} = this.#options;
 		const copy = createCopy(call, createRequestId(), clock.wallTime());
 		const standby = await copyToStandby(this.#options, copy);
-		const digest = getDigest(call);
+		const digest = copy.fingerprint;
 		const acceptance = await control.propose({
 			kind: 'acceptRequest',
 			requestId: copy.requestId,
@@ -170,7 +170,7 @@
 
 		logger.log(events.requestAccepted, {request: copy.requestId, customer: copy.customer, service: copy.service});
 		this.#hold({
-			copy, attempts: 0, mayHaveRun: false, ...(standby !== undefined && {standby}),
+			copy, attempts: 0, mayHaveRun: false, isSuspect: acceptance.isSuspect, ...(standby !== undefined && {standby}),
 		}, ticket);
 		return this.#follow(acceptance.request);
 	}
@@ -282,6 +282,7 @@
 function createCopy(call: IncomingCall, requestId: string, now: number): HeldCopy {
 	return {
 		requestId,
+		fingerprint: getDigest(call),
 		epoch: 1,
 		customer: call.workspace.name,
 		service: call.service.name,
@@ -298,6 +299,7 @@
 function createLostCopy(record: RequestRecord, now: number): HeldCopy {
 	return {
 		requestId: record.requestId,
+		fingerprint: record.fingerprint,
 		epoch: record.epoch,
 		customer: record.customer,
 		service: record.service,
@@ -314,5 +316,5 @@
 
 function getDigest(call: IncomingCall): string {
 	const {method, path, text} = call.body;
-	return createHash('sha256').update(JSON.stringify([call.service.name, method, path, text])).digest('hex');
+	return createHash('sha256').update(JSON.stringify([call.workspace.name, call.service.name, method, path, text])).digest('hex');
 }
--- a/packages/mulberrypitch-requests/src/types.ts
+++ b/packages/mulberrypitch-requests/src/types.ts
@@ -37,6 +37,8 @@
 /** Everything another host needs to carry a request on. */
 export type HeldCopy = {
 	readonly requestId: string;
+	/** Hash of the content, for the charges of requests that kill back ends. */
+	readonly fingerprint: string;
 	/** Epoch of the holder that left the copy. */
 	readonly epoch: number;
 	readonly customer: string;
--- a/packages/mulberrypitch/src/__tests__/stops.test.ts
+++ b/packages/mulberrypitch/src/__tests__/stops.test.ts
@@ -118,7 +118,8 @@
 
 await t.test('Caltanissetta plan: the holder is killed, and the caller gets the rest elsewhere, each byte once', async t => {
 	const processes = await startHosts(t, 43);
-	const [first, , , last] = processes.hosts;
+	const [first] = processes.hosts;
+	const last = processes.hosts[3];
 	const response = await ask(last!.address, 'maintenance plan');
 	const requestId = String(response.headers['x-request-id']);
 	let events = '';
