Believe only what is synced when a log is opened

Cause: after the death of a process alone, the next one read records that had been written but not synced, appended behind them, and a later power loss tore them in the middle. Ruled out: syncing the file again, since a kernel may report a failed sync only once and call the pages clean. Conclusion: what a start gives back is durable.

--- a/packages/mulberrypitch-fakes/src/memory-transport.ts
+++ b/packages/mulberrypitch-fakes/src/memory-transport.ts
@@ -2,7 +2,9 @@
 import {assumeType} from '@mulberrypitch/errors/assume-type';
 import {createCheckedMethod} from '@mulberrypitch/transport/checked-method';
 import {CodedError, createErrorFromWire} from '@mulberrypitch/errors/coded-error';
-import {PeerUnreachableError, ProtocolError, TimeoutError} from '@mulberrypitch/errors/catalogue';
+import {
+	codes, PeerUnreachableError, ProtocolError, TimeoutError,
+} from '@mulberrypitch/errors/catalogue';
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
 import type {
 	Address, CallOptions, Method, Schema, Transport,
@@ -12,6 +14,8 @@
 export type Delivery = {
 	readonly isLost: boolean;
 	readonly delayMs: number;
+	/** Time after which a second copy of a request arrives. */
+	readonly copyDelayMs?: number;
 };
 
 /** Decides on each message; called for requests and for replies. */
@@ -20,6 +24,8 @@
 /** All processes that can reach each other. */
 export class MemoryNetwork {
 	readonly clock: Clock;
+	/** Broken invariants that a process answered with. */
+	readonly brokenInvariants: string[] = [];
 	readonly #members = new Map<Address, MemoryTransport>();
 	#policy: DeliveryPolicy = deliverAtOnce;
 
@@ -95,12 +101,16 @@
 	}
 
 	async #exchange(address: Address, method: string, parameters: unknown): Promise<unknown> {
-		await this.#travel(this.address, address);
+		const {copyDelayMs} = await this.#travel(this.address, address);
 		const member = this.#network.getMember(address);
-		if (member === undefined) {
+		if (member === undefined || this.#network.getMember(this.address) !== this) {
 			throw new PeerUnreachableError(address);
 		}
 
+		if (copyDelayMs !== undefined) {
+			void this.#answerLater(member, copyDelayMs, method, copy(parameters));
+		}
+
 		const reply = await member.#answer(method, copy(parameters), this.address);
 		await this.#travel(address, this.address);
 		if (this.#network.getMember(address) !== member) {
@@ -114,8 +124,16 @@
 		return copy(reply.value);
 	}
 
-	async #travel(from: Address, to: Address): Promise<void> {
-		const {isLost, delayMs} = this.#network.decide(from, to);
+	async #answerLater(member: MemoryTransport, delayMs: number, method: string, parameters: unknown): Promise<void> {
+		await this.#network.clock.sleep(delayMs);
+		if (this.#network.getMember(member.address) === member) {
+			await member.#answer(method, parameters, this.address);
+		}
+	}
+
+	async #travel(from: Address, to: Address): Promise<Delivery> {
+		const delivery = this.#network.decide(from, to);
+		const {isLost, delayMs} = delivery;
 		if (isLost) {
 			await new Promise(() => {
 				// A lost message never arrives; the caller's timeout ends the call.
@@ -125,6 +143,8 @@
 		if (delayMs > 0) {
 			await this.#network.clock.sleep(delayMs);
 		}
+
+		return delivery;
 	}
 
 	async #answer(method: string, parameters: unknown, from: Address): Promise<{value?: unknown; failure?: CodedError}> {
@@ -137,6 +157,10 @@
 			return {value: await answer(parameters, from)};
 		} catch (error) {
 			if (error instanceof CodedError) {
+				if (error.code === codes.invariant) {
+					this.#network.brokenInvariants.push(`${this.address} ${method}: ${error.message}`);
+				}
+
 				return {failure: error};
 			}
 
--- a/packages/mulberrypitch-storage/src/file-log.ts
+++ b/packages/mulberrypitch-storage/src/file-log.ts
@@ -42,6 +42,7 @@
 		const hardState = await this.#readSingle<HardState>(hardStateFile);
 		const snapshot = await this.#readSingle<Snapshot>(snapshotFile);
 		const entries = await this.#readSegments(snapshot?.index ?? 0);
+		await this.#disk.syncFolder(this.#folder);
 		return {
 			...(hardState !== undefined && {hardState}),
 			...(snapshot !== undefined && {snapshot}),
@@ -145,9 +146,11 @@
 		for (const name of segmentNames) {
 			const file = path.join(this.#folder, name);
 			const data = await this.#disk.read(file) ?? new Uint8Array();
-			const {records, lengthBytes} = decodeRecords(data, file, name === segmentNames.at(-1));
-			if (lengthBytes < data.length) {
-				await this.#disk.truncate(file, lengthBytes);
+			const isLast = name === segmentNames.at(-1);
+			const {records, lengthBytes} = decodeRecords(data, file, isLast);
+			if (isLast) {
+				// An earlier process may have died before its sync, so these bytes may not be on the disk yet.
+				await this.#replaceFile(file, data.subarray(0, lengthBytes));
 			}
 
 			this.#segments.push({name, lastIndex: applyRecords(assumeType<Array<LogEntry | Truncation>>(records), entries)});
@@ -167,11 +170,14 @@
 	}
 
 	async #replaceSingle(name: string, value: unknown): Promise<void> {
-		const target = path.join(this.#folder, name);
+		await this.#replaceFile(path.join(this.#folder, name), encodeRecord(value));
+	}
+
+	async #replaceFile(target: string, data: Uint8Array): Promise<void> {
 		const draft = `${target}.draft`;
 		await this.#disk.remove(draft);
 		const file = await this.#disk.openForAppend(draft);
-		await file.write(encodeRecord(value));
+		await file.write(data);
 		await file.sync();
 		await file.close();
 		await this.#disk.rename(draft, target);
--- a/packages/mulberrypitch-storage/src/types.ts
+++ b/packages/mulberrypitch-storage/src/types.ts
@@ -9,11 +9,17 @@
 	readonly command: unknown;
 };
 
+/** Replica ids of the voters, by host name. */
+export type Members = Readonly<Record<string, string>>;
+
 /** What a replica must remember before it answers a vote. */
 export type HardState = {
+	/** Made at the first start on an empty disk, so a host that lost its disk has another one. */
 	readonly replicaId: string;
 	readonly term: number;
 	readonly votedFor?: string;
+	/** The voters that the group began with. */
+	readonly founders?: Members;
 };
 
 /** A state that stands for all entries up to its index. */
@@ -21,6 +27,9 @@
 	readonly index: number;
 	readonly term: number;
 	readonly time: number;
+	readonly members: Members;
+	/** Last account record that the state stands for. */
+	readonly head: {readonly sequence: number; readonly hash: string};
 	readonly state: unknown;
 };
 
