--- a/packages/mulberrypitch-account/src/account-store.ts
+++ b/packages/mulberrypitch-account/src/account-store.ts
@@ -33,6 +33,9 @@
 			index: record.sequence, term: 0, time: record.controlTime, command: record,
 		}));
 		this.#writing = this.#write(this.#writing, entries);
+		this.#writing.catch(() => {
+			// Whoever waits for the sync sees the failure.
+		});
 	}
 
 	/** Resolves when all appended records are synced. */
@@ -51,7 +54,7 @@
 	}
 
 	async dispose(): Promise<void> {
-		await this.#writing;
+		await Promise.allSettled([this.#writing]);
 		await this.#store.dispose();
 	}
 
--- a/packages/mulberrypitch-control/src/__tests__/replica.test.ts
+++ b/packages/mulberrypitch-control/src/__tests__/replica.test.ts
@@ -1,5 +1,6 @@
 /** A group of replicas on virtual time. */
 import t from 'tap';
+import {AccountStore} from '@mulberrypitch/account/account-store';
 import {MemoryNetwork} from '@mulberrypitch/fakes/memory-transport';
 import {VirtualClock} from '@mulberrypitch/fakes/virtual-clock';
 import {SeededRandom} from '@mulberrypitch/lifecycle/random';
@@ -24,9 +25,7 @@
 		random: new SeededRandom(index + 1),
 		logger: new SilentLogger(),
 		machine: new ControlState(),
-		onRecords() {
-			// The records are not looked at here.
-		},
+		account: new AccountStore(new MemoryLog()),
 	}));
 	await Promise.all(replicas.map(async replica => replica.start()));
 	return {network, replicas};
--- a/packages/mulberrypitch-control/src/messages.ts
+++ b/packages/mulberrypitch-control/src/messages.ts
@@ -1,5 +1,7 @@
 /** Parameters of the calls between processes of one group, with their schemas. */
 import {z} from 'zod';
+import type {AccountRecord} from '@mulberrypitch/account/types';
+import type {Members} from '@mulberrypitch/storage/types';
 
 const maxCommandsPerCall = 1024;
 
@@ -14,6 +16,8 @@
 	group: z.string(),
 	term: integer,
 	candidate: z.string(),
+	/** Replica id that the candidate's log lists for the asked host. */
+	voterId: z.string(),
 	lastIndex: integer,
 	lastTerm: integer,
 	isProbe: z.boolean(),
@@ -30,6 +34,31 @@
 	commitIndex: integer,
 });
 
+/** Asks a replica who it is and which voters the group began with. */
+export const identityRequestSchema = z.object({group: z.string()});
+
+const maxSnapshotChunkLength = 1024 * 1024;
+
+/** Brings one part of a snapshot, which is the JSON text of its state cut into pieces. */
+export const snapshotRequestSchema = z.object({
+	group: z.string(),
+	term: integer,
+	leader: z.string(),
+	index: integer,
+	snapshotTerm: integer,
+	time: z.number(),
+	members: z.record(z.string(), z.string()),
+	head: z.object({sequence: integer, hash: z.string()}),
+	/** Characters before this part. */
+	offset: integer,
+	/** Characters of the whole text. */
+	length: integer,
+	data: z.string().max(maxSnapshotChunkLength),
+});
+
+/** Reads account records that a replica missed. */
+export const recordsRequestSchema = z.object({group: z.string(), from: z.number().int().positive()});
+
 /** Proposes commands; each is checked by its own schema. */
 export const proposalSchema = z.object({commands: z.array(z.unknown()).max(maxCommandsPerCall)});
 
@@ -61,6 +90,15 @@
 /** Parameters of an append. */
 export type AppendRequest = z.infer<typeof appendRequestSchema>;
 
+/** Parameters of an identity call. */
+export type IdentityRequest = z.infer<typeof identityRequestSchema>;
+
+/** Parameters of a snapshot part. */
+export type SnapshotRequest = z.infer<typeof snapshotRequestSchema>;
+
+/** Parameters of a read of account records. */
+export type RecordsRequest = z.infer<typeof recordsRequestSchema>;
+
 /** Parameters of a renewal. */
 export type Renewal = z.infer<typeof renewalSchema>;
 
@@ -68,6 +106,7 @@
 export type VoteReply = {
 	readonly term: number;
 	readonly isGranted: boolean;
+	readonly replicaId: string;
 };
 
 /** Answer to an append. */
@@ -76,4 +115,26 @@
 	readonly isMatching: boolean;
 	/** Last index that matches, or where to go on looking. */
 	readonly index: number;
+	readonly replicaId: string;
+};
+
+/** Answer to an identity call. */
+export type IdentityReply = {
+	readonly replicaId: string;
+	readonly founders?: Members;
+};
+
+/** Answer to a snapshot part. */
+export type SnapshotReply = {
+	readonly term: number;
+	readonly replicaId: string;
+	/** Characters received so far. */
+	readonly offset: number;
+	/** The state up to the snapshot's index is stored. */
+	readonly isInstalled: boolean;
+};
+
+/** Answer to a read of account records. */
+export type RecordsReply = {
+	readonly records: readonly AccountRecord[];
 };
--- /dev/null
+++ b/packages/mulberrypitch-control/src/replica-founding.ts
@@ -0,0 +1,43 @@
+/** Learns, or for the first replica by name decides, which voters the group begins with. */
+import type {Members} from '@mulberrypitch/storage/types';
+import type {IdentityReply} from './messages.js';
+import type {Peer} from './types.js';
+
+/** What one look at all replicas needs. */
+export type FoundingRound = {
+	readonly self: string;
+	readonly replicaId: string;
+	readonly peers: readonly Peer[];
+	readonly ask: (peer: Peer) => Promise<IdentityReply | undefined>;
+};
+
+/**
+Asks every other replica who it is. Gives the founders that one of them knows. Without any, the replica whose name
+sorts first founds the group, but only if every replica answered that it knows of none: a host that lost its disk
+can't found a second group while one that remembers the first could be out of reach.
+
+@example
+```
+const founders = await findFounders({self: 'a', replicaId, peers, ask});
+```
+*/
+export async function findFounders({self, replicaId, peers, ask}: FoundingRound): Promise<Members | undefined> {
+	const others = peers.filter(peer => peer.name !== self);
+	const replies = await Promise.all(others.map(async peer => ask(peer)));
+	const known = replies.find(reply => reply?.founders !== undefined)?.founders;
+	if (known !== undefined) {
+		return known;
+	}
+
+	const [first] = peers.map(peer => peer.name).toSorted();
+	if (self !== first || replies.includes(undefined)) {
+		return undefined;
+	}
+
+	const members: Record<string, string> = {[self]: replicaId};
+	for (const [position, {name}] of others.entries()) {
+		members[name] = replies[position]!.replicaId;
+	}
+
+	return members;
+}
--- /dev/null
+++ b/packages/mulberrypitch-control/src/replica-leader.ts
@@ -0,0 +1,315 @@
+/** One term of a leader: proposals, one replication task a peer, the commit index and the changes of the voters. */
+import {assertInvariant, NotLeaderError, TimeoutError} from '@mulberrypitch/errors/catalogue';
+import {BackgroundTask, Deferred, Notification} from '@mulberrypitch/lifecycle/background';
+import type {Clock} from '@mulberrypitch/lifecycle/clock';
+import {events} from '@mulberrypitch/logger/events';
+import type {Logger} from '@mulberrypitch/logger/logger';
+import type {Members} from '@mulberrypitch/storage/types';
+import type {Command} from './commands.js';
+import type {
+	AppendReply, AppendRequest, SnapshotReply, SnapshotRequest,
+} from './messages.js';
+import type {MemberChange, ReplicaLog} from './replica-log.js';
+import {ReplicaProgress} from './replica-progress.js';
+import {SnapshotSource} from './replica-snapshot.js';
+import {heartbeatMs, leaseMs, retryDelayMs} from './replica-timing.js';
+import type {CommandResult, Peer} from './types.js';
+
+/** Entries by which a replica may be behind and still become a voter. */
+const maxVoterLag = 64;
+
+/** What a leader needs of its replica. */
+export type LeaderOptions = {
+	readonly group: string;
+	readonly name: string;
+	readonly term: number;
+	/** All configured replicas but this one. */
+	readonly others: readonly Peer[];
+	readonly log: ReplicaLog;
+	readonly clock: Clock;
+	readonly logger: Logger;
+	/** Runs one change of the log after the ones before it. */
+	readonly enqueue: (change: () => Promise<void>) => void;
+	readonly appendTo: (peer: Peer, request: AppendRequest) => Promise<AppendReply | undefined>;
+	readonly sendSnapshotTo: (peer: Peer, request: SnapshotRequest) => Promise<SnapshotReply | undefined>;
+	readonly getCommitIndex: () => number;
+	readonly onCommit: (index: number) => void;
+	readonly onHigherTerm: (term: number) => void;
+	readonly onFailure: (error: unknown) => void;
+};
+
+type Proposal = {
+	readonly command: Command | MemberChange;
+	readonly done: Deferred<CommandResult>;
+};
+
+/** Leads the group in one term, from the election until `stop`. */
+export class Leader {
+	readonly #options: LeaderOptions;
+	readonly #progress = new ReplicaProgress();
+	readonly #appended = new Notification();
+	readonly #waiting = new Map<number, Deferred<CommandResult>>();
+	readonly #startedAt: number;
+	#proposals: Proposal[] = [];
+	#tasks: BackgroundTask[] = [];
+	#termStartIndex = Number.POSITIVE_INFINITY;
+	#isActive = true;
+
+	constructor(options: LeaderOptions) {
+		this.#options = options;
+		this.#startedAt = options.clock.now();
+	}
+
+	/** Index of the first entry of this term; infinite until it is made. */
+	get termStartIndex(): number {
+		return this.#termStartIndex;
+	}
+
+	/** Appends the entry that opens the term and begins to replicate. */
+	start(): void {
+		const {others, name, enqueue, log, onFailure} = this.#options;
+		this.#proposals.unshift(createProposal({kind: 'leaderStarted', leader: name}));
+		enqueue(async () => {
+			this.#termStartIndex = log.lastIndex + 1;
+			await this.#appendProposals();
+		});
+		this.#tasks = others.map(peer => new BackgroundTask(async signal => this.#replicateTo(peer, signal), onFailure));
+	}
+
+	/** Ends the lead. Entries already appended may still commit, so their proposers learn nothing certain. */
+	stop(nextLeader: string | undefined): void {
+		this.#isActive = false;
+		for (const task of this.#tasks) {
+			task.abort();
+		}
+
+		for (const {done} of this.#proposals) {
+			done.reject(new NotLeaderError(nextLeader));
+		}
+
+		for (const done of this.#waiting.values()) {
+			done.reject(new TimeoutError('The control group', 0));
+		}
+
+		this.#proposals = [];
+		this.#waiting.clear();
+	}
+
+	/** Appends a command and resolves once it is applied here. */
+	async propose(command: Command): Promise<CommandResult> {
+		const proposal = createProposal(command);
+		this.#proposals.push(proposal);
+		this.#options.enqueue(async () => this.#appendProposals());
+		return proposal.done.promise;
+	}
+
+	/** Answers the proposer of an applied entry. */
+	finish(index: number, result: CommandResult): void {
+		this.#waiting.get(index)?.resolve(result);
+		this.#waiting.delete(index);
+	}
+
+	/** Tells whether no other leader can have been elected yet. */
+	hasLease(): boolean {
+		return this.#options.clock.now() < this.#getQuorumContact() + leaseMs;
+	}
+
+	/** Gives the latest time at which a quorum followed; a new leader gets time for its first calls. */
+	getLastContact(): number {
+		return Math.max(this.#startedAt, this.#getQuorumContact());
+	}
+
+	#getQuorumContact(): number {
+		const {log, clock} = this.#options;
+		return this.#progress.getQuorumContact(log.members, log.hardState.replicaId, clock.now());
+	}
+
+	/** Appends all proposals that wait, with one write and one sync. */
+	async #appendProposals(): Promise<void> {
+		if (!this.#isActive || this.#proposals.length === 0) {
+			return;
+		}
+
+		const {log, clock, term} = this.#options;
+		const proposals = this.#proposals;
+		this.#proposals = [];
+		const time = Math.max(log.lastTime, clock.wallTime());
+		const first = log.lastIndex + 1;
+		const entries = proposals.map(({command}, position) => ({
+			index: first + position, term, time, command,
+		}));
+		for (const [position, {done}] of proposals.entries()) {
+			this.#waiting.set(first + position, done);
+		}
+
+		// Followers store the entries while this replica syncs its own copy.
+		const stored = log.append(entries);
+		this.#appended.notify();
+		await stored;
+		this.#advanceCommit();
+	}
+
+	async #replicateTo(peer: Peer, signal: AbortSignal): Promise<void> {
+		const {clock, log, term, onHigherTerm, appendTo} = this.#options;
+		let next = log.lastIndex + 1;
+		while (!signal.aborted) {
+			if (next <= log.baseIndex) {
+				next = await this.#sendSnapshot(peer, signal);
+				continue;
+			}
+
+			const sentAt = clock.now();
+			const reply = await appendTo(peer, this.#createAppend(next));
+			if (signal.aborted) {
+				return;
+			}
+
+			if (reply === undefined) {
+				await clock.sleep(retryDelayMs, signal);
+				continue;
+			}
+
+			if (reply.term > term) {
+				onHigherTerm(reply.term);
+				return;
+			}
+
+			this.#progress.recordContact(reply.replicaId, sentAt);
+			if (!reply.isMatching) {
+				next = Math.min(next - 1, reply.index + 1);
+				continue;
+			}
+
+			next = reply.index + 1;
+			this.#progress.recordMatch(reply.replicaId, reply.index);
+			this.#advanceCommit();
+			this.#considerVoter(peer, reply.replicaId);
+			if (next > log.lastIndex) {
+				await this.#waitForEntries(signal);
+			}
+		}
+	}
+
+	async #waitForEntries(signal: AbortSignal): Promise<void> {
+		const waiting = new AbortController();
+		const stop = () => {
+			waiting.abort();
+		};
+
+		signal.addEventListener('abort', stop, {once: true});
+		await Promise.race([this.#appended.wait(waiting.signal), this.#options.clock.sleep(heartbeatMs, waiting.signal)]);
+		stop();
+		signal.removeEventListener('abort', stop);
+	}
+
+	#createAppend(next: number): AppendRequest {
+		const {group, term, name, log, getCommitIndex} = this.#options;
+		return {
+			group,
+			term,
+			leader: name,
+			previousIndex: next - 1,
+			previousTerm: log.getTermAt(next - 1)!,
+			entries: [...log.getBatch(next)],
+			commitIndex: getCommitIndex(),
+		};
+	}
+
+	/** Sends the snapshot part by part and gives the index to go on with. */
+	async #sendSnapshot(peer: Peer, signal: AbortSignal): Promise<number> {
+		const {
+			clock, log, term, group, name, onHigherTerm, sendSnapshotTo,
+		} = this.#options;
+		const source = new SnapshotSource(log.snapshot!);
+		let offset = 0;
+		while (!signal.aborted) {
+			const sentAt = clock.now();
+			const reply = await sendSnapshotTo(peer, source.createRequest(offset, {group, term, leader: name}));
+			if (signal.aborted) {
+				break;
+			}
+
+			if (reply === undefined) {
+				await clock.sleep(retryDelayMs, signal);
+				continue;
+			}
+
+			if (reply.term > term) {
+				onHigherTerm(reply.term);
+				break;
+			}
+
+			this.#progress.recordContact(reply.replicaId, sentAt);
+			if (reply.isInstalled) {
+				break;
+			}
+
+			if (reply.offset === offset) {
+				await clock.sleep(retryDelayMs, signal);
+			}
+
+			offset = reply.offset;
+		}
+
+		return source.snapshot.index + 1;
+	}
+
+	#advanceCommit(): void {
+		const {log, term, getCommitIndex, onCommit} = this.#options;
+		if (!this.#isActive) {
+			return;
+		}
+
+		const index = this.#progress.getQuorumMatch(log.members, log.hardState.replicaId, log.durableIndex);
+		if (index > getCommitIndex() && log.getTermAt(index) === term) {
+			onCommit(index);
+		}
+	}
+
+	/** Makes a caught-up replica a voter. One with a new id first has its old id taken out, as a change of its own. */
+	#considerVoter(peer: Peer, replicaId: string): void {
+		const {log, enqueue, logger} = this.#options;
+		if (!this.#canChangeMembers(peer, replicaId)) {
+			return;
+		}
+
+		enqueue(async () => {
+			if (!this.#canChangeMembers(peer, replicaId)) {
+				return;
+			}
+
+			const members = getNextMembers(log.members, peer.name, replicaId);
+			logger.log(events.membersChanged, {node: peer.name, voters: Object.keys(members).join(' ')});
+			this.#proposals.push(createProposal({kind: 'changeMembers', members}));
+			await this.#appendProposals();
+		});
+	}
+
+	#canChangeMembers(peer: Peer, replicaId: string): boolean {
+		const {log, getCommitIndex} = this.#options;
+		const commitIndex = getCommitIndex();
+		return this.#isActive
+			&& log.members[peer.name] !== replicaId
+			&& log.membersIndex <= commitIndex
+			&& this.#termStartIndex <= commitIndex
+			&& this.#progress.getMatch(replicaId) + maxVoterLag >= commitIndex;
+	}
+}
+
+function getNextMembers(members: Members, name: string, replicaId: string): Members {
+	if (members[name] === undefined) {
+		return {...members, [name]: replicaId};
+	}
+
+	const remaining = Object.fromEntries(Object.entries(members).filter(([member]) => member !== name));
+	assertInvariant(Object.keys(remaining).length > 0, 'The last voter can not be taken out.');
+	return remaining;
+}
+
+function createProposal(command: Command | MemberChange): Proposal {
+	const done = new Deferred<CommandResult>();
+	done.promise.catch(() => {
+		// The proposer sees the failure; entries of the leader itself have none.
+	});
+	return {command, done};
+}
--- /dev/null
+++ b/packages/mulberrypitch-control/src/replica-log.ts
@@ -0,0 +1,284 @@
+/** The log of one replica: what its store holds, kept in memory, with the voters that follow from it. */
+import {randomUUID} from 'node:crypto';
+import {assumeType} from '@mulberrypitch/errors/assume-type';
+import {assertInvariant, StorageError} from '@mulberrypitch/errors/catalogue';
+import type {Clock} from '@mulberrypitch/lifecycle/clock';
+import type {
+	HardState, LogEntry, LogStore, Members, Snapshot,
+} from '@mulberrypitch/storage/types';
+
+const maxEntriesPerCall = 512;
+const maxCharactersPerCall = 2 * 1024 * 1024;
+/** Entries kept in memory behind a snapshot, for followers that are only a little behind. */
+const retainedEntries = 1024;
+
+/** The entry that changes the voters. Only a leader makes it; it never reaches the state machine. */
+export type MemberChange = {
+	readonly kind: 'changeMembers';
+	readonly members: Members;
+};
+
+type Membership = {
+	readonly index: number;
+	readonly members: Members;
+};
+
+/** Holds entries, hard state and snapshot. After a failed write it refuses every later change. */
+export class ReplicaLog {
+	readonly #store: LogStore;
+	readonly #clock: Clock;
+	readonly #onFailure: (error: unknown) => void;
+	readonly #lengths = new WeakMap<LogEntry, number>();
+	#hardState: HardState = {replicaId: '', term: 0};
+	#snapshot: Snapshot | undefined;
+	#entries: LogEntry[] = [];
+	#baseIndex = 0;
+	#baseTerm = 0;
+	#durableIndex = 0;
+	#memberships: Membership[] = [];
+	#writingSince: number | undefined;
+	#failure: StorageError | undefined;
+
+	constructor(store: LogStore, clock: Clock, onFailure: (error: unknown) => void) {
+		this.#store = store;
+		this.#clock = clock;
+		this.#onFailure = onFailure;
+	}
+
+	get hardState(): HardState {
+		return this.#hardState;
+	}
+
+	get snapshot(): Snapshot | undefined {
+		return this.#snapshot;
+	}
+
+	/** Index before the first entry in memory. */
+	get baseIndex(): number {
+		return this.#baseIndex;
+	}
+
+	get lastIndex(): number {
+		return this.#entries.at(-1)?.index ?? this.#baseIndex;
+	}
+
+	get lastTerm(): number {
+		return this.getTermAt(this.lastIndex)!;
+	}
+
+	/** Time of the last entry, or of the snapshot when no entry follows it. */
+	get lastTime(): number {
+		return this.#entries.at(-1)?.time ?? this.#snapshot?.time ?? 0;
+	}
+
+	/** Last index that is synced. */
+	get durableIndex(): number {
+		return this.#durableIndex;
+	}
+
+	/** The voters of the last change in the log, committed or not. */
+	get members(): Members {
+		return this.#memberships.at(-1)?.members ?? this.#hardState.founders ?? {};
+	}
+
+	/** Index of the last change of the voters; zero when there was none. */
+	get membersIndex(): number {
+		return this.#memberships.at(-1)?.index ?? 0;
+	}
+
+	get hasFailed(): boolean {
+		return this.#failure !== undefined;
+	}
+
+	/** Tells how long the write in progress has taken. */
+	get writingMs(): number {
+		return this.#writingSince === undefined ? 0 : this.#clock.now() - this.#writingSince;
+	}
+
+	/** Reads the store; on an empty one a new identity is made and stored before anything else. */
+	async load(): Promise<void> {
+		const stored = await this.#store.load();
+		this.#snapshot = stored.snapshot;
+		this.#baseIndex = stored.snapshot?.index ?? 0;
+		this.#baseTerm = stored.snapshot?.term ?? 0;
+		this.#entries = [...stored.entries];
+		this.#durableIndex = this.lastIndex;
+		this.#memberships = stored.snapshot === undefined ? [] : [{index: stored.snapshot.index, members: stored.snapshot.members}];
+		this.#addMemberships(this.#entries);
+		if (stored.hardState !== undefined) {
+			this.#hardState = stored.hardState;
+			return;
+		}
+
+		assertInvariant(this.lastIndex === 0, 'A log without its hard state can not be used.');
+		await this.saveHardState({replicaId: randomUUID(), term: 0});
+	}
+
+	async saveHardState(state: HardState): Promise<void> {
+		assertInvariant(state.term >= this.#hardState.term, 'A term must not decrease.');
+		await this.#write(async () => this.#store.saveHardState(state));
+		this.#hardState = state;
+	}
+
+	/** Moves to a term in which this replica has not voted. */
+	async saveTerm(term: number): Promise<void> {
+		const {votedFor, ...state} = this.#hardState;
+		await this.saveHardState({...state, term});
+	}
+
+	/** Adds entries in memory at once and resolves when they are synced. */
+	async append(entries: readonly LogEntry[]): Promise<void> {
+		this.#entries.push(...entries);
+		this.#addMemberships(entries);
+		await this.#write(async () => this.#store.append(entries));
+		this.#durableIndex = entries.at(-1)?.index ?? this.#durableIndex;
+	}
+
+	async truncate(fromIndex: number): Promise<void> {
+		await this.#write(async () => this.#store.truncate(fromIndex));
+		this.#entries.length = fromIndex - this.#baseIndex - 1;
+		this.#durableIndex = Math.min(this.#durableIndex, this.lastIndex);
+		this.#memberships = this.#memberships.filter(({index}) => index < fromIndex);
+	}
+
+	/** Stores a snapshot of the state that this log itself led to. */
+	async compact(snapshot: Snapshot): Promise<void> {
+		await this.#write(async () => this.#store.saveSnapshot(snapshot));
+		this.#snapshot = snapshot;
+		this.#dropBefore(snapshot.index - retainedEntries);
+	}
+
+	/** Replaces the log by a snapshot from the leader. Entries that follow it on the same history stay. */
+	async install(snapshot: Snapshot): Promise<void> {
+		const isSameHistory = this.getTermAt(snapshot.index) === snapshot.term;
+		if (!isSameHistory && this.lastIndex > snapshot.index) {
+			await this.truncate(snapshot.index + 1);
+		}
+
+		await this.#write(async () => this.#store.saveSnapshot(snapshot));
+		this.#snapshot = snapshot;
+		if (isSameHistory) {
+			return;
+		}
+
+		this.#entries = [];
+		this.#baseIndex = snapshot.index;
+		this.#baseTerm = snapshot.term;
+		this.#durableIndex = snapshot.index;
+		this.#memberships = [{index: snapshot.index, members: snapshot.members}];
+	}
+
+	/** Throws the failure of an earlier write, if there was one. */
+	requireSound(): void {
+		if (this.#failure !== undefined) {
+			throw this.#failure;
+		}
+	}
+
+	getTermAt(index: number): number | undefined {
+		return index === this.#baseIndex ? this.#baseTerm : this.getEntry(index)?.term;
+	}
+
+	getEntry(index: number): LogEntry | undefined {
+		return this.#entries[index - this.#baseIndex - 1];
+	}
+
+	/** Gives the voters as of an index. */
+	getMembersAt(index: number): Members {
+		return this.#memberships.findLast(membership => membership.index <= index)?.members ?? this.#hardState.founders ?? {};
+	}
+
+	/** Gives entries from an index on, as many as one call may carry. */
+	getBatch(fromIndex: number): readonly LogEntry[] {
+		const batch: LogEntry[] = [];
+		let characters = 0;
+		for (let index = fromIndex; index <= this.lastIndex && batch.length < maxEntriesPerCall; index += 1) {
+			const entry = this.getEntry(index)!;
+			characters += this.#getLength(entry);
+			if (batch.length > 0 && characters > maxCharactersPerCall) {
+				break;
+			}
+
+			batch.push(entry);
+		}
+
+		return batch;
+	}
+
+	/** Gives the last index before the given one's term, where a leader goes on looking for a match. */
+	getLookBackIndex(index: number): number {
+		const term = this.getTermAt(index);
+		if (term === undefined) {
+			return Math.min(index, this.lastIndex);
+		}
+
+		let before = index - 1;
+		while (before > this.#baseIndex && this.getTermAt(before) === term) {
+			before -= 1;
+		}
+
+		return before;
+	}
+
+	async dispose(): Promise<void> {
+		await this.#store.dispose();
+	}
+
+	#addMemberships(entries: readonly LogEntry[]): void {
+		for (const {index, command} of entries) {
+			if (isMemberChange(command)) {
+				this.#memberships.push({index, members: command.members});
+			}
+		}
+	}
+
+	#dropBefore(index: number): void {
+		if (index <= this.#baseIndex) {
+			return;
+		}
+
+		const {term} = this.getEntry(index)!;
+		const members = this.getMembersAt(index);
+		this.#entries.splice(0, index - this.#baseIndex);
+		this.#memberships = [{index, members}, ...this.#memberships.filter(membership => membership.index > index)];
+		this.#baseIndex = index;
+		this.#baseTerm = term;
+	}
+
+	#getLength(entry: LogEntry): number {
+		const known = this.#lengths.get(entry);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const {length} = JSON.stringify(entry);
+		this.#lengths.set(entry, length);
+		return length;
+	}
+
+	async #write(change: () => Promise<void>): Promise<void> {
+		this.requireSound();
+		this.#writingSince = this.#clock.now();
+		try {
+			await change();
+		} catch (error) {
+			this.#failure = error instanceof StorageError ? error : new StorageError('The log can not be written.', {cause: error});
+			this.#onFailure(error);
+			throw this.#failure;
+		} finally {
+			this.#writingSince = undefined;
+		}
+	}
+}
+
+/**
+Tells whether a command is a change of the voters.
+
+@example
+```
+if (isMemberChange(entry.command)) { return entry.command.members; }
+```
+*/
+export function isMemberChange(command: unknown): command is MemberChange {
+	return assumeType<{readonly kind?: unknown} | undefined>(command)?.kind === 'changeMembers';
+}
--- a/packages/mulberrypitch-control/src/replica.ts
+++ b/packages/mulberrypitch-control/src/replica.ts
@@ -1,39 +1,51 @@
 /**
- * One replica of the replicated log: elections, replication and commit.
- * One task runs the elections, one task a peer replicates while leading, and one queue orders all changes of the log.
+ * One replica of the replicated log. One task runs the elections, one applies what is committed, one a peer replicates
+ * while leading, and one queue orders all changes of the log.
  */
 import PQueue from 'p-queue';
-import {BackgroundTask, Deferred, Notification} from '@mulberrypitch/lifecycle/background';
+import {BackgroundTask, Notification} from '@mulberrypitch/lifecycle/background';
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
 import {DisposableStore, type Resource} from '@mulberrypitch/lifecycle/disposable-store';
 import {getBetween, type Random} from '@mulberrypitch/lifecycle/random';
 import {CodedError, getMessage} from '@mulberrypitch/errors/coded-error';
 import {
-	assertInvariant, NotLeaderError, ProtocolError, TimeoutError,
+	assertInvariant, NotLeaderError, ProtocolError, StorageError, TimeoutError,
 } from '@mulberrypitch/errors/catalogue';
 import {events} from '@mulberrypitch/logger/events';
 import type {Logger} from '@mulberrypitch/logger/logger';
-import type {
-	HardState, LogEntry, LogStore,
-} from '@mulberrypitch/storage/types';
+import type {LogEntry, LogStore, Snapshot} from '@mulberrypitch/storage/types';
 import type {Transport} from '@mulberrypitch/transport/types';
-import type {AccountRecord} from '@mulberrypitch/account/types';
 import type {Command} from './commands.js';
 import {
-	appendRequestSchema, voteRequestSchema, type AppendReply, type AppendRequest, type VoteReply, type VoteRequest,
+	appendRequestSchema,
+	identityRequestSchema,
+	recordsRequestSchema,
+	snapshotRequestSchema,
+	voteRequestSchema,
+	type AppendReply,
+	type AppendRequest,
+	type IdentityReply,
+	type RecordsReply,
+	type SnapshotReply,
+	type SnapshotRequest,
+	type VoteReply,
+	type VoteRequest,
 } from './messages.js';
+import {collectVotes} from './replica-elections.js';
+import {findFounders} from './replica-founding.js';
+import {Leader} from './replica-leader.js';
+import {isMemberChange, ReplicaLog} from './replica-log.js';
+import {fetchRecords, SnapshotTarget, type RecordStore} from './replica-snapshot.js';
+import {
+	callTimeoutMs, electionTimeoutMs, heartbeatMs, retryDelayMs,
+} from './replica-timing.js';
 import {
 	roles, type Role, type CommandResult, type Peer, type StateMachine,
 } from './types.js';
 
-const electionTimeoutMs = 600;
-const heartbeatMs = 100;
-const callTimeoutMs = 500;
-const retryDelayMs = 50;
 const proposalTimeoutMs = 3000;
-const maxEntriesPerCall = 512;
-/** Share by which two monotonic clocks may drift apart. */
-const clockDrift = 0.05;
+const maxRecordsPerCall = 1000;
+const defaultSnapshotIntervalEntries = 4096;
 
 /** What a replica is made of. */
 export type ReplicaOptions = {
@@ -48,12 +60,9 @@
 	readonly logger: Logger;
 	readonly machine: StateMachine;
 	/** Receives the account records of each applied entry, in order. */
-	readonly onRecords: (records: readonly AccountRecord[]) => void;
-};
-
-type Proposal = {
-	readonly command: Command;
-	readonly done: Deferred<CommandResult>;
+	readonly account: RecordStore;
+	/** Entries applied between two snapshots. */
+	readonly snapshotIntervalEntries?: number;
 };
 
 /** Replicates commands and applies them in order. */
@@ -61,28 +70,24 @@
 	readonly #options: ReplicaOptions;
 	readonly #resources = new DisposableStore();
 	readonly #changes = new PQueue({concurrency: 1});
-	readonly #appended = new Notification();
 	readonly #committed = new Notification();
-	readonly #proposals: Proposal[] = [];
-	readonly #waiting = new Map<number, Deferred<CommandResult>>();
-	readonly #contactAt = new Map<string, number>();
-	readonly #matchIndex = new Map<string, number>();
-	#hardState: HardState = {replicaId: '', term: 0};
-	#entries: LogEntry[] = [];
-	#baseIndex = 0;
-	#baseTerm = 0;
+	readonly #log: ReplicaLog;
 	#commitIndex = 0;
 	#appliedIndex = 0;
-	#durableIndex = 0;
 	#role: Role = roles.follower;
 	#leader: string | undefined;
+	#leadership: Leader | undefined;
 	#leaderContactAt = Number.NEGATIVE_INFINITY;
-	#termStartIndex = 0;
-	#lastTime = 0;
-	#leading: BackgroundTask[] = [];
+	#incoming: SnapshotTarget | undefined;
+	#isInstalling = false;
+	#compacting: Promise<void> | undefined;
 
 	constructor(options: ReplicaOptions) {
 		this.#options = options;
+		this.#log = new ReplicaLog(options.store, options.clock, error => {
+			options.logger.log(events.storageFailed, {reason: getMessage(error)});
+			this.#stepDown(undefined);
+		});
 	}
 
 	get role(): Role {
@@ -90,7 +95,12 @@
 	}
 
 	get term(): number {
-		return this.#hardState.term;
+		return this.#log.hardState.term;
+	}
+
+	/** Made at the first start on an empty disk. */
+	get replicaId(): string {
+		return this.#log.hardState.replicaId;
 	}
 
 	/** Name of the leader that this replica follows, itself included. */
@@ -107,65 +117,86 @@
 	}
 
 	get lastIndex(): number {
-		return this.#entries.at(-1)?.index ?? this.#baseIndex;
+		return this.#log.lastIndex;
+	}
+
+	/** Tells whether this replica is a voter as of the entries that it knows to be committed. */
+	get isVoter(): boolean {
+		return this.#log.getMembersAt(this.#commitIndex)[this.#options.name] === this.replicaId;
 	}
 
 	/** Loads the stored log and begins to take part. */
 	async start(): Promise<void> {
-		const {store, machine, transport, group, clock} = this.#options;
-		const stored = await store.load();
-		this.#hardState = stored.hardState ?? {replicaId: this.#options.name, term: 0};
-		if (stored.snapshot !== undefined) {
-			machine.restore(stored.snapshot.state);
-			this.#baseIndex = stored.snapshot.index;
-			this.#baseTerm = stored.snapshot.term;
-			this.#commitIndex = stored.snapshot.index;
-			this.#appliedIndex = stored.snapshot.index;
-			this.#lastTime = stored.snapshot.time;
-		}
-
-		this.#entries = [...stored.entries];
-		this.#durableIndex = this.lastIndex;
+		const {machine, transport, group, clock} = this.#options;
+		await this.#log.load();
+		const {snapshot} = this.#log;
+		if (snapshot !== undefined) {
+			machine.restore(snapshot.state);
+			this.#commitIndex = snapshot.index;
+			this.#appliedIndex = snapshot.index;
+		}
+
+		// A replica may have followed a leader just before it stopped, and must not vote against its lease.
 		this.#leaderContactAt = clock.now();
+		transport.handle(`${group}.identity`, identityRequestSchema, async request => this.#onIdentity(request.group));
 		transport.handle(`${group}.vote`, voteRequestSchema, async request => this.#onVote(request));
 		transport.handle(`${group}.append`, appendRequestSchema, async request => this.#onAppend(request));
-		this.#resources.add(new BackgroundTask(async signal => this.#runElections(signal), this.#fail));
-		this.#resources.add(new BackgroundTask(async signal => this.#runApply(signal), this.#fail));
+		transport.handle(`${group}.snapshot`, snapshotRequestSchema, async request => this.#onSnapshot(request));
+		transport.handle(`${group}.records`, recordsRequestSchema, async request => this.#onRecords(request.group, request.from));
+		this.#runTask(async signal => this.#runFounding(signal));
+		this.#runTask(async signal => this.#runElections(signal));
+		this.#runTask(async signal => this.#runApply(signal));
 	}
 
 	/** Tells whether this replica leads and no other one can have been elected yet. */
 	hasLease(): boolean {
-		if (this.#role !== roles.leader || this.#appliedIndex < this.#termStartIndex) {
-			return false;
-		}
-
-		const leaseMs = electionTimeoutMs * (1 - clockDrift);
-		return this.#options.clock.now() < this.#getQuorumContact() + leaseMs;
+		return this.#leadership !== undefined
+			&& this.#appliedIndex >= this.#leadership.termStartIndex
+			&& this.#leadership.hasLease();
 	}
 
 	/** Appends a command and resolves with its result once it is committed and applied here. */
 	async propose(command: Command): Promise<CommandResult> {
-		if (this.#role !== roles.leader) {
+		if (this.#leadership === undefined) {
 			throw new NotLeaderError(this.#leader);
 		}
 
-		const done = new Deferred<CommandResult>();
-		this.#proposals.push({command, done});
-		void this.#changes.add(async () => this.#appendProposals());
-		return this.#withTimeout(done.promise);
+		return this.#withTimeout(this.#leadership.propose(command));
 	}
 
 	async dispose(): Promise<void> {
 		this.#stepDown(undefined);
 		await this.#resources.dispose();
 		await this.#changes.onIdle();
-		await this.#options.store.dispose();
+		await this.#log.dispose();
 	}
 
 	readonly #fail = (error: unknown): void => {
+		// A failure of the store was logged where it was seen.
+		if (error instanceof StorageError) {
+			return;
+		}
+
 		this.#options.logger.log(events.taskFailed, {reason: getMessage(error)});
 	};
 
+	#runTask(run: (signal: AbortSignal) => Promise<void>): void {
+		this.#resources.add(new BackgroundTask(run, this.#fail));
+	}
+
+	/** Queues a change that nobody waits for. */
+	#enqueue(change: () => Promise<void>): void {
+		const run = async () => {
+			try {
+				await this.#changes.add(change);
+			} catch (error) {
+				this.#fail(error);
+			}
+		};
+
+		void run();
+	}
+
 	async #withTimeout(result: Promise<CommandResult>): Promise<CommandResult> {
 		const controller = new AbortController();
 		const timeout = (async () => {
@@ -182,12 +213,28 @@
 		}
 	}
 
-	get #quorum(): number {
-		return Math.floor(this.#options.peers.length / 2) + 1;
+	// Founding.
+
+	async #onIdentity(group: string): Promise<IdentityReply> {
+		this.#checkGroup(group);
+		const {replicaId, founders} = this.#log.hardState;
+		return {replicaId, ...(founders !== undefined && {founders})};
 	}
 
-	get #others(): readonly Peer[] {
-		return this.#options.peers.filter(peer => peer.name !== this.#options.name);
+	async #runFounding(signal: AbortSignal): Promise<void> {
+		const {clock, name, peers, group, logger} = this.#options;
+		while (!signal.aborted && this.#log.hardState.founders === undefined && !this.#log.hasFailed) {
+			const founders = await findFounders({
+				self: name, replicaId: this.replicaId, peers, ask: async peer => this.#callPeer<IdentityReply>(peer, 'identity', {group}),
+			});
+			if (founders === undefined) {
+				await clock.sleep(retryDelayMs, signal);
+				continue;
+			}
+
+			await this.#changes.add(async () => this.#log.saveHardState({...this.#log.hardState, founders}));
+			logger.log(events.groupFounded, {voters: Object.keys(founders).join(' '), isVoter: this.isVoter});
+		}
 	}
 
 	// Elections.
@@ -196,26 +243,48 @@
 		const {clock, random} = this.#options;
 		while (!signal.aborted) {
 			const timeoutMs = getBetween(random, electionTimeoutMs, 2 * electionTimeoutMs);
-			await clock.sleep(Math.max(heartbeatMs, this.#leaderContactAt + timeoutMs - clock.now()), signal);
+			const waitMs = this.#leadership === undefined ? this.#leaderContactAt + timeoutMs - clock.now() : heartbeatMs;
+			await clock.sleep(Math.max(heartbeatMs, waitMs), signal);
 			if (signal.aborted) {
 				return;
 			}
 
-			if (this.#role === roles.leader) {
-				this.#checkQuorum();
-			} else if (clock.now() - this.#leaderContactAt >= electionTimeoutMs) {
-				await this.#campaign();
+			if (this.#leadership !== undefined) {
+				this.#checkLeadership(this.#leadership);
+			} else if (this.#mayCampaign()) {
+				await this.#tryCampaign();
 			}
 		}
 	}
 
-	#checkQuorum(): void {
-		this.#leaderContactAt = this.#getQuorumContact();
-		if (this.#options.clock.now() - this.#leaderContactAt > 2 * electionTimeoutMs) {
+	#checkLeadership(leadership: Leader): void {
+		if (this.#log.writingMs > 2 * electionTimeoutMs) {
+			this.#options.logger.log(events.storageSlow, {writingMs: this.#log.writingMs});
+			this.#stepDown(undefined);
+		} else if (this.#options.clock.now() - leadership.getLastContact() > 2 * electionTimeoutMs) {
 			this.#stepDown(undefined);
 		}
 	}
 
+	#mayCampaign(): boolean {
+		const isListed = this.#log.members[this.#options.name] === this.replicaId;
+		return isListed && !this.#log.hasFailed && this.#log.writingMs === 0 && !this.#hasLeaderContact();
+	}
+
+	#hasLeaderContact(): boolean {
+		return this.#options.clock.now() - this.#leaderContactAt < electionTimeoutMs;
+	}
+
+	async #tryCampaign(): Promise<void> {
+		try {
+			await this.#campaign();
+		} catch (error) {
+			if (!(error instanceof StorageError)) {
+				throw error;
+			}
+		}
+	}
+
 	async #campaign(): Promise<void> {
 		this.#leader = undefined;
 		if (!await this.#collectVotes(this.term + 1, true)) {
@@ -223,372 +292,359 @@
 		}
 
 		const term = await this.#changes.add(async () => {
-			await this.#saveHardState({...this.#hardState, term: this.term + 1, votedFor: this.#options.name});
+			// A leader may have been followed since the probe; its lease counts on this replica.
+			if (!this.#mayCampaign()) {
+				return undefined;
+			}
+
+			await this.#log.saveHardState({...this.#log.hardState, term: this.term + 1, votedFor: this.#options.name});
 			this.#role = roles.candidate;
 			return this.term;
 		});
-		if (await this.#collectVotes(term, false) && this.term === term && this.#role === roles.candidate) {
-			this.#lead();
+		if (term !== undefined && await this.#collectVotes(term, false) && this.term === term && this.#role === roles.candidate) {
+			this.#lead(term);
 		}
 	}
 
 	async #collectVotes(term: number, isProbe: boolean): Promise<boolean> {
-		const request: VoteRequest = {
-			group: this.#options.group,
-			term,
-			candidate: this.#options.name,
-			lastIndex: this.lastIndex,
-			lastTerm: this.#getTermAt(this.lastIndex)!,
-			isProbe,
-		};
-		const enough = new Deferred<boolean>();
-		let granted = 1;
-		if (granted >= this.#quorum) {
-			return true;
-		}
-
-		const calls = this.#others.map(async peer => {
-			const reply = await this.#callPeer<VoteReply>(peer, 'vote', request);
-			if (reply === undefined) {
-				return;
-			}
-
-			if (reply.term > this.term) {
-				await this.#adoptTerm(reply.term);
-			}
-
-			granted += reply.isGranted ? 1 : 0;
-			if (granted >= this.#quorum) {
-				enough.resolve(true);
-			}
+		const {group, name, peers} = this.#options;
+		const {members, lastIndex, lastTerm} = this.#log;
+		return collectVotes({
+			self: name,
+			members,
+			peers,
+			ask: async (peer, voterId) => {
+				const request: VoteRequest = {
+					group, term, candidate: name, voterId, lastIndex, lastTerm, isProbe,
+				};
+				const reply = await this.#callPeer<VoteReply>(peer, 'vote', request);
+				if (reply !== undefined && reply.term > this.term) {
+					await this.#adoptTerm(reply.term);
+				}
+
+				return reply;
+			},
 		});
-		const all = (async () => {
-			await Promise.all(calls);
-			return granted >= this.#quorum;
-		})();
-		return Promise.race([enough.promise, all]);
 	}
 
 	async #onVote(request: VoteRequest): Promise<VoteReply> {
 		this.#checkGroup(request.group);
 		return this.#changes.add(async () => {
-			const hasLeader = this.#role === roles.leader
-				|| this.#options.clock.now() - this.#leaderContactAt < electionTimeoutMs;
-			if (hasLeader || request.term < this.term || !this.#isUpToDate(request)) {
-				return {term: this.term, isGranted: false};
-			}
+			const isGranted = await this.#grantVote(request);
+			return {term: this.term, isGranted, replicaId: this.replicaId};
+		});
+	}
 
-			if (request.isProbe) {
-				return {term: this.term, isGranted: true};
-			}
+	async #grantVote(request: VoteRequest): Promise<boolean> {
+		if (!this.#couldVoteFor(request)) {
+			return false;
+		}
 
-			if (request.term > this.term) {
-				this.#stepDown(undefined);
-				await this.#saveHardState({replicaId: this.#hardState.replicaId, term: request.term});
-			}
+		if (request.isProbe) {
+			return true;
+		}
 
-			const {votedFor} = this.#hardState;
-			if (votedFor !== undefined && votedFor !== request.candidate) {
-				return {term: this.term, isGranted: false};
-			}
+		if (request.term > this.term) {
+			this.#stepDown(undefined);
+			await this.#log.saveTerm(request.term);
+		}
 
-			await this.#saveHardState({...this.#hardState, votedFor: request.candidate});
-			return {term: this.term, isGranted: true};
-		});
+		const {votedFor} = this.#log.hardState;
+		if (votedFor !== undefined && votedFor !== request.candidate) {
+			return false;
+		}
+
+		await this.#log.saveHardState({...this.#log.hardState, votedFor: request.candidate});
+		return true;
 	}
 
-	#isUpToDate(request: VoteRequest): boolean {
-		const lastTerm = this.#getTermAt(this.lastIndex)!;
-		return request.lastTerm > lastTerm || (request.lastTerm === lastTerm && request.lastIndex >= this.lastIndex);
+	#couldVoteFor({term, voterId, lastIndex, lastTerm}: VoteRequest): boolean {
+		const isUpToDate = lastTerm > this.#log.lastTerm || (lastTerm === this.#log.lastTerm && lastIndex >= this.#log.lastIndex);
+		return voterId === this.replicaId
+			&& this.#log.hardState.founders !== undefined
+			&& this.#leadership === undefined
+			&& !this.#hasLeaderContact()
+			&& !this.#log.hasFailed
+			&& term >= this.term
+			&& isUpToDate;
 	}
 
 	async #adoptTerm(term: number): Promise<void> {
-		await this.#changes.add(async () => {
-			if (term > this.term) {
-				this.#stepDown(undefined);
-				await this.#saveHardState({replicaId: this.#hardState.replicaId, term});
-			}
-		});
+		await this.#changes.add(async () => this.#saveHigherTerm(term));
 	}
 
-	async #saveHardState(state: HardState): Promise<void> {
-		assertInvariant(state.term >= this.term, 'A term must not decrease.');
-		await this.#options.store.saveHardState(state);
-		this.#hardState = state;
+	async #saveHigherTerm(term: number): Promise<void> {
+		if (term > this.term) {
+			this.#stepDown(undefined);
+			await this.#log.saveTerm(term);
+		}
 	}
 
 	// Leading.
 
-	#lead(): void {
+	#lead(term: number): void {
+		const {
+			group, name, peers, clock, logger,
+		} = this.#options;
 		this.#role = roles.leader;
-		this.#leader = this.#options.name;
-		this.#termStartIndex = Number.POSITIVE_INFINITY;
-		this.#options.logger.log(events.leaderElected, {term: this.term, leader: this.#options.name});
-		this.#matchIndex.clear();
-		this.#contactAt.clear();
-		this.#proposals.unshift({command: {kind: 'leaderStarted', leader: this.#options.name}, done: new Deferred()});
-		const {term} = this;
-		void this.#changes.add(async () => {
-			if (this.#isLeading(term)) {
-				this.#termStartIndex = this.lastIndex + 1;
-				await this.#appendProposals();
-			}
+		this.#leader = name;
+		logger.log(events.leaderElected, {term, leader: name});
+		this.#leadership = new Leader({
+			group,
+			name,
+			term,
+			others: peers.filter(peer => peer.name !== name),
+			log: this.#log,
+			clock,
+			logger,
+			enqueue: change => {
+				this.#enqueue(change);
+			},
+			appendTo: async (peer, request) => this.#callPeer<AppendReply>(peer, 'append', request),
+			sendSnapshotTo: async (peer, request) => this.#callPeer<SnapshotReply>(peer, 'snapshot', request),
+			getCommitIndex: () => this.#commitIndex,
+			onCommit: index => {
+				this.#commit(index);
+			},
+			onHigherTerm: higher => {
+				this.#enqueue(async () => this.#saveHigherTerm(higher));
+			},
+			onFailure: this.#fail,
 		});
-		for (const peer of this.#others) {
-			this.#leading.push(new BackgroundTask(async signal => this.#replicateTo(peer, term, signal), this.#fail));
-		}
+		this.#leadership.start();
 	}
 
 	#stepDown(leader: string | undefined): void {
-		const wasLeader = this.#role === roles.leader;
+		const leadership = this.#leadership;
 		this.#role = roles.follower;
 		this.#leader = leader;
-		for (const task of this.#leading) {
-			task.abort();
-		}
-
-		this.#leading = [];
-		if (!wasLeader) {
+		this.#leadership = undefined;
+		if (leadership === undefined) {
 			return;
 		}
 
+		leadership.stop(leader);
 		this.#leaderContactAt = this.#options.clock.now();
 		this.#options.logger.log(events.leaderStepped, {term: this.term});
-		for (const {done} of this.#proposals.splice(0)) {
-			done.reject(new NotLeaderError(leader));
-		}
+	}
 
-		// Entries already appended may still commit, so their proposers learn nothing certain here.
-		for (const [, done] of this.#waiting) {
-			done.reject(new TimeoutError('The control group', 0));
-		}
+	// Following.
 
-		this.#waiting.clear();
-	}
+	async #onAppend(request: AppendRequest): Promise<AppendReply> {
+		this.#checkGroup(request.group);
+		return this.#changes.add(async () => {
+			const {replicaId} = this;
+			if (request.term < this.term) {
+				return {
+					term: this.term, isMatching: false, index: 0, replicaId,
+				};
+			}
 
-	#isLeading(term: number): boolean {
-		return this.#role === roles.leader && this.term === term;
-	}
+			// Entries whose write failed are in memory but must not be acknowledged.
+			this.#log.requireSound();
+			this.#requireFounders();
+			await this.#follow(request);
+			const {previousIndex, entries} = request;
+			if (previousIndex >= this.#log.baseIndex && this.#log.getTermAt(previousIndex) !== request.previousTerm) {
+				return {
+					term: this.term, isMatching: false, index: this.#log.getLookBackIndex(previousIndex), replicaId,
+				};
+			}
 
-	/** Appends all proposals that wait, with one write and one sync. */
-	async #appendProposals(): Promise<void> {
-		if (this.#role !== roles.leader || this.#proposals.length === 0) {
-			return;
-		}
+			await this.#storeEntries(entries);
+			const index = previousIndex + entries.length;
+			this.#commit(Math.min(request.commitIndex, index));
+			return {
+				term: this.term, isMatching: true, index, replicaId,
+			};
+		});
+	}
 
-		const proposals = this.#proposals.splice(0);
-		this.#lastTime = Math.max(this.#lastTime, this.#options.clock.wallTime());
-		const first = this.lastIndex + 1;
-		const entries = proposals.map(({command}, position) => ({
-			index: first + position, term: this.term, time: this.#lastTime, command,
-		}));
-		this.#entries.push(...entries);
-		for (const [position, {done}] of proposals.entries()) {
-			done.promise.catch(() => {
-				// The proposer sees the failure; the entry of a new leader has none.
-			});
-			this.#waiting.set(first + position, done);
+	/** Entries are taken only once the founders are known, so that a host that knows none never helped to commit. */
+	#requireFounders(): void {
+		if (this.#log.hardState.founders === undefined) {
+			throw new ProtocolError('This replica does not know its group yet.');
 		}
-
-		// Followers store the entries while this replica syncs its own copy.
-		this.#appended.notify();
-		await this.#appendDurably(entries);
-		this.#advanceCommit();
 	}
 
-	async #appendDurably(entries: readonly LogEntry[]): Promise<void> {
-		try {
-			await this.#options.store.append(entries);
-		} catch (error) {
-			this.#options.logger.log(events.storageFailed, {reason: getMessage(error)});
-			this.#stepDown(undefined);
-			throw error;
+	async #follow(request: {readonly term: number; readonly leader: string}): Promise<void> {
+		if (request.term > this.term) {
+			this.#stepDown(request.leader);
+			await this.#log.saveTerm(request.term);
 		}
 
-		this.#durableIndex = entries.at(-1)?.index ?? this.#durableIndex;
+		assertInvariant(this.#role !== roles.leader, `Term ${request.term} has two leaders.`);
+		this.#role = roles.follower;
+		this.#leader = request.leader;
+		this.#leaderContactAt = this.#options.clock.now();
 	}
 
-	async #replicateTo(peer: Peer, term: number, signal: AbortSignal): Promise<void> {
-		const {clock} = this.#options;
-		let next = this.lastIndex + 1;
-		while (!signal.aborted && this.#isLeading(term)) {
-			const sentAt = clock.now();
-			const reply = await this.#callPeer<AppendReply>(peer, 'append', this.#createAppend(next, term));
-			if (signal.aborted || !this.#isLeading(term)) {
-				return;
-			}
-
-			if (reply === undefined) {
-				await clock.sleep(retryDelayMs, signal);
-				continue;
-			}
+	async #storeEntries(entries: readonly LogEntry[]): Promise<void> {
+		const firstNew = entries.findIndex(({index, term}) => index > this.#log.baseIndex && this.#log.getTermAt(index) !== term);
+		if (firstNew === -1) {
+			return;
+		}
 
-			if (reply.term > term) {
-				await this.#adoptTerm(reply.term);
-				return;
-			}
+		const fresh = entries.slice(firstNew);
+		const {index} = fresh[0]!;
+		if (index <= this.#log.lastIndex) {
+			assertInvariant(index > this.#commitIndex, `Committed entry ${index} would be replaced.`);
+			await this.#log.truncate(index);
+		}
 
-			this.#contactAt.set(peer.name, sentAt);
-			if (!reply.isMatching) {
-				next = Math.max(this.#baseIndex + 1, Math.min(next - 1, reply.index + 1));
-				continue;
-			}
+		await this.#log.append(fresh);
+	}
 
-			this.#matchIndex.set(peer.name, reply.index);
-			next = reply.index + 1;
-			this.#advanceCommit();
-			if (next > this.lastIndex) {
-				await this.#waitForEntries(signal);
-			}
+	#commit(index: number): void {
+		if (index > this.#commitIndex) {
+			this.#commitIndex = index;
+			this.#committed.notify();
 		}
 	}
 
-	async #waitForEntries(signal: AbortSignal): Promise<void> {
-		const waiting = new AbortController();
-		const stop = () => {
-			waiting.abort();
-		};
-
-		signal.addEventListener('abort', stop, {once: true});
-		await Promise.race([this.#appended.wait(waiting.signal), this.#options.clock.sleep(heartbeatMs, waiting.signal)]);
-		stop();
-		signal.removeEventListener('abort', stop);
-	}
+	// Snapshots.
 
-	#createAppend(next: number, term: number): AppendRequest {
-		const previousIndex = next - 1;
-		const offset = next - this.#baseIndex - 1;
+	async #onSnapshot(request: SnapshotRequest): Promise<SnapshotReply> {
+		this.#checkGroup(request.group);
+		this.#requireFounders();
+		await this.#changes.add(async () => {
+			if (request.term >= this.term) {
+				await this.#follow(request);
+			}
+		});
+		const isInstalled = this.#commitIndex >= request.index;
+		const offset = isInstalled || request.term < this.term ? 0 : this.#takePart(request);
 		return {
-			group: this.#options.group,
-			term,
-			leader: this.#options.name,
-			previousIndex,
-			previousTerm: this.#getTermAt(previousIndex)!,
-			entries: this.#entries.slice(offset, offset + maxEntriesPerCall),
-			commitIndex: this.#commitIndex,
+			term: this.term, replicaId: this.replicaId, offset, isInstalled,
 		};
 	}
 
-	#advanceCommit(): void {
-		if (this.#role !== roles.leader) {
-			return;
+	#takePart(request: SnapshotRequest): number {
+		if (this.#incoming?.isPart(request) !== true) {
+			this.#incoming = new SnapshotTarget(request);
 		}
 
-		const matches = this.#options.peers.map(peer => peer.name === this.#options.name ? this.#durableIndex : this.#matchIndex.get(peer.name) ?? 0);
-		const index = matches.toSorted((left, right) => right - left)[this.#quorum - 1]!;
-		if (index > this.#commitIndex && this.#getTermAt(index) === this.term) {
-			this.#commitIndex = index;
-			this.#committed.notify();
+		const target = this.#incoming;
+		target.add(request);
+		if (target.isComplete && !this.#isInstalling) {
+			this.#isInstalling = true;
+			void this.#install(target.createSnapshot(), request.leader);
 		}
-	}
 
-	/** Gives the latest time at which a quorum was known to follow this leader. */
-	#getQuorumContact(): number {
-		const contacts = this.#options.peers.map(peer => peer.name === this.#options.name ? this.#options.clock.now() : this.#contactAt.get(peer.name) ?? Number.NEGATIVE_INFINITY);
-		return contacts.toSorted((left, right) => right - left)[this.#quorum - 1]!;
+		return target.offset;
 	}
 
-	// Following.
-
-	async #onAppend(request: AppendRequest): Promise<AppendReply> {
-		this.#checkGroup(request.group);
-		return this.#changes.add(async () => {
-			if (request.term < this.term) {
-				return {term: this.term, isMatching: false, index: 0};
-			}
-
-			await this.#follow(request);
-			const previousTerm = this.#getTermAt(request.previousIndex);
-			if (previousTerm !== request.previousTerm) {
-				return {term: this.term, isMatching: false, index: this.#getLookBackIndex(request.previousIndex)};
-			}
+	/** Stores the missed account records, then the snapshot, so that the account has no gap whenever this stops. */
+	async #install(snapshot: Snapshot, leader: string): Promise<void> {
+		const {account, group, logger, machine} = this.#options;
+		try {
+			await fetchRecords(account, snapshot.head, async from => this.#readRecords(leader, {group, from}));
+			await this.#changes.add(async () => {
+				this.#applyCommitted();
+				if (snapshot.index <= this.#commitIndex) {
+					return;
+				}
+
+				await this.#log.install(snapshot);
+				machine.restore(snapshot.state);
+				this.#commitIndex = snapshot.index;
+				this.#appliedIndex = snapshot.index;
+				logger.log(events.snapshotInstalled, {index: snapshot.index});
+			});
+		} catch (error) {
+			this.#reportInstall(error);
+		}
 
-			await this.#storeEntries(request.entries);
-			const index = request.previousIndex + request.entries.length;
-			this.#followCommit(Math.min(request.commitIndex, index));
-			return {term: this.term, isMatching: true, index};
-		});
+		this.#isInstalling = false;
+		this.#incoming = undefined;
 	}
 
-	async #follow(request: AppendRequest): Promise<void> {
-		if (request.term > this.term) {
-			this.#stepDown(request.leader);
-			await this.#saveHardState({replicaId: this.#hardState.replicaId, term: request.term});
+	/** The leader sends the snapshot again, so only records that don't fit need somebody's attention. */
+	#reportInstall(error: unknown): void {
+		if (!(error instanceof StorageError || error instanceof TimeoutError)) {
+			this.#options.logger.log(events.recordsRefused, {reason: getMessage(error)});
 		}
-
-		assertInvariant(this.#role !== roles.leader, `Term ${request.term} has two leaders.`);
-		this.#role = roles.follower;
-		this.#leader = request.leader;
-		this.#leaderContactAt = this.#options.clock.now();
 	}
 
-	#getLookBackIndex(previousIndex: number): number {
-		const previousTerm = this.#getTermAt(previousIndex);
-		if (previousTerm === undefined) {
-			return previousIndex > this.lastIndex ? this.lastIndex : this.#baseIndex;
+	async #readRecords(leader: string, parameters: {readonly group: string; readonly from: number}): Promise<RecordsReply['records']> {
+		const peer = this.#options.peers.find(({name}) => name === leader);
+		const reply = peer === undefined ? undefined : await this.#callPeer<RecordsReply>(peer, 'records', parameters);
+		if (reply === undefined) {
+			throw new TimeoutError('The leader', callTimeoutMs);
 		}
 
-		let index = previousIndex - 1;
-		while (index > this.#baseIndex && this.#getTermAt(index) === previousTerm) {
-			index -= 1;
-		}
+		return reply.records;
+	}
 
-		return index;
+	async #onRecords(group: string, from: number): Promise<RecordsReply> {
+		this.#checkGroup(group);
+		return {records: this.#options.account.read(from, maxRecordsPerCall)};
 	}
 
-	async #storeEntries(entries: readonly LogEntry[]): Promise<void> {
-		const firstNew = entries.findIndex(entry => this.#getTermAt(entry.index) !== entry.term && entry.index > this.#baseIndex);
-		if (firstNew === -1) {
+	#considerCompaction({index, term, time}: LogEntry): void {
+		const {machine, snapshotIntervalEntries = defaultSnapshotIntervalEntries} = this.#options;
+		const lastSnapshot = this.#log.snapshot?.index ?? 0;
+		if (this.#compacting !== undefined || this.#log.hasFailed || index - lastSnapshot < snapshotIntervalEntries) {
 			return;
 		}
 
-		const fresh = entries.slice(firstNew);
-		const {index} = fresh[0]!;
-		if (index <= this.lastIndex) {
-			assertInvariant(index > this.#commitIndex, `Committed entry ${index} would be replaced.`);
-			await this.#options.store.truncate(index);
-			this.#entries.length = index - this.#baseIndex - 1;
-		}
-
-		await this.#appendDurably(fresh);
-		this.#entries.push(...fresh);
+		this.#compacting = this.#compact({
+			index, term, time, members: this.#log.getMembersAt(index), head: machine.head, state: machine.capture(),
+		});
 	}
 
-	#followCommit(index: number): void {
-		if (index > this.#commitIndex) {
-			this.#commitIndex = index;
-			this.#committed.notify();
+	/** The entries that a snapshot stands for go only after the account records that they gave are durable. */
+	async #compact(snapshot: Snapshot): Promise<void> {
+		try {
+			await this.#options.account.sync();
+			await this.#changes.add(async () => {
+				if (snapshot.index > (this.#log.snapshot?.index ?? 0)) {
+					await this.#log.compact(snapshot);
+					this.#options.logger.log(events.snapshotSaved, {index: snapshot.index});
+				}
+			});
+		} catch (error) {
+			this.#options.logger.log(events.storageFailed, {reason: getMessage(error)});
 		}
+
+		this.#compacting = undefined;
 	}
 
 	// Applying.
 
 	async #runApply(signal: AbortSignal): Promise<void> {
 		while (!signal.aborted) {
-			while (this.#appliedIndex < this.#commitIndex) {
-				this.#applyNext();
-			}
-
+			this.#applyCommitted();
 			await this.#committed.wait(signal);
 		}
 	}
 
+	#applyCommitted(): void {
+		while (this.#appliedIndex < this.#commitIndex) {
+			this.#applyNext();
+		}
+	}
+
 	#applyNext(): void {
-		const entry = this.#entries[this.#appliedIndex - this.#baseIndex]!;
-		assertInvariant(entry.index === this.#appliedIndex + 1, 'Entries must be applied in order.');
-		const {result, records} = this.#options.machine.apply(entry);
+		const entry = this.#log.getEntry(this.#appliedIndex + 1);
+		assertInvariant(entry?.index === this.#appliedIndex + 1, 'Entries must be applied in order.');
+		const result = this.#apply(entry);
 		this.#appliedIndex = entry.index;
-		this.#lastTime = Math.max(this.#lastTime, entry.time);
-		if (records.length > 0) {
-			this.#options.onRecords(records);
+		this.#leadership?.finish(entry.index, result);
+		this.#considerCompaction(entry);
+	}
+
+	#apply(entry: LogEntry): CommandResult {
+		if (isMemberChange(entry.command)) {
+			return {};
 		}
 
-		this.#waiting.get(entry.index)?.resolve(result);
-		this.#waiting.delete(entry.index);
-	}
+		const {result, records} = this.#options.machine.apply(entry);
+		if (records.length > 0) {
+			this.#options.account.append(records);
+		}
 
-	#getTermAt(index: number): number | undefined {
-		return index === this.#baseIndex ? this.#baseTerm : this.#entries[index - this.#baseIndex - 1]?.term;
+		return result;
 	}
 
 	#checkGroup(group: string): void {
--- a/packages/mulberrypitch-control/src/types.ts
+++ b/packages/mulberrypitch-control/src/types.ts
@@ -152,6 +152,8 @@
 
 /** A deterministic state behind a replicated log. */
 export type StateMachine = {
+	/** Sequence and hash of the last account record that the state gave. */
+	readonly head: ChainHead;
 	apply(entry: LogEntry): Applied;
 	/** A JSON value that `restore` accepts. */
 	capture(): unknown;
--- a/packages/mulberrypitch-host/src/host.ts
+++ b/packages/mulberrypitch-host/src/host.ts
@@ -114,9 +114,7 @@
 			random,
 			logger,
 			machine: state,
-			onRecords(records) {
-				account.append(records);
-			},
+			account,
 		});
 		const service = new ControlService({
 			group: settings.group, name: settings.name, replica, state, account, transport, clock, logger,
