--- /dev/null
+++ b/packages/mulberrypitch-soak/src/__tests__/replica-recovery.test.ts
@@ -0,0 +1,152 @@
+/** Replicas that come back: far behind, with an empty disk, or on a disk that fails. */
+import t from 'tap';
+import type {Replica} from '@mulberrypitch/control/replica';
+import {Simulation} from '../simulation.js';
+import type {SimulatedHost} from '../simulated-host.js';
+
+const limitMs = 10_000;
+const longPauseMs = 4000;
+
+async function startGroup(): Promise<Simulation> {
+	const group = new Simulation(1, 3);
+	group.links.quality = {
+		usualDelayMs: 2, lossShare: 0, copyShare: 0, longDelayShare: 0,
+	};
+	await Promise.all(group.hosts.map(async host => host.start()));
+	await waitFor(group, () => getLeader(group) !== undefined && group.hosts.every(host => host.replica!.isVoter));
+	return group;
+}
+
+async function waitFor(group: Simulation, isReached: () => boolean): Promise<boolean> {
+	const end = group.clock.now() + limitMs;
+	while (!isReached() && group.clock.now() < end) {
+		await group.advance(20);
+	}
+
+	return isReached();
+}
+
+function getLeader(group: Simulation): Replica | undefined {
+	return group.hosts.find(host => host.replica?.hasLease())?.replica;
+}
+
+function getFollowers(group: Simulation): readonly [SimulatedHost, SimulatedHost] {
+	const leader = getLeader(group);
+	const [first, second] = group.hosts.filter(host => host.replica !== undefined && host.replica !== leader);
+	return [first!, second!];
+}
+
+/** Proposes that many requests, so that the account grows as well. */
+async function propose(group: Simulation, count: number): Promise<void> {
+	const leader = getLeader(group)!;
+	const opened = leader.propose({
+		kind: 'openSession', node: 'n', incarnation: '1', peerAddress: 'p', publicAddress: 'p', zone: 'z', region: 'r', site: 's',
+	});
+	await group.advance(200);
+	await opened;
+	const first = leader.lastIndex;
+	const accepted = Array.from({length: count}, async (_, number) => leader.propose({
+		kind: 'acceptRequest',
+		requestId: `r${first}-${number}`,
+		customer: 'c',
+		service: 's',
+		digest: 'd',
+		fingerprint: 'f',
+		isIdempotent: true,
+		holder: 'n',
+		holderEpoch: 1,
+		entryTime: 0,
+	}));
+	await group.advance(2000);
+	await Promise.all(accepted);
+}
+
+async function settle(group: Simulation): Promise<boolean> {
+	const isEven = await waitFor(group, () => {
+		const leader = getLeader(group);
+		return leader !== undefined && group.hosts.every(host => host.replica!.isVoter && host.replica!.appliedIndex === leader.lastIndex);
+	});
+	await group.advance(500);
+	group.checker.checkEnd(group.hosts);
+	return isEven;
+}
+
+await t.test('a replica thousands of entries behind catches up through a snapshot, its account whole', async t => {
+	const group = await startGroup();
+	const behind = getFollowers(group)[0];
+	behind.kill(true);
+	for (let round = 0; round < 3; round += 1) {
+		await propose(group, 1000);
+	}
+
+	const leader = group.hosts.find(host => host.replica?.hasLease())!;
+	leader.kill(false);
+	await leader.start();
+	await behind.start();
+	t.ok(await settle(group));
+	t.same(group.checker.violations, []);
+	t.equal(behind.account!.getHead().sequence, 3000);
+});
+
+await t.test('a host that lost its disk has no vote until it is caught up, then a second loss loses nothing', async t => {
+	const group = await startGroup();
+	await propose(group, 200);
+	const [first, second] = getFollowers(group);
+	const oldId = first.replica!.replicaId;
+	first.loseDisk();
+	await first.start();
+	t.not(first.replica!.replicaId, oldId);
+	t.notOk(first.replica!.isVoter);
+	t.ok(await waitFor(group, () => first.replica!.isVoter));
+	second.loseDisk();
+	await propose(group, 50);
+	await second.start();
+	t.ok(await settle(group));
+	t.same(group.checker.violations, []);
+	t.equal(second.account!.getHead().sequence, 250);
+});
+
+await t.test('a host with an empty disk elects nobody together with one that is behind', async t => {
+	const group = await startGroup();
+	const [lost, behind] = getFollowers(group);
+	const leader = group.hosts.find(host => host.replica?.hasLease())!;
+	behind.kill(true);
+	await propose(group, 20);
+	leader.kill(true);
+	lost.loseDisk();
+	await lost.start();
+	await behind.start();
+	await group.advance(longPauseMs);
+	t.equal(getLeader(group), undefined);
+	await leader.start();
+	t.ok(await settle(group));
+	t.same(group.checker.violations, []);
+	t.equal(lost.account!.getHead().sequence, 20);
+});
+
+for (const fault of ['isFull', 'isSyncFailing'] as const) {
+	await t.test(`a replica that can not store entries acknowledges none: ${fault}`, async t => {
+		const group = await startGroup();
+		const [first, second] = getFollowers(group);
+		const leader = getLeader(group)!;
+		first.disk.faults[fault] = true;
+		second.disk.faults[fault] = true;
+		const {commitIndex} = leader;
+		const outcome = Promise.allSettled([leader.propose({kind: 'leaderStarted', leader: 'x'})]);
+		await group.advance(longPauseMs);
+		const [{status}] = await outcome;
+		t.equal(status, 'rejected');
+		t.equal(leader.commitIndex, commitIndex);
+		t.notOk(leader.hasLease());
+	});
+}
+
+await t.test('a leader whose sync hangs steps down and another one leads', async t => {
+	const group = await startGroup();
+	const old = group.hosts.find(host => host.replica?.hasLease())!;
+	old.disk.faults.syncDelayMs = limitMs;
+	const outcome = Promise.allSettled([old.replica!.propose({kind: 'leaderStarted', leader: 'x'})]);
+	t.ok(await waitFor(group, () => getLeader(group) !== undefined && getLeader(group) !== old.replica));
+	await outcome;
+	t.same(group.checker.violations, []);
+});
--- /dev/null
+++ b/packages/mulberrypitch-soak/src/simulated-host.ts
@@ -0,0 +1,115 @@
+/** One control host of a run: its disk outlives its processes, which can be killed, restarted and frozen. */
+import {AccountStore} from '@mulberrypitch/account/account-store';
+import {Replica} from '@mulberrypitch/control/replica';
+import type {Peer} from '@mulberrypitch/control/types';
+import {MemoryDisk} from '@mulberrypitch/fakes/memory-disk';
+import type {MemoryNetwork, MemoryTransport} from '@mulberrypitch/fakes/memory-transport';
+import type {Random} from '@mulberrypitch/lifecycle/random';
+import type {Logger} from '@mulberrypitch/logger/logger';
+import {FileLog} from '@mulberrypitch/storage/file-log';
+import {CheckedState, type Checker} from './checker.js';
+import {HostClock} from './host-clock.js';
+
+/** What a simulated host is made of. */
+export type SimulatedHostOptions = {
+	readonly name: string;
+	readonly peers: readonly Peer[];
+	readonly network: MemoryNetwork;
+	readonly random: Random;
+	readonly clockRate: number;
+	readonly logger: Logger;
+	readonly checker: Checker;
+	readonly snapshotIntervalEntries: number;
+};
+
+/** Runs one replica at a time on one disk. */
+export class SimulatedHost {
+	readonly name: string;
+	readonly clock: HostClock;
+	readonly #options: SimulatedHostOptions;
+	#disk: MemoryDisk;
+	#transport: MemoryTransport | undefined;
+	#replica: Replica | undefined;
+	#account: AccountStore | undefined;
+	#state: CheckedState | undefined;
+	#isRepaired = false;
+
+	constructor(options: SimulatedHostOptions) {
+		this.#options = options;
+		this.name = options.name;
+		this.clock = new HostClock(options.network.clock, options.clockRate);
+		this.#disk = new MemoryDisk(this.clock, options.random);
+	}
+
+	/** The running replica, if any. */
+	get replica(): Replica | undefined {
+		return this.#replica;
+	}
+
+	get isFrozen(): boolean {
+		return this.#options.network.clock.now() < this.clock.frozenUntil;
+	}
+
+	get account(): AccountStore | undefined {
+		return this.#account;
+	}
+
+	get state(): CheckedState | undefined {
+		return this.#state;
+	}
+
+	/** Tells whether the disk in place was part of a replica that became a voter. */
+	get isRepaired(): boolean {
+		this.#isRepaired ||= this.#replica?.isVoter === true;
+		return this.#isRepaired;
+	}
+
+	get disk(): MemoryDisk {
+		return this.#disk;
+	}
+
+	/** Starts a process on the disk as it is. A start that the disk's faults break leaves the host down. */
+	async start(): Promise<void> {
+		const {
+			name, peers, network, random, logger, checker, snapshotIntervalEntries,
+		} = this.#options;
+		const disk = this.#disk.open();
+		const transport = network.join(name);
+		const account = new AccountStore(new FileLog('/data/account', disk));
+		const state = new CheckedState(checker, name);
+		const replica = new Replica({
+			group: 'main', name, peers, store: new FileLog('/data/log', disk), transport, clock: this.clock, random, logger, machine: state, account, snapshotIntervalEntries,
+		});
+		this.#transport = transport;
+		await account.load();
+		await replica.start();
+		this.#account = account;
+		this.#state = state;
+		this.#replica = replica;
+	}
+
+	/** Ends the process at once; unsynced data goes with the power, or stays when only the process dies. */
+	kill(isPowerLost: boolean): void {
+		if (isPowerLost) {
+			this.#disk.crash();
+		} else {
+			this.#disk.open();
+		}
+
+		this.#transport?.dispose();
+		const replica = this.#replica;
+		this.#replica = undefined;
+		void this.#release(replica);
+	}
+
+	/** Ends the process and puts an empty disk in. */
+	loseDisk(): void {
+		this.kill(true);
+		this.#disk = new MemoryDisk(this.clock, this.#options.random);
+		this.#isRepaired = false;
+	}
+
+	async #release(replica: Replica | undefined): Promise<void> {
+		await Promise.allSettled([replica?.dispose()]);
+	}
+}
