Refuse and log peers without the right certificate or secret

Cause: a refused certificate left no trace on the host that refused it, a client that met a server with another secret logged nothing, and a connection closed in the middle of the handshake came out as a protocol failure, which callers of the control group don't retry: a host dying at that moment failed their proposals.

Change: event 1103 for refused certificates; event 1101 also at the calling end; a close during the handshake is now `peer_unreachable`.

--- a/packages/mulberrypitch-logger/src/events.ts
+++ b/packages/mulberrypitch-logger/src/events.ts
@@ -18,6 +18,7 @@
 	taskFailed: {number: 1004, level: 'error', text: 'background task failed'},
 	peerRefused: {number: 1101, level: 'warn', text: 'peer refused'},
 	peerProtocol: {number: 1102, level: 'warn', text: 'peer broke the protocol'},
+	peerCertificateRefused: {number: 1103, level: 'warn', text: 'peer certificate refused'},
 	leaderElected: {number: 1201, level: 'info', text: 'leader elected'},
 	leaderStepped: {number: 1202, level: 'info', text: 'leader stepped down'},
 	storageFailed: {number: 1203, level: 'error', text: 'storage failed'},
--- a/packages/mulberrypitch-transport/src/tcp-transport.ts
+++ b/packages/mulberrypitch-transport/src/tcp-transport.ts
@@ -81,6 +81,9 @@
 			? net.createServer(accept)
 			: tls.createServer({...certificates, requestCert: true, rejectUnauthorized: true}, accept);
 		const listener = this.#listener;
+		listener.on('tlsClientError', (error: Error, socket: tls.TLSSocket) => {
+			this.#options.logger.log(events.peerCertificateRefused, {peer: socket.remoteAddress, reason: error.message});
+		});
 		return new Promise((resolve, reject) => {
 			listener.once('error', reject);
 			listener.listen(listen.port, listen.host, () => {
@@ -146,7 +149,7 @@
 		});
 		const reader = lines[Symbol.asyncIterator]();
 		try {
-			await this.#proveToServer(socket, reader);
+			await this.#proveToServer(address, socket, reader);
 		} catch (error) {
 			socket.destroy();
 			throw error instanceof CodedError ? error : new PeerUnreachableError(address, {cause: error});
@@ -181,12 +184,13 @@
 		});
 	}
 
-	async #proveToServer(socket: net.Socket, reader: AsyncIterator<string>): Promise<void> {
+	async #proveToServer(address: Address, socket: net.Socket, reader: AsyncIterator<string>): Promise<void> {
 		const nonce = randomBytes(nonceBytes).toString('hex');
 		writeLine(socket, {name: this.#options.name, nonce});
-		const reply = await readHandshake(socket, reader);
+		const reply = await readHandshake(address, socket, reader);
 		const proof = this.#prove('server', nonce, reply.nonce);
 		if (!isSame(proof, reply.proof)) {
+			this.#options.logger.log(events.peerRefused, {peer: address});
 			throw new ProtocolError('The peer does not hold the shared secret.');
 		}
 
@@ -212,12 +216,13 @@
 	}
 
 	async #checkClient(socket: net.Socket, reader: AsyncIterator<string>): Promise<string> {
-		const hello = await readHandshake(socket, reader);
+		const peer = socket.remoteAddress ?? '';
+		const hello = await readHandshake(peer, socket, reader);
 		const nonce = randomBytes(nonceBytes).toString('hex');
 		writeLine(socket, {nonce, proof: this.#prove('server', hello.nonce, nonce)});
-		const reply = await readHandshake(socket, reader);
+		const reply = await readHandshake(peer, socket, reader);
 		if (!isSame(this.#prove('client', hello.nonce, nonce), reply.proof)) {
-			this.#options.logger.log(events.peerRefused, {peer: socket.remoteAddress, name: hello.name});
+			this.#options.logger.log(events.peerRefused, {peer, name: hello.name});
 			throw new ProtocolError('The peer does not hold the shared secret.');
 		}
 
@@ -317,14 +322,14 @@
 	}
 }
 
-async function readHandshake(socket: net.Socket, reader: AsyncIterator<string>): Promise<Handshake> {
+async function readHandshake(peer: Address, socket: net.Socket, reader: AsyncIterator<string>): Promise<Handshake> {
 	const timer = setTimeout(() => {
 		socket.destroy();
 	}, handshakeTimeoutMs);
 	const line = await reader.next();
 	clearTimeout(timer);
 	if (line.done) {
-		throw new ProtocolError('The peer closed the connection during the handshake.');
+		throw new PeerUnreachableError(peer);
 	}
 
 	const message = parseLine<Partial<Handshake>>(line.value);
