Measure group commit also on a slow disk, and every failover

Cause: this machine's disk syncs in 0.1 ms, where group commit has little to save, and the failover run ended when seeds that are close together elected no leader.

Change: `npm run bench -- log` also runs with 2 ms added to each sync, spreads its seeds, and counts runs without a leader instead of stopping.

Neighbouring small seeds (3, 4, 5) leave the group without a leader for 10 s: all three campaign every 100 ms in lockstep. That is a fault of the election, handed to its owner.

--- a/packages/mulberrypitch-bench/src/log-part.ts
+++ b/packages/mulberrypitch-bench/src/log-part.ts
@@ -15,6 +15,7 @@
 import type {LogStore} from '@mulberrypitch/storage/types';
 import {runLanes} from './lanes.js';
 import {printPart, type Row} from './report.js';
+import {SlowDisk} from './slow-disk.js';
 import {SingleAppendLog} from './single-append-log.js';
 import {getQuantile, round} from './statistics.js';
 
@@ -22,6 +23,8 @@
 const names = ['a', 'b', 'c'];
 const commitLanes = [1, 8, 64];
 const commitMs = 3000;
+const networkDiskSyncMs = 2;
+const seedSpread = 0x9E_37_79_B1;
 const recoveryEntries = 10_000;
 const elections = 100;
 const electionLimitMs = 10_000;
@@ -43,7 +46,8 @@
 ```
 */
 export async function measureLog(): Promise<void> {
-	await measureCommits();
+	await measureCommits(0);
+	await measureCommits(networkDiskSyncMs);
 	await measureRecovery();
 	await measureFailover();
 	rmSync(folder, {recursive: true, force: true});
@@ -59,7 +63,7 @@
 		store: createStore(name),
 		transport: join(name),
 		clock,
-		random: new SeededRandom((seed * names.length) + index),
+		random: new SeededRandom(Math.imul((seed * names.length) + index, seedSpread)),
 		logger: new SilentLogger(),
 		machine: new ControlState(),
 		onRecords() {
@@ -89,11 +93,11 @@
 	};
 }
 
-async function measureCommits(): Promise<void> {
+async function measureCommits(addedSyncMs: number): Promise<void> {
 	const rows: Row[] = [];
 	for (const lanes of commitLanes) {
-		const single = await runCommits(lanes, store => new SingleAppendLog(store));
-		const grouped = await runCommits(lanes, store => store);
+		const single = await runCommits(lanes, addedSyncMs, store => new SingleAppendLog(store));
+		const grouped = await runCommits(lanes, addedSyncMs, store => store);
 		rows.push({
 			lanes,
 			singlePerS: Math.round(single.perSecond),
@@ -106,13 +110,13 @@
 		});
 	}
 
-	printPart('commits of three replicas in one process, synced to disk; single = one entry a sync', rows);
+	printPart(`commits of three replicas in one process, synced to disk with ${addedSyncMs} ms added; single = one entry a sync`, rows);
 }
 
-async function runCommits(lanes: number, wrap: (store: LogStore) => LogStore): Promise<{perSecond: number; p50Ms: number; p99Ms: number}> {
+async function runCommits(lanes: number, addedSyncMs: number, wrap: (store: LogStore) => LogStore): Promise<{perSecond: number; p50Ms: number; p99Ms: number}> {
 	rmSync(folder, {recursive: true, force: true});
 	const clock = new SystemClock();
-	const group = await startGroup(clock, 1, name => wrap(new FileLog(path.join(folder, name), new NodeDisk())));
+	const group = await startGroup(clock, 1, name => wrap(new FileLog(path.join(folder, name), addedSyncMs === 0 ? new NodeDisk() : new SlowDisk(clock, addedSyncMs))));
 	while (findLeader(group) === undefined) {
 		await clock.sleep(electionStepMs);
 	}
@@ -157,25 +161,35 @@
 
 async function measureFailover(): Promise<void> {
 	const times: number[] = [];
+	let withoutLeader = 0;
 	for (let seed = 1; seed <= elections; seed += 1) {
-		times.push(await runFailover(seed));
+		const durationMs = await runFailover(seed);
+		if (durationMs === undefined) {
+			withoutLeader += 1;
+		} else {
+			times.push(durationMs);
+		}
 	}
 
 	printPart(`failover over ${elections} elections on virtual time, ${linkDelayMs} ms a way`, [{
-		medianMs: getQuantile(times, 0.5), p95Ms: getQuantile(times, 0.95), worstMs: Math.max(...times),
+		medianMs: getQuantile(times, 0.5), p95Ms: getQuantile(times, 0.95), worstMs: Math.max(...times), withoutLeader,
 	}]);
 }
 
-/** Cuts off the leader and gives the time until another replica holds the lease. */
-async function runFailover(seed: number): Promise<number> {
+/** Cuts off the leader and gives the time until another replica holds the lease; nothing when none does within the limit. */
+async function runFailover(seed: number): Promise<number | undefined> {
 	const clock = new VirtualClock();
 	const group = await startGroup(clock, seed, () => new MemoryLog());
 	group.network.setPolicy(() => ({isLost: false, delayMs: linkDelayMs}));
 	await clock.runUntil(() => findLeader(group) !== undefined, electionLimitMs);
-	const old = findLeader(group)!;
-	const oldName = old.leader!;
+	const old = findLeader(group);
+	if (old === undefined) {
+		return undefined;
+	}
+
+	const oldName = old.leader;
 	const cutAt = clock.now();
 	group.network.setPolicy((from, to) => ({isLost: from === oldName || to === oldName, delayMs: linkDelayMs}));
-	await clock.runUntil(() => group.replicas.some(replica => replica !== old && replica.hasLease()), electionLimitMs, electionStepMs);
-	return clock.now() - cutAt;
+	const isReplaced = await clock.runUntil(() => group.replicas.some(replica => replica !== old && replica.hasLease()), electionLimitMs, electionStepMs);
+	return isReplaced ? clock.now() - cutAt : undefined;
 }
