Report service-level burn over all entry hosts

Change: each entry counts kept and missed targets by service, workspace and minute (first token, between tokens, whole end) with a histogram beside, gives them at `GET /v1/admin/burn`, and `mulberrypitch report burn` merges all hosts into burn rates over 5 min, 1 h and 6 h with two alarms, as table, JSON, SVG or page. In the entry, which others own, the request service is wrapped where the routes take it and one route is added; the type of `CallerContext.requests` is the two methods it uses. Ruled out: reading Prometheus text back (quantiles of hosts can't be merged), and recording in the holder (callers see queueing and resends that it does not).

Conclusion: an operator sees which workspace burns and how fast, with missing hosts named.

--- a/packages/mulberrypitch-entry/src/caller-routes.ts
+++ b/packages/mulberrypitch-entry/src/caller-routes.ts
@@ -3,9 +3,9 @@
 import {BadRequestError, NotFoundError, UnauthorizedError} from '@mulberrypitch/errors/catalogue';
 import type {ServiceConfiguration, SharedConfiguration, Workspace} from '@mulberrypitch/config/types';
 import {ends, type Outcome} from '@mulberrypitch/control/types';
-import type {RequestService} from '@mulberrypitch/requests/request-service';
 import type {AcceptedRequest, AnswerEvent, IncomingCall} from '@mulberrypitch/requests/types';
 import {getWorkspace} from './authentication.js';
+import type {CallerRequests} from './measured-requests.js';
 import {
 	getStatus, parseJson, readBody, sendJson,
 } from './http-reply.js';
@@ -18,7 +18,7 @@
 
 /** What the routes need. */
 export type CallerContext = {
-	readonly requests: RequestService;
+	readonly requests: CallerRequests;
 	readonly getConfiguration: () => SharedConfiguration;
 };
 
--- a/packages/mulberrypitch-entry/src/entry-server.ts
+++ b/packages/mulberrypitch-entry/src/entry-server.ts
@@ -15,6 +15,7 @@
 import type {HostSettings, SharedConfiguration} from '@mulberrypitch/config/types';
 import type {ControlClient} from '@mulberrypitch/control/control-client';
 import type {ReplicaStatus} from '@mulberrypitch/control/types';
+import {BurnRecorder} from '@mulberrypitch/metrics/burn-recorder';
 import type {MetricsRegistry} from '@mulberrypitch/metrics/registry';
 import type {RequestService} from '@mulberrypitch/requests/request-service';
 import {requireToken} from './authentication.js';
@@ -25,6 +26,7 @@
 import {
 	parseJson, readBody, sendFailure, sendJson,
 } from './http-reply.js';
+import {MeasuredRequests} from './measured-requests.js';
 import {
 	announcementSchema, configurationChangeSchema, type EntryList,
 } from './types.js';
@@ -59,11 +61,13 @@
 	readonly #options: EntryServerOptions;
 	readonly #server: http.Server;
 	readonly #callers: CallerContext;
+	readonly #burn: BurnRecorder;
 	#isDraining = false;
 
 	constructor(options: EntryServerOptions) {
 		this.#options = options;
-		this.#callers = {requests: options.requests, getConfiguration: () => this.#requireConfiguration()};
+		this.#burn = new BurnRecorder(options.clock);
+		this.#callers = {requests: new MeasuredRequests(options.requests, this.#burn, options.clock), getConfiguration: () => this.#requireConfiguration()};
 		this.#server = http.createServer({maxHeaderSize: maxHeaderBytes});
 		this.#server.maxHeadersCount = maxHeaders;
 		this.#server.headersTimeout = headersTimeoutMs;
@@ -148,6 +152,9 @@
 			const from = Number(new URL(request.url!, 'http://host').searchParams.get('from') ?? '1');
 			await this.#sendLeaderReply(response, 'account', {from});
 		});
+		add('GET', '/v1/admin/burn', async (_request, response) => {
+			sendJson(response, 200, {series: this.#burn.capture()});
+		});
 		add('POST', '/v1/admin/drain', async (_request, response) => {
 			this.#options.onDrain();
 			sendJson(response, 202, {status: 'draining'});
--- a/packages/mulberrypitch/src/program.ts
+++ b/packages/mulberrypitch/src/program.ts
@@ -7,6 +7,7 @@
 import {addConfigCommand} from './commands/config.js';
 import {addDemoCommand} from './commands/demo.js';
 import {addDrainCommand} from './commands/drain.js';
+import {addReportCommand} from './commands/report.js';
 import {addServeCommand} from './commands/serve.js';
 import {addStatusCommand} from './commands/status.js';
 
@@ -38,6 +39,7 @@
 	addStatusCommand(program);
 	addDrainCommand(program);
 	addAccountCommands(program);
+	addReportCommand(program);
 	program.help();
 	program.version(version);
 	try {
