--- a/packages/mulberrypitch-host/src/host.ts
+++ b/packages/mulberrypitch-host/src/host.ts
@@ -3,9 +3,10 @@
 import path from 'node:path';
 import {AccountStore} from '@mulberrypitch/account/account-store';
 import {AdmissionQueue} from '@mulberrypitch/admission/admission-queue';
+import {EvenQuota, getMembership, type Membership} from '@mulberrypitch/admission/quota';
 import {EngineClient} from '@mulberrypitch/backends/engine-client';
 import {PlainClient} from '@mulberrypitch/backends/plain-client';
-import {getConfigurationDigest, validateSharedConfiguration} from '@mulberrypitch/config/shared-configuration';
+import {createConfigurationTexts, getConfigurationDigest, validateSharedConfiguration} from '@mulberrypitch/config/shared-configuration';
 import {hostRoles, type HostSettings, type SharedConfiguration} from '@mulberrypitch/config/types';
 import {ControlClient} from '@mulberrypitch/control/control-client';
 import {ControlService} from '@mulberrypitch/control/control-service';
@@ -21,13 +22,16 @@
 import type {Logger} from '@mulberrypitch/logger/logger';
 import {MetricsRegistry} from '@mulberrypitch/metrics/registry';
 import {RequestService} from '@mulberrypitch/requests/request-service';
-import {LeastLoadedRouter} from '@mulberrypitch/routing/router';
+import {AffinityRouter} from '@mulberrypitch/routing/affinity-router';
 import {FileLog} from '@mulberrypitch/storage/file-log';
 import {MemoryLog} from '@mulberrypitch/storage/memory-log';
 import {NodeDisk} from '@mulberrypitch/storage/node-disk';
 import type {LogStore} from '@mulberrypitch/storage/types';
 import type {Transport} from '@mulberrypitch/transport/types';
 
+/** Part of a queue's bound beyond which callers are sent to other hosts. */
+const overloadedQueuePart = 0.5;
+
 /** Outer parts of a host, replaceable in tests and in the demo. */
 export type HostOptions = {
 	readonly settings: HostSettings;
@@ -134,23 +138,26 @@
 	}
 
 	async #startEntry(): Promise<number> {
-		const {settings, transport, clock, logger} = this.#options;
+		const {settings, transport, clock, random, logger} = this.#options;
 		const backends = new BackendDirectory({getControl: () => this.#control!, clock, logger});
 		this.#control = this.#createControlClient(backends);
 		const engine = this.#resources.add(new EngineClient());
 		const plain = this.#resources.add(new PlainClient());
+		const admission = new AdmissionQueue({clock, quota: new EvenQuota(() => this.#getMembership())});
 		this.#requests = this.#resources.add(new RequestService({
 			node: settings.name,
 			zone: settings.zone,
 			control: this.#control,
 			transport,
-			router: new LeastLoadedRouter(),
+			router: new AffinityRouter({
+				host: settings.name, zone: settings.zone, clock, random, getRetryRatio: () => this.#configuration?.retry.budgetRatio ?? 0,
+			}),
 			engine,
 			plain,
 			clock,
 			logger,
 			metrics: this.#metrics,
-			admission: new AdmissionQueue(),
+			admission,
 			getRetryPolicy: () => this.#configuration!.retry,
 		}));
 		this.#addGauges();
@@ -161,7 +168,9 @@
 			backends,
 			metrics: this.#metrics,
 			clock,
+			random,
 			logger,
+			isOverloaded: () => this.#configuration?.services.some(({name, queueLimit}) => admission.getQueueLength(name) > queueLimit * overloadedQueuePart) === true,
 			getConfiguration: () => this.#configuration,
 			onDrain: () => {
 				void this.drain();
@@ -202,15 +211,17 @@
 
 	#applyConfiguration({revision, files}: ConfigurationRevision): void {
 		const {settings, logger} = this.#options;
-		const overlay = files.overlays[settings.site];
-		this.#configuration = validateSharedConfiguration({
-			base: {file: 'base', text: files.base},
-			...(overlay !== undefined && {overlay: {file: settings.site, text: overlay}}),
-		});
+		this.#configuration = validateSharedConfiguration(createConfigurationTexts(files, settings.site));
 		this.#effectiveDigest = getConfigurationDigest(this.#configuration);
 		logger.log(events.configurationInForce, {revision, digest: this.#effectiveDigest});
 	}
 
+	/** Gives the place of this host among those that take requests. */
+	#getMembership(): Membership {
+		const hosts = this.#control!.sessions.filter(session => !session.isDraining).map(session => session.node);
+		return getMembership(hosts, this.#options.settings.name);
+	}
+
 	#addGauges(): void {
 		this.#metrics.gauge('mulberrypitch_requests_running', 'Requests in progress.', () => this.#requests!.running);
 		this.#metrics.gauge('mulberrypitch_request_copies', 'Copies kept for other hosts.', () => this.#requests!.copies);
--- /dev/null
+++ b/packages/mulberrypitch-load/src/experiment-arms.ts
@@ -0,0 +1,78 @@
+/** The policies that the experiment compares, each as the parts of one entry host. */
+import {AdmissionQueue} from '@mulberrypitch/admission/admission-queue';
+import {EvenQuota} from '@mulberrypitch/admission/quota';
+import type {Admission} from '@mulberrypitch/admission/types';
+import type {Clock} from '@mulberrypitch/lifecycle/clock';
+import type {Random} from '@mulberrypitch/lifecycle/random';
+import {AffinityRouter} from '@mulberrypitch/routing/affinity-router';
+import {LeastLoadedRouter} from '@mulberrypitch/routing/router';
+import type {Router} from '@mulberrypitch/routing/types';
+import {FirstComeAdmission, OpenAdmission, RoundRobinRouter} from './baselines.js';
+
+/** What the parts of an entry host may use. */
+export type EntryContext = {
+	readonly name: string;
+	readonly zone: string;
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly entries: number;
+	/** Index of the entry among all. */
+	readonly rank: number;
+};
+
+/** The deciding parts of one entry host. */
+export type EntryParts = {
+	readonly admission: Admission;
+	readonly router: Router;
+};
+
+/** One policy. */
+export type Arm = {
+	readonly name: string;
+	/** Time after which an attempt without a first token is tried elsewhere; none when absent. */
+	readonly attemptTimeoutMs?: number;
+	createEntry(context: EntryContext): EntryParts;
+};
+
+const attemptTimeoutMs = 3000;
+const defaultRetryRatio = 0.2;
+const unboundedRetryRatio = 1000;
+
+function createAdmission({clock, entries, rank}: EntryContext): AdmissionQueue {
+	return new AdmissionQueue({clock, quota: new EvenQuota(() => ({hosts: entries, rank}))});
+}
+
+function createRouter({name, zone, clock, random}: EntryContext, retryRatio = defaultRetryRatio): AffinityRouter {
+	return new AffinityRouter({
+		host: name, zone, clock, random, getRetryRatio: () => retryRatio,
+	});
+}
+
+/** All policies, by name. */
+export const arms = {
+	mulberrypitch: {
+		name: 'mulberrypitch',
+		createEntry: context => ({admission: createAdmission(context), router: createRouter(context)}),
+	},
+	unboundedRetries: {
+		name: 'mulberrypitch, retries without budget',
+		createEntry: context => ({admission: createAdmission(context), router: createRouter(context, unboundedRetryRatio)}),
+	},
+	fairLeastLoaded: {
+		name: 'admission, least loaded',
+		createEntry: context => ({admission: createAdmission(context), router: new LeastLoadedRouter()}),
+	},
+	firstComeLeastLoaded: {
+		name: 'plain FIFO, least loaded',
+		createEntry: () => ({admission: new FirstComeAdmission(), router: new LeastLoadedRouter()}),
+	},
+	roundRobin: {
+		name: 'round robin, retries',
+		attemptTimeoutMs,
+		createEntry: () => ({admission: new OpenAdmission(), router: new RoundRobinRouter()}),
+	},
+	firstCome: {
+		name: 'plain FIFO',
+		createEntry: () => ({admission: new FirstComeAdmission(), router: new RoundRobinRouter()}),
+	},
+} as const satisfies Record<string, Arm>;
