Keep slots for short answers by what they need

Cause: a quarter of the slots kept for short answers was less than they need at capacity (4.2 of 13 on average), so they waited 4.6 s at 1.0 while documents held the rest.

Change: SlotDemand follows the work that short answers ask for; twice that many slots are kept, a quarter of the slots always stays open to long ones.

--- a/packages/mulberrypitch-admission/src/__tests__/admission-queue.test.ts
+++ b/packages/mulberrypitch-admission/src/__tests__/admission-queue.test.ts
@@ -116,3 +116,20 @@
 	const parts = hosts.map(host => new EvenQuota(() => getMembership(hosts, host)).getPart(10));
 	t.equal(parts.reduce((sum, part) => sum + part, 0), 10);
 });
+
+await t.test('keeps slots for short answers while long ones wait', async t => {
+	const parts = createAdmission();
+	for (let index = 0; index < 20; index += 1) {
+		void serve(parts, {...base, capacity: 4, maxTokens: 100}, 2000, []);
+	}
+
+	await parts.clock.runFor(20_000);
+	for (let index = 0; index < 20; index += 1) {
+		void serve(parts, {...base, capacity: 4, maxTokens: 1000}, 10_000, []);
+	}
+
+	const short = Array.from({length: 3}, async () => getCode(parts.admission.acquire({...base, capacity: 4, maxTokens: 100})));
+	const codesOfShort = Promise.all(short);
+	t.equal(parts.admission.getQueueLength('s'), 19);
+	t.same(await codesOfShort, ['admitted', 'admitted', 'admitted']);
+});
--- a/packages/mulberrypitch-admission/src/fair-order.ts
+++ b/packages/mulberrypitch-admission/src/fair-order.ts
@@ -1,7 +1,5 @@
 /** The order of waiting requests: fair between customers, short answers before long ones, deadlines within. */
 
-const longFloorPart = 0.25;
-const longCeilingPart = 0.75;
 const urgentMs = 3000;
 
 /** One request that waits. */
@@ -42,13 +40,14 @@
 	readonly long: Line<Item>;
 };
 
-/** Slots of the host and how they are used. */
+/** Slots of the host and how long answers use them. */
 export type Usage = {
 	readonly now: number;
-	readonly slots: number;
+	/** Slots that long answers get before short ones. */
+	readonly longFloor: number;
+	/** Slots that long answers may use at most. */
+	readonly longCeiling: number;
 	readonly longInFlight: number;
-	/** Short answers were asked for lately, so that some slots are kept for them. */
-	readonly isShortExpected: boolean;
 };
 
 /**
@@ -155,11 +154,9 @@
 		return longest.long.items.at(-1) ?? longest.short.items.at(-1);
 	}
 
-	#choose({now, slots, longInFlight, isShortExpected}: Usage): Item | undefined {
-		const ceiling = isShortExpected ? Math.max(1, Math.floor(slots * longCeilingPart)) : slots;
-		const isLongAllowed = longInFlight < ceiling;
-		const long = isLongAllowed ? this.#getFirst('long') : undefined;
-		const isLongDue = long !== undefined && (longInFlight < Math.floor(slots * longFloorPart) || long.latestStart - now < urgentMs);
+	#choose({now, longFloor, longCeiling, longInFlight}: Usage): Item | undefined {
+		const long = longInFlight < longCeiling ? this.#getFirst('long') : undefined;
+		const isLongDue = long !== undefined && (longInFlight < longFloor || long.latestStart - now < urgentMs);
 		return isLongDue ? long : this.#getFirst('short') ?? long;
 	}
 
--- a/packages/mulberrypitch-admission/src/service-queue.ts
+++ b/packages/mulberrypitch-admission/src/service-queue.ts
@@ -3,13 +3,17 @@
 import {DeadlineExceededError, OverloadedError} from '@mulberrypitch/errors/catalogue';
 import {Deferred} from '@mulberrypitch/lifecycle/background';
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
-import {FairOrder, type Waiting} from './fair-order.js';
+import {FairOrder, type Usage, type Waiting} from './fair-order.js';
 import type {Quota} from './quota.js';
 import {ServiceTimes} from './service-times.js';
+import {SlotDemand} from './slot-demand.js';
 import type {AdmissionRequest, Ticket} from './types.js';
 
 const shortAnswerTokens = 256;
-const shortExpectedMs = 10_000;
+/** Slots kept for short answers, as a factor of what they need on average. */
+const shortHeadroom = 2;
+/** Part of the slots that stays open to long answers. */
+const longFloorPart = 0.25;
 
 type Entry = Waiting & {
 	readonly request: AdmissionRequest;
@@ -26,8 +30,8 @@
 	readonly #running = new PQueue();
 	readonly #order = new FairOrder<Entry>();
 	readonly #times = new ServiceTimes();
+	readonly #shortDemand = new SlotDemand();
 	#longInFlight = 0;
-	#shortSeenAt = Number.NEGATIVE_INFINITY;
 
 	constructor(clock: Clock, quota: Quota) {
 		this.#clock = clock;
@@ -47,7 +51,7 @@
 		this.#running.concurrency = this.#quota.getPart(Math.max(1, request.capacity));
 		const entry = this.#createEntry(request);
 		if (entry.isShort) {
-			this.#shortSeenAt = this.#clock.now();
+			this.#shortDemand.add(entry.costMs, this.#clock.now());
 		}
 
 		this.#refuseLate(entry);
@@ -120,10 +124,7 @@
 
 	#startNext(): void {
 		while (this.#running.pending < this.#running.concurrency) {
-			const now = this.#clock.now();
-			const entry = this.#order.take({
-				now, slots: this.#running.concurrency, longInFlight: this.#longInFlight, isShortExpected: now - this.#shortSeenAt < shortExpectedMs,
-			});
+			const entry = this.#order.take(this.#getUsage());
 			if (entry === undefined) {
 				return;
 			}
@@ -132,6 +133,16 @@
 		}
 	}
 
+	#getUsage(): Usage {
+		const now = this.#clock.now();
+		const slots = this.#running.concurrency;
+		const longFloor = Math.floor(slots * longFloorPart);
+		const kept = Math.ceil(this.#shortDemand.getSlots(now) * shortHeadroom);
+		return {
+			now, longFloor, longCeiling: Math.max(1, longFloor, slots - kept), longInFlight: this.#longInFlight,
+		};
+	}
+
 	async #run(entry: Entry): Promise<void> {
 		const startedAt = this.#clock.now();
 		const released = new Deferred<void>();
