--- a/packages/mulberrypitch-entry/src/entry-server.ts
+++ b/packages/mulberrypitch-entry/src/entry-server.ts
@@ -1,9 +1,9 @@
 /** The HTTP server of an entry host. */
-import type {AddressInfo} from 'node:net';
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
 import {assumeType} from '@mulberrypitch/errors/assume-type';
 import polka, {type Polka} from 'polka';
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
+import {listenOn} from '@mulberrypitch/lifecycle/listen';
 import type {Random} from '@mulberrypitch/lifecycle/random';
 import type {Resource} from '@mulberrypitch/lifecycle/disposable-store';
 import {
@@ -12,7 +12,7 @@
 import {CodedError, getMessage, hasCode} from '@mulberrypitch/errors/coded-error';
 import {events} from '@mulberrypitch/logger/events';
 import type {Logger} from '@mulberrypitch/logger/logger';
-import {getConfigurationDigest, validateSharedConfiguration} from '@mulberrypitch/config/shared-configuration';
+import {validateConfigurationFiles} from '@mulberrypitch/config/shared-configuration';
 import type {HostSettings, SharedConfiguration} from '@mulberrypitch/config/types';
 import type {ControlClient} from '@mulberrypitch/control/control-client';
 import type {ReplicaStatus} from '@mulberrypitch/control/types';
@@ -87,12 +87,7 @@
 	/** Starts to listen. Resolves with the port in use. */
 	async listen(): Promise<number> {
 		const [host, port] = splitAddress(this.#options.settings.httpListen);
-		return new Promise((resolve, reject) => {
-			this.#server.once('error', reject);
-			this.#server.listen(port, host, () => {
-				resolve(assumeType<AddressInfo>(this.#server.address()).port);
-			});
-		});
+		return listenOn(this.#server, host, port);
 	}
 
 	/** Leaves the list of entries at once; requests in progress go on. */
@@ -235,16 +230,11 @@
 		}
 
 		const {base, overlays, ...change} = parsed.data;
-		const baseText = {file: 'base', text: base};
-		const digest = getConfigurationDigest(validateSharedConfiguration({base: baseText}));
-		for (const [site, text] of Object.entries(overlays)) {
-			validateSharedConfiguration({base: baseText, overlay: {file: site, text}});
-		}
-
-		const revision = await this.#options.control.propose({
-			kind: 'applyConfiguration', ...change, digest, files: {base, overlays},
+		const files = {base, overlays};
+		const accepted = await this.#options.control.propose({
+			kind: 'applyConfiguration', ...change, digest: validateConfigurationFiles(files, new Set()), files,
 		});
-		sendJson(response, 200, revision);
+		sendJson(response, 200, accepted);
 	}
 
 	async #sendLeaderReply(response: ServerResponse, method: string, parameters: unknown): Promise<void> {
