Split slots and limits by what each host needs

Cause: callers keep their address for a while, so hosts are loaded unevenly.

Change: DemandQuota splits slots of a service and limits of a customer by max-min fairness over the demands that hosts told each other, and spare slots evenly; parts add up to the total. DemandExchange tells all other hosts each 500 ms over the transport; a host not heard for 2 s is taken to need an even part, so lost news never makes parts add up to more by much. Ruled out: rounding each part by itself (parts added up to 98 of 96 in 3 of 50 draws, caught by the test); sending demands in session renewals, which belong to the control group. With 400 hosts the exchange must go by region; the interface stays.

--- a/packages/mulberrypitch-admission/src/__tests__/admission-queue.test.ts
+++ b/packages/mulberrypitch-admission/src/__tests__/admission-queue.test.ts
@@ -3,7 +3,9 @@
 import {VirtualClock} from '@mulberrypitch/fakes/virtual-clock';
 import {codes} from '@mulberrypitch/errors/catalogue';
 import {hasCode} from '@mulberrypitch/errors/coded-error';
+import {SeededRandom} from '@mulberrypitch/lifecycle/random';
 import {AdmissionQueue} from '../admission-queue.js';
+import {DemandQuota} from '../demand-quota.js';
 import {EvenQuota, getMembership} from '../quota.js';
 import type {AdmissionRequest, Ticket} from '../types.js';
 
@@ -113,7 +115,7 @@
 
 await t.test('splits a total over hosts without exceeding it', async t => {
 	const hosts = ['c', 'a', 'b'];
-	const parts = hosts.map(host => new EvenQuota(() => getMembership(hosts, host)).getPart(10));
+	const parts = hosts.map(host => new EvenQuota(() => getMembership(hosts, host)).getPart('k', 10));
 	t.equal(parts.reduce((sum, part) => sum + part, 0), 10);
 });
 
@@ -133,3 +135,16 @@
 	t.equal(parts.admission.getQueueLength('s'), 19);
 	t.same(await codesOfShort, ['admitted', 'admitted', 'admitted']);
 });
+
+await t.test('splits by demand without exceeding the total, and gives spare slots to all', async t => {
+	const getParts = (demands: readonly number[], total: number) => demands.map((_, index) => new DemandQuota(`h${index}`, () =>
+		demands.map((value, host) => ({name: `h${host}`, demand: {k: value}}))).getPart('k', total));
+	t.same(getParts([60, 0, 0], 90), [70, 10, 10]);
+	t.same(getParts([100, 100, 10], 90), [40, 40, 10]);
+	for (let seed = 1; seed <= 50; seed += 1) {
+		const random = new SeededRandom(seed);
+		const demands = Array.from({length: 7}, () => 1 + Math.floor(random.next() * 40));
+		const sum = getParts(demands, 96).reduce((all, part) => all + part, 0);
+		t.equal(sum, 96);
+	}
+});
--- a/packages/mulberrypitch-admission/src/admission-queue.ts
+++ b/packages/mulberrypitch-admission/src/admission-queue.ts
@@ -1,5 +1,7 @@
 /** Admission of one host: a fair, bounded queue for each service. */
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
+import type {Demand} from './demand-quota.js';
+import {getCustomerKey, getServiceKey} from './keys.js';
 import type {Quota} from './quota.js';
 import {ServiceQueue} from './service-queue.js';
 import type {Admission, AdmissionRequest, Ticket} from './types.js';
@@ -40,4 +42,25 @@
 	getQueueLength(service: string): number {
 		return this.#queues.get(service)?.size ?? 0;
 	}
+
+	/** Gives what this host needs, to tell the other hosts. */
+	getDemand(): Demand {
+		const demand: Record<string, number> = {};
+		for (const [service, queue] of this.#queues) {
+			demand[getServiceKey(service)] = queue.demand;
+			for (const [customer, count] of queue.customerDemands) {
+				const key = getCustomerKey(customer);
+				demand[key] = (demand[key] ?? 0) + count;
+			}
+		}
+
+		return demand;
+	}
+
+	/** Takes new parts into use after the demands have changed. */
+	refresh(): void {
+		for (const queue of this.#queues.values()) {
+			queue.refresh();
+		}
+	}
 }
--- a/packages/mulberrypitch-admission/src/fair-order.ts
+++ b/packages/mulberrypitch-admission/src/fair-order.ts
@@ -70,6 +70,11 @@
 		return this.#size;
 	}
 
+	/** Requests that run or wait, by customer. */
+	get demands(): ReadonlyMap<string, number> {
+		return new Map([...this.#lanes].map(([customer, lane]) => [customer, lane.inFlight + getCount(lane)]));
+	}
+
 	add(item: Item): void {
 		const name = getLineName(item);
 		const line = this.#getLane(item)[name];
--- a/packages/mulberrypitch-admission/src/quota.ts
+++ b/packages/mulberrypitch-admission/src/quota.ts
@@ -2,8 +2,8 @@
 
 /** Splits what all hosts share. */
 export type Quota = {
-	/** Gives this host's part of a number of slots or of a limit; at least one. */
-	getPart(total: number): number;
+	/** Gives this host's part of a number of slots or of a limit; at least one. The key names what is split. */
+	getPart(key: string, total: number): number;
 };
 
 /** One host among those that share. */
@@ -20,7 +20,7 @@
 @example
 ```
 const quota = new EvenQuota(() => ({hosts: 7, rank: 0}));
-quota.getPart(96); // 14
+quota.getPart('service/advice', 96); // 14
 ```
 */
 export class EvenQuota implements Quota {
@@ -30,7 +30,7 @@
 		this.#getMembership = getMembership;
 	}
 
-	getPart(total: number): number {
+	getPart(_key: string, total: number): number {
 		const {hosts, rank} = this.#getMembership();
 		const isRemainder = rank < total % hosts;
 		return Math.max(1, Math.floor(total / hosts) + (isRemainder ? 1 : 0));
--- a/packages/mulberrypitch-admission/src/service-queue.ts
+++ b/packages/mulberrypitch-admission/src/service-queue.ts
@@ -4,6 +4,7 @@
 import {Deferred} from '@mulberrypitch/lifecycle/background';
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
 import {FairOrder, type Usage, type Waiting} from './fair-order.js';
+import {getCustomerKey, getServiceKey} from './keys.js';
 import type {Quota} from './quota.js';
 import {ServiceTimes} from './service-times.js';
 import {SlotDemand} from './slot-demand.js';
@@ -32,6 +33,8 @@
 	readonly #times = new ServiceTimes();
 	readonly #shortDemand = new SlotDemand();
 	#longInFlight = 0;
+	#key = '';
+	#capacity = 1;
 
 	constructor(clock: Clock, quota: Quota) {
 		this.#clock = clock;
@@ -46,9 +49,27 @@
 		return this.#order.size;
 	}
 
+	/** Requests that run or wait. */
+	get demand(): number {
+		return this.#running.pending + this.#order.size;
+	}
+
+	/** Requests that run or wait, by customer. */
+	get customerDemands(): ReadonlyMap<string, number> {
+		return this.#order.demands;
+	}
+
+	/** Takes a new part of the slots into use. */
+	refresh(): void {
+		this.#setSlots();
+		this.#startNext();
+	}
+
 	/** Resolves when the request may run; throws at once when it won't. */
 	async acquire(request: AdmissionRequest): Promise<Ticket> {
-		this.#running.concurrency = this.#quota.getPart(Math.max(1, request.capacity));
+		this.#key = getServiceKey(request.service);
+		this.#capacity = Math.max(1, request.capacity);
+		this.#setSlots();
 		const entry = this.#createEntry(request);
 		if (entry.isShort) {
 			this.#shortDemand.add(entry.costMs, this.#clock.now());
@@ -62,13 +83,17 @@
 		return entry.started.promise;
 	}
 
+	#setSlots(): void {
+		this.#running.concurrency = this.#quota.getPart(this.#key, this.#capacity);
+	}
+
 	#createEntry(request: AdmissionRequest): Entry {
 		const {customer, share, maxInFlight, maxTokens, deadline} = request;
 		return {
 			request,
 			customer,
 			share,
-			limit: this.#quota.getPart(maxInFlight),
+			limit: this.#quota.getPart(getCustomerKey(customer), maxInFlight),
 			isShort: maxTokens <= shortAnswerTokens,
 			costMs: this.#times.getMean(maxTokens),
 			latestStart: deadline - (this.#times.getBound(maxTokens) ?? 0),
--- a/packages/mulberrypitch-host/src/host.ts
+++ b/packages/mulberrypitch-host/src/host.ts
@@ -3,7 +3,8 @@
 import path from 'node:path';
 import {AccountStore} from '@mulberrypitch/account/account-store';
 import {AdmissionQueue} from '@mulberrypitch/admission/admission-queue';
-import {EvenQuota, getMembership, type Membership} from '@mulberrypitch/admission/quota';
+import {DemandExchange} from '@mulberrypitch/admission/demand-exchange';
+import {DemandQuota} from '@mulberrypitch/admission/demand-quota';
 import {EngineClient} from '@mulberrypitch/backends/engine-client';
 import {PlainClient} from '@mulberrypitch/backends/plain-client';
 import {createConfigurationTexts, getConfigurationDigest, validateSharedConfiguration} from '@mulberrypitch/config/shared-configuration';
@@ -13,6 +14,7 @@
 import {ControlState} from '@mulberrypitch/control/control-state';
 import {Replica} from '@mulberrypitch/control/replica';
 import type {ConfigurationRevision} from '@mulberrypitch/control/types';
+import {getMessage} from '@mulberrypitch/errors/coded-error';
 import {BackendDirectory} from '@mulberrypitch/entry/backend-directory';
 import {EntryServer} from '@mulberrypitch/entry/entry-server';
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
@@ -143,7 +145,7 @@
 		this.#control = this.#createControlClient(backends);
 		const engine = this.#resources.add(new EngineClient());
 		const plain = this.#resources.add(new PlainClient());
-		const admission = new AdmissionQueue({clock, quota: new EvenQuota(() => this.#getMembership())});
+		const admission = this.#createAdmission();
 		this.#requests = this.#resources.add(new RequestService({
 			node: settings.name,
 			zone: settings.zone,
@@ -216,10 +218,24 @@
 		logger.log(events.configurationInForce, {revision, digest: this.#effectiveDigest});
 	}
 
-	/** Gives the place of this host among those that take requests. */
-	#getMembership(): Membership {
-		const hosts = this.#control!.sessions.filter(session => !session.isDraining).map(session => session.node);
-		return getMembership(hosts, this.#options.settings.name);
+	/** Makes admission, whose part of slots and limits follows the demand of all hosts. */
+	#createAdmission(): AdmissionQueue {
+		const {settings, transport, clock, logger} = this.#options;
+		const admission: AdmissionQueue = new AdmissionQueue({clock, quota: new DemandQuota(settings.name, () => exchange.hosts)});
+		const exchange: DemandExchange = this.#resources.add(new DemandExchange({
+			host: settings.name,
+			transport,
+			clock,
+			getPeers: () => this.#control!.sessions.filter(session => !session.isDraining).map(({node, peerAddress}) => ({name: node, address: peerAddress})),
+			getDemand: () => admission.getDemand(),
+			onChange() {
+				admission.refresh();
+			},
+			onFailure(error) {
+				logger.log(events.taskFailed, {task: 'admission.demand', reason: getMessage(error)});
+			},
+		}));
+		return admission;
 	}
 
 	#addGauges(): void {
--- a/packages/mulberrypitch-load/src/experiment-arms.ts
+++ b/packages/mulberrypitch-load/src/experiment-arms.ts
@@ -1,5 +1,6 @@
 /** The policies that the experiment compares, each as the parts of one entry host. */
 import {AdmissionQueue} from '@mulberrypitch/admission/admission-queue';
+import {DemandQuota, type DemandingHost} from '@mulberrypitch/admission/demand-quota';
 import {EvenQuota} from '@mulberrypitch/admission/quota';
 import type {Admission} from '@mulberrypitch/admission/types';
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
@@ -18,11 +19,13 @@
 	readonly entries: number;
 	/** Index of the entry among all. */
 	readonly rank: number;
+	/** What the entries told each other of their demand. */
+	readonly getHosts: () => readonly DemandingHost[];
 };
 
 /** The deciding parts of one entry host. */
 export type EntryParts = {
-	readonly admission: Admission;
+	readonly admission: Admission & Partial<Pick<AdmissionQueue, 'getDemand' | 'refresh'>>;
 	readonly router: Router;
 };
 
@@ -38,7 +41,11 @@
 const defaultRetryRatio = 0.2;
 const unboundedRetryRatio = 1000;
 
-function createAdmission({clock, entries, rank}: EntryContext): AdmissionQueue {
+function createAdmission({name, clock, getHosts}: EntryContext): AdmissionQueue {
+	return new AdmissionQueue({clock, quota: new DemandQuota(name, getHosts)});
+}
+
+function createEvenAdmission({clock, entries, rank}: EntryContext): AdmissionQueue {
 	return new AdmissionQueue({clock, quota: new EvenQuota(() => ({hosts: entries, rank}))});
 }
 
@@ -54,6 +61,10 @@
 		name: 'mulberrypitch',
 		createEntry: context => ({admission: createAdmission(context), router: createRouter(context)}),
 	},
+	evenParts: {
+		name: 'mulberrypitch, even parts',
+		createEntry: context => ({admission: createEvenAdmission(context), router: createRouter(context)}),
+	},
 	unboundedRetries: {
 		name: 'mulberrypitch, retries without budget',
 		createEntry: context => ({admission: createAdmission(context), router: createRouter(context, unboundedRetryRatio)}),
--- a/packages/mulberrypitch-load/src/experiment.ts
+++ b/packages/mulberrypitch-load/src/experiment.ts
@@ -2,6 +2,7 @@
 import {VirtualClock} from '@mulberrypitch/fakes/virtual-clock';
 import {CodedError} from '@mulberrypitch/errors/coded-error';
 import {SeededRandom} from '@mulberrypitch/lifecycle/random';
+import type {DemandingHost} from '@mulberrypitch/admission/demand-quota';
 import type {Ticket} from '@mulberrypitch/admission/types';
 import type {Candidate, Dispatch} from '@mulberrypitch/routing/types';
 import {BatchingEngine, type EngineAnswer, type EngineSpeed} from './batching-engine.js';
@@ -15,6 +16,7 @@
 const maxAttempts = 4;
 const waitForBackendMs = 100;
 const reportLagMs = 1000;
+const exchangeLagMs = 500;
 const queueLimit = 256;
 const drainMs = 130_000;
 
@@ -29,6 +31,8 @@
 	readonly warmUpMs: number;
 	/** Failure of some engines; none when absent. */
 	readonly outage?: Outage;
+	/** Part of the callers that all use the first entry; the others are spread evenly. */
+	readonly busiestEntryPart?: number;
 };
 
 /** Engines that begin to fail all new work. */
@@ -65,6 +69,7 @@
 	readonly #entries: readonly EntryParts[];
 	readonly #engines: readonly Backend[];
 	readonly #plain: readonly Backend[];
+	#hosts: readonly DemandingHost[] = [];
 
 	constructor(experiment: Experiment) {
 		this.#experiment = experiment;
@@ -73,21 +78,25 @@
 		this.#engines = this.#createBackends(deployment.engineService, deployment.engines, engineSpeed);
 		this.#plain = this.#createBackends(deployment.plainService, deployment.plainRunners, plainSpeed);
 		this.#entries = Array.from({length: deployment.entries}, (_, index) => arm.createEntry({
-			name: `entry-${index}`,
+			name: getEntryName(index),
 			zone: getZone(index),
 			clock: this.#clock,
 			random: new SeededRandom((seed * 1000) + index),
 			entries: deployment.entries,
 			rank: index,
+			getHosts: () => this.#hosts,
 		}));
 	}
 
 	async run(): Promise<ExperimentResult> {
-		const {deployment, arm, load, seed, durationMs, warmUpMs} = this.#experiment;
-		const arrivals = drawArrivals(deployment, new SeededRandom(seed), load * getCapacity(deployment), durationMs);
+		const {deployment, arm, load, seed, durationMs, warmUpMs, busiestEntryPart = 0} = this.#experiment;
+		const arrivals = drawArrivals(deployment, new SeededRandom(seed), {
+			ratePerSecond: load * getCapacity(deployment), durationMs, busiestEntryPart,
+		});
 		void this.#send(arrivals);
 		void this.#report();
 		void this.#failEngines();
+		void this.#exchangeDemand();
 		await this.#clock.runFor(durationMs + drainMs);
 		return this.#recorder.getResult({
 			arm: arm.name, load, seed, measuredMs: durationMs - warmUpMs,
@@ -122,6 +131,18 @@
 		}
 	}
 
+	/** Tells all entries the demand of all, with a lag. */
+	async #exchangeDemand(): Promise<void> {
+		while (this.#clock.now() < this.#experiment.durationMs + drainMs) {
+			const hosts = this.#entries.map(({admission}, index) => ({name: getEntryName(index), demand: admission.getDemand?.() ?? {}}));
+			await this.#clock.sleep(exchangeLagMs);
+			this.#hosts = hosts;
+			for (const {admission} of this.#entries) {
+				admission.refresh?.();
+			}
+		}
+	}
+
 	async #failEngines(): Promise<void> {
 		const {outage} = this.#experiment;
 		if (outage === undefined) {
@@ -242,6 +263,10 @@
 	};
 }
 
+function getEntryName(index: number): string {
+	return `entry-${index}`;
+}
+
 function getZone(index: number): string {
 	return `zone-${index % zones}`;
 }
--- a/packages/mulberrypitch-load/src/workload.ts
+++ b/packages/mulberrypitch-load/src/workload.ts
@@ -52,6 +52,14 @@
 	readonly deadlineMs: number;
 };
 
+/** How much is sent, and where. */
+export type Traffic = {
+	readonly ratePerSecond: number;
+	readonly durationMs: number;
+	/** Part of the callers that all use the first entry; the others are spread evenly. */
+	readonly busiestEntryPart?: number;
+};
+
 type ClassShape = {
 	readonly weight: number;
 	readonly answerTokens: number;
@@ -158,10 +166,11 @@
 
 @example
 ```
-const arrivals = drawArrivals(deployment, new SeededRandom(1), 10, 60_000);
+const arrivals = drawArrivals(deployment, new SeededRandom(1), {ratePerSecond: 10, durationMs: 60_000});
 ```
 */
-export function drawArrivals(deployment: Deployment, random: Random, ratePerSecond: number, durationMs: number): Arrival[] {
+export function drawArrivals(deployment: Deployment, random: Random, traffic: Traffic): Arrival[] {
+	const {ratePerSecond, durationMs, busiestEntryPart = 0} = traffic;
 	const arrivals: Arrival[] = [];
 	let at = 0;
 	for (;;) {
@@ -170,11 +179,11 @@
 			return arrivals;
 		}
 
-		arrivals.push(drawArrival(deployment, random, at));
+		arrivals.push(drawArrival(deployment, random, at, busiestEntryPart));
 	}
 }
 
-function drawArrival(deployment: Deployment, random: Random, at: number): Arrival {
+function drawArrival(deployment: Deployment, random: Random, at: number, busiestEntryPart: number): Arrival {
 	const classes = Object.values(requestClasses);
 	const requestClass = drawWeighted(classes, classes.map(name => shapes[name].weight), random);
 	const workspace = drawWeighted(deployment.workspaces, deployment.workspaces.map(({weight}) => weight), random);
@@ -182,7 +191,7 @@
 	const isEngine = maxTokens > 0;
 	return {
 		at,
-		entry: Math.floor(random.next() * deployment.entries),
+		entry: getEntry(random.next(), deployment.entries, busiestEntryPart),
 		workspace,
 		requestClass,
 		prefix: isEngine ? `${workspace.name}/${Math.floor(random.next() * prefixesPerWorkspace)}` : '',
@@ -194,6 +203,10 @@
 	};
 }
 
+function getEntry(draw: number, entries: number, busiestEntryPart: number): number {
+	return draw < busiestEntryPart ? 0 : Math.floor((draw - busiestEntryPart) / (1 - busiestEntryPart) * entries);
+}
+
 function drawWeighted<Value>(values: readonly Value[], weights: readonly number[], random: Random): Value {
 	let rest = random.next() * weights.reduce((sum, weight) => sum + weight, 0);
 	for (const [index, value] of values.entries()) {
