--- a/packages/mulberrypitch-load/src/experiment-result.ts
+++ b/packages/mulberrypitch-load/src/experiment-result.ts
@@ -29,6 +29,8 @@
 	readonly counts: Readonly<Record<RunEnd, number>>;
 	readonly dispatches: number;
 	readonly retries: number;
+	/** Changes of the back end from one dispatch of an entry and a prefix to the next, as a part of the dispatches. */
+	readonly flapPart: number;
 	/** Prompt tokens taken from caches, as a part of all. */
 	readonly cachedPart: number;
 	/** Percentile 95 of the time to the first token of good answers, by class, in milliseconds. */
@@ -54,6 +56,8 @@
 	};
 
 	readonly #warmUpMs: number;
+	readonly #choices = new Map<string, string>();
+	#flaps = 0;
 	#dispatches = 0;
 	#retries = 0;
 	#promptTokens = 0;
@@ -64,7 +68,11 @@
 	}
 
 	/** Counts a dispatch. */
-	addDispatch(isRetry: boolean): void {
+	addDispatch({entry, prefix}: Arrival, backend: string, isRetry: boolean): void {
+		const key = `${entry}/${prefix}`;
+		const last = this.#choices.get(key);
+		this.#choices.set(key, backend);
+		this.#flaps += prefix !== '' && last !== undefined && last !== backend ? 1 : 0;
 		this.#dispatches += 1;
 		this.#retries += isRetry ? 1 : 0;
 	}
@@ -107,6 +115,7 @@
 			counts: {...this.#counts},
 			dispatches: this.#dispatches,
 			retries: this.#retries,
+			flapPart: round(this.#flaps / Math.max(1, this.#dispatches)),
 			cachedPart: round(this.#cachedTokens / Math.max(1, this.#promptTokens)),
 			firstTokenP95Ms: {
 				document: getPercentile(this.#firstToken.get('document')),
--- a/packages/mulberrypitch-load/src/experiment.ts
+++ b/packages/mulberrypitch-load/src/experiment.ts
@@ -206,7 +206,7 @@
 				continue;
 			}
 
-			this.#recorder.addDispatch(attempts > 0);
+			this.#recorder.addDispatch(arrival, dispatch.backend, attempts > 0);
 			attempts += 1;
 			const backend = backends.find(({id}) => id === dispatch.backend)!;
 			const answer = await this.#attempt(arrival, backend, dispatch, deadline);
