--- a/packages/mulberrypitch-load/src/experiment-arms.ts
+++ b/packages/mulberrypitch-load/src/experiment-arms.ts
@@ -39,8 +39,6 @@
 
 const attemptTimeoutMs = 3000;
 const defaultRetryRatio = 0.2;
-const momentumMs = 500;
-const longMomentumMs = 3000;
 const unboundedRetryRatio = 1000;
 
 function createAdmission({name, clock, getHosts}: EntryContext): AdmissionQueue {
@@ -51,9 +49,9 @@
 	return new AdmissionQueue({clock, quota: new EvenQuota(() => ({hosts: entries, rank}))});
 }
 
-function createRouter({name, zone, clock, random}: EntryContext, retryRatio = defaultRetryRatio, momentumMs = 0): AffinityRouter {
+function createRouter({name, zone, clock, random}: EntryContext, retryRatio = defaultRetryRatio): AffinityRouter {
 	return new AffinityRouter({
-		host: name, zone, clock, random, getRetryRatio: () => retryRatio, momentumMs,
+		host: name, zone, clock, random, getRetryRatio: () => retryRatio,
 	});
 }
 
@@ -67,14 +65,6 @@
 		name: 'mulberrypitch, even parts',
 		createEntry: context => ({admission: createEvenAdmission(context), router: createRouter(context)}),
 	},
-	momentum: {
-		name: 'mulberrypitch, momentum',
-		createEntry: context => ({admission: createAdmission(context), router: createRouter(context, defaultRetryRatio, momentumMs)}),
-	},
-	longMomentum: {
-		name: 'mulberrypitch, long momentum',
-		createEntry: context => ({admission: createAdmission(context), router: createRouter(context, defaultRetryRatio, longMomentumMs)}),
-	},
 	unboundedRetries: {
 		name: 'mulberrypitch, retries without budget',
 		createEntry: context => ({admission: createAdmission(context), router: createRouter(context, unboundedRetryRatio)}),
--- a/packages/mulberrypitch-routing/src/affinity-router.ts
+++ b/packages/mulberrypitch-routing/src/affinity-router.ts
@@ -22,8 +22,6 @@
 	readonly random: Random;
 	/** Retries allowed per first dispatch. */
 	readonly getRetryRatio: () => number;
-	/** Damps changes of the cost of back ends; zero or absent for none. */
-	readonly momentumMs?: number;
 };
 
 /**
@@ -37,14 +35,13 @@
 */
 export class AffinityRouter implements Router {
 	readonly #options: AffinityRouterOptions;
-	readonly #load: BackendLoad;
+	readonly #load = new BackendLoad();
 	readonly #ejection: OutlierEjection;
 	readonly #hints: PrefixHints;
 	readonly #budget: RetryBudget;
 
 	constructor(options: AffinityRouterOptions) {
 		this.#options = options;
-		this.#load = new BackendLoad(options.clock, options.momentumMs ?? 0);
 		this.#ejection = new OutlierEjection(options.clock);
 		this.#hints = new PrefixHints(options.clock);
 		this.#budget = new RetryBudget(options.clock, options.getRetryRatio);
