Prove from the account who was first, and verify it without a host

Cause: `account show REQ` gave raw records; verify needed a running host or a hand-made export; a head past the end and a rewritten account read alike; nothing checked that records follow the order of the log; and the control time of a record was whatever the entry carried, so it could go back when a leader takes over with entries it had not applied.

Change: `account show REQ...` verifies the chain, then gives place, acceptance, back ends, end, length and digest of the answer, in the order of the log. `account export FILE` writes one record a line and does not overwrite. The chain check refuses positions that go back. Ruled out: the entry hosts' clocks for the order, since they are only data.

Conclusion: one kept head is enough to notice a rewritten or cut account, from a host, an export or its files.

--- a/packages/mulberrypitch-account/src/chain.ts
+++ b/packages/mulberrypitch-account/src/chain.ts
@@ -38,17 +38,17 @@
 */
 export function verifyChain(records: readonly AccountRecord[], start: ChainHead = emptyHead): ChainHead {
 	let head = start;
-	let time = 0;
+	let previous: AccountRecord | undefined;
 	for (const record of records) {
-		verifyRecord(record, head, time);
+		verifyRecord(record, head, previous);
 		head = {sequence: record.sequence, hash: record.hash};
-		time = record.controlTime;
+		previous = record;
 	}
 
 	return head;
 }
 
-function verifyRecord(record: AccountRecord, head: ChainHead, time: number): void {
+function verifyRecord(record: AccountRecord, head: ChainHead, previous: AccountRecord | undefined): void {
 	const {hash, ...body} = record;
 	if (record.sequence !== head.sequence + 1) {
 		throw new AccountBrokenError(record.sequence, `record ${head.sequence + 1} is missing`);
@@ -62,9 +62,13 @@
 		throw new AccountBrokenError(record.sequence, 'its content was changed');
 	}
 
-	if (record.controlTime < time) {
+	if (previous !== undefined && record.controlTime < previous.controlTime) {
 		throw new AccountBrokenError(record.sequence, 'its time is before the record before it');
 	}
+
+	if (previous !== undefined && record.position < previous.position) {
+		throw new AccountBrokenError(record.sequence, 'its place in the log is before the record before it');
+	}
 }
 
 function getRecordHash(body: Omit<AccountRecord, 'hash'>): string {
--- a/packages/mulberrypitch-control/src/__tests__/control-group.ts
+++ b/packages/mulberrypitch-control/src/__tests__/control-group.ts
@@ -26,6 +26,8 @@
 
 /** A clock that runs faster or slower than virtual time. */
 class DriftingClock implements Clock {
+	wallOffsetMs = 0;
+
 	constructor(readonly clock: VirtualClock, readonly rate: number) {
 		// Both are fixed for one run.
 	}
@@ -35,7 +37,7 @@
 	}
 
 	wallTime(): number {
-		return this.clock.wallTime();
+		return this.clock.wallTime() + this.wallOffsetMs;
 	}
 
 	async sleep(durationMs: number, signal?: AbortSignal): Promise<void> {
@@ -52,7 +54,7 @@
 
 	#log = new MemoryLog();
 
-	constructor(readonly name: string, readonly network: MemoryNetwork, readonly clock: Clock, readonly seed: number) {
+	constructor(readonly name: string, readonly network: MemoryNetwork, readonly clock: DriftingClock, readonly seed: number) {
 		this.network.join(name);
 	}
 
@@ -147,8 +149,7 @@
 
 	constructor(rates: {readonly entry: number; readonly control: number} = steadyRates) {
 		this.entryClock = new DriftingClock(this.clock, rates.entry);
-		const controlClock = new DriftingClock(this.clock, rates.control);
-		this.controls = replicaNames.map((name, index) => new ControlHost(name, this.network, controlClock, index + 1));
+		this.controls = replicaNames.map((name, index) => new ControlHost(name, this.network, new DriftingClock(this.clock, rates.control), index + 1));
 	}
 
 	async start(entryCount: number): Promise<void> {
--- a/packages/mulberrypitch-control/src/account-recorder.ts
+++ b/packages/mulberrypitch-control/src/account-recorder.ts
@@ -6,6 +6,7 @@
 /** Keeps the head of the chain and the records of the entry that is being applied. */
 export class AccountRecorder {
 	#head: ChainHead = emptyHead;
+	#time = 0;
 	#pending: AccountRecord[] = [];
 
 	/** Sequence and hash of the last record. */
@@ -13,9 +14,15 @@
 		return this.#head;
 	}
 
-	/** Adds one record. */
+	/** Control time of the last record. */
+	get time(): number {
+		return this.#time;
+	}
+
+	/** Adds one record. Its time is never before that of the last one, whatever the leaders' wall clocks do. */
 	record(facts: Omit<RecordFacts, 'position' | 'controlTime'>, entry: LogEntry): void {
-		const record = createRecord(this.#head, {...facts, position: entry.index, controlTime: entry.time});
+		this.#time = Math.max(this.#time, entry.time);
+		const record = createRecord(this.#head, {...facts, position: entry.index, controlTime: this.#time});
 		this.#head = {sequence: record.sequence, hash: record.hash};
 		this.#pending.push(record);
 	}
@@ -28,8 +35,9 @@
 	}
 
 	/** Goes on from the head of a snapshot. */
-	restore(head: ChainHead): void {
+	restore(head: ChainHead, time: number): void {
 		this.#head = head;
+		this.#time = time;
 		this.#pending = [];
 	}
 }
--- a/packages/mulberrypitch-control/src/control-state.ts
+++ b/packages/mulberrypitch-control/src/control-state.ts
@@ -26,6 +26,7 @@
 	readonly desired: ReadonlyArray<readonly [string, DesiredState]>;
 	readonly membershipVersion: number;
 	readonly head: ChainHead;
+	readonly accountTime: number;
 };
 
 type Handlers = {readonly [Kind in Command['kind']]: (command: CommandOf<Kind>) => unknown};
@@ -142,6 +143,7 @@
 			desired: this.#desired.list(),
 			membershipVersion: this.#feed.version,
 			head: this.#recorder.head,
+			accountTime: this.#recorder.time,
 		};
 	}
 
@@ -153,7 +155,7 @@
 		this.#configuration.restore(captured.configuration);
 		this.#desired.restore(captured.desired);
 		this.#feed.restore(captured.membershipVersion);
-		this.#recorder.restore(captured.head);
+		this.#recorder.restore(captured.head, captured.accountTime);
 	}
 
 	#applyCommand(entry: LogEntry): CommandResult {
--- a/packages/mulberrypitch/src/commands/account.ts
+++ b/packages/mulberrypitch/src/commands/account.ts
@@ -1,9 +1,15 @@
-/** `mulberrypitch account show|verify`: the account of requests. */
-import {assumeType} from '@mulberrypitch/errors/assume-type';
-import type {CAC} from 'cac';
+/** `mulberrypitch account show|verify|export`: the account of requests. */
+import {writeFileSync} from 'node:fs';
+import {readAccountFolder} from '@mulberrypitch/account/account-folder';
+import {createReports, requireHead, type RequestReport} from '@mulberrypitch/account/account-report';
 import {verifyChain} from '@mulberrypitch/account/chain';
 import type {AccountRecord, ChainHead} from '@mulberrypitch/account/types';
-import {ConflictError, SettingsError} from '@mulberrypitch/errors/catalogue';
+import {hostDefaults} from '@mulberrypitch/config/defaults';
+import {assumeType} from '@mulberrypitch/errors/assume-type';
+import {SettingsError} from '@mulberrypitch/errors/catalogue';
+import {getMessage} from '@mulberrypitch/errors/coded-error';
+import {NodeDisk} from '@mulberrypitch/storage/node-disk';
+import type {CAC} from 'cac';
 import {callOperatorApi} from '../operator-client.js';
 import {
 	addTargetOptions, parseTarget, readTextFile, type TargetOptions,
@@ -12,6 +18,8 @@
 
 type AccountOptions = TargetOptions & {
 	readonly file?: string;
+	readonly data?: string;
+	readonly group: string;
 	readonly head?: string;
 };
 
@@ -24,30 +32,73 @@
 ```
 */
 export function addAccountCommands(program: CAC): void {
-	addTargetOptions(program.command('account <action> [...requests]', 'Show or verify the account: show [request ...], verify'))
-		.option('--file <file>', 'Read an export (from account show --json) in place of a host')
+	addTargetOptions(program.command('account <action> [...values]', 'Show, verify or export the account: show [request ...], verify, export FILE'))
+		.option('--file <file>', 'Read an export in place of a host')
+		.option('--data <folder>', 'Read the data folder of a control host in place of a host')
+		.option('--group <group>', 'Group under the data folder', {default: hostDefaults.group})
 		.option('--head <sequence:hash>', 'Chain head that you keep, to compare with')
-		.action(async (action: string, requests: string[], options: AccountOptions) => run(action, requests, options));
+		.action(async (action: string, values: string[], options: AccountOptions) => run(action, values, options));
 }
 
-async function run(action: string, requests: string[], options: AccountOptions): Promise<void> {
-	const records = await readRecords(options);
-	if (action === 'verify') {
-		verify(records, options);
-		return;
+async function run(action: string, values: string[], options: AccountOptions): Promise<void> {
+	switch (action) {
+		case 'show': {
+			show(await readRecords(options), values, options);
+			return;
+		}
+
+		case 'verify': {
+			const records = await readRecords(options);
+			writeLine(describe(records, verify(records, options), 'verified'));
+			return;
+		}
+
+		case 'export': {
+			exportRecords(await readRecords(options), values[0], options);
+			return;
+		}
+
+		default: {
+			throw new SettingsError(`"${action}" is not an action of account.`, 'Use show, verify or export.');
+		}
 	}
+}
+
+/** Shows all records, or who was first among the given requests. */
+function show(records: readonly AccountRecord[], requestIds: readonly string[], options: AccountOptions): void {
+	if (requestIds.length === 0) {
+		if (options.json === true) {
+			writeJson(records);
+		} else {
+			writeRecords(records);
+		}
 
-	if (action !== 'show') {
-		throw new SettingsError(`"${action}" is not an action of account.`, 'Use show or verify.');
+		return;
 	}
 
-	const shown = requests.length === 0 ? records : records.filter(record => requests.includes(record.requestId));
+	verify(records, options);
+	const reports = createReports(records, requestIds);
 	if (options.json === true) {
-		writeJson(shown);
-		return;
+		writeJson(reports);
+	} else {
+		writeReports(reports);
 	}
+}
 
-	writeRecords(shown);
+function writeReports(reports: readonly RequestReport[]): void {
+	writeTable(['place', 'request', 'customer', 'service', 'accepted #', 'accepted at', 'back ends', 'end', 'ended at', 'bytes', 'digest of the answer'], reports.map(report => [
+		report.place,
+		report.requestId,
+		report.customer,
+		report.service,
+		report.acceptedSequence,
+		new Date(report.acceptedAt).toISOString(),
+		report.backends.join(', '),
+		report.finish?.end ?? 'in progress',
+		report.finish === undefined ? '' : new Date(report.finish.time).toISOString(),
+		report.finish?.lengthBytes ?? '',
+		report.finish?.digest ?? '',
+	]));
 }
 
 /**
@@ -73,20 +124,35 @@
 	]));
 }
 
-function verify(records: readonly AccountRecord[], options: AccountOptions): void {
+/** Checks the chain, and the kept head where there is one. */
+function verify(records: readonly AccountRecord[], options: AccountOptions): ChainHead {
 	const head = verifyChain(records);
 	if (options.head !== undefined) {
-		compareHead(records, parseHead(options.head));
+		requireHead(records, parseHead(options.head));
 	}
 
-	writeLine(`${records.length} records verified, head ${head.sequence}:${head.hash}`);
+	return head;
 }
 
-function compareHead(records: readonly AccountRecord[], kept: ChainHead): void {
-	const record = records[kept.sequence - 1];
-	if (kept.sequence > 0 && record?.hash !== kept.hash) {
-		throw new ConflictError(`Record ${kept.sequence} is not the one you keep the head of.`, 'The account was rewritten or cut; compare with another control host.', {sequence: kept.sequence});
+/** Writes one record a line, so that exports can be compared line by line. */
+function exportRecords(records: readonly AccountRecord[], file: string | undefined, options: AccountOptions): void {
+	if (file === undefined) {
+		throw new SettingsError('No file to export to was given.', 'Write account export FILE.');
+	}
+
+	const head = verify(records, options);
+	const lines = records.map(record => JSON.stringify(record)).join(',\n');
+	try {
+		writeFileSync(file, `[\n${lines}\n]\n`, {flag: 'wx'});
+	} catch (error) {
+		throw new SettingsError(`${file} can't be written: ${getMessage(error)}.`, 'Name a new file in a folder that exists.');
 	}
+
+	writeLine(describe(records, head, 'exported'));
+}
+
+function describe(records: readonly AccountRecord[], head: ChainHead, what: string): string {
+	return `${records.length} records ${what}, head ${head.sequence}:${head.hash}`;
 }
 
 function parseHead(text: string): ChainHead {
@@ -98,11 +164,27 @@
 	return {sequence: Number(sequence), hash};
 }
 
-async function readRecords(options: AccountOptions): Promise<AccountRecord[]> {
+async function readRecords(options: AccountOptions): Promise<readonly AccountRecord[]> {
 	if (options.file !== undefined) {
-		return assumeType<AccountRecord[]>(JSON.parse(readTextFile(options.file)));
+		return parseExport(readTextFile(options.file), options.file);
 	}
 
+	if (options.data !== undefined) {
+		return readAccountFolder(options.data, options.group, new NodeDisk());
+	}
+
+	return readFromHost(options);
+}
+
+function parseExport(text: string, file: string): AccountRecord[] {
+	try {
+		return assumeType<AccountRecord[]>(JSON.parse(text));
+	} catch (error) {
+		throw new SettingsError(`${file} is not an export of the account: ${getMessage(error)}.`, 'Give a file written by account export.');
+	}
+}
+
+async function readFromHost(options: AccountOptions): Promise<AccountRecord[]> {
 	const target = parseTarget(options);
 	const records: AccountRecord[] = [];
 	for (;;) {
