--- a/packages/mulberrypitch-fleet/src/types.ts
+++ b/packages/mulberrypitch-fleet/src/types.ts
@@ -28,3 +28,47 @@
 	getDesired(backend: string): DesiredState | undefined;
 	listDesired(): readonly string[];
 };
+
+/** How a machine is rented. */
+export const markets = {
+	/** Cheap, and taken back on seconds of notice. */
+	reclaimable: 'reclaimable',
+	onDemand: 'onDemand',
+} as const;
+
+/** One of the markets. */
+export type Market = typeof markets[keyof typeof markets];
+
+/** What the cloud offers in one zone. */
+export type Offer = {
+	readonly zone: string;
+	readonly machineClass: string;
+	readonly market: Market;
+	readonly pricePerHour: number;
+	/** Tokens that one machine gives at the latency target, per second. */
+	readonly tokensPerSecond: number;
+};
+
+/** A machine that is paid for. */
+export type Machine = {
+	readonly id: string;
+	readonly offer: Offer;
+};
+
+/** The cloud's side of machines. */
+export type Cloud = {
+	listOffers(): Promise<readonly Offer[]>;
+	/** Machines that run now; those that were reclaimed are not among them. */
+	listMachines(): Promise<readonly Machine[]>;
+	/** Starts one machine and gives its identifier. Throws a coded error when the cloud refuses. */
+	start(offer: Offer): Promise<string>;
+	stop(id: string): Promise<void>;
+};
+
+/** The store of model weights, which limits how fast it is read. */
+export type WeightStore = {
+	/** Shortest time between the starts of two fetches. */
+	readonly fetchIntervalMs: number;
+	/** Brings the weights to a machine; resolves when it can serve. */
+	fetch(machineId: string): Promise<void>;
+};
--- a/packages/mulberrypitch-logger/src/events.ts
+++ b/packages/mulberrypitch-logger/src/events.ts
@@ -39,4 +39,6 @@
 	requestFailed: {number: 1507, level: 'warn', text: 'request failed'},
 	orderSent: {number: 1601, level: 'info', text: 'order sent'},
 	orderFailed: {number: 1602, level: 'warn', text: 'order failed'},
+	machineRefused: {number: 1603, level: 'warn', text: 'machine refused'},
+	weightsFailed: {number: 1604, level: 'warn', text: 'weights failed'},
 } as const satisfies Record<string, CataloguedEvent>;
