--- a/packages/mulberrypitch-control/src/control-state.ts
+++ b/packages/mulberrypitch-control/src/control-state.ts
@@ -215,10 +215,13 @@
 	}
 
 	#openSession(command: CommandOf<'openSession'>, entry: LogEntry): Session {
-		const {session, isRestart} = this.#sessions.open(command);
+		const {session, isNew, isRestart} = this.#sessions.open(command);
 		if (isRestart) {
 			this.#requestCommands.transferAll(command.node, entry);
-			this.#requestCommands.returnAll(command.node, entry);
+		}
+
+		if (isNew) {
+			this.#requestCommands.adoptOrphans(command.node, entry);
 		}
 
 		return session;
