--- a/packages/mulberrypitch-host/src/host.ts
+++ b/packages/mulberrypitch-host/src/host.ts
@@ -159,6 +159,7 @@
 			metrics: this.#metrics,
 			admission,
 			getRetryPolicy: () => this.#configuration!.retry,
+			getReclaimPolicy: () => this.#configuration!.reclaim,
 		}));
 		this.#addGauges();
 		this.#server = this.#resources.add(new EntryServer({
