--- a/packages/mulberrypitch-control/src/control-state.ts
+++ b/packages/mulberrypitch-control/src/control-state.ts
@@ -28,6 +28,7 @@
 	readonly quarantine: CapturedQuarantine;
 	readonly membershipVersion: number;
 	readonly head: ChainHead;
+	readonly accountTime: number;
 };
 
 type Handlers = {readonly [Kind in Command['kind']]: (command: CommandOf<Kind>) => unknown};
@@ -146,6 +147,7 @@
 			quarantine: this.#quarantine.capture(),
 			membershipVersion: this.#feed.version,
 			head: this.#recorder.head,
+			accountTime: this.#recorder.time,
 		};
 	}
 
@@ -158,7 +160,7 @@
 		this.#desired.restore(captured.desired);
 		this.#quarantine.restore(captured.quarantine);
 		this.#feed.restore(captured.membershipVersion);
-		this.#recorder.restore(captured.head);
+		this.#recorder.restore(captured.head, captured.accountTime);
 	}
 
 	#applyCommand(entry: LogEntry): CommandResult {
--- a/packages/mulberrypitch-requests/src/__tests__/request-cluster.ts
+++ b/packages/mulberrypitch-requests/src/__tests__/request-cluster.ts
@@ -254,9 +254,7 @@
 			random: new SeededRandom(1),
 			logger,
 			machine: state,
-			onRecords(records) {
-				account.append(records);
-			},
+			account,
 		});
 		new ControlService({
 			group, name: 'control', replica, state, account, transport, clock, logger,
