--- a/packages/mulberrypitch-host/src/host.ts
+++ b/packages/mulberrypitch-host/src/host.ts
@@ -54,6 +54,7 @@
 	#control: ControlClient | undefined;
 	#requests: RequestService | undefined;
 	#server: EntryServer | undefined;
+	readonly #hurry = new AbortController();
 	#stopping: Promise<void> | undefined;
 
 	constructor(options: HostOptions) {
@@ -78,9 +79,18 @@
 		return this.#control?.isFresh() === true && this.#configuration !== undefined;
 	}
 
-	/** Stops without cutting off a request: leaves the entry list, finishes what is in progress, then ends the session. */
+	/**
+	Stops without cutting off a request: leaves the entry list, finishes what is in progress, then ends the session. Called
+	again, it hands over what other hosts can carry on and no longer waits for callers that keep the address.
+	*/
 	async drain(): Promise<void> {
-		this.#stopping ??= this.#drain();
+		if (this.#stopping === undefined) {
+			this.#stopping = this.#drain();
+		} else {
+			this.#hurry.abort();
+			await this.#requests?.handOver();
+		}
+
 		return this.#stopping;
 	}
 
@@ -96,7 +106,7 @@
 		const session = this.#control?.session;
 		if (session !== undefined) {
 			await this.#control!.propose({kind: 'drainSession', node: session.node, epoch: session.epoch});
-			await clock.sleep(settings.entriesTtlSeconds * 1000);
+			await clock.sleep(settings.entriesTtlSeconds * 1000, this.#hurry.signal);
 		}
 
 		await this.#requests?.waitIdle();
--- a/packages/mulberrypitch-requests/src/__tests__/request-life.test.ts
+++ b/packages/mulberrypitch-requests/src/__tests__/request-life.test.ts
@@ -146,3 +146,18 @@
 	t.equal(new Set(answers.map(({text}) => text)).size, 1);
 	t.ok(answers.every(({outcome}) => outcome!.end === ends.answered));
 });
+
+await t.test('a host in a hurry hands its requests over, and its callers get the rest through it', async t => {
+	const cluster = await startCluster(t);
+	const {requests} = cluster.getHost(holderName);
+	const accepted = await cluster.settle(requests.submit(createDocument('report', 600)));
+	const received = follow(accepted);
+	await cluster.clock.runFor(1000);
+	requests.drain();
+	await cluster.settle(requests.handOver());
+	await cluster.settle(requests.waitIdle());
+	t.equal(cluster.state.getRequest(accepted.requestId)!.epoch, 2);
+	t.equal(received.outcome, undefined);
+	await cluster.until(() => received.outcome !== undefined, lifeLimitMs);
+	t.ok(isWhole(received, 'report', 600));
+});
--- a/packages/mulberrypitch-requests/src/request-holder.ts
+++ b/packages/mulberrypitch-requests/src/request-holder.ts
@@ -154,6 +154,20 @@
 		}
 	}
 
+	/** Gives work that may be repeated to its standby; other work stays here until its end. */
+	async handOver(): Promise<void> {
+		const {copy} = this.#start;
+		const {standby} = this.#link;
+		if (standby === undefined || !copy.isIdempotent || this.answer.outcome !== undefined) {
+			return;
+		}
+
+		await this.#propose({
+			kind: 'transferRequest', requestId: this.requestId, epoch: copy.epoch, holder: standby.node,
+		});
+		this.abandon();
+	}
+
 	/** What another host needs to carry the request on from what callers have seen. */
 	getCopy(): HeldCopy {
 		return {...this.#start.copy, chunks: this.answer.getConfirmed()};
--- a/packages/mulberrypitch-requests/src/request-service.ts
+++ b/packages/mulberrypitch-requests/src/request-service.ts
@@ -74,6 +74,12 @@
 		this.#isDraining = true;
 	}
 
+	/** Gives what is in progress to other hosts, so that this one can stop sooner. */
+	async handOver(): Promise<void> {
+		const holders = [...this.#held.values()].map(({holder}) => holder);
+		await Promise.allSettled(holders.map(async holder => holder.handOver()));
+	}
+
 	/** Breaks off what is in progress; other hosts carry it on. */
 	dispose(): void {
 		this.#disposal.abort();
--- a/packages/mulberrypitch-requests/src/standby-link.ts
+++ b/packages/mulberrypitch-requests/src/standby-link.ts
@@ -93,6 +93,11 @@
 		this.#standby = request.standby;
 	}
 
+	/** The host with the copy, if there is one now. */
+	get standby(): Session | undefined {
+		return this.#standby;
+	}
+
 	/** Runs until the signal aborts. Throws `StaleEpochError` when another host holds the request. */
 	async run(signal: AbortSignal): Promise<void> {
 		while (!signal.aborted) {
--- a/packages/mulberrypitch/src/__tests__/stops.test.ts
+++ b/packages/mulberrypitch/src/__tests__/stops.test.ts
@@ -101,33 +101,33 @@
 
 await t.test('a host that drains redirects callers that kept its address', async t => {
 	const processes = await startHosts(t, 42);
-	const last = processes.hosts[3];
-	const running = ask(last!.address, 'long plan');
+	const last = processes.hosts[3]!;
+	const running = ask(last.address, 'long plan');
 	await delay(200);
-	last!.child.kill('SIGTERM');
+	last.child.kill('SIGTERM');
 	await delay(300);
-	const redirected = await request(`${last!.address}/v1/completions`, {
+	const redirected = await request(`${last.address}/v1/completions`, {
 		method: 'POST', headers: {authorization, 'content-type': 'application/json'}, body: JSON.stringify({model: 'advice', prompt: 'x'}),
 	});
 	await redirected.body.dump();
 	t.equal(redirected.statusCode, 307);
 	const response = await running;
 	t.equal(getContent(await response.body.text()), getExpected('long plan'));
-	t.equal(await waitForExit(last!.child), 0);
+	t.equal(await waitForExit(last.child), 0);
 });
 
 await t.test('Caltanissetta plan: the holder is killed, and the caller gets the rest elsewhere, each byte once', async t => {
 	const processes = await startHosts(t, 43);
 	const [first] = processes.hosts;
-	const last = processes.hosts[3];
-	const response = await ask(last!.address, 'maintenance plan');
+	const last = processes.hosts[3]!;
+	const response = await ask(last.address, 'maintenance plan');
 	const requestId = String(response.headers['x-request-id']);
 	let events = '';
 	try {
 		for await (const part of response.body) {
 			events += String(part);
 			if (getContent(events).length > 100) {
-				last!.child.kill('SIGKILL');
+				last.child.kill('SIGKILL');
 			}
 		}
 	} catch {
