--- a/packages/mulberrypitch-bench/src/capacity-part.ts
+++ b/packages/mulberrypitch-bench/src/capacity-part.ts
@@ -1,4 +1,6 @@
 /** Slopes of cost per session, back end and account record. */
+import {readdirSync, statSync} from 'node:fs';
+import path from 'node:path';
 import {setTimeout as delay} from 'node:timers/promises';
 import {hostDefaults} from '@mulberrypitch/config/defaults';
 import {ControlClient} from '@mulberrypitch/control/control-client';
@@ -7,6 +9,8 @@
 import {DisposableStore} from '@mulberrypitch/lifecycle/disposable-store';
 import {SilentLogger} from '@mulberrypitch/logger/logger';
 import {TcpTransport} from '@mulberrypitch/transport/tcp-transport';
+import {callerAgent, callPlain} from './caller.js';
+import {runLanes} from './lanes.js';
 import {LocalHosts} from './local-hosts.js';
 import {getRate, readUsage, type ProcessUsage} from './process-usage.js';
 import {printPart, type Row} from './report.js';
@@ -17,6 +21,8 @@
 const hostCount = 4;
 const settleMs = 4000;
 const windowMs = 6000;
+const recordLanes = 32;
+const recordMs = 8000;
 const fanOutSteps = 5;
 const zoneCount = 3;
 
@@ -33,14 +39,46 @@
 	const resources = new DisposableStore();
 	try {
 		await hosts.start(hostCount);
+		await measureRecords(hosts);
 		await measureBackends(hosts);
 		await measureSessions(hosts, resources);
 	} finally {
+		await callerAgent.destroy();
 		await hosts.dispose();
 		await resources.dispose();
 	}
 }
 
+/** Bytes on disk and memory of the leader for each request and account record. */
+async function measureRecords(hosts: LocalHosts): Promise<void> {
+	hosts.startBackend('plain', {id: 'desk', service: 'bookings', 'answer-ms': 0});
+	await hosts.waitForBackends(1);
+	await delay(settleMs);
+	const leader = await hosts.findLeader();
+	const entry = hosts.hosts.at(-1)!;
+	const before = readUsage(leader.child.pid!);
+	const calls = await runLanes(recordLanes, recordMs, async () => callPlain(entry.address, '/v1/services/bookings/book'));
+	await delay(settleMs);
+	const after = readUsage(leader.child.pid!);
+	const {head} = await hosts.callOperator<{head: {sequence: number}}>('/v1/admin/configuration');
+	const requests = calls.filter(call => call.isAnswered).length;
+	printPart('bookings through one entry, as the leader sees them', [{
+		requests,
+		perS: round(requests / (recordMs / 1000)),
+		recordsPerRequest: round(head.sequence / requests),
+		accountBytesPerRecord: Math.round(sumFileBytes(path.join(leader.folder, 'main/account')) / head.sequence),
+		logBytesPerRequest: Math.round(sumFileBytes(path.join(leader.folder, 'main/log')) / requests),
+		leaderCpuMsPerRequest: round((after.cpuMs - before.cpuMs) / requests),
+		leaderSentBytesPerRequest: Math.round((after.writtenBytes - before.writtenBytes) / requests),
+		leaderReadBytesPerRequest: Math.round((after.readBytes - before.readBytes) / requests),
+		leaderMemoryBytesPerRequest: Math.round((after.memoryBytes - before.memoryBytes) / requests),
+	}]);
+}
+
+function sumFileBytes(folder: string): number {
+	return readdirSync(folder).reduce((sum, name) => sum + statSync(path.join(folder, name)).size, 0);
+}
+
 async function measureSessions(hosts: LocalHosts, resources: DisposableStore): Promise<void> {
 	const leader = await hosts.findLeader();
 	const rows: Array<Row & {sessions: number; cpuPercent: number; bytesPerS: number; memoryMb: number}> = [];
@@ -147,7 +185,7 @@
 			announcers.push(createAnnouncer(entry.address, announcers.length, clock));
 		}
 
-		await hosts.waitForBackends(backends);
+		await hosts.waitForBackends(backends + 1);
 		await delay(settleMs);
 		const before: Record<'entry' | 'leader', ProcessUsage> = {entry: readUsage(entry.child.pid!), leader: readUsage(leader.child.pid!)};
 		await delay(windowMs);
@@ -168,7 +206,7 @@
 		leaderCpuPercent: getSlope(rows.map(row => [row.backends, row.leaderCpuPercent])).toFixed(4),
 	}]);
 	await Promise.all(announcers.map(async announcer => announcer.dispose()));
-	await hosts.waitForBackends(0);
+	await hosts.waitForBackends(1);
 }
 
 function createAnnouncer(entry: string, position: number, clock: SystemClock): Announcer {
