Let go of replies once their call has ended

Cause: each call raced against one promise of its connection. That promise lives as long as the connection and keeps a reaction, with the reply, for each race: every reply of a peer was kept until the connection closed.

Change: each call has its own promise for the loss of the connection, and a lost connection fails exactly the calls in progress. Ruled out: one connection a call (a handshake each), and closing connections from time to time (fails calls).

Conclusion: memory of a host no longer grows with the calls it has made.

--- a/packages/mulberrypitch-transport/src/tcp-transport.ts
+++ b/packages/mulberrypitch-transport/src/tcp-transport.ts
@@ -249,14 +249,13 @@
 /** The calling end of one connection. */
 class Connection {
 	readonly #client: JSONRPCClient;
-	readonly #lost = new Deferred<never>();
+	/** One for each call in progress: a promise of the whole connection would keep every reply alive. */
+	readonly #calls = new Set<Deferred<never>>();
 	readonly #address: Address;
+	#isLost = false;
 
 	constructor(address: Address, socket: net.Socket) {
 		this.#address = address;
-		this.#lost.promise.catch(() => {
-			// Calls in progress see the loss; an idle connection has none.
-		});
 		this.#client = new JSONRPCClient(async request => {
 			writeLine(socket, request);
 		});
@@ -266,10 +265,15 @@
 		const client = this.#client.timeout(timeoutMs, id => ({
 			jsonrpc: '2.0', id, error: {code: jsonRpcServerError, message: 'timeout', data: new TimeoutError(method, timeoutMs).toWire()},
 		}));
+		const lost = new Deferred<never>();
+		this.#calls.add(lost);
 		try {
-			return await Promise.race([client.request(method, parameters), this.#lost.promise]);
+			this.#requireOpen();
+			return await Promise.race([client.request(method, parameters), lost.promise]);
 		} catch (error) {
 			throw fromRpcError(error);
+		} finally {
+			this.#calls.delete(lost);
 		}
 	}
 
@@ -284,7 +288,16 @@
 	}
 
 	fail(): void {
-		this.#lost.reject(new PeerUnreachableError(this.#address));
+		this.#isLost = true;
+		for (const call of this.#calls) {
+			call.reject(new PeerUnreachableError(this.#address));
+		}
+	}
+
+	#requireOpen(): void {
+		if (this.#isLost) {
+			throw new PeerUnreachableError(this.#address);
+		}
 	}
 }
 
