--- a/packages/mulberrypitch-bench/src/log-part.ts
+++ b/packages/mulberrypitch-bench/src/log-part.ts
@@ -1,6 +1,7 @@
 /** Commits, recovery and failover of the replicated log. */
 import {rmSync} from 'node:fs';
 import path from 'node:path';
+import {AccountStore} from '@mulberrypitch/account/account-store';
 import {MemoryNetwork, type MemoryTransport} from '@mulberrypitch/fakes/memory-transport';
 import {VirtualClock} from '@mulberrypitch/fakes/virtual-clock';
 import {ControlState} from '@mulberrypitch/control/control-state';
@@ -66,9 +67,7 @@
 		random: new SeededRandom(Math.imul((seed * names.length) + index, seedSpread)),
 		logger: new SilentLogger(),
 		machine: new ControlState(),
-		onRecords() {
-			// The account is measured apart.
-		},
+		account: new AccountStore(new MemoryLog()),
 	}));
 	await Promise.all(replicas.map(async replica => replica.start()));
 	return {network, replicas};
--- a/packages/mulberrypitch-control/src/__tests__/sessions.test.ts
+++ b/packages/mulberrypitch-control/src/__tests__/sessions.test.ts
@@ -36,8 +36,17 @@
 	})), {status: 'rejected', reason: {code: codes.staleEpoch}});
 });
 
-await t.test('gives a host that restarted its requests without a standby', async t => {
+await t.test('gives another host the requests of a lost one without a standby', async t => {
 	const group = await startGroup(t, 2);
+	const [first, other] = group.entries;
+	await group.accept(first!, 'r1');
+	await group.settle(first!.client.dispose());
+	t.ok(await group.clock.runUntil(() => other!.assigned.length > 0, limitMs));
+	t.match(other!.assigned[0], {requestId: 'r1', holder: other!.name, epoch: 2});
+});
+
+await t.test('gives the only host its requests back when it restarted', async t => {
+	const group = await startGroup(t, 1);
 	const [first] = group.entries;
 	await group.accept(first!, 'r1');
 	await group.settle(first!.client.dispose());
--- a/packages/mulberrypitch-control/src/request-commands.ts
+++ b/packages/mulberrypitch-control/src/request-commands.ts
@@ -26,19 +26,20 @@
 		this.#context = context;
 	}
 
-	/** Gives the requests of a host whose session ended to their standbys. */
+	/** Gives the requests of a host whose session ended to their standbys, or to any other host so that they still end. */
 	transferAll(node: string, entry: LogEntry): void {
-		for (const request of this.#listInOrder(node)) {
-			const {standby} = request;
-			if (standby !== undefined && this.#context.sessions.has(standby)) {
-				this.#moveRequest(request, standby, entry);
+		for (const request of this.#listInOrder(candidate => candidate.holder === node)) {
+			const holder = this.#findNextHolder(request);
+			if (holder !== undefined) {
+				this.#moveRequest(request, holder, entry);
 			}
 		}
 	}
 
-	/** Gives a host that restarted, and so holds nothing any more, the requests that had no standby. */
-	returnAll(node: string, entry: LogEntry): void {
-		for (const request of this.#listInOrder(node)) {
+	/** Gives a host that just opened its session the requests that no host with a session holds, and its own of before. */
+	adoptOrphans(node: string, entry: LogEntry): void {
+		const {sessions} = this.#context;
+		for (const request of this.#listInOrder(({holder}) => holder === node || !sessions.has(holder))) {
 			this.#moveRequest(request, node, entry);
 		}
 	}
@@ -68,7 +69,7 @@
 		this.#context.sessions.require(command.holder, command.holderEpoch);
 		const {kind, holderEpoch, entryTime, ...facts} = command;
 		const request: RequestRecord = {
-			...facts, epoch: 1, acceptedAt: entry.time, attempts: [],
+			...facts, epoch: 1, copyEpoch: 1, acceptedAt: entry.time, attempts: [],
 		};
 		this.#context.requests.put(request);
 		this.#context.recorder.record({
@@ -113,7 +114,7 @@
 	changeStandby(command: CommandOf<'changeStandby'>): void {
 		const request = this.#context.requests.require(command.requestId);
 		this.#requireUnfinished(request, command.epoch);
-		this.#context.requests.put({...request, standby: command.standby});
+		this.#context.requests.put({...request, standby: command.standby, copyEpoch: command.epoch});
 	}
 
 	/** Records the end of a request. */
@@ -135,14 +136,25 @@
 		return finished;
 	}
 
-	/** The order must not depend on whether this replica was restored from a snapshot. */
-	#listInOrder(node: string): RequestRecord[] {
-		return this.#context.requests.listHeld(node).toSorted(compareAcceptance);
+	#findNextHolder({holder, standby}: RequestRecord): string | undefined {
+		const {sessions} = this.#context;
+		if (standby !== undefined && standby !== holder && sessions.has(standby)) {
+			return standby;
+		}
+
+		const others = sessions.list().filter(({node}) => node !== holder);
+		return (others.find(({isDraining}) => !isDraining) ?? others[0])?.node;
+	}
+
+	/** Lists unfinished requests. The order must not depend on whether this replica was restored from a snapshot. */
+	#listInOrder(isWanted: (request: RequestRecord) => boolean): RequestRecord[] {
+		return this.#context.requests.list()
+			.filter(request => request.outcome === undefined && isWanted(request))
+			.toSorted(compareAcceptance);
 	}
 
 	#moveRequest(request: RequestRecord, holder: string, entry: LogEntry): RequestRecord {
-		const {standby, ...rest} = request;
-		const moved: RequestRecord = {...rest, holder, epoch: request.epoch + 1};
+		const moved: RequestRecord = {...request, holder, epoch: request.epoch + 1};
 		this.#context.requests.put(moved);
 		this.#context.recorder.record({
 			...getRequestFacts(moved), kind: 'transferred', entryTime: entry.time, host: holder,
