--- a/packages/mulberrypitch-account/src/account-folder.ts
+++ b/packages/mulberrypitch-account/src/account-folder.ts
@@ -1,11 +1,9 @@
 /** Reads the account straight from the data folder of a control host. */
 import path from 'node:path';
+import {assumeType} from '@mulberrypitch/errors/assume-type';
 import {getSystemCode} from '@mulberrypitch/errors/coded-error';
 import {SettingsError} from '@mulberrypitch/errors/catalogue';
-import {FileLog} from '@mulberrypitch/storage/file-log';
-import type {Disk} from '@mulberrypitch/storage/types';
-import {AccountStore} from './account-store.js';
-import {ReadOnlyDisk} from './read-only-disk.js';
+import {readLogFiles, type DiskReader} from '@mulberrypitch/storage/log-reader';
 import type {AccountRecord} from './types.js';
 
 /**
@@ -16,10 +14,10 @@
 const records = await readAccountFolder('data/palermo-1', 'main', new NodeDisk());
 ```
 */
-export async function readAccountFolder(dataFolder: string, group: string, disk: Disk): Promise<readonly AccountRecord[]> {
-	const store = new AccountStore(new FileLog(path.join(dataFolder, group, 'account'), new ReadOnlyDisk(disk)));
+export async function readAccountFolder(dataFolder: string, group: string, disk: DiskReader): Promise<readonly AccountRecord[]> {
 	try {
-		await store.load();
+		const {log} = await readLogFiles(path.join(dataFolder, group, 'account'), disk);
+		return log.entries.map(entry => assumeType<AccountRecord>(entry.command));
 	} catch (error) {
 		if (getSystemCode(error) === 'ENOENT') {
 			throw new SettingsError(`${dataFolder} holds no account of group ${group}.`, 'Give the data folder of a control host.');
@@ -27,6 +25,4 @@
 
 		throw error;
 	}
-
-	return store.read(1, Number.MAX_SAFE_INTEGER);
 }
--- a/packages/mulberrypitch-storage/src/file-log.ts
+++ b/packages/mulberrypitch-storage/src/file-log.ts
@@ -1,22 +1,17 @@
 /** A log of checksummed segment files. */
 import {Buffer} from 'node:buffer';
 import path from 'node:path';
-import {assumeType} from '@mulberrypitch/errors/assume-type';
 import {getMessage} from '@mulberrypitch/errors/coded-error';
 import {StorageError} from '@mulberrypitch/errors/catalogue';
-import {decodeRecords, encodeRecord} from './record-codec.js';
+import {hardStateFile, segmentSuffix, snapshotFile} from './log-files.js';
+import {readLogFiles} from './log-reader.js';
+import {encodeRecord} from './record-codec.js';
 import type {
-	Disk, DiskFile, HardState, LogEntry, LogStore, Snapshot, StoredLog,
+	Disk, DiskFile, HardState, LogEntry, LogStore, Snapshot, StoredLog, Truncation,
 } from './types.js';
 
 const segmentBytes = 8 * 1024 * 1024;
 const nameDigits = 12;
-const hardStateFile = 'hard-state';
-const snapshotFile = 'snapshot';
-const segmentSuffix = '.segment';
-
-/** A record that drops the entries from an index on. */
-type Truncation = {readonly truncateFrom: number};
 
 type Segment = {
 	readonly name: string;
@@ -39,15 +34,16 @@
 
 	async load(): Promise<StoredLog> {
 		await this.#disk.makeFolder(this.#folder);
-		const hardState = await this.#readSingle<HardState>(hardStateFile);
-		const snapshot = await this.#readSingle<Snapshot>(snapshotFile);
-		const entries = await this.#readSegments(snapshot?.index ?? 0);
+		const {log, segments} = await readLogFiles(this.#folder, this.#disk);
+		const last = segments.at(-1);
+		if (last !== undefined) {
+			// An earlier process may have died before its sync, so these bytes may not be on the disk yet.
+			await this.#replaceFile(path.join(this.#folder, last.name), last.data);
+		}
+
+		this.#segments.push(...segments.map(({name, lastIndex}) => ({name, lastIndex})));
 		await this.#disk.syncFolder(this.#folder);
-		return {
-			...(hardState !== undefined && {hardState}),
-			...(snapshot !== undefined && {snapshot}),
-			entries,
-		};
+		return log;
 	}
 
 	async saveHardState(state: HardState): Promise<void> {
@@ -139,36 +135,6 @@
 		await this.#disk.syncFolder(this.#folder);
 	}
 
-	async #readSegments(afterIndex: number): Promise<LogEntry[]> {
-		const names = await this.#disk.list(this.#folder);
-		const segmentNames = names.filter(name => name.endsWith(segmentSuffix));
-		const entries: LogEntry[] = [];
-		for (const name of segmentNames) {
-			const file = path.join(this.#folder, name);
-			const data = await this.#disk.read(file) ?? new Uint8Array();
-			const isLast = name === segmentNames.at(-1);
-			const {records, lengthBytes} = decodeRecords(data, file, isLast);
-			if (isLast) {
-				// An earlier process may have died before its sync, so these bytes may not be on the disk yet.
-				await this.#replaceFile(file, data.subarray(0, lengthBytes));
-			}
-
-			this.#segments.push({name, lastIndex: applyRecords(assumeType<Array<LogEntry | Truncation>>(records), entries)});
-		}
-
-		return entries.filter(entry => entry.index > afterIndex);
-	}
-
-	async #readSingle<Value>(name: string): Promise<Value | undefined> {
-		const file = path.join(this.#folder, name);
-		const data = await this.#disk.read(file);
-		if (data === undefined) {
-			return undefined;
-		}
-
-		return assumeType<Value>(decodeRecords(data, file, false).records[0]);
-	}
-
 	async #replaceSingle(name: string, value: unknown): Promise<void> {
 		await this.#replaceFile(path.join(this.#folder, name), encodeRecord(value));
 	}
@@ -184,22 +150,3 @@
 		await this.#disk.syncFolder(this.#folder);
 	}
 }
-
-/** Applies the records of one segment to the entries read so far and gives the highest index it names. */
-function applyRecords(records: ReadonlyArray<LogEntry | Truncation>, entries: LogEntry[]): number {
-	let lastIndex = 0;
-	for (const record of records) {
-		if ('truncateFrom' in record) {
-			while (entries.length > 0 && entries.at(-1)!.index >= record.truncateFrom) {
-				entries.pop();
-			}
-
-			continue;
-		}
-
-		entries.push(record);
-		lastIndex = Math.max(lastIndex, record.index);
-	}
-
-	return lastIndex;
-}
--- /dev/null
+++ b/packages/mulberrypitch-storage/src/log-reader.ts
@@ -0,0 +1,87 @@
+/** Reads the files of a log without changing them. */
+import path from 'node:path';
+import {assumeType} from '@mulberrypitch/errors/assume-type';
+import {decodeRecords} from './record-codec.js';
+import {
+	hardStateFile, segmentSuffix, snapshotFile,
+} from './log-files.js';
+import type {
+	Disk, HardState, LogEntry, Snapshot, StoredLog, Truncation,
+} from './types.js';
+
+/** The part of a disk that reading needs. */
+export type DiskReader = Pick<Disk, 'list' | 'read'>;
+
+/** One segment file as it was found. */
+export type SegmentFile = {
+	readonly name: string;
+	/** Highest index that it names. */
+	readonly lastIndex: number;
+	/** Its whole records, without a torn tail. */
+	readonly data: Uint8Array;
+};
+
+/** A log as it was found. */
+export type LogFiles = {
+	readonly log: StoredLog;
+	readonly segments: readonly SegmentFile[];
+};
+
+/**
+Reads a log. A torn tail of the last segment is left out; damage elsewhere throws `CorruptLogError`.
+
+@example
+```
+const {log} = await readLogFiles('data/main/log', new NodeDisk());
+```
+*/
+export async function readLogFiles(folder: string, disk: DiskReader): Promise<LogFiles> {
+	const hardState = await readSingle<HardState>(path.join(folder, hardStateFile), disk);
+	const snapshot = await readSingle<Snapshot>(path.join(folder, snapshotFile), disk);
+	const names = await disk.list(folder);
+	const segmentNames = names.filter(name => name.endsWith(segmentSuffix));
+	const segments: SegmentFile[] = [];
+	const entries: LogEntry[] = [];
+	for (const name of segmentNames) {
+		const file = path.join(folder, name);
+		const data = await disk.read(file) ?? new Uint8Array();
+		const {records, lengthBytes} = decodeRecords(data, file, name === segmentNames.at(-1));
+		const lastIndex = applyRecords(assumeType<Array<LogEntry | Truncation>>(records), entries);
+		segments.push({name, lastIndex, data: data.subarray(0, lengthBytes)});
+	}
+
+	const log: StoredLog = {
+		...(hardState !== undefined && {hardState}),
+		...(snapshot !== undefined && {snapshot}),
+		entries: entries.filter(entry => entry.index > (snapshot?.index ?? 0)),
+	};
+	return {log, segments};
+}
+
+async function readSingle<Value>(file: string, disk: DiskReader): Promise<Value | undefined> {
+	const data = await disk.read(file);
+	if (data === undefined) {
+		return undefined;
+	}
+
+	return assumeType<Value>(decodeRecords(data, file, false).records[0]);
+}
+
+/** Applies the records of one segment to the entries read so far and gives the highest index it names. */
+function applyRecords(records: ReadonlyArray<LogEntry | Truncation>, entries: LogEntry[]): number {
+	let lastIndex = 0;
+	for (const record of records) {
+		if ('truncateFrom' in record) {
+			while (entries.length > 0 && entries.at(-1)!.index >= record.truncateFrom) {
+				entries.pop();
+			}
+
+			continue;
+		}
+
+		entries.push(record);
+		lastIndex = Math.max(lastIndex, record.index);
+	}
+
+	return lastIndex;
+}
--- a/packages/mulberrypitch-storage/src/types.ts
+++ b/packages/mulberrypitch-storage/src/types.ts
@@ -12,6 +12,11 @@
 /** Replica ids of the voters, by host name. */
 export type Members = Readonly<Record<string, string>>;
 
+/** A record that drops the entries from an index on. */
+export type Truncation = {
+	readonly truncateFrom: number;
+};
+
 /** What a replica must remember before it answers a vote. */
 export type HardState = {
 	/** Made at the first start on an empty disk, so a host that lost its disk has another one. */
