Measure a short list of lightly loaded entries against plain rotation

Cause: the paper (Monalisa service applications, LISA) gives a client a short list of near servers with little load. Callers here keep an entry for a while, and a few of them send most.

Change: the experiment has callers that keep their entry (40 callers, 10 s) and draw it from all entries or from the n with the least demand heard, with a lag of 500 ms; it reports the largest demand of an entry as a factor of the mean.

Nearness was not measured.

--- a/packages/mulberrypitch-load/src/experiment-result.ts
+++ b/packages/mulberrypitch-load/src/experiment-result.ts
@@ -31,6 +31,8 @@
 	readonly retries: number;
 	/** Changes of the back end from one dispatch of an entry and a prefix to the next, as a part of the dispatches. */
 	readonly flapPart: number;
+	/** Mean over time of the largest demand of an entry, as a factor of the mean of all. */
+	readonly entryImbalance: number;
 	/** Prompt tokens taken from caches, as a part of all. */
 	readonly cachedPart: number;
 	/** Percentile 95 of the time to the first token of good answers, by class, in milliseconds. */
@@ -57,6 +59,8 @@
 
 	readonly #warmUpMs: number;
 	readonly #choices = new Map<string, string>();
+	#imbalance = 0;
+	#imbalances = 0;
 	#flaps = 0;
 	#dispatches = 0;
 	#retries = 0;
@@ -77,6 +81,12 @@
 		this.#retries += isRetry ? 1 : 0;
 	}
 
+	/** Counts a sample of the spread of the load over entries. */
+	addImbalance(factor: number): void {
+		this.#imbalance += factor;
+		this.#imbalances += 1;
+	}
+
 	/** Counts the prompt of an answered request. */
 	addPrompt(promptTokens: number, cachedTokens: number): void {
 		this.#promptTokens += promptTokens;
@@ -116,6 +126,7 @@
 			dispatches: this.#dispatches,
 			retries: this.#retries,
 			flapPart: round(this.#flaps / Math.max(1, this.#dispatches)),
+			entryImbalance: round(this.#imbalance / Math.max(1, this.#imbalances)),
 			cachedPart: round(this.#cachedTokens / Math.max(1, this.#promptTokens)),
 			firstTokenP95Ms: {
 				document: getPercentile(this.#firstToken.get('document')),
--- a/packages/mulberrypitch-load/src/experiment.ts
+++ b/packages/mulberrypitch-load/src/experiment.ts
@@ -6,6 +6,7 @@
 import type {Ticket} from '@mulberrypitch/admission/types';
 import type {Candidate, Dispatch} from '@mulberrypitch/routing/types';
 import {BatchingEngine, type EngineAnswer, type EngineSpeed} from './batching-engine.js';
+import {EntryChoice, getImbalance, type CallerModel} from './entry-choice.js';
 import type {Arm, EntryParts} from './experiment-arms.js';
 import {ResultRecorder, runEnds, type ExperimentResult} from './experiment-result.js';
 import {
@@ -33,6 +34,8 @@
 	readonly outage?: Outage;
 	/** Part of the callers that all use the first entry; the others are spread evenly. */
 	readonly busiestEntryPart?: number;
+	/** Callers that keep their entry for a while; each request draws its entry when absent. */
+	readonly callers?: CallerModel;
 };
 
 /** Engines that begin to fail all new work. */
@@ -69,12 +72,14 @@
 	readonly #entries: readonly EntryParts[];
 	readonly #engines: readonly Backend[];
 	readonly #plain: readonly Backend[];
+	readonly #choice: EntryChoice | undefined;
 	#hosts: readonly DemandingHost[] = [];
 
 	constructor(experiment: Experiment) {
 		this.#experiment = experiment;
-		const {deployment, arm, seed, warmUpMs} = experiment;
+		const {deployment, arm, seed, warmUpMs, callers} = experiment;
 		this.#recorder = new ResultRecorder(warmUpMs);
+		this.#choice = callers === undefined ? undefined : new EntryChoice(callers, this.#clock, new SeededRandom(seed + 1));
 		this.#engines = this.#createBackends(deployment.engineService, deployment.engines, engineSpeed);
 		this.#plain = this.#createBackends(deployment.plainService, deployment.plainRunners, plainSpeed);
 		this.#entries = Array.from({length: deployment.entries}, (_, index) => arm.createEntry({
@@ -116,7 +121,8 @@
 	async #send(arrivals: readonly Arrival[]): Promise<void> {
 		for (const arrival of arrivals) {
 			await this.#clock.sleep(arrival.at - this.#clock.now());
-			void this.#serve(arrival);
+			const entry = this.#choice?.next(this.#hosts, this.#entries.length) ?? arrival.entry;
+			void this.#serve({...arrival, entry});
 		}
 	}
 
@@ -137,6 +143,7 @@
 			const hosts = this.#entries.map(({admission}, index) => ({name: getEntryName(index), demand: admission.getDemand?.() ?? {}}));
 			await this.#clock.sleep(exchangeLagMs);
 			this.#hosts = hosts;
+			this.#recorder.addImbalance(getImbalance(hosts));
 			for (const {admission} of this.#entries) {
 				admission.refresh?.();
 			}
