Tell callers first of the three entries with the least demand

Change: entry-ranking takes the demand that the hosts exchange: the three with the least in rotation, then the others by demand, overloaded ones last.

Not measured on live hosts.

--- a/packages/mulberrypitch-admission/src/demand-exchange.ts
+++ b/packages/mulberrypitch-admission/src/demand-exchange.ts
@@ -5,6 +5,7 @@
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
 import type {Resource} from '@mulberrypitch/lifecycle/disposable-store';
 import type {Address, Transport} from '@mulberrypitch/transport/types';
+import {isServiceKey} from './keys.js';
 import type {Demand, DemandingHost} from './demand-quota.js';
 
 const intervalMs = 500;
@@ -61,6 +62,14 @@
 		});
 	}
 
+	/** Gives the requests that run or wait on a host for all services; zero when nothing was heard lately. */
+	getServiceDemand(host: string): number {
+		const demand = this.hosts.find(({name}) => name === host)?.demand ?? {};
+		return Object.entries(demand)
+			.filter(([key]) => isServiceKey(key))
+			.reduce((sum, [, value]) => sum + value, 0);
+	}
+
 	async dispose(): Promise<void> {
 		await this.#task.dispose();
 	}
--- a/packages/mulberrypitch-admission/src/keys.ts
+++ b/packages/mulberrypitch-admission/src/keys.ts
@@ -1,5 +1,7 @@
 /** Names of what the hosts split. */
 
+const servicePart = 'service/';
+
 /**
 Names the slots of a service.
 
@@ -9,7 +11,19 @@
 ```
 */
 export function getServiceKey(service: string): string {
-	return `service/${service}`;
+	return `${servicePart}${service}`;
+}
+
+/**
+Tells whether a key names the slots of a service.
+
+@example
+```
+isServiceKey('service/advice'); // true
+```
+*/
+export function isServiceKey(key: string): boolean {
+	return key.startsWith(servicePart);
 }
 
 /**
--- a/packages/mulberrypitch-entry/src/__tests__/entry-ranking.test.ts
+++ b/packages/mulberrypitch-entry/src/__tests__/entry-ranking.test.ts
@@ -4,7 +4,7 @@
 import {rankEntries, type RankedEntry} from '../entry-ranking.js';
 
 const entries: RankedEntry[] = ['a', 'b', 'c', 'd'].map(address => ({
-	address, zone: 'z', isDraining: address === 'c', isOverloaded: address === 'b',
+	address, zone: 'z', isDraining: address === 'c', isOverloaded: address === 'b', demand: 0,
 }));
 
 await t.test('leaves out draining hosts, puts overloaded ones last and spreads callers over the others', async t => {
@@ -13,3 +13,13 @@
 	t.ok(lists.every(list => list.length === 3 && list.at(-1) === 'b'));
 	t.same(new Set(lists.map(([first]) => first)), new Set(['a', 'd']));
 });
+
+await t.test('spreads callers over the three hosts with the least demand', async t => {
+	const random = new SeededRandom(1);
+	const loaded = ['a', 'b', 'c', 'd', 'e'].map((address, index) => ({
+		address, zone: 'z', isDraining: false, isOverloaded: false, demand: 10 - index,
+	}));
+	const lists = Array.from({length: 50}, () => rankEntries(loaded, random).map(({address}) => address));
+	t.same(new Set(lists.map(([first]) => first)), new Set(['c', 'd', 'e']));
+	t.ok(lists.every(list => list.length === 5 && list.at(-1) === 'a'));
+});
--- a/packages/mulberrypitch-entry/src/entry-ranking.ts
+++ b/packages/mulberrypitch-entry/src/entry-ranking.ts
@@ -8,10 +8,16 @@
 	readonly isDraining: boolean;
 	/** Has an old view or a long queue. */
 	readonly isOverloaded: boolean;
+	/** Requests that run or wait on it, as far as this host knows. */
+	readonly demand: number;
 };
 
+/** Entries with the least demand that callers are spread over. */
+const shortListLength = 3;
+
 /**
-Gives the addresses in rotation from a random start, overloaded hosts last and draining hosts left out.
+Gives the addresses: a rotation of the few with the least demand, then the others by demand, overloaded hosts last.
+Draining hosts are left out.
 
 @example
 ```
@@ -20,9 +26,10 @@
 */
 export function rankEntries(entries: readonly RankedEntry[], random: Random): EntryAddress[] {
 	const staying = entries.filter(({isDraining}) => !isDraining);
-	const able = staying.filter(({isOverloaded}) => !isOverloaded);
+	const able = staying.filter(({isOverloaded}) => !isOverloaded).toSorted((left, right) => left.demand - right.demand);
 	const overloaded = staying.filter(({isOverloaded}) => isOverloaded);
-	return [...rotate(able, random), ...rotate(overloaded, random)].map(({address, zone}) => ({address, zone}));
+	const shortList = rotate(able.slice(0, shortListLength), random);
+	return [...shortList, ...able.slice(shortListLength), ...rotate(overloaded, random)].map(({address, zone}) => ({address, zone}));
 }
 
 function rotate<Item>(items: readonly Item[], random: Random): Item[] {
--- a/packages/mulberrypitch-entry/src/entry-server.ts
+++ b/packages/mulberrypitch-entry/src/entry-server.ts
@@ -51,6 +51,8 @@
 	readonly logger: Logger;
 	/** Tells whether requests wait on this host so long that callers should use others. */
 	readonly isOverloaded: () => boolean;
+	/** Requests that run or wait on a host, as far as this one knows. */
+	readonly getDemand: (node: string) => number;
 	/** The configuration in force, once there is one. */
 	readonly getConfiguration: () => SharedConfiguration | undefined;
 	/** Begins a planned stop of this host. */
@@ -206,6 +208,7 @@
 				zone: session.zone,
 				isDraining: session.isDraining,
 				isOverloaded: session.node === settings.name && this.#options.isOverloaded(),
+				demand: this.#options.getDemand(session.node),
 			}));
 		return {entries: rankEntries(entries, random), ttlSeconds: settings.entriesTtlSeconds};
 	}
--- a/packages/mulberrypitch-host/src/host.ts
+++ b/packages/mulberrypitch-host/src/host.ts
@@ -145,7 +145,7 @@
 		this.#control = this.#createControlClient(backends);
 		const engine = this.#resources.add(new EngineClient());
 		const plain = this.#resources.add(new PlainClient());
-		const admission = this.#createAdmission();
+		const {admission, exchange} = this.#createAdmission();
 		this.#requests = this.#resources.add(new RequestService({
 			node: settings.name,
 			zone: settings.zone,
@@ -173,6 +173,7 @@
 			random,
 			logger,
 			isOverloaded: () => this.#configuration?.services.some(({name, queueLimit}) => admission.getQueueLength(name) > queueLimit * overloadedQueuePart) === true,
+			getDemand: node => exchange.getServiceDemand(node),
 			getConfiguration: () => this.#configuration,
 			onDrain: () => {
 				void this.drain();
@@ -219,7 +220,7 @@
 	}
 
 	/** Makes admission, whose part of slots and limits follows the demand of all hosts. */
-	#createAdmission(): AdmissionQueue {
+	#createAdmission(): {admission: AdmissionQueue; exchange: DemandExchange} {
 		const {settings, transport, clock, logger} = this.#options;
 		const admission: AdmissionQueue = new AdmissionQueue({clock, quota: new DemandQuota(settings.name, () => exchange.hosts)});
 		const exchange: DemandExchange = this.#resources.add(new DemandExchange({
@@ -235,7 +236,7 @@
 				logger.log(events.taskFailed, {task: 'admission.demand', reason: getMessage(error)});
 			},
 		}));
-		return admission;
+		return {admission, exchange};
 	}
 
 	#addGauges(): void {
