--- a/packages/mulberrypitch-control/src/session-table.ts
+++ b/packages/mulberrypitch-control/src/session-table.ts
@@ -16,6 +16,8 @@
 /** What opening a session gave. */
 export type OpenedSession = {
 	readonly session: Session;
+	/** The session was not open before this command. */
+	readonly isNew: boolean;
 	/** Another process of the same host had the session before. */
 	readonly isRestart: boolean;
 };
@@ -63,7 +65,7 @@
 	open(command: CommandOf<'openSession'>): OpenedSession {
 		const known = this.#sessions.get(command.node);
 		if (known?.incarnation === command.incarnation) {
-			return {session: known, isRestart: false};
+			return {session: known, isNew: false, isRestart: false};
 		}
 
 		const {kind, ...facts} = command;
@@ -73,7 +75,7 @@
 		this.#ended.delete(command.node);
 		this.#sites.add(session.site);
 		this.#put(session);
-		return {session, isRestart: previous !== undefined && previous !== command.incarnation};
+		return {session, isNew: true, isRestart: previous !== undefined && previous !== command.incarnation};
 	}
 
 	drain(node: string, epoch: number): void {
--- a/packages/mulberrypitch-host/src/host.ts
+++ b/packages/mulberrypitch-host/src/host.ts
@@ -120,9 +120,7 @@
 			random,
 			logger,
 			machine: state,
-			onRecords(records) {
-				account.append(records);
-			},
+			account,
 		});
 		const service = new ControlService({
 			group: settings.group, name: settings.name, replica, state, account, transport, clock, logger,
@@ -161,6 +159,7 @@
 			metrics: this.#metrics,
 			admission,
 			getRetryPolicy: () => this.#configuration!.retry,
+			getReclaimPolicy: () => this.#configuration!.reclaim,
 		}));
 		this.#addGauges();
 		this.#server = this.#resources.add(new EntryServer({
--- a/packages/mulberrypitch-requests/src/request-holder.ts
+++ b/packages/mulberrypitch-requests/src/request-holder.ts
@@ -1,54 +1,68 @@
 /** Carries one accepted request to its end: dispatches, retries, progress to the standby, and the committed outcome. */
 import {Buffer} from 'node:buffer';
 import {CodedError, hasCode} from '@mulberrypitch/errors/coded-error';
-import {assertInvariant, codes} from '@mulberrypitch/errors/catalogue';
-import type {Clock} from '@mulberrypitch/lifecycle/clock';
+import {
+	assertInvariant, BackendFailedError, codes, StaleEpochError,
+} from '@mulberrypitch/errors/catalogue';
 import {events} from '@mulberrypitch/logger/events';
 import type {Logger} from '@mulberrypitch/logger/logger';
 import type {
 	BackendCall, Engine, PlainService,
 } from '@mulberrypitch/backends/types';
-import type {ControlClient} from '@mulberrypitch/control/control-client';
+import type {Command, CommandOf} from '@mulberrypitch/control/commands';
+import type {CommandValue} from '@mulberrypitch/control/command-value';
 import {
-	backendKinds, ends, type End, type BackendServer, type Outcome,
+	backendKinds, ends, type End, type BackendServer, type Outcome, type Session,
 } from '@mulberrypitch/control/types';
-import type {RetryPolicy} from '@mulberrypitch/config/types';
+import type {ReclaimPolicy, RetryPolicy} from '@mulberrypitch/config/types';
 import type {Dispatch, Router} from '@mulberrypitch/routing/types';
 import type {MetricsRegistry} from '@mulberrypitch/metrics/registry';
-import type {Transport} from '@mulberrypitch/transport/types';
 import {AnswerLog} from './answer-log.js';
-import {standbyMethods} from './request-standby.js';
+import type {ReclaimedRequest} from './reclaim-planner.js';
+import {StandbyLink, type StandbyLinkContext} from './standby-link.js';
+import {TimeoutSignal} from './timeout-signal.js';
 import type {HeldCopy} from './types.js';
 
 const waitForBackendMs = 100;
-const progressIntervalMs = 50;
-const progressTimeoutMs = 1000;
-const maxKeptAnswerLength = 16_000;
+const maxBackoffMs = 2000;
+const proposalRetryMs = 200;
+const cacheTimeoutMs = 5000;
+const charactersPerToken = 4;
+const defaultTokenMs = 50;
+const maxKeptAnswerLength = 64_000;
 const retryAfterSeconds = 2;
+/** Answers of idempotent calls that are worth another back end; for other calls any answer is the outcome. */
+const unavailableStatuses = new Set([502, 503, 504]);
 
 /** What all holders of one host share. */
-export type HolderContext = {
-	readonly control: ControlClient;
-	readonly transport: Transport;
+export type HolderContext = StandbyLinkContext & {
 	readonly router: Router;
 	readonly engine: Engine;
 	readonly plain: PlainService;
-	readonly clock: Clock;
 	readonly logger: Logger;
 	readonly metrics: MetricsRegistry;
 	readonly getRetryPolicy: () => RetryPolicy;
+	readonly getReclaimPolicy: () => ReclaimPolicy;
 };
 
 /** Where a request stands when a holder begins with it. */
 export type HolderStart = {
 	readonly copy: HeldCopy;
-	readonly epoch: number;
 	/** Dispatches recorded so far. */
 	readonly attempts: number;
 	/** A dispatch may have reached a back end and has no outcome. */
 	readonly mayHaveRun: boolean;
-	/** Peer address of the standby. */
-	readonly standbyAddress?: string;
+	/** The host that has a copy already. */
+	readonly standby?: Session;
+	/** Holder and standby were lost together, so the request can only be ended. */
+	readonly isLost?: boolean;
+};
+
+type Target = {
+	readonly backend: BackendServer;
+	readonly dispatch: Dispatch;
+	/** Tokens of the answer whose KV cache is there already. */
+	readonly cachedTokens: number;
 };
 
 /** Holds one request. */
@@ -58,9 +72,14 @@
 	readonly #start: HolderStart;
 	readonly #abort = new AbortController();
 	readonly #excluded = new Set<string>();
+	readonly #link: StandbyLink;
 	#attempt: number;
-	#sentToStandby: number;
-	#isSendingProgress = false;
+	#dispatched = 0;
+	#detour = new AbortController();
+	#current: Target | undefined;
+	#moved: Target | undefined;
+	#attemptTokens = 0;
+	#attemptStartedAt = 0;
 	#lastFailure: CodedError | undefined;
 
 	constructor(context: HolderContext, start: HolderStart) {
@@ -68,68 +87,202 @@
 		this.#start = start;
 		this.#attempt = start.attempts;
 		this.answer = new AnswerLog(start.copy.chunks);
-		this.#sentToStandby = start.copy.chunks.length;
+		this.#link = new StandbyLink(context, {
+			copy: start.copy, answer: this.answer, ...(start.standby !== undefined && {standby: start.standby}),
+		});
 	}
 
 	get requestId(): string {
 		return this.#start.copy.requestId;
 	}
 
+	/** The back end that runs the request now. */
+	get backend(): BackendServer | undefined {
+		return this.#current?.backend;
+	}
+
+	/** Tells how far the request is, for the plan of a reclaim. */
+	getProgress(): ReclaimedRequest {
+		const {copy} = this.#start;
+		const count = this.answer.length - this.#attemptTokens;
+		const promptTokens = Math.ceil(copy.body.text.length / charactersPerToken);
+		return {
+			requestId: this.requestId,
+			contextTokens: promptTokens + this.answer.length,
+			remainingTokens: Math.max(0, copy.maxTokens - this.answer.length),
+			tokenMs: count === 0 ? defaultTokenMs : (this.#context.clock.now() - this.#attemptStartedAt) / count,
+		};
+	}
+
+	/** Moves the KV cache from a back end that leaves to another one, and goes on there. */
+	async moveCache(from: BackendServer): Promise<void> {
+		const {engine, clock} = this.#context;
+		if (this.#current?.backend.incarnation !== from.incarnation || !this.#canMove()) {
+			return;
+		}
+
+		const target = this.#choose();
+		if (target?.backend.capabilities.movesCache !== true) {
+			target?.dispatch.finish({isFailure: false});
+			return;
+		}
+
+		const limit = new TimeoutSignal(clock, cacheTimeoutMs, this.#abort.signal);
+		const call = {requestId: this.requestId, signal: limit.signal};
+		try {
+			const cache = await engine.exportCache({...call, address: from.address});
+			await engine.importCache({...call, address: target.backend.address}, cache);
+			this.#moved = {...target, cachedTokens: cache.tokens};
+			this.leaveBackend(from);
+		} catch {
+			// The request stays where it is until the back end goes, and then resumes from its tokens.
+			target.dispatch.finish({isFailure: true});
+		} finally {
+			limit.cancel();
+		}
+	}
+
+	/** Breaks off work on a back end that goes; the request goes on elsewhere. Work that may not be repeated stays. */
+	leaveBackend(from: BackendServer): void {
+		if (this.#current?.backend.incarnation === from.incarnation && this.#canMove()) {
+			this.#detour.abort();
+		}
+	}
+
+	/** What another host needs to carry the request on from what callers have seen. */
+	getCopy(): HeldCopy {
+		return {...this.#start.copy, chunks: this.answer.getConfirmed()};
+	}
+
 	/** Runs the request to its end. Stops without an end when another host has taken it over. */
 	async run(): Promise<void> {
+		const linking = this.#runLink();
 		try {
 			const outcome = await this.#runAttempts();
 			await this.#finish(outcome);
 		} catch (error) {
-			if (hasCode(error, codes.staleEpoch)) {
-				this.#abort.abort();
-				return;
+			if (!hasCode(error, codes.staleEpoch) && !this.#abort.signal.aborted) {
+				throw error;
 			}
-
-			throw error;
+		} finally {
+			this.abandon();
+			await linking;
 		}
 	}
 
 	/** Breaks off all work; another host carries on. */
 	abandon(): void {
 		this.#abort.abort();
+		this.answer.abandon();
+	}
+
+	async #runLink(): Promise<void> {
+		try {
+			await this.#link.run(this.#abort.signal);
+		} catch (error) {
+			this.abandon();
+			if (!hasCode(error, codes.staleEpoch)) {
+				throw error;
+			}
+		}
+	}
+
+	/** Commits a command, however long the control group can't be reached. */
+	async #propose<Kind extends Command['kind']>(command: CommandOf<Kind>): Promise<CommandValue<Kind>> {
+		const {control, clock} = this.#context;
+		while (true) {
+			try {
+				return await control.propose(command);
+			} catch (error) {
+				if (![codes.timeout, codes.notLeader, codes.peerUnreachable].some(code => hasCode(error, code))) {
+					throw error;
+				}
+			}
+
+			await clock.sleep(proposalRetryMs, this.#abort.signal);
+			if (this.#abort.signal.aborted) {
+				throw new StaleEpochError(`Request ${this.requestId} was given up here.`);
+			}
+		}
 	}
 
 	async #runAttempts(): Promise<Outcome> {
-		const {copy, mayHaveRun} = this.#start;
+		const {copy, mayHaveRun, isLost = false} = this.#start;
 		if (mayHaveRun && !copy.isIdempotent) {
 			return createEnd(ends.unknown, codes.outcomeUnknown);
 		}
 
+		if (isLost) {
+			return createEnd(copy.isIdempotent ? ends.failed : ends.notRun, codes.peerUnreachable);
+		}
+
 		const {maxAttempts} = this.#context.getRetryPolicy();
 		let failures = 0;
-		while (failures < maxAttempts && this.#getRemainingMs() > 0 && !this.#abort.signal.aborted) {
-			const target = this.#choose();
+		let waitMs = waitForBackendMs;
+		while (failures < maxAttempts && this.#getRemainingMs() > 0) {
+			this.#requireHeld();
+			const target = this.#takeMoved() ?? this.#choose();
 			if (target === undefined) {
 				this.#excluded.clear();
-				await this.#context.clock.sleep(waitForBackendMs, this.#abort.signal);
+				await this.#context.clock.sleep(waitMs, this.#abort.signal);
+				waitMs = Math.min(waitMs * 2, maxBackoffMs);
 				continue;
 			}
 
-			const outcome = await this.#tryBackend(target.backend, target.dispatch);
+			const outcome = await this.#tryBackend(target);
 			if (outcome !== undefined) {
 				return outcome;
 			}
 
-			failures += 1;
+			failures += this.#isForeseen(target.backend) ? 0 : 1;
 			this.#excluded.add(target.backend.id);
 		}
 
-		return this.#giveUp(failures);
+		return this.#giveUp();
+	}
+
+	#canMove(): boolean {
+		return this.#start.copy.isIdempotent && this.answer.outcome === undefined && this.#current?.backend.kind === backendKinds.engine;
+	}
+
+	/** Takes the back end that has the cache, unless it leaves by now. */
+	#takeMoved(): Target | undefined {
+		const moved = this.#moved;
+		this.#moved = undefined;
+		if (moved !== undefined && !this.#isUsable(moved.backend)) {
+			moved.dispatch.finish({isFailure: false});
+			return undefined;
+		}
+
+		return moved;
+	}
+
+	#isUsable({id, incarnation}: BackendServer): boolean {
+		const {control} = this.#context;
+		const known = control.backends.find(backend => backend.id === id);
+		return control.isFresh() && known?.incarnation === incarnation && !known.isLeaving;
+	}
+
+	#requireHeld(): void {
+		if (this.#abort.signal.aborted) {
+			throw new StaleEpochError(`Request ${this.requestId} was given up here.`);
+		}
+	}
+
+	/** Tells whether the last failure says nothing of the request: nothing was sent, or the back end's leaving was announced. */
+	#isForeseen(backend: BackendServer): boolean {
+		const isLeaving = this.#context.control.backends.find(({id, incarnation}) => id === backend.id && incarnation === backend.incarnation)?.isLeaving !== false;
+		return isLeaving || this.#lastFailure?.details.isNotSent === true;
 	}
 
-	#giveUp(failures: number): Outcome {
+	#giveUp(): Outcome {
 		const code = this.#getRemainingMs() <= 0 ? codes.deadlineExceeded : this.#lastFailure?.code ?? codes.noBackend;
-		const isNotRun = !this.#start.copy.isIdempotent || (failures === 0 && this.#attempt === 0);
+		// An earlier holder may have sent idempotent work whose intent was never committed.
+		const isNotRun = !this.#start.copy.isIdempotent || (this.#start.copy.epoch === 1 && this.#dispatched === 0);
 		return createEnd(isNotRun ? ends.notRun : ends.failed, code);
 	}
 
-	#choose(): {backend: BackendServer; dispatch: Dispatch} | undefined {
+	#choose(): Target | undefined {
 		const {control, router} = this.#context;
 		const {copy} = this.#start;
 		if (!control.isFresh()) {
@@ -137,10 +290,19 @@
 		}
 
 		const candidates = control.backends.filter(backend => backend.services.includes(copy.service));
+		const zonesUnderNotice = new Set(candidates.filter(backend => backend.isLeaving).map(backend => backend.zone));
+		const excluded = new Set(this.#excluded);
+		const isSafe = (backend: BackendServer) => !zonesUnderNotice.has(backend.zone) && !excluded.has(backend.id);
+		if (candidates.some(backend => isSafe(backend))) {
+			for (const backend of candidates.filter(candidate => !isSafe(candidate))) {
+				excluded.add(backend.id);
+			}
+		}
+
 		const dispatch = router.choose(candidates.map(backend => ({
 			id: backend.id, zone: backend.zone, slots: backend.capabilities.slots, isLeaving: backend.isLeaving,
 		})), {
-			service: copy.service, prefix: copy.prefix, excluded: this.#excluded, isRetry: this.#lastFailure !== undefined,
+			service: copy.service, prefix: copy.prefix, excluded, isRetry: this.#lastFailure !== undefined,
 		});
 		if (dispatch === undefined) {
 			return undefined;
@@ -148,11 +310,12 @@
 
 		const backend = candidates.find(candidate => candidate.id === dispatch.backend)!;
 		assertInvariant(!backend.isLeaving, `Back end ${backend.id} is leaving.`);
-		return {backend, dispatch};
+		return {backend, dispatch, cachedTokens: 0};
 	}
 
 	/** Runs the request on one back end. Gives nothing when it may be tried on another one. */
-	async #tryBackend(backend: BackendServer, dispatch: Dispatch): Promise<Outcome | undefined> {
+	async #tryBackend(target: Target): Promise<Outcome | undefined> {
+		const {backend, dispatch} = target;
 		const {copy} = this.#start;
 		const {control, logger} = this.#context;
 		this.#attempt += 1;
@@ -170,7 +333,9 @@
 			logger.log(events.requestDispatched, {
 				request: this.requestId, customer: copy.customer, backend: backend.id, attempt: this.#attempt,
 			});
-			const outcome = await this.#runOn(backend);
+			assertInvariant(this.#attempt > this.#dispatched, `Attempt ${this.#attempt} was dispatched already.`);
+			this.#dispatched = this.#attempt;
+			const outcome = await this.#runOn(target);
 			isFailure = false;
 			await intent;
 			return outcome;
@@ -184,14 +349,14 @@
 	}
 
 	async #recordIntent(backend: string): Promise<void> {
-		const {control, clock} = this.#context;
-		await control.propose({
-			kind: 'recordIntent', requestId: this.requestId, epoch: this.#start.epoch, attempt: this.#attempt, backend, entryTime: clock.wallTime(),
+		const {clock} = this.#context;
+		await this.#propose({
+			kind: 'recordIntent', requestId: this.requestId, epoch: this.#start.copy.epoch, attempt: this.#attempt, backend, entryTime: clock.wallTime(),
 		});
 	}
 
 	async #onFailure(error: unknown, backend: BackendServer): Promise<Outcome | undefined> {
-		const {copy, epoch} = this.#start;
+		const {copy} = this.#start;
 		if (!(error instanceof CodedError) || error.code === codes.staleEpoch || error.code === codes.invariant) {
 			throw error;
 		}
@@ -209,15 +374,17 @@
 			return createEnd(ends.unknown, codes.outcomeUnknown);
 		}
 
-		await this.#context.control.propose({
-			kind: 'recordNotSent', requestId: this.requestId, epoch, attempt: this.#attempt,
+		await this.#propose({
+			kind: 'recordNotSent', requestId: this.requestId, epoch: copy.epoch, attempt: this.#attempt,
 		});
 		return undefined;
 	}
 
-	async #runOn(backend: BackendServer): Promise<Outcome> {
+	async #runOn(target: Target): Promise<Outcome> {
+		const {backend} = target;
 		const {copy} = this.#start;
-		const {engine, plain} = this.#context;
+		this.#begin(target);
+		const limit = new TimeoutSignal(this.#context.clock, this.#getRemainingMs(), AbortSignal.any([this.#abort.signal, this.#detour.signal]));
 		const call: BackendCall = {
 			requestId: this.requestId,
 			attempt: this.#attempt,
@@ -225,18 +392,43 @@
 			address: backend.address,
 			body: copy.body,
 			tokens: this.answer.getChunks().map(chunk => chunk.text),
-			signal: AbortSignal.any([this.#abort.signal, AbortSignal.timeout(Math.max(1, this.#getRemainingMs()))]),
+			signal: limit.signal,
 		};
-		if (backend.kind === backendKinds.engine) {
-			for await (const token of engine.stream(call)) {
-				this.answer.append(token);
-				this.#sendProgress();
-			}
+		try {
+			return await (backend.kind === backendKinds.engine ? this.#runEngine(call) : this.#runPlain(call));
+		} finally {
+			limit.cancel();
+			this.#current = undefined;
+		}
+	}
+
+	#begin(target: Target): void {
+		const {clock, metrics} = this.#context;
+		this.#detour = new AbortController();
+		this.#current = target;
+		this.#attemptTokens = this.answer.length;
+		this.#attemptStartedAt = clock.now();
+		const recomputed = this.answer.length - target.cachedTokens;
+		if (target.backend.kind === backendKinds.engine && recomputed > 0) {
+			metrics.count('mulberrypitch_tokens_recomputed_total', 'Tokens of answers computed again.', {service: this.#start.copy.service}, recomputed);
+		}
+	}
+
+	async #runEngine(call: BackendCall): Promise<Outcome> {
+		for await (const token of this.#context.engine.stream(call)) {
+			this.#requireHeld();
+			this.answer.append(token);
+		}
+
+		return this.#createAnswered();
+	}
 
-			return this.#createAnswered();
+	async #runPlain(call: BackendCall): Promise<Outcome> {
+		const answer = await this.#context.plain.run(call);
+		if (this.#start.copy.isIdempotent && unavailableStatuses.has(answer.status)) {
+			throw new BackendFailedError(`Back end ${call.address} answered ${answer.status}.`, {isNotSent: false, status: answer.status});
 		}
 
-		const answer = await plain.run(call);
 		this.answer.setHead({status: answer.status, contentType: answer.contentType});
 		this.answer.append(answer.body);
 		return this.#createAnswered();
@@ -250,47 +442,28 @@
 			end: ends.answered,
 			digest: this.answer.getDigest(),
 			lengthBytes: Buffer.byteLength(text),
+			chunkCount: this.answer.length,
 			...(isKept && {answer: {...head, body: text}}),
 		};
 	}
 
-	/** Sends new chunks to the standby, one call at a time. */
-	#sendProgress(): void {
-		const {standbyAddress} = this.#start;
-		if (standbyAddress !== undefined && !this.#isSendingProgress) {
-			this.#isSendingProgress = true;
-			void this.#runProgress(standbyAddress);
-		}
-	}
-
-	async #runProgress(address: string): Promise<void> {
-		const {clock, transport} = this.#context;
-		await clock.sleep(progressIntervalMs, this.#abort.signal);
-		const chunks = this.answer.getChunks(this.#sentToStandby);
-		this.#sentToStandby += chunks.length;
-		try {
-			await transport.call(address, standbyMethods.progress, {requestId: this.requestId, chunks}, {timeoutMs: progressTimeoutMs});
-		} catch {
-			this.#sentToStandby -= chunks.length;
+	async #finish(outcome: Outcome): Promise<void> {
+		const {clock, logger, metrics} = this.#context;
+		const {copy} = this.#start;
+		if (outcome.end === ends.answered && outcome.answer === undefined) {
+			await this.answer.waitConfirmed(this.answer.length - 1, this.#abort.signal);
+			this.#requireHeld();
 		}
 
-		this.#isSendingProgress = false;
-	}
-
-	async #finish(outcome: Outcome): Promise<void> {
-		const {control, clock, logger, metrics, transport} = this.#context;
-		const {copy, epoch, standbyAddress} = this.#start;
-		await control.propose({
-			kind: 'finishRequest', requestId: this.requestId, epoch, entryTime: clock.wallTime(), outcome,
+		await this.#propose({
+			kind: 'finishRequest', requestId: this.requestId, epoch: copy.epoch, entryTime: clock.wallTime(), outcome,
 		});
 		this.answer.end(outcome);
 		logger.log(events.requestFinished, {
 			request: this.requestId, customer: copy.customer, end: outcome.end, code: outcome.code,
 		});
 		metrics.count('mulberrypitch_requests_finished_total', 'Requests by end.', {service: copy.service, end: outcome.end});
-		if (standbyAddress !== undefined) {
-			await transport.call(standbyAddress, standbyMethods.release, {requestId: this.requestId}, {timeoutMs: progressTimeoutMs}).catch(() => undefined);
-		}
+		await this.#link.release();
 	}
 
 	#getRemainingMs(): number {
--- a/packages/mulberrypitch/src/__tests__/host-processes.ts
+++ b/packages/mulberrypitch/src/__tests__/host-processes.ts
@@ -12,6 +12,8 @@
 const fakes = fileURLToPath(import.meta.resolve('@mulberrypitch/fakes/main'));
 const pollMs = 50;
 const startLimitMs = 30_000;
+/** Runs of the same test that may go on side by side on one machine. */
+const runs = 250;
 const zones = ['palermo', 'catania', 'agrigento'];
 
 /** One host process. */
@@ -109,7 +111,7 @@
 	}
 
 	#getIp(index: number): string {
-		return `127.${this.#network}.0.${index + 1}`;
+		return `127.${this.#network}.${(process.pid % runs) + 1}.${index + 1}`;
 	}
 
 	#createSettings(name: string, index: number): string {
