Count no slots of ejected back ends in admission

Change: Router.getSlots gives the slots of back ends that may take work; the request service and the experiment ask it. Ruled out: a second view of health inside admission, which would know nothing of failures.

--- a/packages/mulberrypitch-load/src/baselines.ts
+++ b/packages/mulberrypitch-load/src/baselines.ts
@@ -3,6 +3,7 @@
 import {OverloadedError} from '@mulberrypitch/errors/catalogue';
 import {Deferred} from '@mulberrypitch/lifecycle/background';
 import type {Admission, AdmissionRequest, Ticket} from '@mulberrypitch/admission/types';
+import {countSlots} from '@mulberrypitch/routing/router';
 import type {
 	Candidate, Dispatch, Router, RoutingRequest,
 } from '@mulberrypitch/routing/types';
@@ -73,4 +74,8 @@
 			},
 		};
 	}
+
+	getSlots(candidates: readonly Candidate[]): number {
+		return countSlots(candidates);
+	}
 }
--- a/packages/mulberrypitch-load/src/experiment.ts
+++ b/packages/mulberrypitch-load/src/experiment.ts
@@ -163,7 +163,7 @@
 	}
 
 	async #serve(arrival: Arrival): Promise<void> {
-		const {admission} = this.#entries[arrival.entry]!;
+		const {admission, router} = this.#entries[arrival.entry]!;
 		const startedAt = this.#clock.now();
 		const deadline = startedAt + arrival.deadlineMs;
 		const backends = arrival.maxTokens > 0 ? this.#engines : this.#plain;
@@ -176,7 +176,7 @@
 				maxInFlight: arrival.workspace.maxInFlight,
 				deadline,
 				queueLimit,
-				capacity: backends.reduce((sum, backend) => sum + backend.speed.slots, 0),
+				capacity: router.getSlots(backends.map(backend => toCandidate(backend))),
 				maxTokens: arrival.maxTokens,
 			});
 		} catch (error) {
--- a/packages/mulberrypitch-requests/src/request-service.ts
+++ b/packages/mulberrypitch-requests/src/request-service.ts
@@ -126,10 +126,12 @@
 	}
 
 	async #admit(call: IncomingCall): Promise<Ticket> {
-		const {admission, control, clock} = this.#options;
-		const capacity = control.backends
-			.filter(backend => backend.services.includes(call.service.name) && !backend.isLeaving)
-			.reduce((sum, backend) => sum + backend.capabilities.slots, 0);
+		const {admission, control, clock, router} = this.#options;
+		const capacity = router.getSlots(control.backends
+			.filter(backend => backend.services.includes(call.service.name))
+			.map(({id, zone, isLeaving, capabilities}) => ({
+				id, zone, isLeaving, slots: capabilities.slots,
+			})));
 		return admission.acquire({
 			customer: call.workspace.name,
 			service: call.service.name,
--- a/packages/mulberrypitch-routing/src/__tests__/affinity-router.test.ts
+++ b/packages/mulberrypitch-routing/src/__tests__/affinity-router.test.ts
@@ -103,3 +103,15 @@
 	const without = getSubset('entry-1', candidates.filter(({id}) => id !== subset[0]!.id));
 	t.equal(subset.filter(candidate => without.includes(candidate)).length, subset.length - 1);
 });
+
+await t.test('counts no slots of leaving or ejected back ends', async t => {
+	const router = createRouter(new VirtualClock());
+	const candidates = createCandidates(6).map((candidate, index) => ({...candidate, isLeaving: index === 5}));
+	t.equal(router.getSlots(candidates), 5 * 16);
+	for (let index = 0; index < 200; index += 1) {
+		const dispatch = router.choose(candidates, {...request, prefix: String(index)})!;
+		dispatch.finish({isFailure: dispatch.backend === 'engine-0'});
+	}
+
+	t.equal(router.getSlots(candidates), 4 * 16);
+});
--- a/packages/mulberrypitch-routing/src/affinity-router.ts
+++ b/packages/mulberrypitch-routing/src/affinity-router.ts
@@ -6,6 +6,7 @@
 import {PrefixHints} from './prefix-hints.js';
 import {hashText, rankNodes} from './rendezvous.js';
 import {RetryBudget} from './retry-budget.js';
+import {countSlots} from './router.js';
 import {getSubset} from './subset.js';
 import type {
 	Candidate, Dispatch, Router, RoutingRequest,
@@ -60,6 +61,10 @@
 		return this.#begin((best ?? this.#chooseByLoad(usable)).id, fingerprint);
 	}
 
+	getSlots(candidates: readonly Candidate[]): number {
+		return countSlots(this.#ejection.filter(candidates.filter(candidate => !candidate.isLeaving)));
+	}
+
 	/** Takes a cache event of a back end, which may be late. */
 	noteCacheEvent(event: {readonly prefix: string; readonly backend: string; readonly isCached: boolean; readonly at: number}): void {
 		this.#hints.note(hashText(event.prefix), event.backend, event.isCached, event.at);
--- a/packages/mulberrypitch-routing/src/router.ts
+++ b/packages/mulberrypitch-routing/src/router.ts
@@ -22,6 +22,10 @@
 		return best === undefined ? undefined : this.#begin(best.id);
 	}
 
+	getSlots(candidates: readonly Candidate[]): number {
+		return countSlots(candidates.filter(candidate => !candidate.isLeaving));
+	}
+
 	#begin(backend: string): Dispatch {
 		this.#inFlight.set(backend, this.#getInFlight(backend) + 1);
 		let isFinished = false;
@@ -44,3 +48,15 @@
 		return this.#getInFlight(candidate.id) / candidate.slots;
 	}
 }
+
+/**
+Gives the slots of all candidates together.
+
+@example
+```
+const capacity = countSlots(candidates);
+```
+*/
+export function countSlots(candidates: readonly Candidate[]): number {
+	return candidates.reduce((sum, {slots}) => sum + slots, 0);
+}
--- a/packages/mulberrypitch-routing/src/types.ts
+++ b/packages/mulberrypitch-routing/src/types.ts
@@ -48,4 +48,6 @@
 export type Router = {
 	/** Gives a dispatch to one of the candidates, or nothing when none can take the request. */
 	choose(candidates: readonly Candidate[], request: RoutingRequest): Dispatch | undefined;
+	/** Gives the slots of the candidates that may take work now. */
+	getSlots(candidates: readonly Candidate[]): number;
 };
