Give each reclaim a price in the fleet plan

Cause: the planner bought the class with two reclaims an hour wherever its useful token was cheapest, 30 reclaims an hour in all.

Change: `reclaimPrice` times the reclaim rate seen is added to the price of a machine.

--- a/packages/mulberrypitch-fleet/src/__tests__/fleet.test.ts
+++ b/packages/mulberrypitch-fleet/src/__tests__/fleet.test.ts
@@ -36,7 +36,7 @@
 
 function plan(isAvailable: (offer: Offer) => boolean): FleetPlan {
 	return planFleet({
-		tokensPerSecond: 900, offers, machines: [], isAvailable, getUsefulShare: () => 1,
+		tokensPerSecond: 900, offers, machines: [], isAvailable, getUsefulShare: () => 1, getPrice: offer => offer.pricePerHour,
 	});
 }
 
@@ -55,7 +55,7 @@
 
 await t.test('pays more for machines that are reclaimed less', t => {
 	const {machines} = planFleet({
-		tokensPerSecond: 1000, offers, machines: [], isAvailable: () => true, getUsefulShare: ({machineClass}) => machineClass === 'bargain' ? 0.5 : 1,
+		tokensPerSecond: 1000, offers, machines: [], isAvailable: () => true, getUsefulShare: ({machineClass}) => machineClass === 'bargain' ? 0.5 : 1, getPrice: offer => offer.pricePerHour,
 	});
 	t.notOk(machines.some(({offer}) => offer.machineClass === 'bargain'));
 	t.end();
@@ -92,6 +92,7 @@
 		},
 		getCost: () => cloud.cost,
 		getStarts: () => cloud.starts,
+		getReclaims: () => cloud.reclaims,
 	};
 }
 
@@ -111,7 +112,7 @@
 		},
 	};
 	const keeper = new FleetKeeper({
-		...world, cloud: refusing, startMs, plan: planFleet,
+		...world, cloud: refusing, startMs, reclaimPrice: 0, plan: planFleet,
 	});
 	for (let minute = 0; minute < 60; minute += 1) {
 		await keeper.step(900);
@@ -134,5 +135,6 @@
 	const get = (policy: string) => results.find(result => result.policy === policy)!;
 	const planner = get('planner');
 	t.ok(planner.costPerHour < get('all on demand').costPerHour);
+	t.ok(get('planner, 0.5 a reclaim').reclaimsPerHour < planner.reclaimsPerHour);
 	t.ok(planner.shareBelowTarget < get('cheapest first').shareBelowTarget);
 });
--- a/packages/mulberrypitch-fleet/src/fleet-experiment.ts
+++ b/packages/mulberrypitch-fleet/src/fleet-experiment.ts
@@ -31,6 +31,8 @@
 	getCost(): number;
 	/** Machines started so far. */
 	getStarts(): number;
+	/** Machines reclaimed so far. */
+	getReclaims(): number;
 };
 
 /** What is compared. */
@@ -48,20 +50,24 @@
 	/** Share of time with fewer ready machines than the demand needs. */
 	readonly shareBelowTarget: number;
 	readonly startsPerHour: number;
+	readonly reclaimsPerHour: number;
 };
 
 type Policy = {
 	readonly name: string;
+	readonly reclaimPrice: number;
 	plan(input: PlanInput): FleetPlan;
 };
 
 const policies: readonly Policy[] = [
-	{name: 'planner', plan: planFleet},
-	{name: 'planner without reclaim rates', plan: input => planFleet({...input, getUsefulShare: () => 1})},
-	{name: 'all on demand', plan: input => planFleet({...input, offers: input.offers.filter(({market}) => market === markets.onDemand)})},
-	{name: 'cheapest first', plan: input => planCheapestFirst(input, 1)},
-	{name: 'cheapest first, 1.5 times the need', plan: input => planCheapestFirst(input, 1.5)},
-	{name: 'cheapest first, 2 times the need', plan: input => planCheapestFirst(input, 2)},
+	{name: 'planner', reclaimPrice: 0, plan: planFleet},
+	{name: 'planner, 0.1 a reclaim', reclaimPrice: 0.1, plan: planFleet},
+	{name: 'planner, 0.5 a reclaim', reclaimPrice: 0.5, plan: planFleet},
+	{name: 'planner without reclaim rates', reclaimPrice: 0, plan: input => planFleet({...input, getUsefulShare: () => 1})},
+	{name: 'all on demand', reclaimPrice: 0, plan: input => planFleet({...input, offers: input.offers.filter(({market}) => market === markets.onDemand)})},
+	{name: 'cheapest first', reclaimPrice: 0, plan: input => planCheapestFirst(input, 1)},
+	{name: 'cheapest first, 1.5 times the need', reclaimPrice: 0, plan: input => planCheapestFirst(input, 1.5)},
+	{name: 'cheapest first, 2 times the need', reclaimPrice: 0, plan: input => planCheapestFirst(input, 2)},
 ];
 
 /**
@@ -83,9 +89,12 @@
 
 async function runPolicy(policy: Policy, options: FleetExperimentOptions): Promise<FleetResult> {
 	const world = options.createWorld();
-	const keeper = new FleetKeeper({...world, startMs: options.startMs, plan: policy.plan});
+	const keeper = new FleetKeeper({
+		...world, startMs: options.startMs, reclaimPrice: policy.reclaimPrice, plan: policy.plan,
+	});
 	let startCost = 0;
 	let firstStarts = 0;
+	let firstReclaims = 0;
 	let steps = 0;
 	let stepsBelow = 0;
 	for (let time = 0; time < warmUpMs + options.durationMs; time += stepMs) {
@@ -95,6 +104,7 @@
 		if (time < warmUpMs) {
 			startCost = world.getCost();
 			firstStarts = world.getStarts();
+			firstReclaims = world.getReclaims();
 			continue;
 		}
 
@@ -110,6 +120,7 @@
 		costPerHour: (world.getCost() - startCost) / (options.durationMs / hourMs),
 		shareBelowTarget: stepsBelow / steps,
 		startsPerHour: (world.getStarts() - firstStarts) / (options.durationMs / hourMs),
+		reclaimsPerHour: (world.getReclaims() - firstReclaims) / (options.durationMs / hourMs),
 	};
 }
 
--- a/packages/mulberrypitch-fleet/src/fleet-keeper.ts
+++ b/packages/mulberrypitch-fleet/src/fleet-keeper.ts
@@ -26,6 +26,8 @@
 	readonly logger: Logger;
 	/** Time from the start of a machine until it serves. */
 	readonly startMs: number;
+	/** What one reclaim costs beside the machine: tokens to recompute and answers that come late. */
+	readonly reclaimPrice: number;
 	readonly plan: (input: PlanInput) => FleetPlan;
 };
 
@@ -87,6 +89,7 @@
 			machines: [...this.#known.values()],
 			isAvailable: offer => this.#backoff.isAvailable(offer, clock.now()),
 			getUsefulShare: this.#getUsefulShare,
+			getPrice: offer => offer.pricePerHour + (this.#rates.getRate(offer) * this.#options.reclaimPrice),
 		});
 	}
 
--- a/packages/mulberrypitch-fleet/src/fleet-planner.ts
+++ b/packages/mulberrypitch-fleet/src/fleet-planner.ts
@@ -14,6 +14,8 @@
 	readonly isAvailable: (offer: Offer) => boolean;
 	/** Share of paid time in which a machine of the offer serves. */
 	readonly getUsefulShare: (offer: Offer) => number;
+	/** Price of a machine of the offer in an hour, with what its reclaims cost. */
+	readonly getPrice: (offer: Offer) => number;
 };
 
 /** Machines to have, of one offer. */
@@ -25,6 +27,7 @@
 /** The machines to have. */
 export type FleetPlan = {
 	readonly machines: readonly PlannedMachines[];
+	/** Price of all machines, with what their reclaims cost. */
 	readonly pricePerHour: number;
 	/** The target holds also while any one zone is lost. */
 	readonly isZoneLossCovered: boolean;
@@ -32,6 +35,7 @@
 
 type Choice = {
 	readonly offer: Offer;
+	readonly pricePerHour: number;
 	readonly usefulTokens: number;
 	readonly maxCount: number;
 };
@@ -78,12 +82,15 @@
 }
 
 /** Sorts what each zone offers by price per useful token. On-demand machines come last by their price. */
-function groupChoices({offers, machines, isAvailable, getUsefulShare}: PlanInput): Map<string, Choice[]> {
+function groupChoices({
+	offers, machines, isAvailable, getUsefulShare, getPrice,
+}: PlanInput): Map<string, Choice[]> {
 	const byZone = new Map<string, Choice[]>();
 	for (const offer of offers) {
 		const running = machines.filter(machine => getOfferKey(machine.offer) === getOfferKey(offer)).length;
 		const choice = {
 			offer,
+			pricePerHour: getPrice(offer),
 			usefulTokens: offer.tokensPerSecond * getUsefulShare(offer),
 			maxCount: isAvailable(offer) ? Number.POSITIVE_INFINITY : running,
 		};
@@ -95,16 +102,19 @@
 
 function planZones(zones: readonly string[], byZone: ReadonlyMap<string, readonly Choice[]>, tokensPerZone: number): Omit<FleetPlan, 'isZoneLossCovered'> | undefined {
 	const machines: PlannedMachines[] = [];
+	let pricePerHour = 0;
 	for (const zone of zones) {
-		const planned = planZone(byZone.get(zone)!, tokensPerZone);
+		const choices = byZone.get(zone)!;
+		const planned = planZone(choices, tokensPerZone);
 		if (planned === undefined) {
 			return undefined;
 		}
 
 		machines.push(...planned);
+		pricePerHour += getTotalPrice(planned, choices);
 	}
 
-	return {machines, pricePerHour: machines.reduce((sum, {offer, count}) => sum + (count * offer.pricePerHour), 0)};
+	return {machines, pricePerHour};
 }
 
 /** Takes whole machines of the cheapest choices, and the cheapest single machine that covers the rest. */
@@ -129,10 +139,15 @@
 	return undefined;
 }
 
+function getTotalPrice(planned: readonly PlannedMachines[], choices: readonly Choice[]): number {
+	const prices = new Map(choices.map(({offer, pricePerHour}) => [offer, pricePerHour]));
+	return planned.reduce((sum, {offer, count}) => sum + (count * prices.get(offer)!), 0);
+}
+
 function findLast(choices: readonly Choice[], rest: number): Choice | undefined {
 	return choices
 		.filter(({usefulTokens, maxCount}) => usefulTokens >= rest && maxCount > 0)
-		.toSorted((left, right) => left.offer.pricePerHour - right.offer.pricePerHour)[0];
+		.toSorted((left, right) => left.pricePerHour - right.pricePerHour)[0];
 }
 
 function addCount(planned: PlannedMachines[], offer: Offer, count: number): void {
@@ -153,7 +168,7 @@
 }
 
 function compareChoices(left: Choice, right: Choice): number {
-	return (left.offer.pricePerHour / left.usefulTokens) - (right.offer.pricePerHour / right.usefulTokens);
+	return (left.pricePerHour / left.usefulTokens) - (right.pricePerHour / right.usefulTokens);
 }
 
 function comparePrice(left: {readonly pricePerHour: number}, right: {readonly pricePerHour: number}): number {
