Refuse a false "not run" in place of stopping all replicas

Cause: the replicated state asserted that a request ended as "not run" had not been sent. The assertion threw while the command was applied, on every replica and again after each restart: one faulty holder would have stopped the group.

Change: the command is refused with a conflict, and the request stays as it was, so the check is as strict. Ruled out: checking at the leader alone, which a later leader of another version might not do.

Conclusion: a call that may have run still can't be recorded as not run, and the group goes on.

--- a/packages/mulberrypitch-control/src/request-commands.ts
+++ b/packages/mulberrypitch-control/src/request-commands.ts
@@ -1,7 +1,7 @@
 /** The commands that change requests. */
 import type {RecordFacts} from '@mulberrypitch/account/types';
 import {
-	assertInvariant, ConflictError, NotFoundError, StaleEpochError,
+	ConflictError, NotFoundError, StaleEpochError,
 } from '@mulberrypitch/errors/catalogue';
 import type {LogEntry} from '@mulberrypitch/storage/types';
 import type {AccountRecorder} from './account-recorder.js';
@@ -9,7 +9,7 @@
 import type {CommandOf} from './commands.js';
 import type {RequestTable} from './request-table.js';
 import type {SessionTable} from './session-table.js';
-import type {RequestRecord} from './types.js';
+import {ends, type RequestRecord} from './types.js';
 
 /** The parts of the state that request commands touch. */
 export type RequestContext = {
@@ -127,7 +127,11 @@
 		this.#requireUnfinished(request, command.epoch);
 		const {outcome} = command;
 		const mayHaveRun = request.attempts.some(attempt => !attempt.isNotSent);
-		assertInvariant(outcome.end !== 'notRun' || !mayHaveRun || request.isIdempotent, `Request ${request.requestId} may have run.`);
+		if (outcome.end === ends.notRun && mayHaveRun && !request.isIdempotent) {
+			// A refusal, since a fault of one holder must not stop the replicas that apply its command.
+			throw new ConflictError(`Request ${request.requestId} may have run.`, 'Record its outcome as unknown.', {attempts: request.attempts.length});
+		}
+
 		const finished: RequestRecord = {...request, outcome, finishedAt: entry.time};
 		this.#context.requests.put(finished);
 		this.#context.recorder.record({
