--- a/packages/mulberrypitch-control/src/__tests__/control-group.ts
+++ b/packages/mulberrypitch-control/src/__tests__/control-group.ts
@@ -78,9 +78,7 @@
 			random: new SeededRandom(this.seed),
 			logger,
 			machine: this.state,
-			onRecords: records => {
-				this.account.append(records);
-			},
+			account: this.account,
 		});
 		this.#service = new ControlService({
 			group, name: this.name, replica: this.replica, state: this.state, account: this.account, transport, clock: this.clock, logger,
--- a/packages/mulberrypitch-control/src/request-commands.ts
+++ b/packages/mulberrypitch-control/src/request-commands.ts
@@ -69,7 +69,7 @@
 		this.#context.sessions.require(command.holder, command.holderEpoch);
 		const {kind, holderEpoch, entryTime, ...facts} = command;
 		const request: RequestRecord = {
-			...facts, epoch: 1, acceptedAt: entry.time, attempts: [],
+			...facts, epoch: 1, copyEpoch: 1, acceptedAt: entry.time, attempts: [],
 		};
 		this.#context.requests.put(request);
 		this.#context.recorder.record({
@@ -114,7 +114,7 @@
 	changeStandby(command: CommandOf<'changeStandby'>): void {
 		const request = this.#context.requests.require(command.requestId);
 		this.#requireUnfinished(request, command.epoch);
-		this.#context.requests.put({...request, standby: command.standby});
+		this.#context.requests.put({...request, standby: command.standby, copyEpoch: command.epoch});
 	}
 
 	/** Records the end of a request. */
@@ -142,7 +142,7 @@
 
 	#findNextHolder({holder, standby}: RequestRecord): string | undefined {
 		const {sessions} = this.#context;
-		if (standby !== undefined && sessions.has(standby)) {
+		if (standby !== undefined && standby !== holder && sessions.has(standby)) {
 			return standby;
 		}
 
@@ -158,8 +158,7 @@
 	}
 
 	#moveRequest(request: RequestRecord, holder: string, entry: LogEntry): RequestRecord {
-		const {standby, ...rest} = request;
-		const moved: RequestRecord = {...rest, holder, epoch: request.epoch + 1};
+		const moved: RequestRecord = {...request, holder, epoch: request.epoch + 1};
 		this.#context.requests.put(moved);
 		this.#context.recorder.record({
 			...getRequestFacts(moved), kind: 'transferred', entryTime: entry.time, host: holder,
--- a/packages/mulberrypitch-requests/src/__tests__/request-cluster.ts
+++ b/packages/mulberrypitch-requests/src/__tests__/request-cluster.ts
@@ -52,20 +52,30 @@
 	readonly backends: MemoryBackends;
 	readonly hosts = new Map<string, ClusterHost>();
 	readonly state = new ControlState();
-	readonly leaving = new Set<string>();
+	/** Share of messages that get lost. */
+	lossRatio = 0;
+	/** Engines started from now on export and import KV caches. */
+	movesCache = true;
+	/** Engines compute an answer from its start again instead of resuming it. */
+	isRestarting = false;
+	/** Longest extra delay of a message. */
+	jitterMs = 0;
 	readonly #cut = new Set<string>();
 	readonly #dead = new Set<string>();
 	readonly #generations = new Map<string, number>();
 	readonly #disposal = new AbortController();
 	#listener: StepListener | undefined;
+	#requestCount = 0;
 
 	constructor(seed = 1) {
+		const random = new SeededRandom(seed);
 		this.backends = new MemoryBackends({
-			clock: this.clock, random: new SeededRandom(seed), firstTokenMs: 30, tokenMs: 20, answerMs: 50,
+			clock: this.clock, random, firstTokenMs: 30, tokenMs: 20, answerMs: 50, recomputeMs: 0.5, transferMs: 0.05,
 		});
 		this.network.setPolicy((from, to) => {
 			const isLost = [from, to].some(address => this.#dead.has(address) || this.#cut.has(address));
-			return {isLost: isLost && from !== to, delayMs: 1};
+			const isUnlucky = random.next() < this.lossRatio;
+			return {isLost: (isLost || isUnlucky) && from !== to, delayMs: 1 + (random.next() * this.jitterMs)};
 		});
 	}
 
@@ -128,13 +138,19 @@
 			control,
 			transport,
 			router: new LeastLoadedRouter(),
-			engine: {stream: call => this.#stream(transport, call)},
+			engine: {
+				stream: call => this.#stream(transport, call),
+				exportCache: async call => this.backends.exportCache(call),
+				importCache: async (call, cache) => this.backends.importCache(call, cache),
+			},
 			plain: {run: async call => this.#run(transport, call)},
 			clock,
 			logger,
 			metrics,
 			admission: new AdmissionQueue({clock, quota: new EvenQuota(() => ({hosts: 1, rank: 0}))}),
+			createRequestId: () => this.#createRequestId(),
 			getRetryPolicy: () => ({maxAttempts: 4, budgetRatio: 1}),
+			getReclaimPolicy: () => ({costWeight: 1, recomputeWeight: 1}),
 		});
 		control.start();
 		const host = {
@@ -156,14 +172,16 @@
 		}
 	}
 
-	/** Cuts a host off from all others. */
-	cut(name: string): void {
-		this.#cut.add(this.getHost(name).transport.address);
+	/** Cuts a process off from all others; gives its address. */
+	cut(name: string): string {
+		const {address} = this.getHost(name).transport;
+		this.#cut.add(address);
+		return address;
 	}
 
-	/** Ends a cut. */
-	heal(name: string): void {
-		this.#cut.delete(this.getHost(name).transport.address);
+	/** Ends the cut of an address. */
+	heal(address: string): void {
+		this.#cut.delete(address);
 	}
 
 	/** Starts a back end and announces it. */
@@ -174,7 +192,6 @@
 
 	/** Gives notice that a back end is reclaimed, then ends it. */
 	async reclaim(id: string, noticeMs: number): Promise<void> {
-		this.leaving.add(id);
 		const host = [...this.hosts.values()].find(({control}) => control.isFresh());
 		await host?.control.propose({
 			kind: 'leaveBackend', id, incarnation: id, leavesAt: this.clock.wallTime() + noticeMs,
@@ -216,6 +233,11 @@
 		return this.state.listBackends().filter(({id}) => this.backends.isAlive(id)).map(({id, incarnation}) => ({id, incarnation}));
 	}
 
+	#createRequestId(): string {
+		this.#requestCount += 1;
+		return `${createHash('sha256').update(String(this.#requestCount)).digest('hex').slice(0, 8)}-${this.#requestCount}`;
+	}
+
 	async #startControl(): Promise<void> {
 		const transport = this.network.join('control');
 		const {clock, state} = this;
@@ -232,9 +254,7 @@
 			random: new SeededRandom(1),
 			logger,
 			machine: state,
-			onRecords(records) {
-				account.append(records);
-			},
+			account,
 		});
 		new ControlService({
 			group, name: 'control', replica, state, account, transport, clock, logger,
@@ -258,7 +278,7 @@
 					machineClass: 'small',
 					services: [kind === 'engine' ? 'advice' : 'bookings'],
 					backendKind: kind,
-					capabilities: {slots: 32, checksFencing: false, movesCache: false},
+					capabilities: {slots: 32, checksFencing: false, movesCache: this.movesCache},
 				});
 			} catch {
 				// The back end announces itself again.
@@ -270,7 +290,7 @@
 
 	async * #stream(transport: ProcessTransport, call: BackendCall): AsyncGenerator<string, void> {
 		await transport.pass('before', 'dispatch');
-		for await (const token of this.backends.stream(call)) {
+		for await (const token of this.backends.stream(call, this.isRestarting)) {
 			await transport.pass('after', 'token');
 			yield token;
 		}
