Fuzz the decoders: records, calls of the log, frames

Cause: what decodes bytes from disk and wire had no tests under random input. Ruled out: answering a malformed line, since it has no id to answer to. Conclusion: a peer that breaks the protocol loses only its connection.

--- a/packages/mulberrypitch-control/src/messages.ts
+++ b/packages/mulberrypitch-control/src/messages.ts
@@ -32,7 +32,10 @@
 	previousTerm: integer,
 	entries: z.array(logEntry),
 	commitIndex: integer,
-});
+}).refine(
+	({previousIndex, entries}) => entries.every(({index}, position) => index === previousIndex + 1 + position),
+	{error: 'Entries must follow each other.'},
+);
 
 /** Asks a replica who it is and which voters the group began with. */
 export const identityRequestSchema = z.object({group: z.string()});
--- /dev/null
+++ b/packages/mulberrypitch-storage/src/__tests__/record-codec.test.ts
@@ -0,0 +1,45 @@
+/** The record codec under random records and random damage. */
+import {Buffer} from 'node:buffer';
+import fc from 'fast-check';
+import t from 'tap';
+import {decodeRecords, encodeRecord} from '../record-codec.js';
+
+const seed = 1;
+const record = fc.record({index: fc.nat(), text: fc.string({unit: 'binary'}), value: fc.jsonValue()});
+const records = fc.array(record, {minLength: 1, maxLength: 8});
+
+function encodeAll(values: readonly unknown[]): Uint8Array {
+	return Buffer.concat(values.map(value => encodeRecord(value)));
+}
+
+await t.test('gives back what was encoded', async () => {
+	fc.assert(fc.property(records, values => {
+		const data = encodeAll(values);
+		const decoded = decodeRecords(data, 'f', false);
+		return decoded.lengthBytes === data.length && JSON.stringify(decoded.records) === JSON.stringify(values);
+	}), {seed});
+});
+
+await t.test('cuts a file that was torn anywhere back to whole records', async () => {
+	fc.assert(fc.property(records, fc.double({min: 0, max: 1, noNaN: true}), (values, share) => {
+		const data = encodeAll(values);
+		const torn = data.subarray(0, Math.floor(data.length * share));
+		const decoded = decodeRecords(torn, 'f', true);
+		const whole = values.slice(0, decoded.records.length);
+		return JSON.stringify(decoded.records) === JSON.stringify(whole) && decoded.lengthBytes === encodeAll(whole).length;
+	}), {seed});
+});
+
+await t.test('never gives a record that was changed: the rest is cut, or refused by file and offset', async () => {
+	fc.assert(fc.property(records, fc.nat(), fc.integer({min: 1, max: 255}), fc.boolean(), (values, place, change, isLast) => {
+		const data = encodeAll(values);
+		const offset = place % data.length;
+		data[offset] = (data[offset]! + change) % 256;
+		try {
+			const decoded = decodeRecords(data, 'f', isLast);
+			return isLast && JSON.stringify(decoded.records) === JSON.stringify(values.slice(0, decoded.records.length));
+		} catch (error) {
+			return /^f is damaged at byte \d+/v.test(error instanceof Error ? error.message : '');
+		}
+	}), {seed});
+});
--- a/packages/mulberrypitch-storage/src/record-codec.ts
+++ b/packages/mulberrypitch-storage/src/record-codec.ts
@@ -6,6 +6,7 @@
 const decoder = new TextDecoder();
 const encoder = new TextEncoder();
 const newline = 0x0A;
+const separator = 0x20;
 
 /** The records of one file. */
 export type DecodedRecords = {
@@ -59,7 +60,7 @@
 
 function decodeLine(line: Uint8Array): {value: unknown} | undefined {
 	const text = line.subarray(checksumLength + 1);
-	if (decodeText(line.subarray(0, checksumLength)) !== getChecksum(text)) {
+	if (line[checksumLength] !== separator || decodeText(line.subarray(0, checksumLength)) !== getChecksum(text)) {
 		return undefined;
 	}
 
--- a/packages/mulberrypitch-transport/src/tcp-transport.ts
+++ b/packages/mulberrypitch-transport/src/tcp-transport.ts
@@ -198,9 +198,7 @@
 				void this.#answer(socket, parseLine<JSONRPCRequest>(line.value), from);
 			}
 		} catch (error) {
-			this.#options.logger.log(events.peerProtocol, {
-				peer: socket.remoteAddress, reason: error instanceof Error ? error.message : undefined,
-			});
+			this.#reportProtocol(socket, error);
 		}
 
 		socket.destroy();
@@ -220,12 +218,23 @@
 	}
 
 	async #answer(socket: net.Socket, request: JSONRPCRequest, from: string): Promise<void> {
-		const response = await this.#server.receive(request, from);
-		if (response !== null && !socket.destroyed) {
-			writeLine(socket, response);
+		try {
+			const response = await this.#server.receive(request, from);
+			if (response !== null && !socket.destroyed) {
+				writeLine(socket, response);
+			}
+		} catch (error) {
+			this.#reportProtocol(socket, error);
+			socket.destroy();
 		}
 	}
 
+	#reportProtocol(socket: net.Socket, error: unknown): void {
+		this.#options.logger.log(events.peerProtocol, {
+			peer: socket.remoteAddress, reason: error instanceof Error ? error.message : undefined,
+		});
+	}
+
 	#prove(role: string, clientNonce: string, serverNonce: string): string {
 		return createHmac('sha256', this.#options.secret).update(`${role}:${clientNonce}:${serverNonce}`).digest('hex');
 	}
@@ -246,9 +255,11 @@
 	readonly #client: JSONRPCClient;
 	readonly #lost = new Deferred<never>();
 	readonly #address: Address;
+	readonly #socket: net.Socket;
 
 	constructor(address: Address, socket: net.Socket) {
 		this.#address = address;
+		this.#socket = socket;
 		this.#lost.promise.catch(() => {
 			// Calls in progress see the loss; an idle connection has none.
 		});
@@ -275,6 +286,7 @@
 			}
 		} catch {
 			// The close event of the socket fails the calls in progress.
+			this.#socket.destroy();
 		}
 	}
 
