--- a/packages/mulberrypitch-control/src/replica.ts
+++ b/packages/mulberrypitch-control/src/replica.ts
@@ -240,11 +240,8 @@
 	// Elections.
 
 	async #runElections(signal: AbortSignal): Promise<void> {
-		const {clock, random} = this.#options;
 		while (!signal.aborted) {
-			const timeoutMs = getBetween(random, electionTimeoutMs, 2 * electionTimeoutMs);
-			const waitMs = this.#leadership === undefined ? this.#leaderContactAt + timeoutMs - clock.now() : heartbeatMs;
-			await clock.sleep(Math.max(heartbeatMs, waitMs), signal);
+			await this.#options.clock.sleep(this.#getElectionWait(), signal);
 			if (signal.aborted) {
 				return;
 			}
@@ -257,6 +254,20 @@
 		}
 	}
 
+	/** Gives a random time, so that candidates that split the votes don't meet again. */
+	#getElectionWait(): number {
+		const {clock, random} = this.#options;
+		if (this.#leadership !== undefined) {
+			return heartbeatMs;
+		}
+
+		if (!this.#hasLeaderContact()) {
+			return getBetween(random, heartbeatMs, electionTimeoutMs);
+		}
+
+		return this.#leaderContactAt + getBetween(random, electionTimeoutMs, 2 * electionTimeoutMs) - clock.now();
+	}
+
 	#checkLeadership(leadership: Leader): void {
 		if (this.#log.writingMs > 2 * electionTimeoutMs) {
 			this.#options.logger.log(events.storageSlow, {writingMs: this.#log.writingMs});
--- a/packages/mulberrypitch-soak/src/__tests__/replica-recovery.test.ts
+++ b/packages/mulberrypitch-soak/src/__tests__/replica-recovery.test.ts
@@ -6,9 +6,12 @@
 
 const limitMs = 10_000;
 const longPauseMs = 4000;
+const probeDelayMs = 200;
+const probeSeeds = 30;
+const electionSeeds = 60;
 
-async function startGroup(): Promise<Simulation> {
-	const group = new Simulation(1, 3);
+async function startGroup(seed = 1): Promise<Simulation> {
+	const group = new Simulation(seed, 3);
 	group.links.quality = {
 		usualDelayMs: 2, lossShare: 0, copyShare: 0, longDelayShare: 0,
 	};
@@ -106,17 +109,36 @@
 	t.equal(second.account!.getHead().sequence, 250);
 });
 
-await t.test('a host with an empty disk elects nobody together with one that is behind', async t => {
-	const group = await startGroup();
+await t.test('replicas whose votes were split do not go on splitting them', async t => {
+	for (let seed = 1; seed <= electionSeeds; seed += 1) {
+		t.not(getLeader(await startGroup(seed)), undefined, `seed ${seed}`);
+	}
+});
+
+/** Leaves one replica that is behind with one whose disk was lost, and gives them time for an election. */
+async function leaveBehindAndLost(group: Simulation, keptFiles: readonly string[]) {
 	const [lost, behind] = getFollowers(group);
 	const leader = group.hosts.find(host => host.replica?.hasLease())!;
 	behind.kill(true);
 	await propose(group, 20);
 	leader.kill(true);
-	lost.loseDisk();
+	lost.loseDisk(keptFiles);
 	await lost.start();
 	await behind.start();
 	await group.advance(longPauseMs);
+	return {leader, lost};
+}
+
+await t.test('without the identity guard a lost disk would lose acknowledged entries', async t => {
+	const group = await startGroup();
+	await leaveBehindAndLost(group, ['/data/log/hard-state']);
+	t.not(getLeader(group), undefined, 'the old id may vote with an empty memory');
+	t.equal(group.hosts.find(host => host.replica?.hasLease())!.account!.getHead().sequence, 0);
+});
+
+await t.test('a host with an empty disk elects nobody together with one that is behind', async t => {
+	const group = await startGroup();
+	const {leader, lost} = await leaveBehindAndLost(group, []);
 	t.equal(getLeader(group), undefined);
 	await leader.start();
 	t.ok(await settle(group));
@@ -150,3 +172,27 @@
 	await outcome;
 	t.same(group.checker.violations, []);
 });
+
+await t.test('a replica that followed the leader since its probe does not campaign against the lease', async t => {
+	for (let seed = 1; seed <= probeSeeds; seed += 1) {
+		const group = await startGroup(seed);
+		const leader = group.hosts.find(host => host.replica?.hasLease())!.name;
+		let prober: string | undefined;
+		let probedAt = Number.POSITIVE_INFINITY;
+		group.network.setPolicy((from, to) => {
+			// Followers call each other only to ask for votes. While the first probe is under way, the leader reaches its sender.
+			const isBetweenFollowers = from !== leader && to !== leader;
+			if (isBetweenFollowers && prober === undefined) {
+				prober = from;
+				probedAt = group.clock.now();
+			}
+
+			const elapsedMs = group.clock.now() - probedAt;
+			const isProbing = elapsedMs >= 0 && elapsedMs < 2 * probeDelayMs;
+			const isReached = isBetweenFollowers || (isProbing && (from === prober || to === prober));
+			return {isLost: !isReached, delayMs: isBetweenFollowers && isProbing ? probeDelayMs : 1};
+		});
+		await group.advance(longPauseMs);
+		t.same(group.checker.violations, [], `seed ${seed}`);
+	}
+});
--- a/packages/mulberrypitch-soak/src/simulated-host.ts
+++ b/packages/mulberrypitch-soak/src/simulated-host.ts
@@ -102,10 +102,15 @@
 		void this.#release(replica);
 	}
 
-	/** Ends the process and puts an empty disk in. */
-	loseDisk(): void {
+	/** Ends the process and puts a disk in that holds none of the files but the named ones. */
+	loseDisk(keptFiles: readonly string[] = []): void {
 		this.kill(true);
+		const old = this.#disk;
 		this.#disk = new MemoryDisk(this.clock, this.#options.random);
+		for (const name of keptFiles) {
+			this.#disk.files.set(name, old.files.get(name)!);
+		}
+
 		this.#isRepaired = false;
 	}
 
