--- a/packages/mulberrypitch-admission/src/service-queue.ts
+++ b/packages/mulberrypitch-admission/src/service-queue.ts
@@ -3,13 +3,18 @@
 import {DeadlineExceededError, OverloadedError} from '@mulberrypitch/errors/catalogue';
 import {Deferred} from '@mulberrypitch/lifecycle/background';
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
-import {FairOrder, type Waiting} from './fair-order.js';
+import {FairOrder, type Usage, type Waiting} from './fair-order.js';
+import {getCustomerKey, getServiceKey} from './keys.js';
 import type {Quota} from './quota.js';
 import {ServiceTimes} from './service-times.js';
+import {SlotDemand} from './slot-demand.js';
 import type {AdmissionRequest, Ticket} from './types.js';
 
 const shortAnswerTokens = 256;
-const shortExpectedMs = 10_000;
+/** Slots kept for short answers, as a factor of what they need on average. */
+const shortHeadroom = 2;
+/** Part of the slots that stays open to long answers. */
+const longFloorPart = 0.25;
 
 type Entry = Waiting & {
 	readonly request: AdmissionRequest;
@@ -26,8 +31,10 @@
 	readonly #running = new PQueue();
 	readonly #order = new FairOrder<Entry>();
 	readonly #times = new ServiceTimes();
+	readonly #shortDemand = new SlotDemand();
 	#longInFlight = 0;
-	#shortSeenAt = Number.NEGATIVE_INFINITY;
+	#key = '';
+	#capacity = 1;
 
 	constructor(clock: Clock, quota: Quota) {
 		this.#clock = clock;
@@ -42,12 +49,30 @@
 		return this.#order.size;
 	}
 
+	/** Requests that run or wait. */
+	get demand(): number {
+		return this.#running.pending + this.#order.size;
+	}
+
+	/** Requests that run or wait, by customer. */
+	get customerDemands(): ReadonlyMap<string, number> {
+		return this.#order.demands;
+	}
+
+	/** Takes a new part of the slots into use. */
+	refresh(): void {
+		this.#setSlots();
+		this.#startNext();
+	}
+
 	/** Resolves when the request may run; throws at once when it won't. */
 	async acquire(request: AdmissionRequest): Promise<Ticket> {
-		this.#running.concurrency = this.#quota.getPart(Math.max(1, request.capacity));
+		this.#key = getServiceKey(request.service);
+		this.#capacity = Math.max(1, request.capacity);
+		this.#setSlots();
 		const entry = this.#createEntry(request);
 		if (entry.isShort) {
-			this.#shortSeenAt = this.#clock.now();
+			this.#shortDemand.add(entry.costMs, this.#clock.now());
 		}
 
 		this.#refuseLate(entry);
@@ -58,13 +83,17 @@
 		return entry.started.promise;
 	}
 
+	#setSlots(): void {
+		this.#running.concurrency = this.#quota.getPart(this.#key, this.#capacity);
+	}
+
 	#createEntry(request: AdmissionRequest): Entry {
 		const {customer, share, maxInFlight, maxTokens, deadline} = request;
 		return {
 			request,
 			customer,
 			share,
-			limit: this.#quota.getPart(maxInFlight),
+			limit: this.#quota.getPart(getCustomerKey(customer), maxInFlight),
 			isShort: maxTokens <= shortAnswerTokens,
 			costMs: this.#times.getMean(maxTokens),
 			latestStart: deadline - (this.#times.getBound(maxTokens) ?? 0),
@@ -120,10 +149,7 @@
 
 	#startNext(): void {
 		while (this.#running.pending < this.#running.concurrency) {
-			const now = this.#clock.now();
-			const entry = this.#order.take({
-				now, slots: this.#running.concurrency, longInFlight: this.#longInFlight, isShortExpected: now - this.#shortSeenAt < shortExpectedMs,
-			});
+			const entry = this.#order.take(this.#getUsage());
 			if (entry === undefined) {
 				return;
 			}
@@ -132,6 +158,16 @@
 		}
 	}
 
+	#getUsage(): Usage {
+		const now = this.#clock.now();
+		const slots = this.#running.concurrency;
+		const longFloor = Math.floor(slots * longFloorPart);
+		const kept = Math.ceil(this.#shortDemand.getSlots(now) * shortHeadroom);
+		return {
+			now, longFloor, longCeiling: Math.max(1, longFloor, slots - kept), longInFlight: this.#longInFlight,
+		};
+	}
+
 	async #run(entry: Entry): Promise<void> {
 		const startedAt = this.#clock.now();
 		const released = new Deferred<void>();
--- a/packages/mulberrypitch-logger/src/events.ts
+++ b/packages/mulberrypitch-logger/src/events.ts
@@ -18,6 +18,7 @@
 	taskFailed: {number: 1004, level: 'error', text: 'background task failed'},
 	peerRefused: {number: 1101, level: 'warn', text: 'peer refused'},
 	peerProtocol: {number: 1102, level: 'warn', text: 'peer broke the protocol'},
+	peerCertificateRefused: {number: 1103, level: 'warn', text: 'peer certificate refused'},
 	leaderElected: {number: 1201, level: 'info', text: 'leader elected'},
 	leaderStepped: {number: 1202, level: 'info', text: 'leader stepped down'},
 	storageFailed: {number: 1203, level: 'error', text: 'storage failed'},
@@ -45,4 +46,6 @@
 	requestFailed: {number: 1507, level: 'warn', text: 'request failed'},
 	orderSent: {number: 1601, level: 'info', text: 'order sent'},
 	orderFailed: {number: 1602, level: 'warn', text: 'order failed'},
+	machineRefused: {number: 1603, level: 'warn', text: 'machine refused'},
+	weightsFailed: {number: 1604, level: 'warn', text: 'weights failed'},
 } as const satisfies Record<string, CataloguedEvent>;
--- a/packages/mulberrypitch/src/program.ts
+++ b/packages/mulberrypitch/src/program.ts
@@ -8,6 +8,7 @@
 import {addDemoCommand} from './commands/demo.js';
 import {addDrainCommand} from './commands/drain.js';
 import {addLoadCommand} from './commands/load.js';
+import {addReportCommand} from './commands/report.js';
 import {addServeCommand} from './commands/serve.js';
 import {addStatusCommand} from './commands/status.js';
 
@@ -39,6 +40,7 @@
 	addStatusCommand(program);
 	addDrainCommand(program);
 	addAccountCommands(program);
+	addReportCommand(program);
 	addLoadCommand(program);
 	program.help();
 	program.version(version);
