Make a log durable at its start through the disk's own truncate

Change: Disk.truncate cuts and makes durable; NodeDisk writes the file anew, and the read-only disk leaves it alone. Ruled out: a second way to load, which would decode twice. Conclusion: readers change nothing, and a started log is durable.

--- a/packages/mulberrypitch-account/src/read-only-disk.ts
+++ b/packages/mulberrypitch-account/src/read-only-disk.ts
@@ -38,8 +38,8 @@
 		throw createRefusal(file);
 	}
 
-	async syncFolder(folder: string): Promise<void> {
-		throw createRefusal(folder);
+	async syncFolder(): Promise<void> {
+		// A sync changes nothing that can be read.
 	}
 }
 
--- a/packages/mulberrypitch-storage/src/file-log.ts
+++ b/packages/mulberrypitch-storage/src/file-log.ts
@@ -150,7 +150,7 @@
 			const {records, lengthBytes} = decodeRecords(data, file, isLast);
 			if (isLast) {
 				// An earlier process may have died before its sync, so these bytes may not be on the disk yet.
-				await this.#replaceFile(file, data.subarray(0, lengthBytes));
+				await this.#disk.truncate(file, lengthBytes);
 			}
 
 			this.#segments.push({name, lastIndex: applyRecords(assumeType<Array<LogEntry | Truncation>>(records), entries)});
@@ -170,14 +170,11 @@
 	}
 
 	async #replaceSingle(name: string, value: unknown): Promise<void> {
-		await this.#replaceFile(path.join(this.#folder, name), encodeRecord(value));
-	}
-
-	async #replaceFile(target: string, data: Uint8Array): Promise<void> {
+		const target = path.join(this.#folder, name);
 		const draft = `${target}.draft`;
 		await this.#disk.remove(draft);
 		const file = await this.#disk.openForAppend(draft);
-		await file.write(data);
+		await file.write(encodeRecord(value));
 		await file.sync();
 		await file.close();
 		await this.#disk.rename(draft, target);
--- a/packages/mulberrypitch-storage/src/node-disk.ts
+++ b/packages/mulberrypitch-storage/src/node-disk.ts
@@ -1,7 +1,8 @@
 /** The disk of the machine. */
 import {
-	mkdir, open, readdir, readFile, rename, rm, truncate,
+	mkdir, open, readdir, readFile, rename, rm,
 } from 'node:fs/promises';
+import path from 'node:path';
 import {getSystemCode} from '@mulberrypitch/errors/coded-error';
 import type {Disk, DiskFile} from './types.js';
 
@@ -44,10 +45,15 @@
 	}
 
 	async truncate(file: string, lengthBytes: number): Promise<void> {
-		await truncate(file, lengthBytes);
-		const handle = await open(file, 'r+');
+		// A sync of the old file might report nothing after an earlier one failed, so the content is written anew.
+		const data = await readFile(file);
+		const draft = `${file}.draft`;
+		const handle = await open(draft, 'w');
+		await handle.writeFile(data.subarray(0, lengthBytes));
 		await handle.sync();
 		await handle.close();
+		await rename(draft, file);
+		await this.syncFolder(path.dirname(file));
 	}
 
 	async rename(from: string, to: string): Promise<void> {
--- a/packages/mulberrypitch-storage/src/types.ts
+++ b/packages/mulberrypitch-storage/src/types.ts
@@ -65,6 +65,7 @@
 	list(folder: string): Promise<readonly string[]>;
 	read(file: string): Promise<Uint8Array | undefined>;
 	openForAppend(file: string): Promise<DiskFile>;
+	/** Cuts a file to a length and makes what stays durable, also if an earlier process wrote it without a sync. */
 	truncate(file: string, lengthBytes: number): Promise<void>;
 	rename(from: string, to: string): Promise<void>;
 	remove(file: string): Promise<void>;
