--- a/packages/mulberrypitch-storage/src/types.ts
+++ b/packages/mulberrypitch-storage/src/types.ts
@@ -12,6 +12,11 @@
 /** Replica ids of the voters, by host name. */
 export type Members = Readonly<Record<string, string>>;
 
+/** A record that drops the entries from an index on. */
+export type Truncation = {
+	readonly truncateFrom: number;
+};
+
 /** What a replica must remember before it answers a vote. */
 export type HardState = {
 	/** Made at the first start on an empty disk, so a host that lost its disk has another one. */
@@ -65,7 +70,6 @@
 	list(folder: string): Promise<readonly string[]>;
 	read(file: string): Promise<Uint8Array | undefined>;
 	openForAppend(file: string): Promise<DiskFile>;
-	/** Cuts a file to a length and makes what stays durable, also if an earlier process wrote it without a sync. */
 	truncate(file: string, lengthBytes: number): Promise<void>;
 	rename(from: string, to: string): Promise<void>;
 	remove(file: string): Promise<void>;
