--- a/packages/mulberrypitch-transport/src/tcp-transport.ts
+++ b/packages/mulberrypitch-transport/src/tcp-transport.ts
@@ -202,9 +202,7 @@
 				void this.#answer(socket, parseLine<JSONRPCRequest>(line.value), from);
 			}
 		} catch (error) {
-			this.#options.logger.log(events.peerProtocol, {
-				peer: socket.remoteAddress, reason: error instanceof Error ? error.message : undefined,
-			});
+			this.#reportProtocol(socket, error);
 		}
 
 		socket.destroy();
@@ -225,12 +223,23 @@
 	}
 
 	async #answer(socket: net.Socket, request: JSONRPCRequest, from: string): Promise<void> {
-		const response = await this.#server.receive(request, from);
-		if (response !== null && !socket.destroyed) {
-			writeLine(socket, response);
+		try {
+			const response = await this.#server.receive(request, from);
+			if (response !== null && !socket.destroyed) {
+				writeLine(socket, response);
+			}
+		} catch (error) {
+			this.#reportProtocol(socket, error);
+			socket.destroy();
 		}
 	}
 
+	#reportProtocol(socket: net.Socket, error: unknown): void {
+		this.#options.logger.log(events.peerProtocol, {
+			peer: socket.remoteAddress, reason: error instanceof Error ? error.message : undefined,
+		});
+	}
+
 	#prove(role: string, clientNonce: string, serverNonce: string): string {
 		return createHmac('sha256', this.#options.secret).update(`${role}:${clientNonce}:${serverNonce}`).digest('hex');
 	}
@@ -252,10 +261,12 @@
 	/** One for each call in progress: a promise of the whole connection would keep every reply alive. */
 	readonly #calls = new Set<Deferred<never>>();
 	readonly #address: Address;
+	readonly #socket: net.Socket;
 	#isLost = false;
 
 	constructor(address: Address, socket: net.Socket) {
 		this.#address = address;
+		this.#socket = socket;
 		this.#client = new JSONRPCClient(async request => {
 			writeLine(socket, request);
 		});
@@ -284,6 +295,7 @@
 			}
 		} catch {
 			// The close event of the socket fails the calls in progress.
+			this.#socket.destroy();
 		}
 	}
 
