Allow the quarantine of a request that met two deaths without notice, by the trace

The rule (at most two back ends lost to one request) can't tell such a request from one that kills back ends. Change: the run notes, at each kill, the requests whose latest dispatch went there; 'quarantined' with a time to come back is right only for a request with two such deaths. Reclaims with notice don't count. Ruled out: allowing any quarantined end; counting every engine that a request ever met (looser: it may have moved away before the kill).

--- a/packages/mulberrypitch-requests/src/__tests__/request-simulation.ts
+++ b/packages/mulberrypitch-requests/src/__tests__/request-simulation.ts
@@ -1,5 +1,6 @@
 /** One randomised run: callers, deaths, cuts and reclaims on virtual time, and what was wrong at its end. */
 import {ends} from '@mulberrypitch/control/types';
+import {codes} from '@mulberrypitch/errors/catalogue';
 import {assumeType} from '@mulberrypitch/errors/assume-type';
 import {countTokens} from '@mulberrypitch/fakes/memory-backends';
 import {getBetween, SeededRandom} from '@mulberrypitch/lifecycle/random';
@@ -8,6 +9,8 @@
 } from './request-cluster.js';
 import {SimulatedCaller} from './simulated-caller.js';
 
+/** Deaths without notice under one request after which it can't be told from one that kills back ends. */
+const deathsToQuarantine = 2;
 const hostCount = 5;
 const engineCount = 4;
 const callerCount = 24;
@@ -35,6 +38,8 @@
 	readonly #cluster: RequestCluster;
 	readonly #callers: SimulatedCaller[] = [];
 	readonly #failures: string[] = [];
+	/** Deaths of engines without notice, by the request that they were running. */
+	readonly #deaths = new Map<string, number>();
 	#engines = 0;
 	#finished = 0;
 	#quietUntil = 0;
@@ -127,9 +132,20 @@
 
 	async #killEngine(): Promise<void> {
 		const id = this.#replaceEngine();
+		for (const request of this.#listRunning(id)) {
+			this.#deaths.set(request, (this.#deaths.get(request) ?? 0) + 1);
+		}
+
 		this.#cluster.backends.kill(id);
 	}
 
+	/** Lists the unfinished requests whose latest dispatch went to an engine. */
+	#listRunning(engine: string): string[] {
+		const {state} = this.#cluster;
+		const held = state.listSessions().flatMap(({node}) => state.listHeld(node));
+		return held.filter(({attempts}) => attempts.at(-1)?.backend === engine).map(({requestId}) => requestId);
+	}
+
 	async #reclaimWave(): Promise<void> {
 		const ids = [this.#replaceEngine(), this.#replaceEngine()];
 		await Promise.allSettled(ids.map(async id => this.#cluster.reclaim(id, reclaimNoticeMs)));
@@ -158,7 +174,8 @@
 	#checkDocument({call, received, requestId, isGone}: SimulatedCaller): string[] {
 		const {prompt, max_tokens: tokens} = assumeType<{prompt: string; max_tokens: number}>(JSON.parse(call.body.text));
 		const isLost = !this.#isMild && (isGone || received.outcome?.end === ends.failed) && countTokens(received.text, prompt) !== undefined;
-		const isRight = isLost || isWhole(received, prompt, tokens);
+		const isQuarantined = received.outcome?.code === codes.quarantined && received.outcome.retryAfterSeconds !== undefined && (this.#deaths.get(requestId ?? '') ?? 0) >= deathsToQuarantine;
+		const isRight = isLost || isQuarantined || isWhole(received, prompt, tokens);
 		return isRight ? [] : [`${prompt} (${requestId}) of ${tokens} tokens ended ${received.outcome?.end} ${received.outcome?.code ?? ''} with ${received.text.split(' ').length - 1} tokens`];
 	}
 
