--- a/packages/mulberrypitch-host/src/host.ts
+++ b/packages/mulberrypitch-host/src/host.ts
@@ -215,6 +215,9 @@
 			onConfiguration: revision => {
 				this.#applyConfiguration(revision);
 			},
+			onSessionLost: () => {
+				this.#requests!.abandonAll();
+			},
 			onAssigned: requests => {
 				this.#requests!.takeOver(requests);
 			},
--- a/packages/mulberrypitch-lifecycle/src/random.ts
+++ b/packages/mulberrypitch-lifecycle/src/random.ts
@@ -1,6 +1,9 @@
 /** Seeded random numbers, so that a run can be repeated. */
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {skipN} from 'pure-rand/utils/skipN';
+
+const skippedNumbers = 64;
 
 /** A source of random numbers. */
 export type Random = {
@@ -14,6 +17,8 @@
 
 	constructor(seed: number) {
 		this.#generator = xoroshiro128plus(seed);
+		// The first numbers of neighbouring seeds are alike.
+		skipN(this.#generator, skippedNumbers);
 	}
 
 	next(): number {
--- a/packages/mulberrypitch-requests/src/__tests__/request-cluster.ts
+++ b/packages/mulberrypitch-requests/src/__tests__/request-cluster.ts
@@ -128,6 +128,9 @@
 			takeHeardBackends: () => this.#listHeard(),
 			getEffectiveDigest: () => '',
 			onConfiguration: () => undefined,
+			onSessionLost() {
+				requests.abandonAll();
+			},
 			onAssigned(records) {
 				requests.takeOver(records);
 			},
--- a/packages/mulberrypitch-requests/src/request-service.ts
+++ b/packages/mulberrypitch-requests/src/request-service.ts
@@ -32,6 +32,12 @@
 	readonly epoch: number;
 };
 
+type Ended = {
+	readonly holder: RequestHolder;
+	/** Monotonic time in milliseconds. */
+	readonly endedAt: number;
+};
+
 /** The requests of one host. */
 export class RequestService implements Resource {
 	readonly #options: RequestServiceOptions;
@@ -39,6 +45,8 @@
 	readonly #reader: AnswerReader;
 	readonly #searching = new Map<string, number>();
 	readonly #held = new Map<string, Held>();
+	/** Requests that this host stopped working on, the earliest first. */
+	readonly #ended: Ended[] = [];
 	readonly #disposal = new AbortController();
 	#isDraining = false;
 	#running = 0;
@@ -83,6 +91,11 @@
 	/** Breaks off what is in progress; other hosts carry it on. */
 	dispose(): void {
 		this.#disposal.abort();
+		this.abandonAll();
+	}
+
+	/** Stops working on all requests at once, as the host lost its session and others carry them on. */
+	abandonAll(): void {
 		for (const {holder} of this.#held.values()) {
 			holder.abandon();
 		}
@@ -200,9 +213,17 @@
 
 		this.#running -= 1;
 		ticket?.release();
-		await clock.sleep(finishedRetentionMs, this.#disposal.signal);
-		if (this.#held.get(holder.requestId)?.holder === holder) {
-			this.#held.delete(holder.requestId);
+		this.#ended.push({holder, endedAt: clock.now()});
+		this.#dropEnded(clock.now() - finishedRetentionMs);
+	}
+
+	/** Forgets the requests that ended before the given time; readers find their outcomes in the records. */
+	#dropEnded(before: number): void {
+		while (this.#ended.length > 0 && this.#ended[0]!.endedAt < before) {
+			const {holder} = this.#ended.shift()!;
+			if (this.#held.get(holder.requestId)?.holder === holder) {
+				this.#held.delete(holder.requestId);
+			}
 		}
 	}
 
