Judge quarantines by the calls that deaths broke off

Change: the stand-in notes each call that the death of its back end broke off; the check counts those on engines killed without notice. Ruled out: waiting for intents of work that may be repeated, a commit before each first token. Conclusion: the check is as strict as the rule.

--- a/packages/mulberrypitch-fakes/src/memory-backends.ts
+++ b/packages/mulberrypitch-fakes/src/memory-backends.ts
@@ -38,6 +38,8 @@
 
 /** All back ends of one simulated run, by address. */
 export class MemoryBackends implements Engine, PlainService {
+	/** Calls that the death of their back end broke off. */
+	readonly brokenOff: Array<{readonly requestId: string; readonly address: string}> = [];
 	readonly calls: MemoryCall[] = [];
 	readonly #options: MemoryBackendsOptions;
 	readonly #alive = new Set<string>();
@@ -148,6 +150,10 @@
 			this.kill(call.address);
 		}
 
+		if (!call.signal.aborted && !this.#alive.has(call.address)) {
+			this.brokenOff.push({requestId: call.requestId, address: call.address});
+		}
+
 		if (call.signal.aborted || !this.#alive.has(call.address)) {
 			throw new BackendFailedError(`Back end ${call.address} broke off.`, {isNotSent: false});
 		}
--- a/packages/mulberrypitch-requests/src/__tests__/request-simulation.ts
+++ b/packages/mulberrypitch-requests/src/__tests__/request-simulation.ts
@@ -38,8 +38,8 @@
 	readonly #cluster: RequestCluster;
 	readonly #callers: SimulatedCaller[] = [];
 	readonly #failures: string[] = [];
-	/** Deaths of engines without notice, by the request that they were running. */
-	readonly #deaths = new Map<string, number>();
+	/** Engines that died without notice. */
+	readonly #killed = new Set<string>();
 	#engines = 0;
 	#finished = 0;
 	#quietUntil = 0;
@@ -132,20 +132,10 @@
 
 	async #killEngine(): Promise<void> {
 		const id = this.#replaceEngine();
-		for (const request of this.#listRunning(id)) {
-			this.#deaths.set(request, (this.#deaths.get(request) ?? 0) + 1);
-		}
-
+		this.#killed.add(id);
 		this.#cluster.backends.kill(id);
 	}
 
-	/** Lists the unfinished requests whose latest dispatch went to an engine. */
-	#listRunning(engine: string): string[] {
-		const {state} = this.#cluster;
-		const held = state.listSessions().flatMap(({node}) => state.listHeld(node));
-		return held.filter(({attempts}) => attempts.at(-1)?.backend === engine).map(({requestId}) => requestId);
-	}
-
 	async #reclaimWave(): Promise<void> {
 		const ids = [this.#replaceEngine(), this.#replaceEngine()];
 		await Promise.allSettled(ids.map(async id => this.#cluster.reclaim(id, reclaimNoticeMs)));
@@ -174,11 +164,17 @@
 	#checkDocument({call, received, requestId, isGone}: SimulatedCaller): string[] {
 		const {prompt, max_tokens: tokens} = assumeType<{prompt: string; max_tokens: number}>(JSON.parse(call.body.text));
 		const isLost = !this.#isMild && (isGone || received.outcome?.end === ends.failed) && countTokens(received.text, prompt) !== undefined;
-		const isQuarantined = received.outcome?.code === codes.quarantined && received.outcome.retryAfterSeconds !== undefined && (this.#deaths.get(requestId ?? '') ?? 0) >= deathsToQuarantine;
+		const isQuarantined = received.outcome?.code === codes.quarantined && received.outcome.retryAfterSeconds !== undefined && this.#countDeaths(requestId) >= deathsToQuarantine;
 		const isRight = isLost || isQuarantined || isWhole(received, prompt, tokens);
 		return isRight ? [] : [`${prompt} (${requestId}) of ${tokens} tokens ended ${received.outcome?.end} ${received.outcome?.code ?? ''} with ${received.text.split(' ').length - 1} tokens`];
 	}
 
+	/** Counts the engines that died without notice while they ran a request. */
+	#countDeaths(wanted: string | undefined): number {
+		const engines = this.#cluster.backends.brokenOff.filter(({requestId, address}) => requestId === wanted && this.#killed.has(address));
+		return new Set(engines.map(({address}) => address)).size;
+	}
+
 	#checkBooking({call, received, requestId}: SimulatedCaller): string[] {
 		const runs = this.#cluster.backends.calls.filter(({body}) => body === call.body.text).length;
 		const end = received.outcome?.end;
