Tell a host of each request it takes over once

Change: a record names the log index at which it was handed over; a renewal names the latest index its host knows. Ruled out: a list of known requests in each renewal, which grows with them.

--- a/packages/mulberrypitch-control/src/control-client.ts
+++ b/packages/mulberrypitch-control/src/control-client.ts
@@ -65,6 +65,8 @@
 	#heard = new Map<string, string>();
 	#revision = 0;
 	#term = 0;
+	/** Log index of the latest request taken over. */
+	#assignment = 0;
 	#wasFresh = false;
 
 	constructor(options: ControlClientOptions) {
@@ -255,6 +257,7 @@
 			epoch: session.epoch,
 			knownRevision: this.#revision,
 			knownMembership: this.#membership.version,
+			knownAssignment: this.#assignment,
 			heardBackends: [...heard].map(([id, incarnation]) => ({id, incarnation})),
 			effectiveDigest: getEffectiveDigest(),
 		}, callTimeoutMs);
@@ -286,6 +289,7 @@
 
 		if (view.assigned.length > 0) {
 			this.#options.onAssigned(view.assigned);
+			this.#assignment = Math.max(this.#assignment, ...view.assigned.map(({assignedAt = 0}) => assignedAt));
 		}
 	}
 }
--- a/packages/mulberrypitch-control/src/control-service.ts
+++ b/packages/mulberrypitch-control/src/control-service.ts
@@ -173,7 +173,7 @@
 			...(isConfigurationNew && {configuration: state.configuration!}),
 			membershipVersion: state.membershipVersion,
 			...(isMembershipNew && {membership: state.getMembershipSince(renewal.knownMembership)}),
-			assigned: state.listHeld(renewal.node).filter(request => request.epoch > 1),
+			assigned: state.listHeld(renewal.node).filter(({assignedAt = 0}) => assignedAt > renewal.knownAssignment),
 		};
 	}
 
--- a/packages/mulberrypitch-control/src/messages.ts
+++ b/packages/mulberrypitch-control/src/messages.ts
@@ -72,6 +72,8 @@
 	epoch: integer,
 	knownRevision: integer,
 	knownMembership: z.number().int(),
+	/** Log index of the latest request that the host was told to take over. */
+	knownAssignment: integer,
 	/** Back ends that announced themselves there since the last renewal. */
 	heardBackends: z.array(z.object({id: z.string(), incarnation: z.string()})),
 	/** Digest of the effective configuration of the host's site. */
--- a/packages/mulberrypitch-control/src/request-commands.ts
+++ b/packages/mulberrypitch-control/src/request-commands.ts
@@ -196,7 +196,9 @@
 	}
 
 	#moveRequest(request: RequestRecord, holder: string, entry: LogEntry): RequestRecord {
-		const moved: RequestRecord = {...request, holder, epoch: request.epoch + 1};
+		const moved: RequestRecord = {
+			...request, holder, epoch: request.epoch + 1, assignedAt: entry.index,
+		};
 		this.#context.requests.put(moved);
 		this.#context.recorder.record({
 			...getRequestFacts(moved), kind: 'transferred', entryTime: entry.time, host: holder,
--- a/packages/mulberrypitch-control/src/types.ts
+++ b/packages/mulberrypitch-control/src/types.ts
@@ -117,6 +117,8 @@
 	/** Epoch of the holder that left the last whole copy; later holders have shown callers nothing. */
 	readonly copyEpoch: number;
 	readonly acceptedAt: number;
+	/** Log index at which the present holder took the request over from another one. */
+	readonly assignedAt?: number;
 	readonly attempts: readonly Attempt[];
 	readonly outcome?: Outcome;
 	readonly finishedAt?: number;
