Send proposals in up to four batches at once, and abort without building errors

Change: four batches in flight; a shared abort reason on paths that abort per request; no failure before there is one; the leader's proposals and the links in memory share withTimeout, which builds its failure only when the time is up. Ruled out: more batches (group commit loses); signals without AbortController (undici takes only those).

--- a/packages/mulberrypitch-admission/src/service-queue.ts
+++ b/packages/mulberrypitch-admission/src/service-queue.ts
@@ -1,4 +1,5 @@
 /** The queue of one service on one host. */
+import {abortReason} from '@mulberrypitch/lifecycle/abort-reason';
 import PQueue from 'p-queue';
 import {DeadlineExceededError, OverloadedError} from '@mulberrypitch/errors/catalogue';
 import {Deferred} from '@mulberrypitch/lifecycle/background';
@@ -142,7 +143,7 @@
 
 	#reject(entry: Entry, error: Error): void {
 		if (this.#order.remove(entry)) {
-			entry.settled.abort();
+			entry.settled.abort(abortReason);
 			entry.started.reject(error);
 		}
 	}
@@ -172,7 +173,7 @@
 		const startedAt = this.#clock.now();
 		const released = new Deferred<void>();
 		this.#longInFlight += entry.isShort ? 0 : 1;
-		entry.settled.abort();
+		entry.settled.abort(abortReason);
 		entry.started.resolve({
 			release() {
 				released.resolve();
--- a/packages/mulberrypitch-control/src/control-client.ts
+++ b/packages/mulberrypitch-control/src/control-client.ts
@@ -4,7 +4,7 @@
 	createErrorFromWire, hasCode, CodedError, getMessage,
 } from '@mulberrypitch/errors/coded-error';
 import {
-	assertInvariant, codes, NotLeaderError, StaleViewError, TimeoutError,
+	assertInvariant, codes, StaleViewError, TimeoutError,
 } from '@mulberrypitch/errors/catalogue';
 import {BackgroundTask, Deferred} from '@mulberrypitch/lifecycle/background';
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
@@ -27,6 +27,7 @@
 const proposeDeadlineMs = 10_000;
 const retryDelayMs = 100;
 const maxBatch = 256;
+const maxBatchesInFlight = 4;
 
 /** What a client is made of. */
 export type ControlClientOptions = {
@@ -56,7 +57,7 @@
 	readonly #options: ControlClientOptions;
 	readonly #resources = new DisposableStore();
 	readonly #waiting: Waiting[] = [];
-	#isFlushing = false;
+	#sending = 0;
 	#leader: string | undefined;
 	#session: Session | undefined;
 	#freshUntil = Number.NEGATIVE_INFINITY;
@@ -133,7 +134,7 @@
 	async callLeader<Reply>(method: string, parameters: unknown, timeoutMs: number): Promise<Reply> {
 		const {clock, group, transport} = this.#options;
 		const startedAt = clock.now();
-		let failure: unknown = new NotLeaderError();
+		let failure: unknown;
 		for (let attempt = 0; clock.now() - startedAt < proposeDeadlineMs; attempt += 1) {
 			const peer = this.#getTarget(attempt);
 			try {
@@ -154,7 +155,7 @@
 			}
 		}
 
-		throw hasCode(failure, codes.notLeader) ? new TimeoutError('The control group', proposeDeadlineMs) : failure;
+		throw failure instanceof CodedError && failure.code !== codes.notLeader ? failure : new TimeoutError('The control group', proposeDeadlineMs);
 	}
 
 	/** Leaves the group; the session ends at once and is not kept any more. */
@@ -173,18 +174,19 @@
 		await this.#resources.dispose();
 	}
 
+	/** Sends what waits. Each caller awaits its own commands in order, so batches may overtake each other. */
 	async #flush(): Promise<void> {
-		if (this.#isFlushing) {
+		if (this.#sending >= maxBatchesInFlight) {
 			return;
 		}
 
-		this.#isFlushing = true;
+		this.#sending += 1;
 		while (this.#waiting.length > 0) {
 			const batch = this.#waiting.splice(0, maxBatch);
 			await this.#sendBatch(batch);
 		}
 
-		this.#isFlushing = false;
+		this.#sending -= 1;
 	}
 
 	async #sendBatch(batch: readonly Waiting[]): Promise<void> {
--- a/packages/mulberrypitch-control/src/replica-leader.ts
+++ b/packages/mulberrypitch-control/src/replica-leader.ts
@@ -1,4 +1,5 @@
 /** One term of a leader: proposals, one replication task a peer, the commit index and the changes of the voters. */
+import {abortReason} from '@mulberrypitch/lifecycle/abort-reason';
 import {assertInvariant, NotLeaderError, TimeoutError} from '@mulberrypitch/errors/catalogue';
 import {BackgroundTask, Deferred, Notification} from '@mulberrypitch/lifecycle/background';
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
@@ -193,7 +194,7 @@
 	async #waitForEntries(signal: AbortSignal): Promise<void> {
 		const waiting = new AbortController();
 		const stop = () => {
-			waiting.abort();
+			waiting.abort(abortReason);
 		};
 
 		signal.addEventListener('abort', stop, {once: true});
--- a/packages/mulberrypitch-control/src/replica.ts
+++ b/packages/mulberrypitch-control/src/replica.ts
@@ -2,6 +2,7 @@
  * One replica of the replicated log. One task runs the elections, one applies what is committed, one a peer replicates
  * while leading, and one queue orders all changes of the log.
  */
+import {withTimeout} from '@mulberrypitch/lifecycle/with-timeout';
 import PQueue from 'p-queue';
 import {BackgroundTask, Notification} from '@mulberrypitch/lifecycle/background';
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
@@ -161,7 +162,7 @@
 			throw new NotLeaderError(this.#leader);
 		}
 
-		return this.#withTimeout(this.#leadership.propose(command));
+		return withTimeout(this.#options.clock, this.#leadership.propose(command), proposalTimeoutMs, () => new TimeoutError('The control group', proposalTimeoutMs));
 	}
 
 	async dispose(): Promise<void> {
@@ -197,22 +198,6 @@
 		void run();
 	}
 
-	async #withTimeout(result: Promise<CommandResult>): Promise<CommandResult> {
-		const controller = new AbortController();
-		const timeout = (async () => {
-			await this.#options.clock.sleep(proposalTimeoutMs, controller.signal);
-			throw new TimeoutError('The control group', proposalTimeoutMs);
-		})();
-		timeout.catch(() => {
-			// The race below reports the timeout when it comes first.
-		});
-		try {
-			return await Promise.race([result, timeout]);
-		} finally {
-			controller.abort();
-		}
-	}
-
 	// Founding.
 
 	async #onIdentity(group: string): Promise<IdentityReply> {
--- a/packages/mulberrypitch-entry/src/caller-routes.ts
+++ b/packages/mulberrypitch-entry/src/caller-routes.ts
@@ -1,5 +1,6 @@
 /** What callers use: completions, calls of plain services, and reading an answer again. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import {abortReason} from '@mulberrypitch/lifecycle/abort-reason';
 import {BadRequestError, NotFoundError, UnauthorizedError} from '@mulberrypitch/errors/catalogue';
 import type {ServiceConfiguration, SharedConfiguration, Workspace} from '@mulberrypitch/config/types';
 import {ends, type Outcome} from '@mulberrypitch/control/types';
@@ -252,7 +253,7 @@
 function getCloseSignal(response: ServerResponse): AbortSignal {
 	const controller = new AbortController();
 	response.once('close', () => {
-		controller.abort();
+		controller.abort(abortReason);
 	});
 	return controller.signal;
 }
--- a/packages/mulberrypitch-fakes/src/memory-transport.ts
+++ b/packages/mulberrypitch-fakes/src/memory-transport.ts
@@ -1,4 +1,5 @@
 /** Links between processes in memory, with cuts and delays. */
+import {withTimeout} from '@mulberrypitch/lifecycle/with-timeout';
 import {assumeType} from '@mulberrypitch/errors/assume-type';
 import {createCheckedMethod} from '@mulberrypitch/transport/checked-method';
 import {CodedError, createErrorFromWire} from '@mulberrypitch/errors/coded-error';
@@ -81,19 +82,8 @@
 	}
 
 	async call<Reply>(address: Address, method: string, parameters: unknown, {timeoutMs}: CallOptions): Promise<Reply> {
-		const controller = new AbortController();
-		const timeout = (async () => {
-			await this.#network.clock.sleep(timeoutMs, controller.signal);
-			throw new TimeoutError(method, timeoutMs);
-		})();
-		timeout.catch(() => {
-			// The race below reports the timeout when it comes first.
-		});
-		try {
-			return assumeType<Reply>(await Promise.race([this.#exchange(address, method, parameters), timeout]));
-		} finally {
-			controller.abort();
-		}
+		const exchange = this.#exchange(address, method, parameters);
+		return assumeType<Reply>(await withTimeout(this.#network.clock, exchange, timeoutMs, () => new TimeoutError(method, timeoutMs)));
 	}
 
 	dispose(): void {
--- a/packages/mulberrypitch-requests/src/request-holder.ts
+++ b/packages/mulberrypitch-requests/src/request-holder.ts
@@ -1,5 +1,6 @@
 /** Carries one accepted request to its end: dispatches, retries, progress to the standby, and the committed outcome. */
 import {Buffer} from 'node:buffer';
+import {abortReason} from '@mulberrypitch/lifecycle/abort-reason';
 import {CodedError, hasCode} from '@mulberrypitch/errors/coded-error';
 import {
 	assertInvariant, BackendFailedError, codes, StaleEpochError,
@@ -150,7 +151,7 @@
 	/** Breaks off work on a back end that goes; the request goes on elsewhere. Work that may not be repeated stays. */
 	leaveBackend(from: BackendServer): void {
 		if (this.#current?.backend.incarnation === from.incarnation && this.#canMove()) {
-			this.#detour.abort();
+			this.#detour.abort(abortReason);
 		}
 	}
 
@@ -191,7 +192,7 @@
 
 	/** Breaks off all work; another host carries on. */
 	abandon(): void {
-		this.#abort.abort();
+		this.#abort.abort(abortReason);
 		this.answer.abandon();
 	}
 
--- a/packages/mulberrypitch-requests/src/timeout-signal.ts
+++ b/packages/mulberrypitch-requests/src/timeout-signal.ts
@@ -1,4 +1,5 @@
 /** Time limits as abort signals on the clock of the program. */
+import {abortReason} from '@mulberrypitch/lifecycle/abort-reason';
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
 
 /** A signal that aborts after a duration, until it is cancelled. */
@@ -15,13 +16,13 @@
 
 	/** Stops the time limit; the signal then follows its parent only. */
 	cancel(): void {
-		this.#cancellation.abort();
+		this.#cancellation.abort(abortReason);
 	}
 
 	async #run(clock: Clock, durationMs: number, timeout: AbortController): Promise<void> {
 		await clock.sleep(durationMs, this.#cancellation.signal);
 		if (!this.#cancellation.signal.aborted) {
-			timeout.abort();
+			timeout.abort(abortReason);
 		}
 	}
 }
