Let any number of simulated tasks sleep on one signal

Cause: runs on virtual time printed MaxListenersExceededWarning, which hid real ones. Change: the stand-in clock lifts the limit of the signals it is given. Ruled out: silencing warnings for the test run.

--- a/packages/mulberrypitch-fakes/src/virtual-clock.ts
+++ b/packages/mulberrypitch-fakes/src/virtual-clock.ts
@@ -1,4 +1,5 @@
 /** Time that moves only when a test says so. */
+import {setMaxListeners} from 'node:events';
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import {createClock} from '@sinonjs/fake-timers';
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
@@ -32,7 +33,11 @@
 				resolve();
 			};
 
-			signal?.addEventListener('abort', stop, {once: true});
+			if (signal !== undefined) {
+				// Hundreds of simulated tasks may sleep until the end of one run.
+				setMaxListeners(0, signal);
+				signal.addEventListener('abort', stop, {once: true});
+			}
 		});
 	}
 
