Wait for calls that are being accepted, and answer peers only once all methods are in place

Cause: two faults behind the red test of hosts stopped in turn. A call that was past the check for a stop, but not yet recorded, was not waited for: the host closed its session and left with it (seen: accepted 1.2 s after the stop began, never ended, the process hung). And a host listened for its peers before its methods were there: for 50 ms of each start calls were answered with 'Method not found', which the holder of a request took for final, so the request stayed without an owner (seen in the log of host-1 and host-2 at the start of host-3). Change: calls count until they are recorded; one that waits for its turn when a stop begins is sent elsewhere; methods first, then listen; a command is proposed again whatever failure the leader itself has.

--- a/packages/mulberrypitch-requests/src/__tests__/request-life.test.ts
+++ b/packages/mulberrypitch-requests/src/__tests__/request-life.test.ts
@@ -161,3 +161,30 @@
 	await cluster.until(() => received.outcome !== undefined, lifeLimitMs);
 	t.ok(isWhole(received, 'report', 600));
 });
+
+await t.test('a host that stops waits for a call that it is about to accept', async t => {
+	const cluster = await startCluster(t);
+	const {requests} = cluster.getHost(holderName);
+	const submitting = requests.submit(createDocument('plan', 50));
+	await cluster.clock.runFor(1);
+	requests.drain();
+	const idle = requests.waitIdle();
+	let isIdle = false;
+	void idle.then(() => {
+		isIdle = true;
+	});
+	const received = follow(await cluster.settle(submitting));
+	t.notOk(isIdle);
+	await cluster.until(() => isIdle);
+	t.ok(isWhole(received, 'plan', 50));
+});
+
+await t.test('a call that waits for its turn when a stop begins is sent elsewhere', async t => {
+	const cluster = await startCluster(t);
+	const {requests} = cluster.getHost(holderName);
+	const submitting = requests.submit(createDocument('plan', 50));
+	requests.drain();
+	await t.rejects(cluster.settle(submitting), {code: 'draining'});
+	await cluster.settle(requests.waitIdle());
+	t.equal(cluster.state.listHeld(holderName).length, 0);
+});
--- a/packages/mulberrypitch-requests/src/proposal-loop.ts
+++ b/packages/mulberrypitch-requests/src/proposal-loop.ts
@@ -7,8 +7,8 @@
 import type {StandbyLinkContext} from './standby-link.js';
 
 const proposalRetryMs = 200;
-/** Errors after which a command may or may not be committed, and is proposed again. */
-const retriedCodes = [codes.timeout, codes.notLeader, codes.peerUnreachable];
+/** Errors after which a command may or may not be committed, and is proposed again: the next leader may do better. */
+const retriedCodes = [codes.timeout, codes.notLeader, codes.peerUnreachable, codes.protocol, codes.storage, codes.internal];
 
 export type ProposalLoopOptions = {
 	readonly requestId: string;
--- a/packages/mulberrypitch-requests/src/request-service.ts
+++ b/packages/mulberrypitch-requests/src/request-service.ts
@@ -50,6 +50,8 @@
 	readonly #disposal = new AbortController();
 	#isDraining = false;
 	#running = 0;
+	/** Calls that are not recorded yet, or just were. */
+	#accepting = 0;
 
 	constructor(options: RequestServiceOptions) {
 		this.#options = options;
@@ -101,26 +103,22 @@
 		}
 	}
 
-	/** Resolves when no request is in progress. */
+	/** Resolves when no request is in progress and none can still be accepted. */
 	async waitIdle(): Promise<void> {
-		while (this.#running > 0) {
+		while (this.#running + this.#accepting > 0) {
 			await this.#options.clock.sleep(retryDelayMs);
 		}
 	}
 
 	/** Accepts a request: when this resolves, it is recorded and will end exactly once. */
 	async submit(call: IncomingCall): Promise<AcceptedRequest> {
-		if (this.#isDraining) {
-			throw new DrainingError();
-		}
-
+		this.#requireNotDraining();
 		const session = this.#options.control.requireFresh();
-		const ticket = await this.#admit(call);
+		this.#accepting += 1;
 		try {
-			return await this.#accept(call, session, ticket);
-		} catch (error) {
-			ticket.release();
-			throw error;
+			return await this.#admitAndAccept(call, session);
+		} finally {
+			this.#accepting -= 1;
 		}
 	}
 
@@ -144,6 +142,24 @@
 		}
 	}
 
+	async #admitAndAccept(call: IncomingCall, session: Session): Promise<AcceptedRequest> {
+		const ticket = await this.#admit(call);
+		try {
+			// The stop may have begun while the call waited for its turn.
+			this.#requireNotDraining();
+			return await this.#accept(call, session, ticket);
+		} catch (error) {
+			ticket.release();
+			throw error;
+		}
+	}
+
+	#requireNotDraining(): void {
+		if (this.#isDraining) {
+			throw new DrainingError();
+		}
+	}
+
 	async #admit(call: IncomingCall): Promise<Ticket> {
 		const {admission, control, clock, router} = this.#options;
 		const capacity = router.getSlots(control.backends
--- a/packages/mulberrypitch/src/__tests__/host-processes.ts
+++ b/packages/mulberrypitch/src/__tests__/host-processes.ts
@@ -1,6 +1,8 @@
 /** Starts hosts and stand-ins as processes of their own, for tests. */
 import {spawn, type ChildProcess} from 'node:child_process';
-import {mkdirSync, writeFileSync} from 'node:fs';
+import {
+	closeSync, mkdirSync, openSync, writeFileSync,
+} from 'node:fs';
 import path from 'node:path';
 import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
@@ -50,7 +52,7 @@
 		const file = path.join(this.#folder, `${name}.ini`);
 		mkdirSync(this.#folder, {recursive: true});
 		writeFileSync(file, this.#createSettings(name, index));
-		const host = {name, address: `http://${this.#getIp(index)}:8080`, child: this.#spawn(binary, ['serve', file])};
+		const host = {name, address: `http://${this.#getIp(index)}:8080`, child: this.#spawn(name, binary, ['serve', file])};
 		this.hosts[index] = host;
 		return host;
 	}
@@ -59,7 +61,7 @@
 	startBackend(kind: 'engine' | 'plain', options: Readonly<Record<string, string | number>>): ChildProcess {
 		const flags = Object.entries(options).map(([name, value]) => `--${name}=${value}`);
 		const entries = this.hosts.map(host => host.address).join(',');
-		return this.#spawn(process.execPath, [fakes, kind, `--entries=${entries}`, ...flags]);
+		return this.#spawn(`back-end-${kind}`, process.execPath, [fakes, kind, `--entries=${entries}`, ...flags]);
 	}
 
 	/** Runs the command to its end and gives its output and exit code. */
@@ -104,8 +106,11 @@
 		}));
 	}
 
-	#spawn(command: string, args: string[]): ChildProcess {
-		const child = spawn(command, args, {stdio: 'ignore'});
+	/** Its output goes to a file beside its settings. */
+	#spawn(name: string, command: string, args: string[]): ChildProcess {
+		const log = openSync(path.join(this.#folder, `${name}.log`), 'a');
+		const child = spawn(command, args, {stdio: ['ignore', log, log]});
+		closeSync(log);
 		this.#children.push(child);
 		return child;
 	}
--- a/packages/mulberrypitch/src/commands/serve.ts
+++ b/packages/mulberrypitch/src/commands/serve.ts
@@ -30,11 +30,12 @@
 async function serve(settings: HostSettings): Promise<void> {
 	const logger = new ConsoleLogger({level: settings.logLevel, fields: {node: settings.name}});
 	const transport = createTransport(settings, logger);
-	await transport.listen();
 	const host = new Host({
 		settings, transport, clock: new SystemClock(), random: new SeededRandom(randomInt(maxSeed)), logger,
 	});
 	await host.start();
+	// Only now are all methods in place: a peer that calls one too soon would take it for unknown.
+	await transport.listen();
 	const stopped = new Deferred<void>();
 	for (const signal of ['SIGTERM', 'SIGINT'] as const) {
 		process.on(signal, () => {
