Let quotas begin with more after a start

Change: a bucket whose past is not known begins at 55%. The check that a restarted entry knows less asks for 100,000 units now, since 60,000 fit either way.

--- a/packages/mulberrypitch-proxy/src/__tests__/quotas.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/quotas.test.ts
@@ -11,6 +11,9 @@
 const entryCount = 7;
 const tellMs = 250;
 const stepMs = 10;
+/** Least time that a process is away when it is killed, and between the starts of two. */
+const downMs = 500;
+const startGapMs = 40;
 
 type Run = {
 	/** Units taken in each step. */
@@ -18,17 +21,28 @@
 };
 
 /** Lets all entries together ask for a multiple of the quota, in requests of the given size. */
-async function runEntries(seconds: number, factor: number, units: number, {isInTouch = true, changesCoordinators = false} = {}): Promise<Run> {
+async function runEntries(seconds: number, factor: number, units: number, {
+	isInTouch = true, changesCoordinators = false, killedAtMs = Number.POSITIVE_INFINITY, isUrgent = true,
+} = {}): Promise<Run> {
 	const clock = new VirtualClock();
-	const entries = Array.from({length: entryCount}, () => new WorkspaceQuotas({
+	const start = () => new WorkspaceQuotas({
 		clock, getEntryCount: () => entryCount, isInTouch: () => isInTouch, tolerance,
-	}));
+	});
+	const entries = Array.from({length: entryCount}, () => start());
 	const taken: number[] = [];
 	let asked = 0;
 	for (let ms = 0; ms < seconds * 1000; ms += stepMs) {
+		const isDown = ms >= killedAtMs && ms < killedAtMs + downMs;
+		// They come back one after the other.
+		const starting = (ms - killedAtMs - downMs) / startGapMs;
+		if (starting in entries) {
+			entries[starting] = start();
+			tellAll(entries);
+		}
+
 		let inStep = 0;
 		for (; asked * units < workspace.ratePerSecond * factor * ms / 1000; asked += 1) {
-			inStep += entries[asked % entryCount]!.take(workspace, {units, isUrgent: true}) === 0 ? units : 0;
+			inStep += !isDown && entries[asked % entryCount]!.take(workspace, {units, isUrgent}) === 0 ? units : 0;
 		}
 
 		taken.push(inStep);
@@ -94,12 +108,30 @@
 	t.ok(getMostInWindow(taken) <= limit, `${getMostInWindow(taken)} of ${limit}`);
 });
 
+await t.test('entries that are all killed and start anew under a pressing workspace hold its quota', async t => {
+	for (const units of [2000, 12_000]) {
+		const {taken} = await runEntries(20, 6, units, {killedAtMs: 10_000});
+		t.ok(getMostInWindow(taken) <= limit, `${getMostInWindow(taken)} of ${limit}`);
+	}
+});
+
+await t.test('entries that are all killed and start anew refuse nothing of a workspace under its quota, urgent or not', async t => {
+	for (const isUrgent of [true, false]) {
+		const killedAtMs = 10_000;
+		const {taken} = await runEntries(13, 0.8, 2000, {killedAtMs, isUrgent});
+		const backMs = killedAtMs + downMs;
+		const total = taken.slice(backMs / stepMs).reduce((sum, units) => sum + units, 0);
+		const asked = 0.8 * workspace.ratePerSecond * (13_000 - backMs) / 1000;
+		t.ok(total >= 0.98 * asked, `${total} of ${asked} after the start, ${isUrgent ? 'urgent' : 'not urgent'}`);
+	}
+});
+
 await t.test('an entry that was there before a workspace spent anything lets its first large request pass', async t => {
 	const clock = new VirtualClock();
 	const create = () => new WorkspaceQuotas({
 		clock, getEntryCount: () => entryCount, isInTouch: () => true, tolerance,
 	});
-	const claim = {units: 60_000, isUrgent: true};
+	const claim = {units: 100_000, isUrgent: true};
 	const followed = create();
 	followed.noteOthers({});
 	followed.prepare([workspace]);
--- a/packages/mulberrypitch-proxy/src/quota-bucket.ts
+++ b/packages/mulberrypitch-proxy/src/quota-bucket.ts
@@ -29,7 +29,7 @@
 const learningMs = 250;
 /** Parts of its burst that a new bucket holds: when nobody is known to have spent of it, and when others may have. */
 const unspentPart = 0.7;
-const firstPart = 0.3;
+const firstPart = 0.55;
 /** What entries may spend beyond a quota before they hear of each other, in seconds of its rate. */
 const unheardSeconds = 1.2;
 /** Part of the tolerance's units that is kept for small requests, so that large ones don't shut them out. */
