Keep fewer engines apart, for prompts that take a pause to read, and weigh streams more

Large ones held each other up on the eighth of the engines that was kept for them, and what an entry took for large came from the few sizes that it had seen. Change: large is above 32,000 tokens, a twelfth of the engines is kept, streams on an engine weigh twice as much, five engines are compared, and a cached token weighs half.

--- a/packages/mulberrypitch-load/src/__tests__/serving-emulator.test.ts
+++ b/packages/mulberrypitch-load/src/__tests__/serving-emulator.test.ts
@@ -21,7 +21,11 @@
 	const credits = seeds.map(seed => emulateServing({
 		mix, engines, load: 1, viewMs: 100, seed, durationMs: 14_000, choose,
 	}).credit);
-	return credits.reduce((sum, credit) => sum + credit, 0) / seeds.length;
+	return getMean(credits);
+}
+
+function getMean(values: readonly number[]): number {
+	return values.reduce((sum, value) => sum + value, 0) / values.length;
 }
 
 await t.test('long prompts between streams: many entries with a late view earn more than by the least loaded engine', async t => {
@@ -44,6 +48,17 @@
 	}
 });
 
+await t.test('a tenth of the prompts holds most tokens: with engines to spare the largest ones earn most of their worth', async t => {
+	for (const [mix, engines] of [[servingMixes.grownFiltri, 30], [servingMixes.grownChroma, 26]] as const) {
+		const [large, plain] = [chooseEngine, chooseLeastLoaded].map(choose => getMean(seeds.map(seed => emulateServing({
+			mix, engines, load: 0.7, viewMs: 150, seed, durationMs: 14_000, choose,
+		}).largestCredit)));
+		t.comment(`${mix.name}: ${large!.toFixed(3)}, least loaded ${plain!.toFixed(3)}`);
+		t.ok(large! > 0.5, mix.name);
+		t.ok(large! > plain! + 0.1, `${mix.name}, against the least loaded`);
+	}
+});
+
 await t.test('prompts of one size: the engines that are kept for large prompts are used too', async t => {
 	const {kinds: [kind], ...rest} = servingMixes.chroma;
 	const own = {mean: 2000, spread: 0, max: 2000};
--- a/packages/mulberrypitch-load/src/serving-emulator.ts
+++ b/packages/mulberrypitch-load/src/serving-emulator.ts
@@ -4,7 +4,6 @@
  */
 import {SeededRandom, type Random} from '@mulberrypitch/lifecycle/random';
 import type {Candidate, PlacedPrompt} from '@mulberrypitch/proxy/backend-choice';
-import {PromptSizes} from '@mulberrypitch/proxy/prompt-sizes';
 import {EmulatedEngine, type SharedPart} from './emulated-engine.js';
 import {EventQueue} from './event-queue.js';
 import type {DrawnSize, PromptKind, ServingMix} from './serving-mixes.js';
@@ -29,12 +28,20 @@
 export type EmulationResult = {
 	/** Worth earned, as a part of the worth asked for. */
 	readonly credit: number;
+	/** The same of the largest tenth of the first kind. */
+	readonly largestCredit: number;
 	/** Requests that no engine had a place for, as a part of all. */
 	readonly refusedPart: number;
 	/** By kind: requests whose first event or a pause was late, as a part of those that ended. */
 	readonly lateParts: Readonly<Record<string, number>>;
 };
 
+type Earning = {
+	readonly size: number;
+	readonly owed: number;
+	readonly earned: number;
+};
+
 type Work = {
 	requests: number;
 	pendingTokens: number;
@@ -61,6 +68,7 @@
 const fixedWorth = 0.3;
 const maxWorth = 4;
 const answerWeight = 10;
+const largestPart = 0.1;
 /** Share of the others' waiting prompts that still waits when it becomes known. */
 const lateShare = 0.5;
 
@@ -78,7 +86,6 @@
 
 class EmulatedEntry {
 	readonly own: readonly Work[];
-	readonly sizes = new PromptSizes();
 	/** What all entries did at the last look, without this one. */
 	others: readonly Work[];
 
@@ -103,8 +110,7 @@
 	readonly #late: Record<string, number> = {};
 	#asked = 0;
 	#refused = 0;
-	#owed = 0;
-	#earned = 0;
+	readonly #earnings: Record<string, Earning[]> = {};
 
 	constructor(emulation: Emulation) {
 		const {mix, engines, seed} = emulation;
@@ -129,8 +135,10 @@
 		}
 
 		this.#queue.runUntil(durationMs);
+		const sizes = (this.#earnings[mix.kinds[0]!.name] ?? []).toSorted((left, right) => right.size - left.size);
 		return {
-			credit: this.#earned / this.#owed,
+			credit: getCredit(Object.values(this.#earnings).flat()),
+			largestCredit: getCredit(sizes.slice(0, Math.ceil(sizes.length * largestPart))),
 			refusedPart: this.#refused / this.#asked,
 			lateParts: Object.fromEntries(mix.kinds.map(({name}) => [name, (this.#late[name] ?? 0) / Math.max(1, this.#ended[name] ?? 0)])),
 		};
@@ -138,9 +146,7 @@
 
 	/** An entry tells what it does, and learns a view later what the others did by now. */
 	#look(entry: EmulatedEntry): void {
-		const others = this.#total.map(({requests, pendingTokens}, index) => ({
-			requests: requests - entry.own[index]!.requests, pendingTokens: pendingTokens - entry.own[index]!.pendingTokens,
-		}));
+		const others = this.#total.map((work, index) => subtract(work, entry.own[index]!));
 		this.#queue.add(this.#emulation.viewMs, () => {
 			entry.others = others;
 			this.#look(entry);
@@ -164,9 +170,8 @@
 	#send(arrival: Arrival): void {
 		const {entry, kind, parts, promptTokens, answerTokens} = arrival;
 		const sharedTokens = parts.reduce((sum, {tokens}) => sum + tokens, 0);
-		entry.sizes.add(promptTokens);
 		const chosen = this.#emulation.choose(this.#getCandidates(entry), {
-			tokens: promptTokens, sharedTokens, sharedPart: parts.at(-1)!.id, largeFrom: entry.sizes.largeFrom, zone: '',
+			tokens: promptTokens, sharedTokens, sharedPart: parts.at(-1)!.id, zone: '',
 		}, this.#random);
 		this.#noteAsked(arrival, chosen === undefined);
 		if (chosen === undefined) {
@@ -217,25 +222,32 @@
 		});
 	}
 
-	#noteAsked({worth}: Arrival, isRefused: boolean): void {
+	#noteAsked(arrival: Arrival, isRefused: boolean): void {
 		if (this.#queue.now < warmUpMs) {
 			return;
 		}
 
 		this.#asked += 1;
-		this.#refused += isRefused ? 1 : 0;
-		this.#owed += isRefused ? worth : 0;
+		if (isRefused) {
+			this.#refused += 1;
+			this.#noteEarning(arrival, 0);
+		}
 	}
 
-	#noteEnd({kind, worth}: Arrival, startedAt: number, isLate: boolean): void {
+	#noteEnd(arrival: Arrival, startedAt: number, isLate: boolean): void {
 		if (startedAt < warmUpMs) {
 			return;
 		}
 
-		this.#ended[kind.name] = (this.#ended[kind.name] ?? 0) + 1;
-		this.#late[kind.name] = (this.#late[kind.name] ?? 0) + (isLate ? 1 : 0);
-		this.#owed += worth;
-		this.#earned += isLate ? lateWorth * worth : worth;
+		const {name} = arrival.kind;
+		this.#ended[name] = (this.#ended[name] ?? 0) + 1;
+		this.#late[name] = (this.#late[name] ?? 0) + (isLate ? 1 : 0);
+		this.#noteEarning(arrival, isLate ? lateWorth : 1);
+	}
+
+	#noteEarning({kind, worth, promptTokens, answerTokens}: Arrival, part: number): void {
+		this.#earnings[kind.name] ??= [];
+		this.#earnings[kind.name]!.push({size: promptTokens + (answerWeight * answerTokens), owed: worth, earned: worth * part});
 	}
 
 	#drawArrival(kind: PromptKind): Arrival {
@@ -269,10 +281,21 @@
 	}
 }
 
+function getCredit(earnings: readonly Earning[]): number {
+	const owed = earnings.reduce((sum, earning) => sum + earning.owed, 0);
+	return owed === 0 ? 1 : earnings.reduce((sum, earning) => sum + earning.earned, 0) / owed;
+}
+
 function createWork(engines: number): Work[] {
 	return Array.from({length: engines}, () => ({requests: 0, pendingTokens: 0}));
 }
 
+function subtract(all: Work, own: Work): Work {
+	return {
+		requests: all.requests - own.requests, pendingTokens: all.pendingTokens - own.pendingTokens,
+	};
+}
+
 function getMeanSize({shared, own, answer}: PromptKind): number {
 	return own.mean + shared.reduce((sum, {mean}) => sum + mean, 0) + (answerWeight * answer.mean);
 }
--- a/packages/mulberrypitch-proxy/src/backend-choice.ts
+++ b/packages/mulberrypitch-proxy/src/backend-choice.ts
@@ -27,26 +27,23 @@
 	readonly sharedTokens: number;
 	/** Names the last of these parts; absent when the route shares none. */
 	readonly sharedPart?: string;
-	/** Tokens from which on a prompt holds up the streams of its engine for long. */
-	readonly largeFrom: number;
 };
 
 /** Requests for each slot of a back end without an engine; it queues some itself. */
 const plainLoadPerSlot = 3;
+/** Prompts above this take about as long to read as a stream may pause. */
+const largeTokens = 32_000;
 /** Engines that are kept for large prompts, as a part of all. */
-const largePart = 1 / 8;
+const largePart = 1 / 12;
 /** Fewest engines of which one is kept for large prompts. */
 const minEnginesToSplit = 3;
 /** Back ends that are compared, so that entries with the same late view don't all take the same one. */
-const comparedOwn = 4;
+const comparedOwn = 5;
 const comparedOther = 2;
 /** Part of a prompt's tokens that each stream of the engine adds to its cost. */
-const streamWeight = 0.1;
+const streamWeight = 0.2;
 /** Cost of a place among prompts of the other size, in tokens. */
 const mixedTokens = 50_000;
-/** Fewest engines for large prompts that share their load well; with fewer only the very largest keep to them. */
-const minEnginesToShare = 3;
-const fewEngines = {largeFactor: 1.5, mixedTokens: 25_000} as const;
 /** Cost of another zone, in tokens. */
 const farTokens = 300;
 /** Largest random part of a cost, in tokens. */
@@ -54,7 +51,7 @@
 /** Parts of the shared tokens that the first and the second engine for a shared part are expected to hold. */
 const cachedParts = [1, 0.5] as const;
 /** Weight of a cached token: it saves reading now and for the requests to come. */
-const cachedWeight = 6;
+const cachedWeight = 3;
 
 /**
 Gives the back end without an engine to send to, or nothing when all are full. Each entry goes by its own requests alone.
@@ -77,15 +74,13 @@
 
 @example
 ```
-const backend = chooseEngine(candidates, {tokens: 1200, sharedTokens: 0, largeFrom: 25_000, zone}, random);
+const backend = chooseEngine(candidates, {tokens: 1200, sharedTokens: 0, zone}, random);
 ```
 */
 export function chooseEngine<Choice extends Candidate>(candidates: readonly Choice[], prompt: PlacedPrompt, random: Random): Choice | undefined {
 	const kept = getKeptForLarge(candidates);
-	const isFew = kept.size < minEnginesToShare;
-	const isLarge = prompt.tokens > prompt.largeFrom * (isFew ? fewEngines.largeFactor : 1);
+	const isLarge = prompt.tokens > largeTokens;
 	const isOwn = ({id}: Candidate) => kept.size === 0 || kept.has(id) === isLarge;
-	const otherTokens = isFew ? fewEngines.mixedTokens : mixedTokens;
 	const free = candidates.filter(({load, slots}) => load < slots);
 	const own = free.filter(candidate => isOwn(candidate));
 	const others = free.filter(candidate => !isOwn(candidate));
@@ -93,7 +88,7 @@
 	const compared = [...preferred, ...draw(own, comparedOwn, random), ...draw(others, own.length === 0 ? comparedOwn : comparedOther, random)];
 	const costs = compared.map(candidate => ({
 		candidate,
-		cost: getCost(candidate, prompt, preferred.indexOf(candidate)) + (isOwn(candidate) ? 0 : otherTokens) + (random.next() * lotTokens),
+		cost: getCost(candidate, prompt, preferred.indexOf(candidate)) + (isOwn(candidate) ? 0 : mixedTokens) + (random.next() * lotTokens),
 	}));
 	return costs.toSorted((left, right) => left.cost - right.cost)[0]?.candidate;
 }
--- a/packages/mulberrypitch-proxy/src/service-traffic.ts
+++ b/packages/mulberrypitch-proxy/src/service-traffic.ts
@@ -10,7 +10,6 @@
 import type {KnownBackend} from './known-backend.js';
 import {PlaceQueue} from './place-queue.js';
 import {PromptCostEstimate} from './prompt-cost.js';
-import {PromptSizes} from './prompt-sizes.js';
 import {RecentSum} from './recent-sum.js';
 
 export type ServiceTrafficOptions = {
@@ -39,7 +38,6 @@
 	readonly #queue: PlaceQueue<BackendPlace>;
 	readonly #tokens: RecentSum;
 	readonly #cost = new PromptCostEstimate();
-	readonly #sizes = new PromptSizes();
 	#refused = 0;
 
 	constructor(options: ServiceTrafficOptions) {
@@ -51,9 +49,6 @@
 	/** Notes a request that was admitted. */
 	add({tokens}: Prompt): void {
 		this.#tokens.add(tokens);
-		if (tokens > 0) {
-			this.#sizes.add(tokens);
-		}
 	}
 
 	/** Notes that the first event of a prompt took a time in milliseconds. */
@@ -96,7 +91,7 @@
 			return choosePlainBackend(choices, random);
 		}
 
-		return chooseEngine(choices, {...prompt, largeFrom: this.#sizes.largeFrom, zone}, random);
+		return chooseEngine(choices, {...prompt, zone}, random);
 	}
 }
 
