Let requests wait a moment for the first configuration of an entry that starts

Change: in the first 800 ms of an entry's life a request waits for the configuration; after that it is refused at once as before. Two tests, the first seen failing (503) before.

--- /dev/null
+++ b/packages/mulberrypitch-proxy/src/__tests__/proxy-server.test.ts
@@ -0,0 +1,68 @@
+/** Callers that come back to an entry at the moment of its start. */
+import http from 'node:http';
+import t, {type Test} from 'tap';
+import {assumeType} from '@mulberrypitch/errors/assume-type';
+import {VirtualClock} from '@mulberrypitch/fakes/virtual-clock';
+import {SeededRandom} from '@mulberrypitch/lifecycle/random';
+import {MetricsRegistry} from '@mulberrypitch/metrics/registry';
+import {RouteTable} from '@mulberrypitch/serving/route-table';
+import {ProxyServer, type ProxyServerOptions} from '../proxy-server.js';
+
+const host = '127.0.0.1';
+const startingMs = 800;
+
+/** Starts a server without a configuration and sends one request to it. */
+async function startServer(t: Test) {
+	const clock = new VirtualClock();
+	let table: RouteTable | undefined;
+	const server = new ProxyServer(assumeType<ProxyServerOptions>({
+		listen: `${host}:0`,
+		names: {attemptId: 'attempt-id'},
+		clock,
+		random: new SeededRandom(1),
+		logger: {
+			log() {
+				// Nothing is read from it.
+			},
+		},
+		metrics: new MetricsRegistry(),
+		getViewAgeMs: () => 0,
+		getTable: () => table,
+	}));
+	const port = await server.listen();
+	t.teardown(async () => server.dispose());
+	const status = new Promise<number>((resolve, reject) => {
+		http.get({host, port, agent: false}, response => {
+			response.resume();
+			resolve(response.statusCode!);
+		}).once('error', reject);
+	});
+	while (server.running === 0) {
+		await new Promise(resolve => {
+			setImmediate(resolve);
+		});
+	}
+
+	const configure = () => {
+		table = new RouteTable({
+			version: 1, routes: [], services: [], workspaces: [], limits: {
+				maxHeaderBytes: 16_384, maxBodyBytes: 1024, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
+			},
+		});
+		server.refresh();
+	};
+
+	return {clock, status, configure};
+}
+
+await t.test('a request that comes a moment before the first configuration is answered by it', async t => {
+	const {status, configure} = await startServer(t);
+	configure();
+	t.equal(await status, 404);
+});
+
+await t.test('a request is refused at once when an entry still has no configuration some time after its start', async t => {
+	const {clock, status} = await startServer(t);
+	await clock.runFor(startingMs);
+	t.equal(await status, 503);
+});
--- a/packages/mulberrypitch-proxy/src/proxy-server.ts
+++ b/packages/mulberrypitch-proxy/src/proxy-server.ts
@@ -1,6 +1,7 @@
 /** Takes callers' requests, admits them, and runs each as a `ProxiedRequest`. */
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
+import {Deferred} from '@mulberrypitch/lifecycle/background';
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
 import type {Resource} from '@mulberrypitch/lifecycle/disposable-store';
 import {listenOn, splitAddress} from '@mulberrypitch/lifecycle/listen';
@@ -64,6 +65,8 @@
 /** Part of its target that a request waits for a place. */
 const waitPart = 0.12;
 const minRetryAfterSeconds = 0.25;
+/** Time from the start of an entry in which requests wait for its first configuration. */
+const startingMs = 800;
 
 /** Serves callers until it is drained. */
 export class ProxyServer implements Resource {
@@ -72,12 +75,15 @@
 	readonly #services = new Map<string, ServiceTraffic>();
 	readonly #replies: OwnReplies;
 	readonly #sockets = new Set<Socket>();
+	readonly #configured = new Deferred<void>();
+	readonly #startedAt: number;
 	#running = 0;
 	#isDraining = false;
 
 	constructor(options: ProxyServerOptions) {
 		const {names, random, logger, metrics} = options;
 		this.#options = options;
+		this.#startedAt = options.clock.now();
 		this.#replies = new OwnReplies({
 			attemptHeader: names.attemptId,
 			random,
@@ -120,6 +126,10 @@
 	/** Takes a new configuration or view into account. */
 	refresh(): void {
 		const limits = this.#options.getTable()?.configuration.limits ?? defaultLimits;
+		if (this.#options.getTable() !== undefined) {
+			this.#configured.resolve();
+		}
+
 		this.#server.keepAliveTimeout = limits.idleTimeoutMs + idleMarginMs;
 		this.#server.headersTimeout = limits.headerTimeoutMs + idleMarginMs;
 		for (const traffic of this.#services.values()) {
@@ -166,8 +176,8 @@
 	}
 
 	async #serve(request: IncomingMessage, response: ServerResponse, arrivedAt: number): Promise<void> {
-		const {getTable, quotas} = this.#options;
-		const table = getTable();
+		const {quotas} = this.#options;
+		const table = await this.#waitForTable();
 		if (table === undefined) {
 			this.#replies.send(request, response, {status: 503, reason: 'no configuration yet', retryAfterSeconds: minRetryAfterSeconds});
 			return;
@@ -210,6 +220,19 @@
 		});
 	}
 
+	/** Gives the configuration in force. Callers come back to an entry that starts a moment before it has one. */
+	async #waitForTable(): Promise<RouteTable | undefined> {
+		const {getTable, clock} = this.#options;
+		const leftMs = this.#startedAt + startingMs - clock.now();
+		if (getTable() === undefined && leftMs > 0) {
+			const limit = new AbortController();
+			await Promise.race([this.#configured.promise, clock.sleep(leftMs, limit.signal)]);
+			limit.abort();
+		}
+
+		return getTable();
+	}
+
 	async #run(request: IncomingMessage, response: ServerResponse, facts: {
 		readonly body: Uint8Array;
 		readonly arrivedAt: number;
