--- a/packages/mulberrypitch-requests/src/request-holder.ts
+++ b/packages/mulberrypitch-requests/src/request-holder.ts
@@ -5,60 +5,30 @@
 	assertInvariant, BackendFailedError, codes, StaleEpochError,
 } from '@mulberrypitch/errors/catalogue';
 import {events} from '@mulberrypitch/logger/events';
-import type {Logger} from '@mulberrypitch/logger/logger';
-import type {
-	BackendCall, Engine, PlainService,
-} from '@mulberrypitch/backends/types';
+import type {BackendCall} from '@mulberrypitch/backends/types';
 import {
-	backendKinds, ends, type BackendServer, type Outcome, type Session,
+	backendKinds, ends, type BackendServer, type Outcome,
 } from '@mulberrypitch/control/types';
-import type {ReclaimPolicy, RetryPolicy} from '@mulberrypitch/config/types';
-import type {Router} from '@mulberrypitch/routing/types';
-import type {MetricsRegistry} from '@mulberrypitch/metrics/registry';
 import {AnswerLog} from './answer-log.js';
+import {AttemptRecord, findRefusal} from './attempt-record.js';
+import {moveCache} from './cache-move.js';
+import type {HolderContext, HolderStart} from './holder-context.js';
 import {ProposalLoop} from './proposal-loop.js';
 import type {ReclaimedRequest} from './reclaim-planner.js';
 import {createAnswered, createEnd} from './request-outcome.js';
-import {StandbyLink, type StandbyLinkContext} from './standby-link.js';
+import {StandbyLink} from './standby-link.js';
 import {TargetChoice, type Target} from './target-choice.js';
 import {TimeoutSignal} from './timeout-signal.js';
 import type {HeldCopy} from './types.js';
 
 const waitForBackendMs = 100;
 const maxBackoffMs = 2000;
-const cacheTimeoutMs = 5000;
 const apartRetryMs = 500;
 const charactersPerToken = 4;
 const defaultTokenMs = 50;
 /** Answers of idempotent calls that are worth another back end; for other calls any answer is the outcome. */
 const unavailableStatuses = new Set([502, 503, 504]);
 
-/** What all holders of one host share. */
-export type HolderContext = StandbyLinkContext & {
-	readonly router: Router;
-	readonly engine: Engine;
-	readonly plain: PlainService;
-	readonly logger: Logger;
-	readonly metrics: MetricsRegistry;
-	readonly getRetryPolicy: () => RetryPolicy;
-	readonly getReclaimPolicy: () => ReclaimPolicy;
-};
-
-/** Where a request stands when a holder begins with it. */
-export type HolderStart = {
-	readonly copy: HeldCopy;
-	/** Dispatches recorded so far. */
-	readonly attempts: number;
-	/** A dispatch may have reached a back end and has no outcome. */
-	readonly mayHaveRun: boolean;
-	/** The host that has a copy already. */
-	readonly standby?: Session;
-	/** Holder and standby were lost together, so the request can only be ended. */
-	readonly isLost?: boolean;
-	/** A back end that ran the same content has died. */
-	readonly isSuspect?: boolean;
-};
-
 /** Holds one request. */
 export class RequestHolder {
 	readonly answer: AnswerLog;
@@ -68,6 +38,7 @@
 	readonly #excluded = new Set<string>();
 	readonly #link: StandbyLink;
 	readonly #proposals: ProposalLoop;
+	readonly #record: AttemptRecord;
 	readonly #choice: TargetChoice;
 	#attempt: number;
 	#dispatched = 0;
@@ -88,6 +59,7 @@
 		this.#proposals = new ProposalLoop({
 			requestId: start.copy.requestId, control, clock, signal: this.#abort.signal,
 		});
+		this.#record = new AttemptRecord({copy: start.copy, proposals: this.#proposals, clock});
 		this.#choice = new TargetChoice({copy: start.copy, control, router});
 		this.answer = new AnswerLog(start.copy.chunks);
 		this.#link = new StandbyLink(context, {
@@ -130,19 +102,17 @@
 			return;
 		}
 
-		const limit = new TimeoutSignal(clock, cacheTimeoutMs, this.#abort.signal);
-		const call = {requestId: this.requestId, signal: limit.signal};
-		try {
-			const cache = await engine.exportCache({...call, address: from.address});
-			await engine.importCache({...call, address: target.backend.address}, cache);
-			this.#moved = {...target, cachedTokens: cache.tokens};
-			this.leaveBackend(from);
-		} catch {
+		const cachedTokens = await moveCache({
+			engine, clock, requestId: this.requestId, from: from.address, to: target.backend.address, signal: this.#abort.signal,
+		});
+		if (cachedTokens === undefined) {
 			// The request stays where it is until the back end goes, and then resumes from its tokens.
 			target.dispatch.finish({isFailure: true});
-		} finally {
-			limit.cancel();
+			return;
 		}
+
+		this.#moved = {...target, cachedTokens};
+		this.leaveBackend(from);
 	}
 
 	/** Breaks off work on a back end that goes; the request goes on elsewhere. Work that may not be repeated stays. */
@@ -283,14 +253,14 @@
 		const {copy} = this.#start;
 		const {control, logger} = this.#context;
 		this.#attempt += 1;
-		const intent = this.#recordIntent(backend.id);
+		const intent = this.#record.noteIntent({attempt: this.#attempt, backend: backend.id, isSuspect: this.#isSuspect});
 		intent.catch(() => {
 			// Awaited below in every case.
 		});
 		let isFailure = true;
 		try {
 			if (this.#isSuspect) {
-				const refusal = await this.#getRefusal(intent);
+				const refusal = await findRefusal(intent);
 				if (refusal !== undefined) {
 					isFailure = false;
 					return await this.#onRefusal(refusal);
@@ -320,28 +290,6 @@
 		}
 	}
 
-	async #recordIntent(backend: string): Promise<void> {
-		const {clock} = this.#context;
-		await this.#proposals.propose({
-			kind: 'recordIntent', requestId: this.requestId, epoch: this.#start.copy.epoch, attempt: this.#attempt, backend, isSuspect: this.#isSuspect, entryTime: clock.wallTime(),
-		});
-	}
-
-	/** Gives the failure of an intent that the control group refuses because the content may kill back ends. */
-	async #getRefusal(intent: Promise<void>): Promise<CodedError | undefined> {
-		try {
-			await intent;
-		} catch (error) {
-			if (error instanceof CodedError && (error.code === codes.quarantined || error.code === codes.conflict)) {
-				return error;
-			}
-
-			throw error;
-		}
-
-		return undefined;
-	}
-
 	/** Ends a quarantined request at once; another one waits until it may run apart. */
 	async #onRefusal(refusal: CodedError): Promise<Outcome | undefined> {
 		this.#attempt -= 1;
@@ -362,9 +310,7 @@
 		}
 
 		this.#isSuspect = true;
-		await this.#proposals.propose({
-			kind: 'chargeFingerprint', fingerprint: this.#start.copy.fingerprint, backend: backend.id, incarnation: backend.incarnation,
-		});
+		await this.#record.chargeContent(backend);
 	}
 
 	async #onFailure(error: unknown, backend: BackendServer): Promise<Outcome | undefined> {
@@ -387,9 +333,7 @@
 			return createEnd(ends.unknown, codes.outcomeUnknown);
 		}
 
-		await this.#proposals.propose({
-			kind: 'recordNotSent', requestId: this.requestId, epoch: copy.epoch, attempt: this.#attempt,
-		});
+		await this.#record.noteNotSent(this.#attempt);
 		return undefined;
 	}
 
