--- a/packages/mulberrypitch-fakes/src/engine-server.ts
+++ b/packages/mulberrypitch-fakes/src/engine-server.ts
@@ -1,17 +1,15 @@
 /** A stand-in model engine: streams tokens that depend only on the prompt, at a set rate. */
 import {createHash} from 'node:crypto';
-import http, {type IncomingMessage, type ServerResponse} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import {assumeType} from '@mulberrypitch/errors/assume-type';
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
-import {listenOn} from '@mulberrypitch/lifecycle/listen';
 import type {Resource} from '@mulberrypitch/lifecycle/disposable-store';
+import {readText, StandInServer, type StandInAddress} from './stand-in-server.js';
 
 const defaultMaxTokens = 64;
 
 /** How a stand-in engine behaves. Times are in milliseconds. */
-export type EngineServerOptions = {
-	readonly host: string;
-	readonly port: number;
+export type EngineServerOptions = StandInAddress & {
 	readonly firstTokenMs: number;
 	readonly tokenMs: number;
 	readonly clock: Clock;
@@ -51,15 +49,13 @@
 /** Serves completions. */
 export class EngineServer implements Resource {
 	readonly #options: EngineServerOptions;
-	readonly #server: http.Server;
+	readonly #server: StandInServer;
 	#generated = 0;
 	#running = 0;
 
 	constructor(options: EngineServerOptions) {
 		this.#options = options;
-		this.#server = http.createServer((request, response) => {
-			void this.#answer(request, response);
-		});
+		this.#server = new StandInServer(options, async (request, response) => this.#answer(request, response));
 	}
 
 	/** Tokens generated so far. */
@@ -74,14 +70,12 @@
 
 	/** Starts to listen. Resolves with the base address. */
 	async listen(): Promise<string> {
-		const {host, port} = this.#options;
-		return `http://${host}:${await listenOn(this.#server, host, port)}`;
+		return this.#server.listen();
 	}
 
 	/** Dies at once, as a reclaimed machine does. */
 	dispose(): void {
-		this.#server.closeAllConnections();
-		this.#server.close();
+		this.#server.dispose();
 	}
 
 	async #answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -105,20 +99,3 @@
 		response.end('data: [DONE]\n\n');
 	}
 }
-
-/**
-Reads the body of a request.
-
-@example
-```
-const text = await readText(request);
-```
-*/
-export async function readText(request: IncomingMessage): Promise<string> {
-	let text = '';
-	for await (const part of request) {
-		text += String(part);
-	}
-
-	return text;
-}
--- a/packages/mulberrypitch-fakes/src/plain-server.ts
+++ b/packages/mulberrypitch-fakes/src/plain-server.ts
@@ -1,14 +1,11 @@
 /** A stand-in plain service that takes bookings and answers look-ups, and counts what it ran. */
-import http, {type IncomingMessage, type ServerResponse} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
-import {listenOn} from '@mulberrypitch/lifecycle/listen';
 import type {Resource} from '@mulberrypitch/lifecycle/disposable-store';
-import {readText} from './engine-server.js';
+import {readText, StandInServer, type StandInAddress} from './stand-in-server.js';
 
 /** How a stand-in service behaves. */
-export type PlainServerOptions = {
-	readonly host: string;
-	readonly port: number;
+export type PlainServerOptions = StandInAddress & {
 	/** Time that each call takes, in milliseconds. */
 	readonly answerMs: number;
 	readonly clock: Clock;
@@ -25,14 +22,12 @@
 /** Serves plain calls. */
 export class PlainServer implements Resource {
 	readonly #options: PlainServerOptions;
-	readonly #server: http.Server;
+	readonly #server: StandInServer;
 	readonly #calls: ServedCall[] = [];
 
 	constructor(options: PlainServerOptions) {
 		this.#options = options;
-		this.#server = http.createServer((request, response) => {
-			void this.#answer(request, response);
-		});
+		this.#server = new StandInServer(options, async (request, response) => this.#answer(request, response));
 	}
 
 	/** All calls run so far, in order. */
@@ -42,14 +37,12 @@
 
 	/** Starts to listen. Resolves with the base address. */
 	async listen(): Promise<string> {
-		const {host, port} = this.#options;
-		return `http://${host}:${await listenOn(this.#server, host, port)}`;
+		return this.#server.listen();
 	}
 
 	/** Dies at once. */
 	dispose(): void {
-		this.#server.closeAllConnections();
-		this.#server.close();
+		this.#server.dispose();
 	}
 
 	async #answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
