--- a/packages/mulberrypitch-proxy/src/__tests__/proxy-server.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/proxy-server.test.ts
@@ -31,15 +31,15 @@
 	}));
 	const port = await server.listen();
 	t.teardown(async () => server.dispose());
-	let isAnswered = false;
+	const state = {isAnswered: false};
 	const status = new Promise<number>((resolve, reject) => {
 		http.get({host, port, agent: false}, response => {
 			response.resume();
-			isAnswered = true;
+			state.isAnswered = true;
 			resolve(response.statusCode!);
 		}).once('error', reject);
 	});
-	while (server.running === 0 && !isAnswered) {
+	while (server.running === 0 && !state.isAnswered) {
 		await new Promise(resolve => {
 			setImmediate(resolve);
 		});
