--- a/packages/mulberrypitch-proxy/src/__tests__/proxy-server.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/proxy-server.test.ts
@@ -17,7 +17,7 @@
 	let table: RouteTable | undefined;
 	const server = new ProxyServer(assumeType<ProxyServerOptions>({
 		listen: `${host}:0`,
-		names: {attemptId: 'attempt-id'},
+		names: {attemptId: 'x-attempt'},
 		clock,
 		random: new SeededRandom(1),
 		logger: {
