Let a back end that was silent for long come back with its next announcement

Cause: a coordinator that had not heard a back end for 8.4 s took its life for ended, and an ended life never comes back: not with later announcements, nor when another coordinator had heard it all the while. Change: a life that only fell silent is told from one that ended; a newer announcement of it brings it back, unless its address has another back end by now. A notice of its end is final also when it comes after the silence. Four tests: three seen failing before, the fourth holds a guard.

--- a/packages/mulberrypitch-serving/src/__tests__/backend-roster.test.ts
+++ b/packages/mulberrypitch-serving/src/__tests__/backend-roster.test.ts
@@ -110,3 +110,65 @@
 	}), {seed: 3, numRuns: 500});
 	t.pass();
 });
+
+const silentMs = 9 * announceIntervalMs;
+
+await t.test('a back end that was cut off for long is used again from its next announcement on', async t => {
+	const {roster, clock} = createRoster();
+	roster.announce(createBackend());
+	clock.time += silentMs;
+	t.ok(roster.expire());
+	t.same(roster.getServing(), []);
+	t.notOk(roster.announce(createBackend()), 'one from before its silence does not count');
+	t.ok(roster.announce(createBackend({sequence: 2})));
+	t.match(roster.getServing(), [{id: 'i-1'}]);
+});
+
+await t.test('coordinators that were cut from each other agree on a back end that only one of them heard', async t => {
+	const {roster: apart} = createRoster('apart');
+	const {roster, clock} = createRoster();
+	roster.announce(createBackend());
+	apart.announce(createBackend({sequence: 8}));
+	clock.time += silentMs;
+	roster.expire();
+	for (const entry of roster.getEntries()) {
+		t.notOk(apart.merge(entry));
+	}
+
+	for (const entry of apart.getEntries()) {
+		t.ok(roster.merge(entry));
+	}
+
+	t.match([...roster.getServing(), ...apart.getServing()], [{sequence: 8}, {sequence: 8}]);
+});
+
+await t.test('a back end that said that it ends while it was taken for silent does not come back', async t => {
+	const {roster, clock} = createRoster();
+	const {roster: other} = createRoster('other');
+	roster.announce(createBackend());
+	clock.time += silentMs;
+	roster.expire();
+	for (const entry of roster.getEntries()) {
+		other.merge(entry);
+	}
+
+	t.ok(roster.leave({id: 'i-1', startedAt: 100}));
+	for (const entry of roster.getEntries()) {
+		other.merge(entry);
+	}
+
+	for (const told of [roster, other]) {
+		t.notOk(told.announce(createBackend({sequence: 9})));
+		t.same(told.getServing(), []);
+	}
+});
+
+await t.test('a silent back end does not come back to an address that another one has by now', async t => {
+	const {roster, clock} = createRoster();
+	roster.announce(createBackend());
+	clock.time += silentMs;
+	roster.expire();
+	roster.announce(createBackend({id: 'i-2', startedAt: 300}));
+	t.notOk(roster.announce(createBackend({sequence: 9})));
+	t.match(roster.getServing(), [{id: 'i-2'}]);
+});
--- a/packages/mulberrypitch-serving/src/backend-roster.ts
+++ b/packages/mulberrypitch-serving/src/backend-roster.ts
@@ -5,8 +5,10 @@
 /** A back end of the roster, in the form that crosses process boundaries. */
 export type RosterEntry = {
 	readonly backend: AnnouncedBackend;
-	/** This life has ended; it stays listed for a while, so that a late announcement doesn't bring it back. */
+	/** Takes no requests; it stays listed for a while, so that a late announcement doesn't bring an ended life back. */
 	readonly isGone: boolean;
+	/** It is only gone because it was not heard for long, so a newer announcement of the same life brings it back. */
+	readonly isSilent?: boolean;
 	/** Time since it was last heard. */
 	readonly ageMs: number;
 };
@@ -26,6 +28,7 @@
 type Record = {
 	backend: AnnouncedBackend;
 	isGone: boolean;
+	isSilent: boolean;
 	heardAt: number;
 	/** When this roster learned of it last, from the back end or from another coordinator. */
 	learnedAt: number;
@@ -76,24 +79,21 @@
 	/** Takes a notice that a life ends; tells whether it was known and alive. */
 	leave({id, startedAt}: BackendLeave): boolean {
 		const record = this.#records.get(id);
-		if (record === undefined || record.isGone || (startedAt !== undefined && startedAt !== record.backend.startedAt)) {
+		if (record === undefined || (record.isGone && !record.isSilent) || (startedAt !== undefined && startedAt !== record.backend.startedAt)) {
 			return false;
 		}
 
-		record.isGone = true;
-		record.heardAt = this.#options.clock.now();
-		record.learnedAt = record.heardAt;
-		this.#touch(record);
+		this.#setGone(record, {isSilent: false});
 		return true;
 	}
 
 	/** Takes what another coordinator heard; tells whether it changed where requests may go. */
-	merge({backend, isGone, ageMs}: RosterEntry): boolean {
+	merge({backend, isGone, isSilent = false, ageMs}: RosterEntry): boolean {
 		const heardAt = this.#options.clock.now() - ageMs;
 		const known = this.#records.get(backend.id);
 		if (known === undefined) {
 			return this.#add({
-				backend, isGone, heardAt, learnedAt: this.#options.clock.now(), version: 0,
+				backend, isGone, isSilent, heardAt, learnedAt: this.#options.clock.now(), version: 0,
 			});
 		}
 
@@ -102,7 +102,11 @@
 		}
 
 		const isNewLife = backend.startedAt > known.backend.startedAt;
-		if (known.isGone && !isNewLife) {
+		if (known.isGone && !isNewLife && !this.#mayReturn(known, backend, isGone)) {
+			if (isGone && !isSilent && known.isSilent) {
+				this.#setGone(known, {isSilent: false});
+			}
+
 			return false;
 		}
 
@@ -110,6 +114,7 @@
 		const isChanged = isNewLife || isGone !== known.isGone || !isSameForRouting(backend, known.backend);
 		known.backend = backend;
 		known.isGone = isGone;
+		known.isSilent = isSilent;
 		known.heardAt = Math.max(known.heardAt, heardAt);
 		known.learnedAt = isNews ? this.#options.clock.now() : known.learnedAt;
 		if (isChanged) {
@@ -129,10 +134,7 @@
 			if (record.isGone && ageMs > goneMemoryMs) {
 				this.#records.delete(id);
 			} else if (!record.isGone && ageMs > missedAnnouncements * announceIntervalMs) {
-				record.isGone = true;
-				record.heardAt = clock.now();
-				record.learnedAt = record.heardAt;
-				this.#touch(record);
+				this.#setGone(record, {isSilent: true});
 				isChanged = true;
 			}
 		}
@@ -168,6 +170,22 @@
 		return [...this.#records.values()].filter(({isGone, backend}) => !isGone && !backend.isLeaving).map(({backend}) => backend);
 	}
 
+	/** A silent one comes back with an announcement that it made since, unless another back end has its address by now. */
+	#mayReturn(known: Record, backend: AnnouncedBackend, isGone: boolean): boolean {
+		return known.isSilent
+			&& !isGone
+			&& backend.sequence > known.backend.sequence
+			&& this.#findOtherAt(backend, other => other.backend.startedAt > backend.startedAt) === undefined;
+	}
+
+	#setGone(record: Record, {isSilent}: {readonly isSilent: boolean}): void {
+		record.isGone = true;
+		record.isSilent = isSilent;
+		record.heardAt = this.#options.clock.now();
+		record.learnedAt = record.heardAt;
+		this.#touch(record);
+	}
+
 	#add(record: Record): boolean {
 		const successor = this.#findOtherAt(record.backend, other => other.backend.startedAt > record.backend.startedAt);
 		if (successor !== undefined) {
@@ -188,6 +206,7 @@
 		const predecessor = this.#findOtherAt(backend, other => !other.isGone && other.backend.startedAt < backend.startedAt);
 		if (predecessor !== undefined) {
 			predecessor.isGone = true;
+			predecessor.isSilent = false;
 			this.#touch(predecessor);
 		}
 	}
@@ -201,8 +220,10 @@
 		record.version = this.#version;
 	}
 
-	#toEntry({backend, isGone, heardAt}: Record): RosterEntry {
-		return {backend, isGone, ageMs: this.#options.clock.now() - heardAt};
+	#toEntry({backend, isGone, isSilent, heardAt}: Record): RosterEntry {
+		return {
+			backend, isGone, isSilent, ageMs: this.#options.clock.now() - heardAt,
+		};
 	}
 }
 
