--- a/packages/mulberrypitch-load/src/serving-emulator.ts
+++ b/packages/mulberrypitch-load/src/serving-emulator.ts
@@ -53,6 +53,8 @@
 	readonly parts: readonly SharedPart[];
 	readonly promptTokens: number;
 	readonly answerTokens: number;
+	/** Tokens of prompt and answer, by what they weigh. */
+	readonly size: number;
 	readonly worth: number;
 };
 
@@ -245,9 +247,9 @@
 		this.#noteEarning(arrival, isLate ? lateWorth : 1);
 	}
 
-	#noteEarning({kind, worth, promptTokens, answerTokens}: Arrival, part: number): void {
+	#noteEarning({kind, worth, size}: Arrival, part: number): void {
 		this.#earnings[kind.name] ??= [];
-		this.#earnings[kind.name]!.push({size: promptTokens + (answerWeight * answerTokens), owed: worth, earned: worth * part});
+		this.#earnings[kind.name]!.push({size, owed: worth, earned: worth * part});
 	}
 
 	#drawArrival(kind: PromptKind): Arrival {
@@ -259,14 +261,15 @@
 		});
 		const promptTokens = this.#drawSize(kind.own) + parts.reduce((sum, {tokens}) => sum + tokens, 0);
 		const answerTokens = this.#drawSize(kind.answer);
-		const size = (promptTokens + (answerWeight * answerTokens)) / getMeanSize(kind);
+		const size = promptTokens + (answerWeight * answerTokens);
 		return {
 			kind,
 			entry: this.#entries[Math.floor(this.#traffic.next() * this.#entries.length)]!,
 			parts,
 			promptTokens,
 			answerTokens,
-			worth: kind.worth * Math.min(maxWorth, fixedWorth + ((1 - fixedWorth) * size)),
+			size,
+			worth: kind.worth * Math.min(maxWorth, fixedWorth + ((1 - fixedWorth) * size / getMeanSize(kind))),
 		};
 	}
 
--- a/packages/mulberrypitch-proxy/src/proxy-server.ts
+++ b/packages/mulberrypitch-proxy/src/proxy-server.ts
@@ -125,8 +125,9 @@
 
 	/** Takes a new configuration or view into account. */
 	refresh(): void {
-		const limits = this.#options.getTable()?.configuration.limits ?? defaultLimits;
-		if (this.#options.getTable() !== undefined) {
+		const table = this.#options.getTable();
+		const limits = table?.configuration.limits ?? defaultLimits;
+		if (table !== undefined) {
 			this.#configured.resolve();
 		}
 
