--- a/packages/mulberrypitch-proxy/src/proxy-server.ts
+++ b/packages/mulberrypitch-proxy/src/proxy-server.ts
@@ -27,6 +27,7 @@
 import {ProxiedRequest, type DecisionContext, type RequestEnd} from './proxied-request.js';
 import type {WorkspaceQuotas} from './workspace-quotas.js';
 import type {WindowedRetryBudget} from './windowed-retry-budget.js';
+import {chooseService} from './service-choice.js';
 import {ServiceTraffic} from './service-traffic.js';
 import type {HeaderNames} from './types.js';
 import type {UsageCounter} from './usage-counter.js';
@@ -259,7 +260,7 @@
 		const {
 			body, arrivedAt, route, workspace, table, timing,
 		} = admitted;
-		const service = chooseTarget(route, random);
+		const service = chooseService(route, random);
 		const traffic = this.#getTraffic(service);
 		const deadlineMs = Number(getHeader(request, names.deadline) ?? route.timeoutMs);
 		const deadlineAt = arrivedAt + Math.min(Number.isFinite(deadlineMs) ? deadlineMs : route.timeoutMs, route.timeoutMs);
@@ -382,17 +383,3 @@
 		return getHeader(request, this.#options.names.attemptId);
 	}
 }
-
-/** Returns the service for a request, drawn at random by the weights of the route's targets. */
-function chooseTarget({targets}: Route, random: Random): string {
-	const total = targets.reduce((sum, {weight}) => sum + weight, 0);
-	let remainder = random.next() * total;
-	for (const {service, weight} of targets) {
-		remainder -= weight;
-		if (remainder < 0) {
-			return service;
-		}
-	}
-
-	return targets.findLast(({weight}) => weight > 0)!.service;
-}
