--- a/packages/mulberrypitch-proxy/src/__tests__/attempt-outcome.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/attempt-outcome.test.ts
@@ -7,7 +7,7 @@
 };
 const answer: BufferedResponse = {
 	head: {
-		status: 500, reason: '', headers: [], isPersistent: true,
+		status: 500, reason: '', headers: [], framing: 'none', isPersistent: true,
 	},
 	body: new Uint8Array(),
 };
--- a/packages/mulberrypitch-proxy/src/proxied-request.ts
+++ b/packages/mulberrypitch-proxy/src/proxied-request.ts
@@ -236,7 +236,7 @@
 
 	/** Records the outcome for the back end's outlier detection, and logs it unless the attempt succeeded. A response with status 500 or above counts as a failure. */
 	#recordOutcome(backend: KnownBackend, outcome: AttemptOutcome, step: NextStep): void {
-		const {logger, attemptId} = this.#options;
+		const {logger, attemptId, relay} = this.#options;
 		const isGood = outcome.kind === 'delivered' || outcome.kind === 'abandoned';
 		const isEjected = outcome.kind === 'notRun' ? recordNotRun(backend, outcome.status) : backend.recordResult(isGood);
 		if (!isGood) {
@@ -246,7 +246,8 @@
 				outcome: outcome.kind,
 				reason: 'reason' in outcome ? outcome.reason : undefined,
 				next: step.kind,
-				lastEventId: this.#options.relay.lastEventId,
+				lastEventId: relay.lastEventId,
+				...relay.getBodyFacts(),
 				isEjected,
 			});
 		}
--- a/packages/mulberrypitch-proxy/src/proxy-server.ts
+++ b/packages/mulberrypitch-proxy/src/proxy-server.ts
@@ -15,9 +15,9 @@
 	type CallerLimits, type Route, type Workspace,
 } from '@mulberrypitch/serving/types';
 import type {ServicePressure} from '@mulberrypitch/serving/view-messages';
-import type {Header} from './response-parser.js';
+import {framings, type Header} from './response-parser.js';
 import {admitRequest} from './admission.js';
-import {ResponseRelay} from './response-relay.js';
+import {ResponseRelay, type BodyFacts} from './response-relay.js';
 import {ResponseTiming, type ResponseTimes} from './response-timing.js';
 import type {BackendView} from './backend-view.js';
 import {
@@ -57,7 +57,7 @@
 	readonly arrivedAt: number;
 	readonly route: string;
 	readonly workspace: string | undefined;
-} & ResponseTimes;
+} & ResponseTimes & BodyFacts;
 
 /** Size in bytes beyond which the HTTP parser itself rejects headers; the configured limit is checked afterwards. */
 const maxHeaderBytes = 32 * 1024;
@@ -220,15 +220,16 @@
 		}
 
 		const timing = new ResponseTiming(this.#options.clock, arrivedAt);
+		const relay = new ResponseRelay(response, {isResumable: route.isResumable, timing, getExtraHeaders: () => this.#getConnectionHeaders()});
 		const end = await this.#run(request, response, {
-			body, arrivedAt, route, workspace, table, timing,
+			body, arrivedAt, route, workspace, table, relay,
 		});
 		if (end.kind === 'refused' && workspace !== undefined) {
 			quotas.refund(workspace, units);
 		}
 
 		this.#completeRequest(request, response, end, {
-			arrivedAt, route: route.name, workspace: workspace?.name, ...timing.read(),
+			arrivedAt, route: route.name, workspace: workspace?.name, ...timing.read(), ...relay.getBodyFacts(),
 		});
 	}
 
@@ -254,11 +255,11 @@
 		readonly route: Route;
 		readonly workspace: Workspace | undefined;
 		readonly table: RouteTable;
-		readonly timing: ResponseTiming;
+		readonly relay: ResponseRelay;
 	}): Promise<RequestEnd> {
 		const {names, clock, logger, random, retries, usage, metrics} = this.#options;
 		const {
-			body, arrivedAt, route, workspace, table, timing,
+			body, arrivedAt, route, workspace, table, relay,
 		} = admitted;
 		const service = chooseService(route, random);
 		const traffic = this.#getTraffic(service);
@@ -289,7 +290,7 @@
 			promptTokens: prompt.tokens,
 			dropsKey: table.requiresKeys,
 			deadlineAt,
-			relay: new ResponseRelay(response, {isResumable: route.isResumable, timing, getExtraHeaders: () => this.#getConnectionHeaders()}),
+			relay,
 			names,
 			clock,
 			logger,
@@ -332,6 +333,9 @@
 		metrics.observe('mulberrypitch_proxied_request_seconds', 'Time from a request to its end.', ms, {end: end.kind});
 		switch (end.kind) {
 			case 'answered': {
+				metrics.count('mulberrypitch_relayed_responses_total', 'Relayed responses by framing of the body and whether it ended inside an event.', {
+					framing: named.framing ?? framings.none, endedInsideEvent: String((named.openEventBytes ?? 0) > 0),
+				});
 				logger.log(events.requestFinished, fields);
 				return;
 			}
--- a/packages/mulberrypitch-proxy/src/response-parser.ts
+++ b/packages/mulberrypitch-proxy/src/response-parser.ts
@@ -11,11 +11,26 @@
 	readonly value: string;
 };
 
+/** How the end of a response's body is found. */
+export const framings = {
+	/** The response has no body. */
+	none: 'none',
+	/** The body has the length in bytes that `Content-Length` states. */
+	counted: 'counted',
+	chunked: 'chunked',
+	/** The body ends with the connection. */
+	untilClose: 'untilClose',
+} as const;
+
+/** One of `framings`. */
+export type Framing = typeof framings[keyof typeof framings];
+
 /** Status line and headers of a response. */
 export type ResponseHead = {
 	readonly status: number;
 	readonly reason: string;
 	readonly headers: readonly Header[];
+	readonly framing: Framing;
 	/** Whether the connection may carry another response after this one. */
 	readonly isPersistent: boolean;
 };
@@ -146,41 +161,36 @@
 			return rest;
 		}
 
-		const isBodiless = this.#isBodiless();
-		this.#listener.onHead(head);
-		this.#beginBody(head, isBodiless);
+		const isBodiless = this.#isBodiless() || head.status === 204 || head.status === 304;
+		const {framing, lengthBytes} = isBodiless ? noBody : findBodyFraming(head.headers);
+		this.#listener.onHead({...head, framing});
+		this.#beginBody(framing, lengthBytes);
 		return rest;
 	}
 
-	#beginBody({headers, status}: ResponseHead, isBodiless: boolean): void {
-		if (isBodiless || status === 204 || status === 304) {
-			this.#end();
-			return;
-		}
-
-		const framing = getBodyFraming(headers);
+	#beginBody(framing: Framing, lengthBytes: number): void {
 		switch (framing) {
-			case 'chunked': {
-				this.#state = states.chunkSize;
+			case framings.none: {
+				this.#end();
 
 				break;
 			}
 
-			case 'untilClose': {
-				this.#state = states.untilClose;
+			case framings.counted: {
+				this.#remainingBytes = lengthBytes;
+				this.#state = states.counted;
 
 				break;
 			}
 
-			case 0: {
-				this.#end();
+			case framings.chunked: {
+				this.#state = states.chunkSize;
 
 				break;
 			}
 
-			default: {
-				this.#remainingBytes = framing;
-				this.#state = states.counted;
+			case framings.untilClose: {
+				this.#state = states.untilClose;
 			}
 		}
 	}
@@ -266,7 +276,7 @@
 	}
 }
 
-function parseHead(text: string): ResponseHead {
+function parseHead(text: string): Omit<ResponseHead, 'framing'> {
 	const [first, ...lines] = text.split('\r\n');
 	const match = statusLine.exec(first!);
 	if (match === null) {
@@ -291,8 +301,16 @@
 	return {name: match.groups!.name!, value: match.groups!.value!};
 }
 
-/** Returns the body's length in bytes, or how the end of the body is found. */
-function getBodyFraming(headers: readonly Header[]): number | 'chunked' | 'untilClose' {
+/** The framing of a body and its length in bytes, which is zero unless the framing is `counted`. */
+type BodyFraming = {
+	readonly framing: Framing;
+	readonly lengthBytes: number;
+};
+
+const noBody: BodyFraming = {framing: framings.none, lengthBytes: 0};
+
+/** Returns how the end of the body is found. Throws `ProtocolError` when the headers contradict each other. */
+function findBodyFraming(headers: readonly Header[]): BodyFraming {
 	const codings = getHeaderValues(headers, 'transfer-encoding');
 	const lengths = new Set(getHeaderValues(headers, 'content-length').flatMap(value => value.split(',').map(length => length.trim())));
 	if (codings.length > 0) {
@@ -300,11 +318,11 @@
 			throw new ProtocolError('The response has an ambiguous or unsupported transfer coding.');
 		}
 
-		return 'chunked';
+		return {framing: framings.chunked, lengthBytes: 0};
 	}
 
 	if (lengths.size === 0) {
-		return 'untilClose';
+		return {framing: framings.untilClose, lengthBytes: 0};
 	}
 
 	const [length] = lengths;
@@ -312,7 +330,8 @@
 		throw new ProtocolError('The response has an ambiguous or invalid content length.');
 	}
 
-	return Number(length);
+	const lengthBytes = Number(length);
+	return lengthBytes === 0 ? noBody : {framing: framings.counted, lengthBytes};
 }
 
 function getHeaderValues(headers: readonly Header[], name: string): string[] {
--- a/packages/mulberrypitch-proxy/src/response-relay.ts
+++ b/packages/mulberrypitch-proxy/src/response-relay.ts
@@ -5,8 +5,9 @@
 import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
 import {assertInvariant} from '@mulberrypitch/errors/catalogue';
-import type {ResponseHead, Header} from './response-parser.js';
+import type {Framing, ResponseHead, Header} from './response-parser.js';
 import type {ResponseTiming} from './response-timing.js';
+import {EventBoundary} from './event-boundary.js';
 import {EventSplitter} from './event-splitter.js';
 
 /** Names of hop-by-hop headers, which apply to one connection only. */
@@ -35,6 +36,14 @@
 	readonly getExtraHeaders: () => readonly Header[];
 };
 
+/** What is known of the body of the last back end that responded, for the log. */
+export type BodyFacts = {
+	/** Absent until a back end has responded. */
+	readonly framing?: Framing;
+	/** Number of bytes of a stream that arrived after its last complete event. */
+	readonly openEventBytes?: number;
+};
+
 /** Writes one response to one caller. */
 export class ResponseRelay {
 	readonly #response: ServerResponse;
@@ -42,6 +51,10 @@
 	readonly #isResumable: boolean;
 	readonly #timing: ResponseTiming;
 	#splitter = new EventSplitter();
+	/** Scans the stream of the current back end; absent while no stream has begun. */
+	#boundary: EventBoundary | undefined;
+	/** Framing of the last back end's response. */
+	#framing: Framing | undefined;
 	#head: ResponseHead | undefined;
 	#lastEventId: string | undefined;
 	#hasStarted = false;
@@ -66,7 +79,17 @@
 	/** Begins the stream of one back end. If several streams follow each other, the caller gets only the head of the first one. */
 	beginStream(head: ResponseHead): void {
 		this.#head ??= head;
+		this.#framing = head.framing;
 		this.#splitter = new EventSplitter();
+		this.#boundary = new EventBoundary();
+	}
+
+	/** Returns what is known of the last back end's body. */
+	getBodyFacts(): BodyFacts {
+		return {
+			...(this.#framing !== undefined && {framing: this.#framing}),
+			...(this.#boundary !== undefined && {openEventBytes: this.#boundary.openBytes}),
+		};
 	}
 
 	/**
@@ -74,6 +97,7 @@
 	can take more at once.
 	*/
 	writeStream(data: Uint8Array): boolean {
+		this.#boundary!.push(data);
 		if (!this.#isResumable) {
 			return this.#write(data);
 		}
@@ -107,6 +131,7 @@
 	deliver(head: ResponseHead, body: Uint8Array): void {
 		assertInvariant(!this.#hasStarted, 'A complete response would follow a part of another one.');
 		this.#head = head;
+		this.#framing = head.framing;
 		this.#timing.recordPart();
 		this.#writeHead();
 		this.#response.end(body.length > 0 ? Buffer.from(body) : undefined);
