Take a stream that ends inside an event for broken off

Cause: a back end may answer with neither a length nor chunks. Its crash closes the connection in order, the parser takes that for the end of the body, and the collector ended the caller's chunked response as complete. A close says nothing about whether the stream is whole; only its events do. Change: at the end of a successful stream of events, however framed, relayed or buffered, the collector asks whether it ended inside an event, or, where only the close ends the body, before the first one. Then the connection is closed and the attempt ends as one whose connection failed: resumed or sent again where allowed, else cut off or answered 502.

--- a/packages/mulberrypitch-proxy/src/response-collector.ts
+++ b/packages/mulberrypitch-proxy/src/response-collector.ts
@@ -1,8 +1,9 @@
 /** Receives one response of a back end: relays a stream as it arrives, buffers any other response, and reports how it ended. */
 import {Buffer} from 'node:buffer';
-import type {ResponseHead} from './response-parser.js';
+import {framings, type ResponseHead} from './response-parser.js';
 import type {ResponseRelay} from './response-relay.js';
 import type {AttemptOutcome, BufferedResponse} from './attempt-outcome.js';
+import {EventBoundary} from './event-boundary.js';
 import {findHeader, type BackendConnection, type Exchange} from './backend-connection.js';
 import {misdirectedStatus} from './types.js';
 
@@ -27,6 +28,7 @@
 
 /** Size in bytes up to which a response is buffered until it is complete. A larger successful response is relayed as it arrives. */
 const maxBufferedBytes = 256 * 1024;
+const eventStreamType = /^text\/event-stream[ \t]*(?:;|$)/iv;
 
 /** Collects the response of one exchange. */
 export class ResponseCollector implements Exchange {
@@ -37,6 +39,7 @@
 	#buffered: Uint8Array[] = [];
 	#bufferedBytes = 0;
 	#isRelaying = false;
+	#bodyBytes = 0;
 
 	constructor(options: ResponseCollectorOptions) {
 		this.#options = options;
@@ -63,6 +66,7 @@
 	onBody(data: Uint8Array): void {
 		const {onBodyBytes, onRunning} = this.#options;
 		onBodyBytes();
+		this.#bodyBytes += data.length;
 		if (this.#isRelaying) {
 			onRunning();
 			this.#relay(data);
@@ -78,11 +82,18 @@
 		}
 	}
 
-	/** Handles the end of a complete response, and reports the outcome. */
+	/** Handles the end of the response, and reports the outcome. A stream that the back end broke off counts as failed, although its body has ended. */
 	onEnd(): void {
-		const {relay, onOutcome} = this.#options;
+		const {relay, connection, onOutcome} = this.#options;
+		const body = Buffer.concat(this.#buffered);
+		if (this.#isBrokenOff(body)) {
+			connection.destroy();
+			this.onFailed('the back end ended the stream inside an event or before the first one');
+			return;
+		}
+
 		if (!this.#isRelaying) {
-			onOutcome(this.#endBuffered({head: this.#head!, body: Buffer.concat(this.#buffered)}));
+			onOutcome(this.#endBuffered({head: this.#head!, body}));
 			return;
 		}
 
@@ -113,6 +124,29 @@
 		return {kind: 'delivered'};
 	}
 
+	/**
+	Reports whether a successful stream of events ended inside an event, or without any event where only the end of the connection
+	marks the end of the body. `buffered` is the body if it was not relayed.
+	*/
+	#isBrokenOff(buffered: Uint8Array): boolean {
+		const head = this.#head!;
+		if (!isSuccess(head) || this.#isNotRun(head) || !this.#isEventStream(head)) {
+			return false;
+		}
+
+		if (this.#bodyBytes === 0) {
+			return head.framing === framings.untilClose;
+		}
+
+		return this.#isRelaying ? this.#options.relay.isInsideEvent : endsInsideEvent(buffered);
+	}
+
+	/** Reports whether the body is a stream of events. A response of a streaming route that states no type is taken for one. */
+	#isEventStream(head: ResponseHead): boolean {
+		const contentType = findHeader(head, 'content-type');
+		return contentType === undefined ? this.#options.isStream : eventStreamType.test(contentType);
+	}
+
 	#isNotRun(head: ResponseHead): boolean {
 		return findHeader(head, this.#options.notRunHeader) !== undefined || head.status === misdirectedStatus;
 	}
@@ -134,6 +168,12 @@
 	}
 }
 
+function endsInsideEvent(body: Uint8Array): boolean {
+	const boundary = new EventBoundary();
+	boundary.push(body);
+	return boundary.openBytes > 0;
+}
+
 function isSuccess({status}: ResponseHead): boolean {
 	return status >= 200 && status < 300;
 }
--- a/packages/mulberrypitch-proxy/src/response-relay.ts
+++ b/packages/mulberrypitch-proxy/src/response-relay.ts
@@ -76,6 +76,11 @@
 		return this.#lastEventId;
 	}
 
+	/** Whether the bytes from the current back end end inside an event. */
+	get isInsideEvent(): boolean {
+		return this.#boundary !== undefined && this.#boundary.openBytes > 0;
+	}
+
 	/** Begins the stream of one back end. If several streams follow each other, the caller gets only the head of the first one. */
 	beginStream(head: ResponseHead): void {
 		this.#head ??= head;
