Find the events of a stream by any line ending, in one place

Cause: EventSplitter looked for two line feeds, EventBoundary for a blank line: the same search twice. A resumable stream with CR LF was held back until its end. Change: the splitter uses the boundary that the relay has anyway. Measured: the new test fails before (no event passes) and passes now; 85 assertions of the package pass.

--- a/packages/mulberrypitch-proxy/src/__tests__/event-splitter.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/event-splitter.test.ts
@@ -22,3 +22,14 @@
 	}), {seed: 5, numRuns: 300});
 	t.pass();
 });
+
+// Guards against a stream that is held back until its end because its lines do not end with a line feed alone.
+await t.test('events pass as they become complete whatever the line ending', async t => {
+	for (const lineEnd of ['\r\n', '\r']) {
+		const splitter = new EventSplitter();
+		const event = `id: 1${lineEnd}data: a${lineEnd}${lineEnd}`;
+		const events = splitter.push(Buffer.from(`${event}id: 2${lineEnd}da`));
+		t.equal(events === undefined ? '' : Buffer.from(events.data).toString(), event);
+		t.equal(events?.lastId, '1');
+	}
+});
--- a/packages/mulberrypitch-proxy/src/event-splitter.ts
+++ b/packages/mulberrypitch-proxy/src/event-splitter.ts
@@ -1,5 +1,6 @@
 /** Splits a stream of server-sent events at event boundaries, and reads the events' identifiers. */
 import {Buffer} from 'node:buffer';
+import {EventBoundary} from './event-boundary.js';
 import type {NodeBuffer} from './response-parser.js';
 
 /** One or more complete events. */
@@ -10,24 +11,28 @@
 	readonly lastId?: string;
 };
 
-const eventEnd = Buffer.from('\n\n');
 const idLine = /^id:[ ]?(?<id>.*)$/gmv;
 
 /** Buffers an event until it is complete. */
 export class EventSplitter {
+	readonly #boundary: EventBoundary;
 	#incomplete: NodeBuffer = Buffer.alloc(0);
 
+	/** `boundary` scans the same stream, and nothing else. */
+	constructor(boundary = new EventBoundary()) {
+		this.#boundary = boundary;
+	}
+
 	/** Adds bytes. Returns the events that these complete, or `undefined` when there are none. */
 	push(data: Uint8Array): CompleteEvents | undefined {
-		const all = Buffer.concat([this.#incomplete, data]);
-		const end = all.lastIndexOf(eventEnd);
-		if (end === -1) {
-			this.#incomplete = all;
+		const completeBytes = this.#boundary.push(data);
+		if (completeBytes === 0) {
+			this.#incomplete = Buffer.concat([this.#incomplete, data]);
 			return undefined;
 		}
 
-		const whole = all.subarray(0, end + eventEnd.length);
-		this.#incomplete = all.subarray(end + eventEnd.length);
+		const whole = Buffer.concat([this.#incomplete, data.subarray(0, completeBytes)]);
+		this.#incomplete = Buffer.from(data.subarray(completeBytes));
 		const text = whole.toString('latin1');
 		const lastId = [...text.matchAll(idLine)].at(-1)?.groups?.id;
 		return {data: whole, ...(lastId !== undefined && {lastId})};
--- a/packages/mulberrypitch-proxy/src/response-relay.ts
+++ b/packages/mulberrypitch-proxy/src/response-relay.ts
@@ -85,8 +85,8 @@
 	beginStream(head: ResponseHead): void {
 		this.#head ??= head;
 		this.#framing = head.framing;
-		this.#splitter = new EventSplitter();
 		this.#boundary = new EventBoundary();
+		this.#splitter = new EventSplitter(this.#boundary);
 	}
 
 	/** Returns what is known of the last back end's body. */
@@ -102,8 +102,8 @@
 	can take more at once.
 	*/
 	writeStream(data: Uint8Array): boolean {
-		this.#boundary!.push(data);
 		if (!this.#isResumable) {
+			this.#boundary!.push(data);
 			return this.#write(data);
 		}
 
