Reset the connection of a caller for whom its end would complete a broken response

Callers would see: an HTTP/1.0 caller gets no chunks, so the end of the connection ends its body, and a stream that was cut off looked complete to it. Change: breakOff in the lifecycle package resets such connections. The proxy uses it for streams that are cut off, for errors after the head and for what is still in progress when the server is disposed of; the product's own entry for errors after the head.

--- a/packages/mulberrypitch-entry/src/entry-server.ts
+++ b/packages/mulberrypitch-entry/src/entry-server.ts
@@ -2,6 +2,7 @@
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
 import {assumeType} from '@mulberrypitch/errors/assume-type';
 import polka, {type Polka} from 'polka';
+import {breakOff} from '@mulberrypitch/lifecycle/break-off';
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
 import {listenOn, splitAddress} from '@mulberrypitch/lifecycle/listen';
 import type {Random} from '@mulberrypitch/lifecycle/random';
@@ -191,7 +192,7 @@
 		metrics.count('mulberrypitch_requests_refused_total', 'Requests refused by code.', {code});
 		logger.log(events.requestRefused, {code, reason: getMessage(error)});
 		if (response.headersSent) {
-			response.destroy();
+			breakOff(response);
 			return;
 		}
 
--- a/packages/mulberrypitch-proxy/src/__tests__/response-end.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/response-end.test.ts
@@ -4,6 +4,7 @@
 import net from 'node:net';
 import t, {type Test} from 'tap';
 import {assumeType} from '@mulberrypitch/errors/assume-type';
+import {getSystemCode} from '@mulberrypitch/errors/coded-error';
 import {VirtualClock} from '@mulberrypitch/fakes/virtual-clock';
 import type {AttemptOutcome} from '../attempt-outcome.js';
 import {BackendConnection} from '../backend-connection.js';
@@ -14,6 +15,8 @@
 type Received = {
 	/** Everything that the caller received, head included. */
 	readonly text: string;
+	/** Whether the caller's connection ended with a reset. */
+	readonly wasReset: boolean;
 	readonly outcome: AttemptOutcome['kind'];
 };
 
@@ -22,6 +25,8 @@
 	readonly response: string;
 	readonly isResumable?: boolean;
 	readonly isStream?: boolean;
+	/** HTTP version of the caller. */
+	readonly version?: string;
 };
 
 const host = '127.0.0.1';
@@ -90,19 +95,23 @@
 	const entryPort = await listen(t, http.createServer((_, response) => {
 		outcome = relayResponse(backendPort, response, exchange);
 	}));
-	const text = await new Promise<string>(resolve => {
+	const received = await new Promise<Omit<Received, 'outcome'>>(resolve => {
 		const caller = net.connect(entryPort, host);
 		const parts: Uint8Array[] = [];
-		caller.write('GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n');
+		let wasReset = false;
+		caller.write(`GET / HTTP/${exchange.version ?? '1.1'}\r\nHost: a\r\nConnection: close\r\n\r\n`);
 		caller.on('data', data => {
 			parts.push(data);
 		});
+		caller.on('error', error => {
+			wasReset = getSystemCode(error) === 'ECONNRESET';
+		});
 		caller.once('close', () => {
-			resolve(Buffer.concat(parts).toString());
+			resolve({text: Buffer.concat(parts).toString(), wasReset});
 		});
 	});
 	const {kind} = await outcome!;
-	return {text, outcome: kind};
+	return {...received, outcome: kind};
 }
 
 // Guards against a stream that its back end broke off inside an event and that reaches the caller as complete.
@@ -151,6 +160,13 @@
 	t.equal(text, '');
 });
 
+// Guards against a broken stream that looks complete to a caller for whom the end of the connection ends the body.
+await t.test('a caller that knows no chunks sees a broken stream end with a reset', async t => {
+	const {text, wasReset} = await run(t, {response: `${eventStreamHead}\r\n${broken}`, version: '1.0'});
+	t.match(text, 'data: a');
+	t.equal(wasReset, true);
+});
+
 await t.test('a stream that ends with its connection after a whole event is complete', async t => {
 	for (const isResumable of [false, true]) {
 		const {text, outcome} = await run(t, {response: `${eventStreamHead}\r\n${whole}`, isResumable});
--- a/packages/mulberrypitch-proxy/src/local-replies.ts
+++ b/packages/mulberrypitch-proxy/src/local-replies.ts
@@ -5,6 +5,7 @@
 import {events} from '@mulberrypitch/logger/events';
 import type {Logger} from '@mulberrypitch/logger/logger';
 import type {MetricsRegistry} from '@mulberrypitch/metrics/registry';
+import {breakOff} from '@mulberrypitch/lifecycle/break-off';
 import type {Random} from '@mulberrypitch/lifecycle/random';
 import type {Header} from './response-parser.js';
 import {getHeader} from './caller-request.js';
@@ -56,7 +57,7 @@
 			request: attemptId, status, reason, retryAfterSeconds: retryAfter, ...inputs, ...getDecisionContext(),
 		});
 		if (response.headersSent || response.destroyed) {
-			response.destroy();
+			breakOff(response);
 			return;
 		}
 
--- a/packages/mulberrypitch-proxy/src/proxy-server.ts
+++ b/packages/mulberrypitch-proxy/src/proxy-server.ts
@@ -2,6 +2,7 @@
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import {Deferred} from '@mulberrypitch/lifecycle/background';
+import {breakOff} from '@mulberrypitch/lifecycle/break-off';
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
 import type {Resource} from '@mulberrypitch/lifecycle/disposable-store';
 import {listenOn, splitAddress} from '@mulberrypitch/lifecycle/listen';
@@ -83,7 +84,8 @@
 	readonly #sockets = new Set<Socket>();
 	readonly #configured = new Deferred<void>();
 	readonly #startedAt: number;
-	#running = 0;
+	/** Responses to the callers' requests in progress. */
+	readonly #responses = new Set<ServerResponse>();
 	#isDraining = false;
 
 	constructor(options: ProxyServerOptions) {
@@ -116,7 +118,7 @@
 
 	/** Number of callers' requests in progress. */
 	get running(): number {
-		return this.#running;
+		return this.#responses.size;
 	}
 
 	/** Starts to listen, and resolves with the port. */
@@ -164,6 +166,12 @@
 			this.#server.close(() => {
 				resolve();
 			});
+			for (const response of this.#responses) {
+				if (!response.writableEnded) {
+					breakOff(response);
+				}
+			}
+
 			for (const socket of this.#sockets) {
 				socket.destroy();
 			}
@@ -173,17 +181,17 @@
 	async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		const {clock, logger} = this.#options;
 		const arrivedAt = clock.now();
-		this.#running += 1;
+		this.#responses.add(response);
 		try {
 			await this.#serve(request, response, arrivedAt);
 		} catch (error) {
 			logger.log(events.requestFailed, {request: this.#getAttemptId(request), reason: getMessage(error)});
 			// A complete response that is being written is not cut off by a later error.
 			if (!response.writableEnded) {
-				response.destroy();
+				breakOff(response);
 			}
 		} finally {
-			this.#running -= 1;
+			this.#responses.delete(response);
 		}
 	}
 
--- a/packages/mulberrypitch-proxy/src/response-relay.ts
+++ b/packages/mulberrypitch-proxy/src/response-relay.ts
@@ -5,6 +5,7 @@
 import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
 import {assertInvariant} from '@mulberrypitch/errors/catalogue';
+import {breakOff} from '@mulberrypitch/lifecycle/break-off';
 import type {Framing, ResponseHead, Header} from './response-parser.js';
 import type {ResponseTiming} from './response-timing.js';
 import {EventBoundary} from './event-boundary.js';
@@ -144,7 +145,7 @@
 
 	/** Closes the caller's connection, so that the response can't look complete. */
 	cut(): void {
-		this.#response.destroy();
+		breakOff(this.#response);
 	}
 
 	#write(data: Uint8Array): boolean {
