Refuse answers of plain services that end with their connection

Callers would see: a booking answered with a part of the service's answer, recorded as complete. Change: PlainClient refuses an answer with neither Content-Length nor chunks as backend_failed that may have run: an idempotent call goes to another back end, any other ends as unknown. The status is in the details, so that the content is not charged with a crash. Engine streams need no change: they count only with their [DONE] line. Left: a plain service that frames no answer can't be used; reading such answers through BackendConnection would allow it.

--- a/packages/mulberrypitch-backends/src/plain-client.ts
+++ b/packages/mulberrypitch-backends/src/plain-client.ts
@@ -1,6 +1,6 @@
 /** HTTP client for plain services, which send one complete response to each call. */
-import {Agent, request} from 'undici';
-import {TooLargeError} from '@mulberrypitch/errors/catalogue';
+import {Agent, request, type Dispatcher} from 'undici';
+import {BackendFailedError, TooLargeError} from '@mulberrypitch/errors/catalogue';
 import {createBackendFailure} from './failure.js';
 import type {BackendCall, PlainAnswer, PlainService} from './types.js';
 
@@ -11,7 +11,10 @@
 const maxConnections = 256;
 const maxResponseBytes = 1024 * 1024;
 
-/** Calls plain services over HTTP. */
+/** Statuses of responses that have no body. */
+const bodilessStatuses = new Set([204, 304]);
+
+/** Calls plain services over HTTP. Refuses answers that end with their connection: the HTTP client takes a reset for such an end too. */
 export class PlainClient implements PlainService {
 	readonly #agent = new Agent({
 		connect: {timeout: connectTimeoutMs}, connections: maxConnections, bodyTimeout: inactivityTimeoutMs, headersTimeout: inactivityTimeoutMs,
@@ -29,6 +32,14 @@
 				},
 				...(method !== 'GET' && {body: text}),
 			});
+			if (!isFramed(response)) {
+				await response.body.dump();
+				throw new BackendFailedError(
+					`Back end ${call.address} answered ${response.statusCode} with neither Content-Length nor chunks, so that a complete answer looks like a broken one.`,
+					{isNotSent: false, status: response.statusCode},
+				);
+			}
+
 			const body = await response.body.text();
 			if (body.length > maxResponseBytes) {
 				throw new TooLargeError('The response of a plain service', maxResponseBytes);
@@ -48,3 +59,8 @@
 		await this.#agent.destroy();
 	}
 }
+
+/** Reports whether the end of the response's body is marked by its length or a last chunk. */
+function isFramed({statusCode, headers}: Pick<Dispatcher.ResponseData, 'statusCode' | 'headers'>): boolean {
+	return bodilessStatuses.has(statusCode) || headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+}
