--- a/packages/mulberrypitch-proxy/src/caller-request.ts
+++ b/packages/mulberrypitch-proxy/src/caller-request.ts
@@ -55,6 +55,8 @@
 	readonly tokens: number;
 	/** Number of tokens of the parts that other requests share, which are all parts but the last. */
 	readonly sharedTokens: number;
+	/** Identifiers of the shared parts, in order. */
+	readonly sharedParts: readonly string[];
 	/** Identifier of the last shared part; absent if no part is shared. */
 	readonly sharedPart?: string;
 };
@@ -79,6 +81,7 @@
 	return {
 		tokens,
 		sharedTokens: Math.min(tokens, shared.reduce((sum, part) => sum + part.tokens, 0)),
+		sharedParts: shared.map(({id}) => id),
 		...(sharedPart !== undefined && {sharedPart}),
 	};
 }
--- a/packages/mulberrypitch-proxy/src/proxied-request.ts
+++ b/packages/mulberrypitch-proxy/src/proxied-request.ts
@@ -16,6 +16,7 @@
 import type {BackendConnection, Exchange} from './backend-connection.js';
 import type {BackendPermit} from './backend-place.js';
 import type {KnownBackend} from './known-backend.js';
+import type {Prompt} from './caller-request.js';
 import {createRequestHead, type CallerHead} from './request-head.js';
 import {misdirectedStatus, type HeaderNames} from './types.js';
 
@@ -31,8 +32,7 @@
 	readonly workspace: string | undefined;
 	/** Priority of the request; zero is the most urgent. */
 	readonly priority: number;
-	/** Number of prompt tokens; zero for a request without a prompt. */
-	readonly promptTokens: number;
+	readonly prompt: Prompt;
 	/** Whether the caller's `Authorization` header is withheld from the back end. */
 	readonly dropsKey: boolean;
 	/** Monotonic time in milliseconds by which the caller gets its final response. */
@@ -142,12 +142,12 @@
 
 	#logDispatch(backend: KnownBackend, waitedMs: number): void {
 		const {
-			logger, attemptId, service, clock, deadlineAt, relay, getDecisionContext, promptTokens,
+			logger, attemptId, service, clock, deadlineAt, relay, getDecisionContext, prompt,
 		} = this.#options;
 		logger.log(events.requestDispatched, {
 			request: attemptId,
 			service,
-			promptTokens,
+			promptTokens: prompt.tokens,
 			backend: backend.id,
 			send: this.#sendCount + 1,
 			load: backend.load,
@@ -236,7 +236,7 @@
 
 	/** Records the outcome for the back end's outlier detection, and logs it unless the attempt succeeded. A response with status 500 or above counts as a failure. */
 	#recordOutcome(backend: KnownBackend, outcome: AttemptOutcome, step: NextStep): void {
-		const {logger, attemptId, relay} = this.#options;
+		const {logger, attemptId, relay, prompt} = this.#options;
 		const isGood = outcome.kind === 'delivered' || outcome.kind === 'abandoned';
 		const isEjected = outcome.kind === 'notRun' ? recordNotRun(backend, outcome.status) : backend.recordResult(isGood);
 		if (!isGood) {
@@ -248,6 +248,7 @@
 				next: step.kind,
 				lastEventId: relay.lastEventId,
 				...relay.getBodyFacts(),
+				sharedParts: prompt.sharedParts.length > 0 ? prompt.sharedParts.join(' ') : undefined,
 				isEjected,
 			});
 		}
--- a/packages/mulberrypitch-proxy/src/proxy-server.ts
+++ b/packages/mulberrypitch-proxy/src/proxy-server.ts
@@ -295,7 +295,7 @@
 			service,
 			workspace: workspace?.name,
 			priority,
-			promptTokens: prompt.tokens,
+			prompt,
 			dropsKey: table.requiresKeys,
 			deadlineAt,
 			relay,
