--- a/packages/mulberrypitch-proxy/src/entry.ts
+++ b/packages/mulberrypitch-proxy/src/entry.ts
@@ -147,15 +147,16 @@
 		return this.#table !== undefined && !this.#isDraining;
 	}
 
-	/** Starts to listen for callers and to poll the coordinators. */
-	async start(): Promise<void> {
+	/** Starts to listen for callers and to poll the coordinators. Resolves with the port for callers. */
+	async start(): Promise<number> {
 		this.#resources.add(this.#server);
-		await this.#server.listen();
+		const port = await this.#server.listen();
 		this.#resources.add(this.#view);
 		this.#view.start();
 		this.#resources.add(new BackgroundTask(async signal => this.#maintain(signal), error => {
 			this.#options.logger.log(events.taskFailed, {task: 'maintenance', reason: getMessage(error)});
 		}));
+		return port;
 	}
 
 	/**
