Keep content that crashes back ends away from them, across all entries

Cause: nothing in the platform's path remembered what the requests had in common that broke off with their back end; each new request was dispatched like any other, by eight entries that did not tell each other. Change: an entry reports with its status which contents (shared prompt parts, whole requests) a back end broke off. The coordinators combine these. A content that three back ends broke off with no answer in between is quarantined, after the entries had 300 ms to report answers. Its crashes then no longer speak against what ran beside it. Verdicts reach all entries with the view, and entries repeat them, so that a restart of either loses none. Quarantined requests are refused at once with 503 and Retry-After before the quota, and are checked again before each send; an answer ends a quarantine.

--- a/packages/mulberrypitch-coordinator/src/coordinator.ts
+++ b/packages/mulberrypitch-coordinator/src/coordinator.ts
@@ -16,6 +16,7 @@
 import type {Logger} from '@mulberrypitch/logger/logger';
 import type {MetricsRegistry} from '@mulberrypitch/metrics/registry';
 import {BackendRoster} from '@mulberrypitch/serving/backend-roster';
+import {QuarantineList} from '@mulberrypitch/serving/quarantine-list';
 import {validateServingConfiguration} from '@mulberrypitch/serving/configuration-check';
 import type {
 	AnnouncedBackend, BackendDeregistration, ConfigurationDecoder, ServingConfiguration,
@@ -25,6 +26,7 @@
 } from '@mulberrypitch/serving/view-messages';
 import type {LogStore} from '@mulberrypitch/storage/types';
 import type {Schema, Transport} from '@mulberrypitch/transport/types';
+import {CrashEvidence} from './crash-evidence.js';
 import {DutyRunner, type Duty} from './duty-runner.js';
 import {EntryDirectory} from './entry-directory.js';
 import {Gossip} from './gossip.js';
@@ -95,6 +97,8 @@
 	readonly #resources = new DisposableStore();
 	/** Notified when the configuration or the roster changes. */
 	readonly #changes = new Notification();
+	readonly #quarantine: QuarantineList;
+	readonly #evidence: CrashEvidence;
 	readonly #state: ServingState;
 	readonly #replica: Replica;
 	readonly #gossip: Gossip;
@@ -108,6 +112,18 @@
 		this.#options = options;
 		this.directory = new EntryDirectory(clock);
 		this.roster = new BackendRoster({epoch: randomUUID(), clock, announceIntervalMs: options.announceIntervalMs});
+		this.#quarantine = new QuarantineList(clock);
+		this.#evidence = new CrashEvidence({
+			clock,
+			quarantine: this.#quarantine,
+			onSuspect: () => {
+				this.#changes.notify();
+			},
+			onQuarantined: (fingerprint, backends) => {
+				logger.log(events.contentQuarantined, {fingerprint, backends: backends.join(' ')});
+				this.#changes.notify();
+			},
+		});
 		this.#state = new ServingState({
 			onConfiguration: configuration => {
 				this.#applyConfiguration(configuration);
@@ -304,6 +320,7 @@
 	/** Stores the status of an entry and replies with the changes since its versions, for which it waits up to the timeout. */
 	async #onWatch({status, configurationVersion, rosterEpoch, rosterVersion}: ViewRequest): Promise<ViewReply> {
 		this.directory.update(status);
+		this.#evidence.merge(status.crashes);
 		const hasChanges = () => (this.#state.configuration?.version ?? 0) > configurationVersion
 			|| this.roster.hasChanges(rosterEpoch, rosterVersion);
 		if (!hasChanges()) {
@@ -316,6 +333,7 @@
 			roster: this.roster.getChanges(rosterEpoch, rosterVersion),
 			loads: this.directory.getLoads(status.name),
 			othersSpent: this.directory.getOthersSpent(status.name),
+			verdict: {suspects: this.#evidence.getSuspects(), quarantined: this.#quarantine.capture()},
 			entryCount: Math.max(1, this.directory.count),
 			coordinators: this.#replica.getPeers().map(({address}) => address),
 			isInTouch: this.isInTouch,
@@ -337,6 +355,7 @@
 	async #onGossip({entries, backends, wantsAll}: GossipRequest): Promise<GossipReply> {
 		for (const status of entries) {
 			this.directory.merge(status);
+			this.#evidence.merge(status.crashes);
 		}
 
 		const changes = backends.map(entry => this.roster.merge(entry));
@@ -380,6 +399,7 @@
 		while (!signal.aborted) {
 			await this.#options.clock.sleep(expiryIntervalMs, signal);
 			this.directory.expire();
+			this.#evidence.expire();
 			if (this.roster.expire()) {
 				this.#changes.notify();
 			}
--- /dev/null
+++ b/packages/mulberrypitch-coordinator/src/crash-evidence.ts
@@ -0,0 +1,170 @@
+/**
+ * Finds the contents of requests that crash back ends, from what all entries report. A back end that crashes breaks off every
+ * request that it runs, most of them innocent. What tells a fatal content from those is that back end after back end breaks it off
+ * and none answers it.
+ */
+import type {Clock} from '@mulberrypitch/lifecycle/clock';
+import type {QuarantineList} from '@mulberrypitch/serving/quarantine-list';
+import type {CrashReport} from '@mulberrypitch/serving/view-messages';
+
+/** Dependencies of the evidence. */
+export type CrashEvidenceOptions = {
+	readonly clock: Clock;
+	/** The contents that are quarantined, to which the evidence adds. */
+	readonly quarantine: QuarantineList;
+	/** Called when a content becomes suspect, so that the entries report at once whether they had it answered. */
+	readonly onSuspect: () => void;
+	/** Called when a content is quarantined, with the incarnations of the back ends that broke it off. */
+	readonly onQuarantined: (fingerprint: string, backends: readonly string[]) => void;
+};
+
+/** What is known of one content. */
+type Content = {
+	/** Position among the fingerprints of its requests; a higher one is more specific. */
+	readonly rank: number;
+	/** Monotonic time in milliseconds of the first charge by each incarnation of a back end since the last answer. */
+	readonly charges: Map<string, number>;
+	/** Monotonic time in milliseconds of the last known answer. */
+	answeredAt: number;
+	/** Monotonic time in milliseconds since which the content has been suspect; absent if it is not. */
+	suspectSince?: number;
+};
+
+/** Number of back ends that must break off a content to make it suspect. */
+const suspectThreshold = 2;
+/** Number of back ends that must break off a content, with no answer in between, to quarantine it. */
+const quarantineThreshold = 3;
+/** Time in milliseconds for which the entries may report that they had a suspect content answered, before it is quarantined. */
+const answerWaitMs = 300;
+/** Time in milliseconds for which a charge counts. */
+const chargeMs = 5 * 60_000;
+/** Maximum number of suspects that the entries are asked about. */
+const maxSuspects = 100;
+
+/** Combines the reports of all entries. */
+export class CrashEvidence {
+	readonly #options: CrashEvidenceOptions;
+	readonly #contents = new Map<string, Content>();
+
+	constructor(options: CrashEvidenceOptions) {
+		this.#options = options;
+	}
+
+	/** Adds the report of an entry, which may repeat what is known, and quarantines what the evidence then suffices for. */
+	merge({charges, answered, quarantined}: CrashReport): void {
+		const {clock, quarantine} = this.#options;
+		const now = clock.now();
+		quarantine.merge(quarantined);
+		for (const {backend, ageMs, fingerprints} of charges) {
+			for (const [rank, fingerprint] of fingerprints.entries()) {
+				this.#charge(fingerprint, rank, {backend, at: now - ageMs});
+			}
+		}
+
+		for (const {fingerprint, ageMs} of answered) {
+			this.#recordAnswer(fingerprint, now - ageMs);
+		}
+
+		this.#markSuspects();
+		this.#quarantineFatal();
+	}
+
+	/** Returns the contents of which the coordinators need to know whether they were answered. */
+	getSuspects(): readonly string[] {
+		const {quarantine} = this.#options;
+		return [...this.#contents]
+			.filter(([fingerprint, {suspectSince}]) => suspectSince !== undefined || quarantine.has(fingerprint))
+			.slice(-maxSuspects)
+			.map(([fingerprint]) => fingerprint);
+	}
+
+	/** Forgets charges that no longer count. */
+	expire(): void {
+		const before = this.#options.clock.now() - chargeMs;
+		for (const [fingerprint, {charges}] of this.#contents) {
+			for (const [backend, at] of charges) {
+				if (at < before) {
+					charges.delete(backend);
+				}
+			}
+
+			if (charges.size === 0) {
+				this.#contents.delete(fingerprint);
+			}
+		}
+	}
+
+	#charge(fingerprint: string, rank: number, {backend, at}: {readonly backend: string; readonly at: number}): void {
+		let content = this.#contents.get(fingerprint);
+		if (content === undefined) {
+			content = {rank, charges: new Map(), answeredAt: Number.NEGATIVE_INFINITY};
+			this.#contents.set(fingerprint, content);
+		}
+
+		if (at > content.answeredAt && !content.charges.has(backend)) {
+			content.charges.set(backend, at);
+		}
+	}
+
+	#recordAnswer(fingerprint: string, answeredAt: number): void {
+		this.#options.quarantine.release(fingerprint, answeredAt);
+		const content = this.#contents.get(fingerprint);
+		if (content === undefined || answeredAt <= content.answeredAt) {
+			return;
+		}
+
+		content.answeredAt = answeredAt;
+		for (const [backend, at] of content.charges) {
+			if (at <= answeredAt) {
+				content.charges.delete(backend);
+			}
+		}
+	}
+
+	#markSuspects(): void {
+		const {clock, onSuspect} = this.#options;
+		const explained = this.#getExplained();
+		let hasNew = false;
+		for (const content of this.#contents.values()) {
+			if (countUnexplained(content, explained) < suspectThreshold) {
+				delete content.suspectSince;
+			} else if (content.suspectSince === undefined) {
+				content.suspectSince = clock.now();
+				hasNew = true;
+			}
+		}
+
+		if (hasNew) {
+			onSuspect();
+		}
+	}
+
+	/** Quarantines one content after the other, since each explains crashes that then no longer speak against the others. */
+	#quarantineFatal(): void {
+		const {clock, quarantine, onQuarantined} = this.#options;
+		for (;;) {
+			const explained = this.#getExplained();
+			const [worst] = [...this.#contents]
+				.filter(([, content]) => content.suspectSince !== undefined && clock.now() - content.suspectSince >= answerWaitMs)
+				.map(([fingerprint, content]) => ({fingerprint, content, count: countUnexplained(content, explained)}))
+				.filter(({count}) => count >= quarantineThreshold)
+				.toSorted((left, right) => right.count - left.count || right.content.rank - left.content.rank);
+			if (worst === undefined) {
+				return;
+			}
+
+			quarantine.add(worst.fingerprint);
+			onQuarantined(worst.fingerprint, [...worst.content.charges.keys()]);
+		}
+	}
+
+	/** Returns the back ends that broke off a content that is quarantined. */
+	#getExplained(): ReadonlySet<string> {
+		const {quarantine} = this.#options;
+		return new Set([...this.#contents].filter(([fingerprint]) => quarantine.has(fingerprint)).flatMap(([, {charges}]) => [...charges.keys()]));
+	}
+}
+
+function countUnexplained({charges}: Content, explained: ReadonlySet<string>): number {
+	return [...charges.keys()].filter(backend => !explained.has(backend)).length;
+}
--- a/packages/mulberrypitch-logger/src/events.ts
+++ b/packages/mulberrypitch-logger/src/events.ts
@@ -49,6 +49,7 @@
 	backendRegistered: {number: 1401, level: 'info', text: 'back end registered'},
 	backendLeaving: {number: 1402, level: 'info', text: 'back end leaving'},
 	backendRemoved: {number: 1403, level: 'warn', text: 'back end removed'},
+	contentQuarantined: {number: 1404, level: 'warn', text: 'content quarantined'},
 	requestAccepted: {number: 1501, level: 'info', text: 'request accepted'},
 	requestDispatched: {number: 1502, level: 'info', text: 'request dispatched'},
 	requestFinished: {number: 1503, level: 'info', text: 'request finished'},
--- a/packages/mulberrypitch-proxy/src/__tests__/proxy-server.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/proxy-server.test.ts
@@ -6,7 +6,8 @@
 import {SeededRandom} from '@mulberrypitch/lifecycle/random';
 import {MetricsRegistry} from '@mulberrypitch/metrics/registry';
 import {RouteTable} from '@mulberrypitch/serving/route-table';
-import {ProxyServer, type ProxyServerOptions} from '../proxy-server.js';
+import {ProxyServer} from '../proxy-server.js';
+import type {ProxyServerOptions} from '../proxy-server-options.js';
 
 const host = '127.0.0.1';
 const maxStartupWaitMs = 800;
--- /dev/null
+++ b/packages/mulberrypitch-proxy/src/content-fingerprints.ts
@@ -0,0 +1,39 @@
+/** Identifies the contents of a request that may crash back ends. */
+import {createHash} from 'node:crypto';
+
+/** What identifies a caller's request. */
+export type IdentifyingParts = {
+	/** Absent when the configuration requires no keys. */
+	readonly workspace: string | undefined;
+	readonly method: string;
+	readonly path: string;
+	readonly body: Uint8Array;
+	/** Identifiers of the prompt's parts that other requests share. */
+	readonly sharedParts: readonly string[];
+};
+
+/** Number of shared parts of one prompt that are identified. */
+const maxParts = 16;
+/** Number of characters of a part's identifier that are used. */
+const maxPartLength = 64;
+/** Number of characters of the hash of a whole request. */
+const hashLength = 16;
+
+/**
+Returns the fingerprints of a request's contents, from the least to the most specific one: each shared part of its prompt, and the
+whole request.
+
+@example
+```
+const fingerprints = getContentFingerprints({workspace: 'shop', method: 'GET', path: '/stock/', body, sharedParts: []});
+```
+*/
+export function getContentFingerprints({workspace, method, path, body, sharedParts}: IdentifyingParts): readonly string[] {
+	const hash = createHash('sha256');
+	hash.update(JSON.stringify([workspace ?? null, method, path]));
+	hash.update(body);
+	return [
+		...sharedParts.slice(0, maxParts).map(part => `part:${part.slice(0, maxPartLength)}`),
+		`request:${hash.digest('base64url').slice(0, hashLength)}`,
+	];
+}
--- a/packages/mulberrypitch-proxy/src/entry.ts
+++ b/packages/mulberrypitch-proxy/src/entry.ts
@@ -16,6 +16,7 @@
 import type {StoredConfiguration, ViewReply, ViewRequest} from '@mulberrypitch/serving/view-messages';
 import type {Transport} from '@mulberrypitch/transport/types';
 import {BackendView} from './backend-view.js';
+import {ContentQuarantine} from './content-quarantine.js';
 import {ProxyServer} from './proxy-server.js';
 import type {QuotaTolerance} from './quota-bucket.js';
 import {WorkspaceQuotas} from './workspace-quotas.js';
@@ -79,6 +80,7 @@
 	readonly #incarnation = randomUUID();
 	readonly #startedAt: number;
 	readonly #backends: BackendView;
+	readonly #quarantine: ContentQuarantine;
 	readonly #quotas: WorkspaceQuotas;
 	readonly #usage: UsageCounter;
 	readonly #view: ViewClient;
@@ -102,6 +104,7 @@
 		this.#backends = new BackendView(({service}) => ({
 			clock, attemptHeader: names.attemptId, connectTimeoutMs, getMaxConnections: () => this.#getMaxConnections(service),
 		}));
+		this.#quarantine = new ContentQuarantine(clock);
 		this.#quotas = new WorkspaceQuotas({
 			clock, getEntryCount: () => this.#entryCount, isInTouch: () => this.#isSpendingKnown(), tolerance: options.quotaTolerance,
 		});
@@ -124,6 +127,7 @@
 			random,
 			logger,
 			backends: this.#backends,
+			quarantine: this.#quarantine,
 			quotas: this.#quotas,
 			retries: new WindowedRetryBudget({clock, ...retryBudget, getEntryCount: () => this.#entryCount}),
 			usage: this.#usage,
@@ -193,6 +197,7 @@
 		metrics.gauge('mulberrypitch_entry_backends', 'Back ends that may be given requests.', () => this.#backends.getCounts().serving);
 		metrics.gauge('mulberrypitch_entry_backends_set_aside', 'Back ends that failed too often and get nothing for a while.', () => this.#backends.getCounts().ejected);
 		metrics.gauge('mulberrypitch_entry_backend_connections', 'Connections to back ends.', () => this.#backends.getCounts().connections);
+		metrics.gauge('mulberrypitch_entry_quarantined_contents', 'Contents that are kept from back ends since they crash them.', () => this.#quarantine.count);
 		metrics.gauge('mulberrypitch_entries', 'Entries in touch, as the coordinators said.', () => this.#entryCount);
 	}
 
@@ -210,6 +215,7 @@
 				pressure: this.#server.getPressure(),
 				spent: this.#quotas.getSpent(),
 				usage: this.#usage.getCounts(),
+				crashes: this.#quarantine.createReport(),
 			},
 			configurationVersion: this.#table?.configuration.version ?? 0,
 			rosterEpoch: this.#backends.epoch,
@@ -217,7 +223,8 @@
 		};
 	}
 
-	#applyView({configuration, roster, loads, othersSpent, entryCount}: ViewReply): void {
+	#applyView({configuration, roster, loads, othersSpent, entryCount, verdict}: ViewReply): void {
+		this.#quarantine.apply(verdict);
 		if (configuration !== undefined) {
 			this.#applyConfiguration(configuration);
 		}
--- a/packages/mulberrypitch-proxy/src/local-replies.ts
+++ b/packages/mulberrypitch-proxy/src/local-replies.ts
@@ -9,7 +9,7 @@
 import type {Random} from '@mulberrypitch/lifecycle/random';
 import type {Header} from './response-parser.js';
 import {getHeader} from './caller-request.js';
-import type {DecisionContext} from './proxied-request.js';
+import type {DecisionContext} from './proxied-request-options.js';
 
 /** A response that the entry generates itself instead of relaying one of a back end. */
 export type LocalReply = {
--- a/packages/mulberrypitch-proxy/src/proxied-request.ts
+++ b/packages/mulberrypitch-proxy/src/proxied-request.ts
@@ -2,82 +2,20 @@
  * Handles one caller's request: waits for a permit, sends the request to a back end, relays the response, and retries where that
  * is safe.
  */
-import type {Clock} from '@mulberrypitch/lifecycle/clock';
 import {Deferred} from '@mulberrypitch/lifecycle/background';
 import {CodedError} from '@mulberrypitch/errors/coded-error';
 import {events} from '@mulberrypitch/logger/events';
-import type {Logger} from '@mulberrypitch/logger/logger';
-import {requestKinds, type Route} from '@mulberrypitch/serving/types';
+import {requestKinds} from '@mulberrypitch/serving/types';
 import {ResponseCollector} from './response-collector.js';
-import type {ResponseRelay} from './response-relay.js';
 import {
 	decideNextStep, type AttemptOutcome, type BufferedResponse, type NextStep,
 } from './attempt-outcome.js';
 import type {BackendConnection, Exchange} from './backend-connection.js';
 import type {BackendPermit} from './backend-place.js';
 import type {KnownBackend} from './known-backend.js';
-import type {Prompt} from './caller-request.js';
-import {createRequestHead, type CallerHead} from './request-head.js';
-import {misdirectedStatus, type HeaderNames} from './types.js';
-
-/** An admitted request, and the dependencies and settings with which it is handled. */
-export type ProxiedRequestOptions = {
-	/** Identifier that the caller gave the request; absent if it sent none. */
-	readonly attemptId: string | undefined;
-	readonly caller: CallerHead;
-	readonly body: Uint8Array;
-	readonly route: Route;
-	readonly service: string;
-	/** Absent when the configuration requires no keys. */
-	readonly workspace: string | undefined;
-	/** Priority of the request; zero is the most urgent. */
-	readonly priority: number;
-	readonly prompt: Prompt;
-	/** Whether the caller's `Authorization` header is withheld from the back end. */
-	readonly dropsKey: boolean;
-	/** Monotonic time in milliseconds by which the caller gets its final response. */
-	readonly deadlineAt: number;
-	readonly relay: ResponseRelay;
-	readonly names: HeaderNames;
-	readonly clock: Clock;
-	readonly logger: Logger;
-	/** Aborts when the caller disconnects. */
-	readonly signal: AbortSignal;
-	/**
-	Resolves with a permit for a back end, or `undefined` when none became free in time or the caller disconnected. An excluded
-	back end is chosen only when no other one is available.
-	*/
-	readonly place: (excludedIds: ReadonlySet<string>) => Promise<BackendPermit | undefined>;
-	/** Called after the permit for a back end was released. */
-	readonly onReleased: () => void;
-	/** Takes one retry from the service's retry budget. Returns whether one was left. */
-	readonly takeRetry: () => boolean;
-	/** Returns the inputs of a decision other than the back end, for the log. */
-	readonly getDecisionContext: () => DecisionContext;
-	/** Called after each attempt with its outcome. */
-	readonly onAttemptEnded: (outcome: AttemptOutcome['kind']) => void;
-	/** Called once, when it is first certain that a back end runs the request. */
-	readonly onRunStarted: () => void;
-};
-
-/** State of the entry at the time of a decision, for the log. */
-export type DecisionContext = {
-	/** Version of the configuration in force. */
-	readonly configuration: number;
-	/** Time in milliseconds since the last reply of a coordinator that is in contact with a leader. */
-	readonly viewAgeMs: number;
-};
-
-/**
-How the request ended: `answered` with a response of a back end, `abandoned` by the caller, `refused` since no back end ran it,
-`replied` to with a local reply, or `cut` off after a part of the response.
-*/
-export type RequestEnd
-	= | {readonly kind: 'answered'}
-		| {readonly kind: 'abandoned'}
-		| {readonly kind: 'refused'; readonly service: string; readonly reason: string}
-		| {readonly kind: 'replied'; readonly status: number; readonly reason: string}
-		| {readonly kind: 'cut'; readonly reason: string};
+import type {ProxiedRequestOptions, RequestEnd} from './proxied-request-options.js';
+import {createRequestHead} from './request-head.js';
+import {misdirectedStatus} from './types.js';
 
 type ExchangeParts = {
 	readonly place: BackendPermit;
@@ -92,6 +30,12 @@
 /** Largest number that back ends accept as a priority, which is the least urgent one. */
 const lowestBackendPriority = 9;
 
+/** Time in milliseconds after which a run that still progresses shows that its content crashes no back end. Fatal content does so as the answer begins. */
+const harmlessRunMs = 500;
+
+/** Reason of a refusal because of quarantined content. */
+export const quarantineReason = 'quarantined content';
+
 /** Handles one request until it is answered, refused, cut off or abandoned. */
 export class ProxiedRequest {
 	readonly #options: ProxiedRequestOptions;
@@ -114,6 +58,10 @@
 	async run(): Promise<RequestEnd> {
 		const {clock} = this.#options;
 		for (;;) {
+			if (this.#isQuarantined) {
+				return this.#endQuarantined();
+			}
+
 			const queuedAt = clock.now();
 			const permit = await this.#options.place(this.#triedIds);
 			if (this.#options.signal.aborted) {
@@ -125,13 +73,19 @@
 			}
 
 			if (permit === undefined) {
-				return this.#endWithoutPermit();
+				return this.#endWithoutAttempt({kind: 'refused', service: this.#options.service, reason: 'no place'});
+			}
+
+			if (this.#isQuarantined) {
+				this.#release(permit);
+				return this.#endQuarantined();
 			}
 
 			this.#logDispatch(permit.backend, clock.now() - queuedAt);
 			const outcome = this.#attachEarlierFailure(await this.#attempt(permit));
 			this.#release(permit);
 			this.#options.onAttemptEnded(outcome.kind);
+			this.#recordEvidence(permit.backend, outcome);
 			const step = this.#decide(outcome);
 			this.#recordOutcome(permit.backend, outcome, step);
 			if (step.kind !== 'sendAgain') {
@@ -174,14 +128,24 @@
 		return outcome.kind === 'notRun' && this.#earlierFailure !== undefined ? {...outcome, earlierFailure: this.#earlierFailure} : outcome;
 	}
 
-	/** Ends a request that got no permit. */
-	#endWithoutPermit(): RequestEnd {
-		const {
-			relay, clock, deadlineAt, service,
-		} = this.#options;
+	get #isQuarantined(): boolean {
+		return this.#options.content.getQuarantineMs() > 0;
+	}
+
+	/** Ends a request whose content is quarantined. */
+	#endQuarantined(): RequestEnd {
+		const {service, content} = this.#options;
+		return this.#endWithoutAttempt({
+			kind: 'refused', service, reason: quarantineReason, retryAfterSeconds: content.getQuarantineMs() / 1000,
+		});
+	}
+
+	/** Ends a request that is not sent to a back end again. `refusal` is how it ends if no back end has run it. */
+	#endWithoutAttempt(refusal: Extract<RequestEnd, {kind: 'refused'}>): RequestEnd {
+		const {relay, clock, deadlineAt} = this.#options;
 		if (relay.hasStarted) {
 			relay.cut();
-			return {kind: 'cut', reason: 'no permit to resume the stream'};
+			return {kind: 'cut', reason: `${refusal.reason}, so the stream is not resumed`};
 		}
 
 		if (this.#earlierFailure !== undefined) {
@@ -190,10 +154,20 @@
 		}
 
 		if (this.#runCount === 0) {
-			return {kind: 'refused', service, reason: 'no place'};
+			return refusal;
 		}
 
-		return {kind: 'replied', status: clock.now() >= deadlineAt ? 504 : 502, reason: 'no place after a failure'};
+		return {kind: 'replied', status: clock.now() >= deadlineAt ? 504 : 502, reason: `${refusal.reason} after a failure`};
+	}
+
+	/** Records what an attempt tells of the request's content. A back end that was leaving may break off any request. */
+	#recordEvidence(backend: KnownBackend, outcome: AttemptOutcome): void {
+		const {content} = this.#options;
+		if (outcome.kind === 'delivered') {
+			content.recordAnswered();
+		} else if ((outcome.kind === 'cut' || outcome.kind === 'unknown') && !backend.announced.isLeaving) {
+			content.recordBrokenOff(`${backend.id} ${backend.announced.startedAt}`);
+		}
 	}
 
 	#decide(outcome: AttemptOutcome): NextStep {
@@ -326,7 +300,8 @@
 	}
 
 	#createExchange({place: permit, connection, done}: ExchangeParts): Exchange {
-		const {attemptId, caller, route, relay, names} = this.#options;
+		const {attemptId, caller, route, relay, names, clock, content} = this.#options;
+		let runningSince: number | undefined;
 		return new ResponseCollector({
 			attemptId,
 			isHead: caller.method === 'HEAD',
@@ -339,6 +314,10 @@
 			},
 			onRunning: () => {
 				this.#markRunStarted();
+				runningSince ??= clock.now();
+				if (clock.now() - runningSince >= harmlessRunMs) {
+					content.recordAnswered();
+				}
 			},
 			onOutcome(outcome) {
 				done.resolve(outcome);
--- /dev/null
+++ b/packages/mulberrypitch-proxy/src/proxy-server-options.ts
@@ -0,0 +1,34 @@
+/** Dependencies and settings of the proxy server. */
+import type {Clock} from '@mulberrypitch/lifecycle/clock';
+import type {Random} from '@mulberrypitch/lifecycle/random';
+import type {Logger} from '@mulberrypitch/logger/logger';
+import type {MetricsRegistry} from '@mulberrypitch/metrics/registry';
+import type {RouteTable} from '@mulberrypitch/serving/route-table';
+import type {BackendView} from './backend-view.js';
+import type {ContentQuarantine} from './content-quarantine.js';
+import type {HeaderNames} from './types.js';
+import type {UsageCounter} from './usage-counter.js';
+import type {WindowedRetryBudget} from './windowed-retry-budget.js';
+import type {WorkspaceQuotas} from './workspace-quotas.js';
+
+/** Dependencies and settings of the proxy server. */
+export type ProxyServerOptions = {
+	/** Address for callers, as `host:port`. */
+	readonly listen: string;
+	/** Availability zone of the entry. */
+	readonly zone: string;
+	readonly names: HeaderNames;
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly logger: Logger;
+	readonly backends: BackendView;
+	readonly quarantine: ContentQuarantine;
+	readonly quotas: WorkspaceQuotas;
+	readonly retries: WindowedRetryBudget;
+	readonly usage: UsageCounter;
+	/** Returns the time in milliseconds since the last reply of a coordinator that is in contact with a leader. */
+	readonly getViewAgeMs: () => number;
+	readonly metrics: MetricsRegistry;
+	/** Returns the routing table of the configuration in force, or `undefined` before the first one. */
+	readonly getTable: () => RouteTable | undefined;
+};
--- a/packages/mulberrypitch-proxy/src/proxy-server.ts
+++ b/packages/mulberrypitch-proxy/src/proxy-server.ts
@@ -3,14 +3,10 @@
 import type {Socket} from 'node:net';
 import {Deferred} from '@mulberrypitch/lifecycle/background';
 import {breakOff} from '@mulberrypitch/lifecycle/break-off';
-import type {Clock} from '@mulberrypitch/lifecycle/clock';
 import type {Resource} from '@mulberrypitch/lifecycle/disposable-store';
 import {listenOn, splitAddress} from '@mulberrypitch/lifecycle/listen';
-import type {Random} from '@mulberrypitch/lifecycle/random';
 import {getMessage} from '@mulberrypitch/errors/coded-error';
 import {events} from '@mulberrypitch/logger/events';
-import type {Logger} from '@mulberrypitch/logger/logger';
-import type {MetricsRegistry} from '@mulberrypitch/metrics/registry';
 import type {RouteTable} from '@mulberrypitch/serving/route-table';
 import {
 	type CallerLimits, type Route, type Workspace,
@@ -20,39 +16,17 @@
 import {admitRequest} from './admission.js';
 import {ResponseRelay, type BodyFacts} from './response-relay.js';
 import {ResponseTiming, type ResponseTimes} from './response-timing.js';
-import type {BackendView} from './backend-view.js';
 import {
-	getHeader, getHeaders, getQuotaUnits, readBody, readPrompt,
+	getHeader, getHeaders, getQuotaUnits, readBody, readPrompt, type Prompt,
 } from './caller-request.js';
+import {getContentFingerprints, type IdentifyingParts} from './content-fingerprints.js';
+import type {RequestContent} from './content-quarantine.js';
 import {LocalReplies} from './local-replies.js';
-import {ProxiedRequest, type DecisionContext, type RequestEnd} from './proxied-request.js';
-import type {WorkspaceQuotas} from './workspace-quotas.js';
-import type {WindowedRetryBudget} from './windowed-retry-budget.js';
+import {ProxiedRequest, quarantineReason} from './proxied-request.js';
+import type {DecisionContext, RequestEnd} from './proxied-request-options.js';
+import type {ProxyServerOptions} from './proxy-server-options.js';
 import {chooseService} from './service-choice.js';
 import {ServiceTraffic} from './service-traffic.js';
-import type {HeaderNames} from './types.js';
-import type {UsageCounter} from './usage-counter.js';
-
-/** Dependencies and settings of the proxy server. */
-export type ProxyServerOptions = {
-	/** Address for callers, as `host:port`. */
-	readonly listen: string;
-	/** Availability zone of the entry. */
-	readonly zone: string;
-	readonly names: HeaderNames;
-	readonly clock: Clock;
-	readonly random: Random;
-	readonly logger: Logger;
-	readonly backends: BackendView;
-	readonly quotas: WorkspaceQuotas;
-	readonly retries: WindowedRetryBudget;
-	readonly usage: UsageCounter;
-	/** Returns the time in milliseconds since the last reply of a coordinator that is in contact with a leader. */
-	readonly getViewAgeMs: () => number;
-	readonly metrics: MetricsRegistry;
-	/** Returns the routing table of the configuration in force, or `undefined` before the first one. */
-	readonly getTable: () => RouteTable | undefined;
-};
 
 type CompletionFields = {
 	readonly arrivedAt: number;
@@ -216,6 +190,17 @@
 		}
 
 		const {workspace, route} = admission;
+		const prompt = this.#readPrompt(request, route);
+		const content = this.#trackContent(request, body, {workspace: workspace?.name, sharedParts: prompt.sharedParts});
+		if (content.getQuarantineMs() > 0) {
+			this.#replies.send(request, response, {
+				status: 503, reason: quarantineReason, retryAfterSeconds: content.getQuarantineMs() / 1000, inputs: {
+					workspace: workspace?.name, sharedParts: prompt.sharedParts.join(' '), route: route.name,
+				},
+			});
+			return;
+		}
+
 		const units = workspace === undefined ? 0 : getQuotaUnits(workspace, getHeader(request, this.#options.names.tokenCount));
 		const waitSeconds = workspace === undefined ? 0 : quotas.take(workspace, {units, isUrgent: route.priority === 0});
 		if (waitSeconds > 0) {
@@ -230,7 +215,7 @@
 		const timing = new ResponseTiming(this.#options.clock, arrivedAt);
 		const relay = new ResponseRelay(response, {isResumable: route.isResumable, timing, getExtraHeaders: () => this.#getConnectionHeaders()});
 		const end = await this.#run(request, response, {
-			body, arrivedAt, route, workspace, table, relay,
+			body, arrivedAt, route, workspace, table, relay, prompt, content,
 		});
 		if (end.kind === 'refused' && workspace !== undefined) {
 			quotas.refund(workspace, units);
@@ -257,6 +242,17 @@
 		return getTable();
 	}
 
+	#readPrompt(request: IncomingMessage, {hasSharedPrompts}: Route): Prompt {
+		const {tokenCount, promptParts} = this.#options.names;
+		return readPrompt(getHeader(request, tokenCount), hasSharedPrompts ? getHeader(request, promptParts) : undefined);
+	}
+
+	#trackContent({method, url}: IncomingMessage, body: Uint8Array, parts: Pick<IdentifyingParts, 'workspace' | 'sharedParts'>): RequestContent {
+		return this.#options.quarantine.track(getContentFingerprints({
+			...parts, method: method!, path: url!, body,
+		}));
+	}
+
 	async #run(request: IncomingMessage, response: ServerResponse, admitted: {
 		readonly body: Uint8Array;
 		readonly arrivedAt: number;
@@ -264,10 +260,12 @@
 		readonly workspace: Workspace | undefined;
 		readonly table: RouteTable;
 		readonly relay: ResponseRelay;
+		readonly prompt: Prompt;
+		readonly content: RequestContent;
 	}): Promise<RequestEnd> {
 		const {names, clock, logger, random, retries, usage, metrics} = this.#options;
 		const {
-			body, arrivedAt, route, workspace, table, relay,
+			body, arrivedAt, route, workspace, table, relay, prompt, content,
 		} = admitted;
 		const service = chooseService(route, random);
 		const traffic = this.#getTraffic(service);
@@ -283,7 +281,6 @@
 			return {kind: 'abandoned'};
 		}
 
-		const prompt = readPrompt(getHeader(request, names.tokenCount), route.hasSharedPrompts ? getHeader(request, names.promptParts) : undefined);
 		const priority = workspace?.priority ?? route.priority;
 		retries.add(service);
 		traffic.add(prompt);
@@ -296,6 +293,7 @@
 			workspace: workspace?.name,
 			priority,
 			prompt,
+			content,
 			dropsKey: table.requiresKeys,
 			deadlineAt,
 			relay,
@@ -360,7 +358,7 @@
 
 			case 'refused': {
 				this.#getTraffic(end.service).recordRefused();
-				this.#replies.send(request, response, {status: 503, reason: end.reason, retryAfterSeconds: minRetryAfterSeconds});
+				this.#replies.send(request, response, {status: 503, reason: end.reason, retryAfterSeconds: end.retryAfterSeconds ?? minRetryAfterSeconds});
 				return;
 			}
 
--- a/packages/mulberrypitch-serving/src/view-messages.ts
+++ b/packages/mulberrypitch-serving/src/view-messages.ts
@@ -1,5 +1,6 @@
 /** Messages between entries and coordinators. All processes run the same version, so these types need no schema. */
 import type {RosterChanges, RosterEntry} from './backend-roster.js';
+import type {QuarantinedContent} from './quarantine-list.js';
 
 /** Demand for one service at one entry, from which the coordinators determine the size of the fleet. */
 export type ServicePressure = {
@@ -27,6 +28,38 @@
 	readonly pendingTokens: number;
 };
 
+/** A request that a back end broke off and that may have crashed it. */
+export type ContentCharge = {
+	/** Incarnation of the back end. */
+	readonly backend: string;
+	/** Time in milliseconds since the back end broke off the request. */
+	readonly ageMs: number;
+	/** Fingerprints of the contents of the request, from the least to the most specific one. */
+	readonly fingerprints: readonly string[];
+};
+
+/** The last answer to a request with a content. */
+export type AnsweredContent = {
+	readonly fingerprint: string;
+	/** Time in milliseconds since the answer. */
+	readonly ageMs: number;
+};
+
+/** What one entry observed of contents that may crash back ends. */
+export type CrashReport = {
+	readonly charges: readonly ContentCharge[];
+	/** Of the contents that the coordinators suspect, those that a back end answered. */
+	readonly answered: readonly AnsweredContent[];
+	readonly quarantined: readonly QuarantinedContent[];
+};
+
+/** What the coordinators know of contents that may crash back ends. */
+export type ContentVerdict = {
+	/** Contents of which the entries report whether they were answered. */
+	readonly suspects: readonly string[];
+	readonly quarantined: readonly QuarantinedContent[];
+};
+
 /** The status that an entry reports. */
 export type EntryStatus = {
 	readonly name: string;
@@ -46,6 +79,7 @@
 	/** Quota units spent since the entry started, by workspace. */
 	readonly spent: Readonly<Record<string, number>>;
 	readonly usage: readonly UsageCount[];
+	readonly crashes: CrashReport;
 };
 
 /** A long-polling request for changes. The reply comes at once when there are any, otherwise after a timeout. */
@@ -73,6 +107,7 @@
 	readonly loads: Readonly<Record<string, BackendLoad>>;
 	/** Quota units that all other entries have spent, by workspace, as counted by this coordinator. */
 	readonly othersSpent: Readonly<Record<string, number>>;
+	readonly verdict: ContentVerdict;
 	/** Number of entries in contact with the coordinators, including the one that asks. */
 	readonly entryCount: number;
 	/** Addresses of the coordinators for calls between processes. */
