Tell fatal content from what runs beside it and from what an outage breaks off

A crash was counted before all entries had reported what it broke off, so the fatal part could be one behind; and engines that crash together without a cause in the requests charged every part that was popular. Change: a crash counts 400 ms after it came; crashes within 250 ms of each other count as one; three back ends or more that crash within 100 ms are an outage and count for nothing.

--- a/packages/mulberrypitch-coordinator/src/crash-evidence.ts
+++ b/packages/mulberrypitch-coordinator/src/crash-evidence.ts
@@ -30,12 +30,21 @@
 	suspectSince?: number;
 };
 
-/** Number of back ends that must break off a content to make it suspect. */
+/** Number of crashes that make a content suspect. */
 const suspectThreshold = 2;
-/** Number of back ends that must break off a content, with no answer in between, to quarantine it. */
+/** Number of crashes, with no answer in between, that quarantine a content. */
 const quarantineThreshold = 3;
-/** Time in milliseconds for which the entries may report that they had a suspect content answered, before it is quarantined. */
-const answerWaitMs = 300;
+/** Crashes that are less than this time, in milliseconds, apart count as one: they may have one cause outside of the requests. */
+const sameCrashMs = 250;
+/** Time in milliseconds within which several back ends crash in an outage. */
+const outageMs = 100;
+/** Number of back ends that crash in an outage at least. Whatever they were running is no evidence. */
+const outageBackends = 3;
+/**
+Time in milliseconds for which the entries may report, before a content is quarantined: what else a crash broke off, and whether a
+suspect content was answered.
+*/
+const reportWaitMs = 400;
 /** Time in milliseconds for which a charge counts. */
 const chargeMs = 5 * 60_000;
 /** Maximum number of suspects that the entries are asked about. */
@@ -45,6 +54,8 @@
 export class CrashEvidence {
 	readonly #options: CrashEvidenceOptions;
 	readonly #contents = new Map<string, Content>();
+	/** Monotonic time in milliseconds at which each incarnation of a back end broke off its first request. */
+	readonly #crashedAt = new Map<string, number>();
 
 	constructor(options: CrashEvidenceOptions) {
 		this.#options = options;
@@ -56,6 +67,7 @@
 		const now = clock.now();
 		quarantine.merge(quarantined);
 		for (const {backend, ageMs, fingerprints} of charges) {
+			this.#crashedAt.set(backend, Math.min(this.#crashedAt.get(backend) ?? Number.POSITIVE_INFINITY, now - ageMs));
 			for (const [rank, fingerprint] of fingerprints.entries()) {
 				this.#charge(fingerprint, rank, {backend, at: now - ageMs});
 			}
@@ -81,6 +93,12 @@
 	/** Forgets charges that no longer count. */
 	expire(): void {
 		const before = this.#options.clock.now() - chargeMs;
+		for (const [backend, crashedAt] of this.#crashedAt) {
+			if (crashedAt < before) {
+				this.#crashedAt.delete(backend);
+			}
+		}
+
 		for (const [fingerprint, {charges}] of this.#contents) {
 			for (const [backend, at] of charges) {
 				if (at < before) {
@@ -123,10 +141,10 @@
 
 	#markSuspects(): void {
 		const {clock, onSuspect} = this.#options;
-		const explained = this.#getExplained();
+		const unrelated = this.#getUnrelated();
 		let hasNew = false;
 		for (const content of this.#contents.values()) {
-			if (countUnexplained(content, explained) < suspectThreshold) {
+			if (countCrashes(content, unrelated, clock.now()) < suspectThreshold) {
 				delete content.suspectSince;
 			} else if (content.suspectSince === undefined) {
 				content.suspectSince = clock.now();
@@ -143,10 +161,10 @@
 	#quarantineFatal(): void {
 		const {clock, quarantine, onQuarantined} = this.#options;
 		for (;;) {
-			const explained = this.#getExplained();
+			const unrelated = this.#getUnrelated();
 			const [worst] = [...this.#contents]
-				.filter(([, content]) => content.suspectSince !== undefined && clock.now() - content.suspectSince >= answerWaitMs)
-				.map(([fingerprint, content]) => ({fingerprint, content, count: countUnexplained(content, explained)}))
+				.filter(([, content]) => content.suspectSince !== undefined && clock.now() - content.suspectSince >= reportWaitMs)
+				.map(([fingerprint, content]) => ({fingerprint, content, count: countCrashes(content, unrelated, clock.now() - reportWaitMs)}))
 				.filter(({count}) => count >= quarantineThreshold)
 				.toSorted((left, right) => right.count - left.count || right.content.rank - left.content.rank);
 			if (worst === undefined) {
@@ -158,13 +176,34 @@
 		}
 	}
 
-	/** Returns the back ends that broke off a content that is quarantined. */
-	#getExplained(): ReadonlySet<string> {
+	/** Returns the back ends whose crash is no evidence against a content that is not quarantined: another one explains it, or an outage. */
+	#getUnrelated(): ReadonlySet<string> {
 		const {quarantine} = this.#options;
-		return new Set([...this.#contents].filter(([fingerprint]) => quarantine.has(fingerprint)).flatMap(([, {charges}]) => [...charges.keys()]));
+		const explained = [...this.#contents].filter(([fingerprint]) => quarantine.has(fingerprint)).flatMap(([, {charges}]) => [...charges.keys()]);
+		return new Set([...explained, ...findOutages(this.#crashedAt)]);
 	}
 }
 
-function countUnexplained({charges}: Content, explained: ReadonlySet<string>): number {
-	return [...charges.keys()].filter(backend => !explained.has(backend)).length;
+/** Returns the back ends that crashed at about the same time as several others. */
+function findOutages(crashedAt: ReadonlyMap<string, number>): readonly string[] {
+	const times = [...crashedAt.values()];
+	return [...crashedAt].filter(([, at]) => times.filter(time => Math.abs(time - at) <= outageMs).length >= outageBackends).map(([backend]) => backend);
+}
+
+/** Returns the number of separate crashes up to a time that speak against a content. */
+function countCrashes({charges}: Content, unrelated: ReadonlySet<string>, until: number): number {
+	const times = [...charges]
+		.filter(([backend, at]) => at <= until && !unrelated.has(backend))
+		.map(([, at]) => at)
+		.toSorted((left, right) => left - right);
+	let count = 0;
+	let countedAt = Number.NEGATIVE_INFINITY;
+	for (const at of times) {
+		if (at - countedAt >= sameCrashMs) {
+			count += 1;
+			countedAt = at;
+		}
+	}
+
+	return count;
 }
