Pause before a back end that refused a connection is tried again

Cause: found while a deployment for tests lost all of its engines: a request that finds no other back end connected to the same one again at once, hundreds of times a second, until its deadline, for each request in progress. Such an attempt counts against no limit. Change: an attempt on a back end that the request has tried before and that refuses the connection again is followed by 50 ms.

--- /dev/null
+++ b/packages/mulberrypitch-proxy/src/__tests__/unreachable-backend.test.ts
@@ -0,0 +1,57 @@
+/** Tests how often a request tries back ends that refuse connections. */
+import t from 'tap';
+import {assumeType} from '@mulberrypitch/errors/assume-type';
+import {PeerUnreachableError} from '@mulberrypitch/errors/catalogue';
+import {VirtualClock} from '@mulberrypitch/fakes/virtual-clock';
+import {ProxiedRequest} from '../proxied-request.js';
+import type {ProxiedRequestOptions} from '../proxied-request-options.js';
+
+const deadlineMs = 1000;
+/** Number of connection attempts within that time that a caller could profit from. */
+const maxAttempts = 30;
+
+function ignore(): void {
+	// The test observes connection attempts only.
+}
+
+// Guards against a request that tries to connect as fast as it can until its deadline while every back end is down.
+await t.test('a request tries a back end that refuses connections again only after a pause, until its deadline', async t => {
+	const clock = new VirtualClock();
+	const caller = new AbortController();
+	let attempts = 0;
+	const backend = {
+		id: 'engine-1',
+		announced: {startedAt: 1, isLeaving: false},
+		async connect() {
+			attempts += 1;
+			if (attempts > maxAttempts) {
+				caller.abort();
+			}
+
+			throw new PeerUnreachableError('engine-1');
+		},
+		eject: ignore,
+		recordResult: () => false,
+	};
+	const request = new ProxiedRequest(assumeType<ProxiedRequestOptions>({
+		route: {kind: 'idempotent', maxAttempts: 2},
+		service: 'desk',
+		prompt: {tokens: 0, sharedTokens: 0, sharedParts: []},
+		content: {getQuarantineMs: () => 0, recordBrokenOff: ignore, recordAnswered: ignore},
+		deadlineAt: deadlineMs,
+		relay: {hasStarted: false, getBodyFacts: () => ({})},
+		clock,
+		logger: {log: ignore},
+		signal: caller.signal,
+		place: async () => ({backend, release: ignore}),
+		onReleased: ignore,
+		takeRetry: () => true,
+		getDecisionContext: () => ({configuration: 1, viewAgeMs: 0}),
+		onAttemptEnded: ignore,
+		onRunStarted: ignore,
+	}));
+	const running = request.run();
+	await clock.runFor(deadlineMs);
+	t.match(await running, {kind: 'refused'});
+	t.ok(attempts > 1 && attempts <= maxAttempts, `${attempts} attempts`);
+});
--- a/packages/mulberrypitch-proxy/src/proxied-request.ts
+++ b/packages/mulberrypitch-proxy/src/proxied-request.ts
@@ -25,6 +25,8 @@
 
 /** An attempt is followed by another one only if more than this time, in milliseconds, is left before the deadline. */
 const minAttemptMs = 60;
+/** Pause in milliseconds before a back end that refused a connection is tried again. */
+const unreachableRetryMs = 50;
 /** Status with which a back end rejects a request when it has no free slot, or too little time for the request. */
 const fullStatus = 503;
 /** Largest number that back ends accept as a priority, which is the least urgent one. */
@@ -81,6 +83,7 @@
 				return this.#endQuarantined();
 			}
 
+			const isRepeated = this.#triedIds.has(permit.backend.id);
 			this.#logDispatch(permit.backend, clock.now() - queuedAt);
 			const outcome = this.#attachEarlierFailure(await this.#attempt(permit));
 			this.#release(permit);
@@ -91,6 +94,10 @@
 			if (step.kind !== 'sendAgain') {
 				return this.#finish(step, outcome);
 			}
+
+			if (isRepeated && outcome.kind === 'notRun' && !outcome.wasSent) {
+				await clock.sleep(unreachableRetryMs, this.#options.signal);
+			}
 		}
 	}
 
