Split the views of entries off the coordinator

Change: ViewService takes statuses and gossip, keeps the evidence on contents, and replies to entries. No change of behaviour.

--- a/packages/mulberrypitch-coordinator/src/coordinator.ts
+++ b/packages/mulberrypitch-coordinator/src/coordinator.ts
@@ -16,21 +16,20 @@
 import type {Logger} from '@mulberrypitch/logger/logger';
 import type {MetricsRegistry} from '@mulberrypitch/metrics/registry';
 import {BackendRoster} from '@mulberrypitch/serving/backend-roster';
-import {QuarantineList} from '@mulberrypitch/serving/quarantine-list';
 import {validateServingConfiguration} from '@mulberrypitch/serving/configuration-check';
 import type {
 	AnnouncedBackend, BackendDeregistration, ConfigurationDecoder, ServingConfiguration,
 } from '@mulberrypitch/serving/types';
 import {
-	methods, type GossipReply, type GossipRequest, type StoredConfiguration, type ViewReply, type ViewRequest,
+	methods, type GossipRequest, type StoredConfiguration, type ViewRequest,
 } from '@mulberrypitch/serving/view-messages';
 import type {LogStore} from '@mulberrypitch/storage/types';
 import type {Schema, Transport} from '@mulberrypitch/transport/types';
-import {CrashEvidence} from './crash-evidence.js';
 import {DutyRunner, type Duty} from './duty-runner.js';
 import {EntryDirectory} from './entry-directory.js';
 import {Gossip} from './gossip.js';
 import {ServingState} from './serving-state.js';
+import {ViewService} from './view-service.js';
 
 /** Dependencies and settings of a coordinator. */
 export type CoordinatorOptions = {
@@ -76,8 +75,6 @@
 };
 
 const group = 'serving';
-/** Maximum time in milliseconds for which a call of an entry waits for changes. */
-const watchTimeoutMs = 100;
 const forwardTimeoutMs = 900;
 const confirmTimeoutMs = 700;
 const joinIntervalMs = 300;
@@ -97,8 +94,7 @@
 	readonly #resources = new DisposableStore();
 	/** Notified when the configuration or the roster changes. */
 	readonly #changes = new Notification();
-	readonly #quarantine: QuarantineList;
-	readonly #evidence: CrashEvidence;
+	readonly #views: ViewService;
 	readonly #state: ServingState;
 	readonly #replica: Replica;
 	readonly #gossip: Gossip;
@@ -112,18 +108,6 @@
 		this.#options = options;
 		this.directory = new EntryDirectory(clock);
 		this.roster = new BackendRoster({epoch: randomUUID(), clock, announceIntervalMs: options.announceIntervalMs});
-		this.#quarantine = new QuarantineList(clock);
-		this.#evidence = new CrashEvidence({
-			clock,
-			quarantine: this.#quarantine,
-			onSuspect: () => {
-				this.#changes.notify();
-			},
-			onQuarantined: (fingerprint, backends) => {
-				logger.log(events.contentQuarantined, {fingerprint, backends: backends.join(' ')});
-				this.#changes.notify();
-			},
-		});
 		this.#state = new ServingState({
 			onConfiguration: configuration => {
 				this.#applyConfiguration(configuration);
@@ -160,6 +144,16 @@
 				this.#changes.notify();
 			},
 		});
+		this.#views = new ViewService({
+			clock,
+			logger,
+			directory: this.directory,
+			roster: this.roster,
+			changes: this.#changes,
+			getConfiguration: () => this.#state.configuration,
+			getCoordinators: () => this.#replica.getPeers().map(({address}) => address),
+			isInTouch: () => this.isInTouch,
+		});
 		this.#duties = new DutyRunner({
 			holder: options.holder,
 			clock,
@@ -185,8 +179,8 @@
 	/** Registers the call handlers and starts the replica, the gossip and the background tasks. */
 	async start(): Promise<void> {
 		const {transport} = this.#options;
-		transport.handle(methods.watch, unchecked<ViewRequest>(), async request => this.#onWatch(request));
-		transport.handle(methods.gossip, unchecked<GossipRequest>(), async request => this.#onGossip(request));
+		transport.handle(methods.watch, unchecked<ViewRequest>(), async request => this.#views.watch(request));
+		transport.handle(methods.gossip, unchecked<GossipRequest>(), async request => this.#views.mergeGossip(request));
 		transport.handle(methods.propose, unchecked<ProposedCommand>(), async command => this.#replica.propose(command));
 		transport.handle(methods.read, unchecked<Record<string, never>>(), async () => this.#readAsLeader());
 		transport.handle(methods.join, unchecked<{readonly name: string}>(), async ({name}) => {
@@ -317,55 +311,6 @@
 		return assumeType<Reply>(reply);
 	}
 
-	/** Stores the status of an entry and replies with the changes since its versions, for which it waits up to the timeout. */
-	async #onWatch({status, configurationVersion, rosterEpoch, rosterVersion}: ViewRequest): Promise<ViewReply> {
-		this.directory.update(status);
-		this.#evidence.merge(status.crashes);
-		const hasChanges = () => (this.#state.configuration?.version ?? 0) > configurationVersion
-			|| this.roster.hasChanges(rosterEpoch, rosterVersion);
-		if (!hasChanges()) {
-			await this.#waitForChanges();
-		}
-
-		const stored = this.#state.configuration;
-		return {
-			...(stored !== undefined && stored.version > configurationVersion && {configuration: stored}),
-			roster: this.roster.getChanges(rosterEpoch, rosterVersion),
-			loads: this.directory.getLoads(status.name),
-			othersSpent: this.directory.getOthersSpent(status.name),
-			verdict: {suspects: this.#evidence.getSuspects(), quarantined: this.#quarantine.capture()},
-			entryCount: Math.max(1, this.directory.count),
-			coordinators: this.#replica.getPeers().map(({address}) => address),
-			isInTouch: this.isInTouch,
-		};
-	}
-
-	async #waitForChanges(): Promise<void> {
-		const timeout = new AbortController();
-		const abortAfterTimeout = async () => {
-			await this.#options.clock.sleep(watchTimeoutMs, timeout.signal);
-			timeout.abort();
-		};
-
-		void abortAfterTimeout();
-		await this.#changes.wait(timeout.signal);
-		timeout.abort();
-	}
-
-	async #onGossip({entries, backends, wantsAll}: GossipRequest): Promise<GossipReply> {
-		for (const status of entries) {
-			this.directory.merge(status);
-			this.#evidence.merge(status.crashes);
-		}
-
-		const changes = backends.map(entry => this.roster.merge(entry));
-		if (changes.includes(true)) {
-			this.#changes.notify();
-		}
-
-		return {backends: wantsAll ? this.roster.getEntries() : []};
-	}
-
 	/** Asks the other coordinators to admit this one for as long as it is not a voter in contact with a leader. */
 	async #runJoin(signal: AbortSignal): Promise<void> {
 		const {name, getSeeds, clock} = this.#options;
@@ -398,11 +343,7 @@
 	async #runExpiry(signal: AbortSignal): Promise<void> {
 		while (!signal.aborted) {
 			await this.#options.clock.sleep(expiryIntervalMs, signal);
-			this.directory.expire();
-			this.#evidence.expire();
-			if (this.roster.expire()) {
-				this.#changes.notify();
-			}
+			this.#views.expire();
 		}
 	}
 
--- /dev/null
+++ b/packages/mulberrypitch-coordinator/src/view-service.ts
@@ -0,0 +1,117 @@
+/** Takes the statuses of entries, directly or from other coordinators, and tells the entries what has changed. */
+import type {Notification} from '@mulberrypitch/lifecycle/background';
+import type {Clock} from '@mulberrypitch/lifecycle/clock';
+import {events} from '@mulberrypitch/logger/events';
+import type {Logger} from '@mulberrypitch/logger/logger';
+import type {BackendRoster} from '@mulberrypitch/serving/backend-roster';
+import {QuarantineList} from '@mulberrypitch/serving/quarantine-list';
+import type {
+	GossipReply, GossipRequest, StoredConfiguration, ViewReply, ViewRequest,
+} from '@mulberrypitch/serving/view-messages';
+import {CrashEvidence} from './crash-evidence.js';
+import type {EntryDirectory} from './entry-directory.js';
+
+/** Dependencies of the service. */
+export type ViewServiceOptions = {
+	readonly clock: Clock;
+	readonly logger: Logger;
+	readonly directory: EntryDirectory;
+	readonly roster: BackendRoster;
+	/** Notified when the configuration, the roster or the quarantine changes. */
+	readonly changes: Notification;
+	/** Returns the configuration in force, or `undefined` before the first one. */
+	readonly getConfiguration: () => StoredConfiguration | undefined;
+	/** Returns the addresses of all coordinators for calls between processes. */
+	readonly getCoordinators: () => readonly string[];
+	/** Reports whether the coordinator is in contact with a leader. */
+	readonly isInTouch: () => boolean;
+};
+
+/** Maximum time in milliseconds for which a call of an entry waits for changes. */
+const watchTimeoutMs = 100;
+
+/** Serves the views of the entries, and decides with what they report which contents are quarantined. */
+export class ViewService {
+	readonly #options: ViewServiceOptions;
+	readonly #quarantine: QuarantineList;
+	readonly #evidence: CrashEvidence;
+
+	constructor(options: ViewServiceOptions) {
+		const {clock, logger, changes} = options;
+		this.#options = options;
+		this.#quarantine = new QuarantineList(clock);
+		this.#evidence = new CrashEvidence({
+			clock,
+			quarantine: this.#quarantine,
+			onSuspect() {
+				changes.notify();
+			},
+			onQuarantined(fingerprint, backends) {
+				logger.log(events.contentQuarantined, {fingerprint, backends: backends.join(' ')});
+				changes.notify();
+			},
+		});
+	}
+
+	/** Stores the status of an entry and replies with the changes since its versions, for which it waits up to the timeout. */
+	async watch({status, configurationVersion, rosterEpoch, rosterVersion}: ViewRequest): Promise<ViewReply> {
+		const {directory, roster, getConfiguration, getCoordinators, isInTouch} = this.#options;
+		directory.update(status);
+		this.#evidence.merge(status.crashes);
+		const hasChanges = (getConfiguration()?.version ?? 0) > configurationVersion || roster.hasChanges(rosterEpoch, rosterVersion);
+		if (!hasChanges) {
+			await this.#waitForChanges();
+		}
+
+		const stored = getConfiguration();
+		return {
+			...(stored !== undefined && stored.version > configurationVersion && {configuration: stored}),
+			roster: roster.getChanges(rosterEpoch, rosterVersion),
+			loads: directory.getLoads(status.name),
+			othersSpent: directory.getOthersSpent(status.name),
+			verdict: {suspects: this.#evidence.getSuspects(), quarantined: this.#quarantine.capture()},
+			entryCount: Math.max(1, directory.count),
+			coordinators: getCoordinators(),
+			isInTouch: isInTouch(),
+		};
+	}
+
+	/** Merges what another coordinator sends, and replies with the whole roster if it asks for it. */
+	async mergeGossip({entries, backends, wantsAll}: GossipRequest): Promise<GossipReply> {
+		const {directory, roster, changes} = this.#options;
+		for (const status of entries) {
+			directory.merge(status);
+			this.#evidence.merge(status.crashes);
+		}
+
+		const hasChanged = backends.map(entry => roster.merge(entry));
+		if (hasChanged.includes(true)) {
+			changes.notify();
+		}
+
+		return {backends: wantsAll ? roster.getEntries() : []};
+	}
+
+	/** Removes entries, back ends and charges that have not been heard of for too long. */
+	expire(): void {
+		const {directory, roster, changes} = this.#options;
+		directory.expire();
+		this.#evidence.expire();
+		if (roster.expire()) {
+			changes.notify();
+		}
+	}
+
+	async #waitForChanges(): Promise<void> {
+		const {clock, changes} = this.#options;
+		const timeout = new AbortController();
+		const abortAfterTimeout = async () => {
+			await clock.sleep(watchTimeoutMs, timeout.signal);
+			timeout.abort();
+		};
+
+		void abortAfterTimeout();
+		await changes.wait(timeout.signal);
+		timeout.abort();
+	}
+}
