Bound the work and the memory of the evidence on contents

Cause: it was evaluated with each report, over all contents of the last five minutes. On a site of 96 machines reports arrive some 1,800 times a second (10 a second from each entry, and again in the gossip of the other coordinators). Change: evaluated at most each 50 ms, suspects listed then, 5,000 contents at most; the time of a crash is that of the last requests that a back end broke off, so that an earlier broken answer does not hide an outage.

--- a/packages/mulberrypitch-coordinator/src/crash-evidence.ts
+++ b/packages/mulberrypitch-coordinator/src/crash-evidence.ts
@@ -45,17 +45,25 @@
 suspect content was answered.
 */
 const reportWaitMs = 400;
+/** Difference in milliseconds above which a report tells of a later event, and not of a known one after a delay. */
+const sameReportMs = 2000;
 /** Time in milliseconds for which a charge counts. */
 const chargeMs = 5 * 60_000;
 /** Maximum number of suspects that the entries are asked about. */
 const maxSuspects = 100;
+/** Number of contents that are remembered; those that were charged first are forgotten first. */
+const maxContents = 5000;
+/** Time in milliseconds between two evaluations, since reports arrive hundreds of times a second. */
+const evaluationMs = 50;
 
 /** Combines the reports of all entries. */
 export class CrashEvidence {
 	readonly #options: CrashEvidenceOptions;
 	readonly #contents = new Map<string, Content>();
-	/** Monotonic time in milliseconds at which each incarnation of a back end broke off its first request. */
+	/** Monotonic time in milliseconds at which each incarnation of a back end last broke off requests. */
 	readonly #crashedAt = new Map<string, number>();
+	#suspects: readonly string[] = [];
+	#evaluatedAt = Number.NEGATIVE_INFINITY;
 
 	constructor(options: CrashEvidenceOptions) {
 		this.#options = options;
@@ -67,7 +75,7 @@
 		const now = clock.now();
 		quarantine.merge(quarantined);
 		for (const {backend, ageMs, fingerprints} of charges) {
-			this.#crashedAt.set(backend, Math.min(this.#crashedAt.get(backend) ?? Number.POSITIVE_INFINITY, now - ageMs));
+			this.#recordCrash(backend, now - ageMs);
 			for (const [rank, fingerprint] of fingerprints.entries()) {
 				this.#charge(fingerprint, rank, {backend, at: now - ageMs});
 			}
@@ -77,17 +85,17 @@
 			this.#recordAnswer(fingerprint, now - ageMs);
 		}
 
-		this.#markSuspects();
-		this.#quarantineFatal();
+		if (now - this.#evaluatedAt >= evaluationMs) {
+			this.#evaluatedAt = now;
+			this.#markSuspects();
+			this.#quarantineFatal();
+			this.#listSuspects();
+		}
 	}
 
-	/** Returns the contents of which the coordinators need to know whether they were answered. */
+	/** Returns the contents, as of the last evaluation, of which the coordinators need to know whether they were answered. */
 	getSuspects(): readonly string[] {
-		const {quarantine} = this.#options;
-		return [...this.#contents]
-			.filter(([fingerprint, {suspectSince}]) => suspectSince !== undefined || quarantine.has(fingerprint))
-			.slice(-maxSuspects)
-			.map(([fingerprint]) => fingerprint);
+		return this.#suspects;
 	}
 
 	/** Forgets charges that no longer count. */
@@ -110,6 +118,26 @@
 				this.#contents.delete(fingerprint);
 			}
 		}
+
+		const excess = Math.max(0, this.#contents.size - maxContents);
+		for (const fingerprint of [...this.#contents.keys()].slice(0, excess)) {
+			this.#contents.delete(fingerprint);
+		}
+	}
+
+	#listSuspects(): void {
+		const {quarantine} = this.#options;
+		this.#suspects = [...this.#contents]
+			.filter(([fingerprint, {suspectSince}]) => suspectSince !== undefined || quarantine.has(fingerprint))
+			.slice(-maxSuspects)
+			.map(([fingerprint]) => fingerprint);
+	}
+
+	#recordCrash(backend: string, at: number): void {
+		const knownAt = this.#crashedAt.get(backend);
+		if (knownAt === undefined || at > knownAt + sameReportMs) {
+			this.#crashedAt.set(backend, at);
+		}
 	}
 
 	#charge(fingerprint: string, rank: number, {backend, at}: {readonly backend: string; readonly at: number}): void {
@@ -144,7 +172,8 @@
 		const unrelated = this.#getUnrelated();
 		let hasNew = false;
 		for (const content of this.#contents.values()) {
-			if (countCrashes(content, unrelated, clock.now()) < suspectThreshold) {
+			const isSuspect = content.charges.size >= suspectThreshold && countCrashes(content, unrelated, clock.now()) >= suspectThreshold;
+			if (!isSuspect) {
 				delete content.suspectSince;
 			} else if (content.suspectSince === undefined) {
 				content.suspectSince = clock.now();
