--- a/packages/mulberrypitch-requests/src/__tests__/poison.test.ts
+++ b/packages/mulberrypitch-requests/src/__tests__/poison.test.ts
@@ -3,7 +3,7 @@
 import {codes} from '@mulberrypitch/errors/catalogue';
 import {ends} from '@mulberrypitch/control/types';
 import {
-	createDocument, collectAnswer, isWhole, RequestCluster,
+	createChat, createDocument, collectAnswer, isWhole, RequestCluster,
 } from './request-cluster.js';
 
 const limitMs = 60_000;
@@ -37,3 +37,32 @@
 		await t.rejects(cluster.settle(hosts[1]!.requests.submit(poison)), {code: codes.quarantined}, 'a later resend is refused at once');
 	});
 }
+
+// Guards against chats that share one fatal message, no two alike, of which each would crash two more back ends.
+await t.test('a message under which back ends crash is quarantined whatever follows it, and the messages beside it are not', async t => {
+	const cluster = new RequestCluster();
+	t.teardown(async () => cluster.dispose());
+	await cluster.start(4, 12);
+	const hosts = [...cluster.hosts.values()];
+	const run = async (messages: readonly string[], host: number) => {
+		const answer = collectAnswer(await cluster.settle(hosts[host % 4]!.requests.submit(createChat(messages, tokens))));
+		await cluster.until(() => answer.outcome !== undefined, limitMs);
+		return answer.outcome!;
+	};
+
+	const submitFatal = async (number: number) => cluster.settle(hosts[number % 4]!.requests.submit(createChat(['be brief', 'poison', `question ${number}`], tokens)));
+	for (let number = 0; number < 2; number += 1) {
+		const fatal = await run(['be brief', 'poison', `question ${number}`], number);
+		t.equal(fatal.code, codes.quarantined);
+		const sound = await run(['be brief', `question ${number}`], number);
+		t.equal(sound.end, ends.answered);
+	}
+
+	for (let number = 2; number < 8; number += 1) {
+		await t.rejects(submitFatal(number), {code: codes.quarantined});
+		const sound = await run(['be brief', `question ${number}`], number);
+		t.equal(sound.end, ends.answered);
+	}
+
+	t.ok(cluster.backends.deaths <= 5, `${cluster.backends.deaths} back ends crashed`);
+});
--- a/packages/mulberrypitch-requests/src/__tests__/request-cluster.ts
+++ b/packages/mulberrypitch-requests/src/__tests__/request-cluster.ts
@@ -336,6 +336,29 @@
 	};
 }
 
+/**
+Creates a call for a chat completion of some messages.
+
+@example
+```
+const accepted = await host.requests.submit(createChat(['Answer briefly.', 'Which filter?'], 50));
+```
+*/
+export function createChat(messages: readonly string[], tokens: number): IncomingCall {
+	return {
+		...createCall('advice', 'engine'),
+		body: {
+			method: 'POST',
+			path: '/v1/chat/completions',
+			contentType: 'application/json',
+			// eslint-disable-next-line @typescript-eslint/naming-convention -- The wire format's own name.
+			text: JSON.stringify({messages: messages.map(content => ({role: 'user', content})), max_tokens: tokens}),
+		},
+		isIdempotent: true,
+		maxTokens: tokens,
+	};
+}
+
 /**
 Creates a booking call, which is not idempotent.
 
