Quarantine chats that share a message under which back ends crash

Callers would see: unknown or failed requests while back end after back end of the product's own path crashes, since chats with one fatal message and different questions never meet the quarantine of whole requests. Change: accepted requests and charges carry the fingerprints of the messages that chats may share. Three confirmed charges with no answer in between quarantine a message; back ends that crash together are an outage and don't count for it.

Left: unlike the entries of the platform, the table doesn't take an explained crash out of what speaks against innocent parts beside a fatal one.

--- a/packages/mulberrypitch-control/src/commands.ts
+++ b/packages/mulberrypitch-control/src/commands.ts
@@ -4,9 +4,13 @@
 const maxNameLength = 200;
 const maxConfigurationLength = 1_000_000;
 const maxStoredAnswerLength = 64_000;
+/** Maximum number of parts of one request's content. */
+export const maxContentParts = 16;
 
 const name = z.string().min(1).max(maxNameLength);
 const integer = z.number().int().nonnegative();
+/** Fingerprints of the parts of a request's content that other requests may share. */
+const parts = z.array(name).max(maxContentParts).readonly();
 
 const capabilities = z.strictObject({
 	slots: z.number().int().positive(),
@@ -77,6 +81,7 @@
 		service: name,
 		digest: name,
 		fingerprint: name,
+		parts: parts.optional(),
 		idempotencyKey: name.optional(),
 		isIdempotent: z.boolean(),
 		holder: name,
@@ -119,7 +124,7 @@
 	}),
 	z.strictObject({kind: z.literal('setDesired'), backend: name, desired: desired.optional()}),
 	z.strictObject({
-		kind: z.literal('chargeFingerprint'), fingerprint: name, backend: name, incarnation: name,
+		kind: z.literal('chargeFingerprint'), fingerprint: name, parts: parts.optional(), backend: name, incarnation: name,
 	}),
 ]);
 
--- a/packages/mulberrypitch-control/src/quarantine-table.ts
+++ b/packages/mulberrypitch-control/src/quarantine-table.ts
@@ -1,6 +1,7 @@
 /**
- * Quarantine of requests whose content may crash back ends. A charge links the fingerprint of a request to a back end that
- * broke off the request. A charge is confirmed when its back end has crashed. Two confirmed charges quarantine the fingerprint.
+ * Quarantine of requests whose content may crash back ends. A charge links the fingerprint of a request, and those of the parts that
+ * it may share with others, to a back end that broke off the request. A charge is confirmed when its back end has crashed. Two
+ * confirmed charges quarantine a whole request. A part needs three, not from an outage, since innocent parts are charged too.
  */
 import {QuarantinedError} from '@mulberrypitch/errors/catalogue';
 import type {BackendTable} from './backend-table.js';
@@ -9,6 +10,12 @@
 
 /** Number of confirmed charges that quarantine a fingerprint. */
 const quarantineThreshold = 2;
+/** Number of confirmed charges that quarantine a part. */
+const partThreshold = 3;
+/** Time in milliseconds within which several back ends crash in an outage. */
+const outageMs = 100;
+/** Number of back ends that crash in an outage at least. Charges for them don't count for a part. */
+const outageBackends = 3;
 /** Time for which a confirmed charge counts, in milliseconds. */
 const quarantineMs = 10 * 60_000;
 /** Time for which an unconfirmed charge counts, in milliseconds. Longer than the lease of a back end, whose end reveals a crash. */
@@ -24,6 +31,14 @@
 	readonly isConfirmed: boolean;
 };
 
+/** Fingerprints of a request's content. */
+export type Fingerprints = {
+	/** Identifies the whole content. */
+	readonly fingerprint: string;
+	/** Identify the parts that other requests may share; absent if there are none. */
+	readonly parts?: readonly string[] | undefined;
+};
+
 /** The quarantine table as JSON. */
 export type CapturedQuarantine = {
 	/** Charges by fingerprint. */
@@ -46,14 +61,20 @@
 	Adds a charge for a back end that broke off a request. Ignores the charge if the back end was leaving or stopped without a
 	crash, or if the fingerprint already has a charge for this back end.
 	*/
-	charge({fingerprint, backend, incarnation}: CommandOf<'chargeFingerprint'>, now: number): void {
+	charge({fingerprint, parts = [], backend, incarnation}: CommandOf<'chargeFingerprint'>, now: number): void {
 		const current = this.#backends.get(backend);
 		const isRunning = current?.incarnation === incarnation && !current.isLeaving;
-		const charges = this.getCharges(fingerprint, now);
-		if ((isRunning || this.#deaths.has(incarnation)) && charges.every(charge => charge.backend !== backend)) {
-			this.#charges.set(fingerprint, [...charges, {
-				backend, incarnation, at: now, isConfirmed: this.#deaths.has(incarnation),
-			}]);
+		if (!isRunning && !this.#deaths.has(incarnation)) {
+			return;
+		}
+
+		for (const content of [fingerprint, ...parts]) {
+			const charges = this.getCharges(content, now);
+			if (charges.every(charge => charge.backend !== backend)) {
+				this.#charges.set(content, [...charges, {
+					backend, incarnation, at: now, isConfirmed: this.#deaths.has(incarnation),
+				}]);
+			}
 		}
 	}
 
@@ -70,9 +91,11 @@
 		}
 	}
 
-	/** Removes the charges of a fingerprint, because a request with this content was answered. */
-	clear(fingerprint: string): void {
-		this.#charges.delete(fingerprint);
+	/** Removes the charges of a request's contents, because it was answered. */
+	clear({fingerprint, parts = []}: Fingerprints): void {
+		for (const content of [fingerprint, ...parts]) {
+			this.#charges.delete(content);
+		}
 	}
 
 	/** Returns the charges of a fingerprint that have not expired. */
@@ -80,11 +103,13 @@
 		return (this.#charges.get(fingerprint) ?? []).filter(charge => now - charge.at <= (charge.isConfirmed ? quarantineMs : confirmationWindowMs));
 	}
 
-	/** Throws `QuarantinedError` if a fingerprint has crashed two back ends. */
-	throwIfQuarantined(fingerprint: string, now: number): void {
-		const confirmed = this.getCharges(fingerprint, now).filter(({isConfirmed}) => isConfirmed);
-		if (confirmed.length >= quarantineThreshold) {
-			throw new QuarantinedError(Math.ceil((confirmed[0]!.at + quarantineMs - now) / 1000));
+	/** Throws `QuarantinedError` if a request has crashed two back ends, or one of its parts three. */
+	throwIfQuarantined({fingerprint, parts = []}: Fingerprints, now: number): void {
+		const whole = this.#getConfirmed(fingerprint, now);
+		throwIfEnough(whole, whole.length >= quarantineThreshold, now);
+		for (const part of parts) {
+			const confirmed = this.#getConfirmed(part, now);
+			throwIfEnough(confirmed, confirmed.length >= partThreshold && this.#countOutsideOutages(confirmed) >= partThreshold, now);
 		}
 	}
 
@@ -105,6 +130,23 @@
 		}
 	}
 
+	#getConfirmed(content: string, now: number): readonly Charge[] {
+		return this.getCharges(content, now).filter(({isConfirmed}) => isConfirmed);
+	}
+
+	#countOutsideOutages(charges: readonly Charge[]): number {
+		const crashedAt = new Map<string, number>();
+		for (const {incarnation, at} of [...this.#charges.values()].flat()) {
+			crashedAt.set(incarnation, Math.min(crashedAt.get(incarnation) ?? at, at));
+		}
+
+		const times = [...crashedAt.values()];
+		return charges.filter(({incarnation}) => {
+			const at = crashedAt.get(incarnation)!;
+			return times.filter(time => Math.abs(time - at) <= outageMs).length < outageBackends;
+		}).length;
+	}
+
 	#dropExpired(now: number): void {
 		for (const fingerprint of this.#charges.keys()) {
 			if (this.getCharges(fingerprint, now).length === 0) {
@@ -119,3 +161,10 @@
 		}
 	}
 }
+
+/** Throws `QuarantinedError` with the time until the first charge expires if the charges are enough. */
+function throwIfEnough(charges: readonly Charge[], isEnough: boolean, now: number): void {
+	if (isEnough) {
+		throw new QuarantinedError(Math.ceil((charges[0]!.at + quarantineMs - now) / 1000));
+	}
+}
--- a/packages/mulberrypitch-control/src/request-commands.ts
+++ b/packages/mulberrypitch-control/src/request-commands.ts
@@ -71,7 +71,7 @@
 			return {isDuplicate: duplicate.requestId !== command.requestId, request: duplicate, isSuspect: this.#isSuspect(duplicate, entry)};
 		}
 
-		this.#context.quarantine.throwIfQuarantined(command.fingerprint, entry.time);
+		this.#context.quarantine.throwIfQuarantined(command, entry.time);
 		this.#context.sessions.require(command.holder, command.holderEpoch);
 		const {kind, holderEpoch, entryTime, ...facts} = command;
 		const request: RequestRecord = {
@@ -145,7 +145,7 @@
 		const finished: RequestRecord = {...request, outcome, finishedAt: entry.time};
 		this.#context.requests.put(finished);
 		if (outcome.end === 'answered') {
-			this.#context.quarantine.clear(finished.fingerprint);
+			this.#context.quarantine.clear(finished);
 		}
 
 		this.#context.recorder.record({
@@ -184,7 +184,7 @@
 	*/
 	#requireIsolation(request: RequestRecord, backend: string, entry: LogEntry): void {
 		const {quarantine, requests} = this.#context;
-		quarantine.throwIfQuarantined(request.fingerprint, entry.time);
+		quarantine.throwIfQuarantined(request, entry.time);
 		const charges = quarantine.getCharges(request.fingerprint, entry.time);
 		if (charges.length === 0) {
 			return;
--- a/packages/mulberrypitch-control/src/types.ts
+++ b/packages/mulberrypitch-control/src/types.ts
@@ -116,6 +116,8 @@
 	readonly digest: string;
 	/** Identifies the content of the request for the quarantine. Requests with the same content have the same fingerprint. */
 	readonly fingerprint: string;
+	/** Identifies the parts of the content that other requests may share; absent if there are none. */
+	readonly parts?: readonly string[];
 	readonly idempotencyKey?: string;
 	/** Whether the request may run again without harm. */
 	readonly isIdempotent: boolean;
--- a/packages/mulberrypitch-requests/src/attempt-record.ts
+++ b/packages/mulberrypitch-requests/src/attempt-record.ts
@@ -58,7 +58,7 @@
 	async chargeContent({id, incarnation}: BackendServer): Promise<void> {
 		const {copy, proposals} = this.#options;
 		await proposals.propose({
-			kind: 'chargeFingerprint', fingerprint: copy.fingerprint, backend: id, incarnation,
+			kind: 'chargeFingerprint', fingerprint: copy.fingerprint, ...(copy.parts.length > 0 && {parts: copy.parts}), backend: id, incarnation,
 		});
 	}
 }
--- a/packages/mulberrypitch-requests/src/messages.ts
+++ b/packages/mulberrypitch-requests/src/messages.ts
@@ -7,6 +7,7 @@
 export const heldCopySchema = z.object({
 	requestId: z.string(),
 	fingerprint: z.string(),
+	parts: z.array(z.string()).default([]),
 	epoch: z.number().int().positive(),
 	customer: z.string(),
 	service: z.string(),
--- a/packages/mulberrypitch-requests/src/request-service.ts
+++ b/packages/mulberrypitch-requests/src/request-service.ts
@@ -1,5 +1,5 @@
 /** Accepts requests on one host, continues those that it takes over, and serves their answers to any host. */
-import {createHash, randomUUID} from 'node:crypto';
+import {randomUUID} from 'node:crypto';
 import {CodedError, getMessage} from '@mulberrypitch/errors/coded-error';
 import {DrainingError, NotFoundError} from '@mulberrypitch/errors/catalogue';
 import type {Resource} from '@mulberrypitch/lifecycle/disposable-store';
@@ -7,6 +7,7 @@
 import type {RequestRecord, Session} from '@mulberrypitch/control/types';
 import type {Admission, Ticket} from '@mulberrypitch/admission/types';
 import {AnswerReader} from './answer-reader.js';
+import {getContentDigest, getContentParts} from './content-fingerprint.js';
 import {copySchema, type CopyRequest} from './messages.js';
 import {ReclaimWatch} from './reclaim-watch.js';
 import type {HolderContext, HolderStart} from './holder-context.js';
@@ -210,6 +211,7 @@
 			service: copy.service,
 			digest,
 			fingerprint: digest,
+			...(copy.parts.length > 0 && {parts: copy.parts}),
 			...(call.idempotencyKey !== undefined && {idempotencyKey: call.idempotencyKey}),
 			isIdempotent: call.isIdempotent,
 			holder: node,
@@ -349,6 +351,7 @@
 	return {
 		requestId,
 		fingerprint: getContentDigest(call),
+		parts: getContentParts(call),
 		epoch: 1,
 		customer: call.workspace.name,
 		service: call.service.name,
@@ -366,6 +369,7 @@
 	return {
 		requestId: record.requestId,
 		fingerprint: record.fingerprint,
+		parts: record.parts ?? [],
 		epoch: record.epoch,
 		customer: record.customer,
 		service: record.service,
@@ -379,8 +383,3 @@
 		chunks: [],
 	};
 }
-
-function getContentDigest(call: IncomingCall): string {
-	const {method, path, text} = call.body;
-	return createHash('sha256').update(JSON.stringify([call.workspace.name, call.service.name, method, path, text])).digest('hex');
-}
--- a/packages/mulberrypitch-requests/src/types.ts
+++ b/packages/mulberrypitch-requests/src/types.ts
@@ -40,6 +40,8 @@
 	readonly requestId: string;
 	/** Hash of the content, which identifies content that crashes back ends. */
 	readonly fingerprint: string;
+	/** Hashes of the parts of the content that other requests may share. */
+	readonly parts: readonly string[];
 	/** Epoch of the holder that sent the copy. */
 	readonly epoch: number;
 	readonly customer: string;
