--- a/packages/mulberrypitch-soak/src/main.ts
+++ b/packages/mulberrypitch-soak/src/main.ts
@@ -1,10 +1,16 @@
 /** The command `npm run soak -- --seeds N [--from S]`. */
 import process from 'node:process';
 import {cac} from 'cac';
-import {assumeType} from '@mulberrypitch/errors/assume-type';
 import {runSeed, type RunReport} from './simulation.js';
 
 const reportEverySeeds = 100;
+/** Exit code for options that the command does not know. */
+const usageExitCode = 2;
+
+type Options = {
+	readonly seeds: number;
+	readonly from: number;
+};
 
 type Totals = {
 	seeds: number;
@@ -44,15 +50,29 @@
 	}
 }
 
+async function runSoak({seeds, from}: Options): Promise<void> {
+	const startedAt = performance.now();
+	const totals = await runSeeds(from, seeds);
+	const seconds = Math.round((performance.now() - startedAt) / 1000);
+	process.stdout.write(`${totals.seeds} seeds from ${from} in ${seconds} s: ${totals.failed} failed, ${totals.entries} entries, ${totals.changes} changes, ${totals.requests} requests\n`);
+	process.stdout.write(`${[...totals.faults].map(([name, count]) => `${name} ${count}`).join(', ')}\n`);
+	process.exitCode = totals.failed > 0 ? 1 : 0;
+}
+
 const program = cac('soak');
-program.option('--seeds <count>', 'Seeds to run', {default: 100});
-program.option('--from <seed>', 'First seed', {default: 1});
+program.command('', 'Run the control group under random faults')
+	.option('--seeds <count>', 'Seeds to run', {default: 100})
+	.option('--from <seed>', 'First seed', {default: 1})
+	.action(runSoak);
 program.help();
-const {options} = program.parse();
-const {seeds, from} = assumeType<{seeds: number; from: number}>(options);
-const startedAt = performance.now();
-const totals = await runSeeds(from, seeds);
-const seconds = Math.round((performance.now() - startedAt) / 1000);
-process.stdout.write(`${totals.seeds} seeds from ${from} in ${seconds} s: ${totals.failed} failed, ${totals.entries} entries, ${totals.changes} changes, ${totals.requests} requests\n`);
-process.stdout.write(`${[...totals.faults].map(([name, count]) => `${name} ${count}`).join(', ')}\n`);
-process.exitCode = totals.failed > 0 ? 1 : 0;
+try {
+	program.parse(process.argv, {run: false});
+	await program.runMatchedCommand();
+} catch (error) {
+	if (!(error instanceof Error && error.name === 'CACError')) {
+		throw error;
+	}
+
+	process.stderr.write(`${error.message}. Run with --help for the options.\n`);
+	process.exitCode = usageExitCode;
+}
