Compare the length of a plain answer in bytes with the limit in bytes

Cause: the length of the text counts UTF-16 units, so an answer of up to three times the limit passed. Change: the bytes are counted before they are decoded.

--- a/packages/mulberrypitch-backends/src/__tests__/plain-client.test.ts
+++ b/packages/mulberrypitch-backends/src/__tests__/plain-client.test.ts
@@ -1,4 +1,5 @@
 /** Tests which answers of plain services count as complete, with services that frame them in different ways. */
+import {Buffer} from 'node:buffer';
 import net from 'node:net';
 import t, {type Test} from 'tap';
 import {assumeType} from '@mulberrypitch/errors/assume-type';
@@ -55,3 +56,10 @@
 	t.match(await call(t, 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n'), {status: 200, body: '{}'});
 	t.match(await call(t, 'HTTP/1.1 204 No Content\r\n\r\n'), {status: 204, body: ''});
 });
+
+// Guards against a limit in bytes that lets texts pass whose characters take several bytes.
+await t.test('an answer above the limit in bytes is refused, however few characters it has', async t => {
+	const body = 'ä'.repeat(600 * 1024);
+	const response = `HTTP/1.1 200 OK\r\nContent-Length: ${Buffer.byteLength(body)}\r\n\r\n${body}`;
+	await t.rejects(call(t, response), {code: 'backend_failed'});
+});
--- a/packages/mulberrypitch-backends/src/plain-client.ts
+++ b/packages/mulberrypitch-backends/src/plain-client.ts
@@ -1,4 +1,5 @@
 /** HTTP client for plain services, which send one complete response to each call. */
+import {Buffer} from 'node:buffer';
 import {Agent, request, type Dispatcher} from 'undici';
 import {BackendFailedError, TooLargeError} from '@mulberrypitch/errors/catalogue';
 import {createBackendFailure} from './failure.js';
@@ -40,7 +41,7 @@
 				);
 			}
 
-			const body = await response.body.text();
+			const body = Buffer.from(await response.body.arrayBuffer());
 			if (body.length > maxResponseBytes) {
 				throw new TooLargeError('The response of a plain service', maxResponseBytes);
 			}
@@ -48,7 +49,7 @@
 			return {
 				status: response.statusCode,
 				contentType: String(response.headers['content-type'] ?? 'application/octet-stream'),
-				body,
+				body: body.toString(),
 			};
 		} catch (error) {
 			throw createBackendFailure(error, call.address);
