Refuse a bad position of audit records at the entry

Cause: GET /v1/admin/account?from=x sent NaN to the leader, whose schema refused the call; the operator saw an error of the program. The old line had no function to test; that x became NaN is by reading.

--- a/packages/mulberrypitch-entry/src/entry-server.ts
+++ b/packages/mulberrypitch-entry/src/entry-server.ts
@@ -20,6 +20,7 @@
 import {BurnRecorder} from '@mulberrypitch/metrics/burn-recorder';
 import type {MetricsRegistry} from '@mulberrypitch/metrics/registry';
 import type {RequestService} from '@mulberrypitch/requests/request-service';
+import {getAccountPosition} from './account-position.js';
 import {requireToken} from './authentication.js';
 import type {BackendDirectory} from './backend-directory.js';
 import {
@@ -160,8 +161,7 @@
 		add('GET', '/v1/admin/configuration', async (_request, response) => this.#sendLeaderReply(response, 'overview', {}));
 		add('GET', '/v1/admin/status', async (_request, response) => this.#sendStatus(response));
 		add('GET', '/v1/admin/account', async (request, response) => {
-			const from = Number(new URL(request.url!, 'http://host').searchParams.get('from') ?? '1');
-			await this.#sendLeaderReply(response, 'account', {from});
+			await this.#sendLeaderReply(response, 'account', {from: getAccountPosition(request.url!)});
 		});
 		add('GET', '/v1/admin/burn', async (_request, response) => {
 			sendJson(response, 200, {series: this.#burn.capture()});
