Answer an error without a code with the code under which it is counted

Cause: the entry counted and logged such an error as internal and answered invariant, so the two could not be matched. Change: toFailure turns it into an InternalError, for the count, the log line and the answer.

--- a/packages/mulberrypitch-entry/src/entry-server.ts
+++ b/packages/mulberrypitch-entry/src/entry-server.ts
@@ -28,7 +28,7 @@
 } from './caller-routes.js';
 import {rankEntries} from './entry-ranking.js';
 import {
-	parseJson, readBody, sendFailure, sendJson,
+	parseJson, readBody, sendFailure, sendJson, toFailure,
 } from './http-reply.js';
 import {MeasuredRequests} from './measured-requests.js';
 import {
@@ -188,7 +188,7 @@
 	*/
 	#handleError(request: IncomingMessage, response: ServerResponse, error: unknown): void {
 		const {logger, metrics} = this.#options;
-		const code = error instanceof CodedError ? error.code : codes.internal;
+		const {code} = toFailure(error);
 		metrics.count('mulberrypitch_requests_refused_total', 'Requests refused by code.', {code});
 		logger.log(events.requestRefused, {code, reason: getMessage(error)});
 		if (response.headersSent) {
--- a/packages/mulberrypitch-entry/src/http-reply.ts
+++ b/packages/mulberrypitch-entry/src/http-reply.ts
@@ -3,7 +3,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {CodedError} from '@mulberrypitch/errors/coded-error';
 import {
-	BadRequestError, codes, InvariantError, TooLargeError,
+	BadRequestError, codes, InternalError, TooLargeError,
 } from '@mulberrypitch/errors/catalogue';
 
 const maxBodyBytes = 1024 * 1024;
@@ -89,9 +89,21 @@
 	response.end(JSON.stringify(value) + '\n');
 }
 
+/**
+Returns the error with which a request is answered: the error itself, or an `InternalError` for an error without a code.
+
+@example
+```
+metrics.count('failures', 'Failures by code.', {code: toFailure(error).code});
+```
+*/
+export function toFailure(error: unknown): CodedError {
+	return error instanceof CodedError ? error : new InternalError({cause: error});
+}
+
 /**
 Sends an error as a JSON response, with a `Retry-After` header when the error has a retry delay. An error without a code is sent
-with the code `invariant` and without its message.
+with the code `internal` and without its message.
 
 @example
 ```
@@ -99,7 +111,7 @@
 ```
 */
 export function sendFailure(response: ServerResponse, error: unknown): void {
-	const failure = error instanceof CodedError ? error : new InvariantError('The request failed with an unexpected error.');
+	const failure = toFailure(error);
 	const retryAfter = failure.details.retryAfterSeconds;
 	if (retryAfter !== undefined) {
 		response.setHeader('retry-after', String(retryAfter));
--- a/packages/mulberrypitch-errors/src/catalogue.ts
+++ b/packages/mulberrypitch-errors/src/catalogue.ts
@@ -237,6 +237,15 @@
 	}
 }
 
+/** The program failed with an error that has no code, which is a bug. The message of that error is not passed on. */
+export class InternalError extends CodedError {
+	override readonly name = 'InternalError';
+
+	constructor(options?: FailureOptions) {
+		super(codes.internal, 'The request failed with an unexpected error.', 'Report this as a bug, with the log of the host.', options);
+	}
+}
+
 /** A back end returned an error, closed the connection early or could not be reached. */
 export class BackendFailedError extends CodedError {
 	override readonly name = 'BackendFailedError';
