--- a/packages/mulberrypitch-load/src/workload.ts
+++ b/packages/mulberrypitch-load/src/workload.ts
@@ -153,19 +153,6 @@
 	return tokensPerSecond / tokensPerRequest;
 }
 
-/**
-Returns the deployment with the traffic of one workspace multiplied by a factor, and the factor by which the total traffic grows.
-
-@example
-```
-const {deployment, growth} = increaseWorkspaceLoad(deployments['aria-pulita']!, 'office', 12);
-```
-*/
-export function increaseWorkspaceLoad(deployment: Deployment, workspace: string, factor: number): {deployment: Deployment; growth: number} {
-	const workspaces = deployment.workspaces.map(mix => mix.name === workspace ? {...mix, weight: mix.weight * factor} : mix);
-	return {deployment: {...deployment, workspaces}, growth: sumWeights(workspaces) / sumWeights(deployment.workspaces)};
-}
-
 function sumWeights(workspaces: readonly WorkspaceMix[]): number {
 	return workspaces.reduce((sum, {weight}) => sum + weight, 0);
 }
