Let an aborted transfer of a KV cache import nothing in the emulated back ends

Cause: an abort ended the wait of the transfer early, and the cache counted as imported, so tests saw moves that a real engine had not made. Change: importCache throws after an abort.

--- a/packages/mulberrypitch-fakes/src/memory-backends.ts
+++ b/packages/mulberrypitch-fakes/src/memory-backends.ts
@@ -129,12 +129,11 @@
 	}
 
 	/**
-	Fetches a KV cache from another engine. Throws when either engine is not running after the transfer. An abort ends the
-	transfer early; if both engines are running, the cache still counts as imported.
+	Fetches a KV cache from another engine. Throws when the transfer was aborted, or when either engine is not running after it.
 	*/
 	async importCache(call: CacheCall, cache: ExportedCache): Promise<void> {
 		await this.#options.clock.sleep(cache.tokens * (this.#options.transferMs ?? 0), call.signal);
-		if (!this.#alive.has(call.address) || !this.#alive.has(cache.source)) {
+		if (call.signal.aborted || !this.#alive.has(call.address) || !this.#alive.has(cache.source)) {
 			throw new BackendFailedError(`Back end ${call.address} could not fetch a cache from ${cache.source}.`, {isNotSent: false});
 		}
 
