Log and count the limits that back ends state

Change: the adapter decodes the statement into a typed field; each connection passes on the head of each response, and an entry keeps the newest statement of each incarnation. Lines 1405 and 1406, fields limitPerSecond and recentSends of line 1502, a gauge and a counter. Requests go where they went before.

--- a/packages/mulberrypitch-logger/src/events.ts
+++ b/packages/mulberrypitch-logger/src/events.ts
@@ -50,6 +50,8 @@
 	backendLeaving: {number: 1402, level: 'info', text: 'back end leaving'},
 	backendRemoved: {number: 1403, level: 'warn', text: 'back end removed'},
 	contentQuarantined: {number: 1404, level: 'warn', text: 'content quarantined'},
+	limitStated: {number: 1405, level: 'info', text: 'back end stated a limit'},
+	statementUnreadable: {number: 1406, level: 'warn', text: 'statement of a back end unreadable'},
 	requestAccepted: {number: 1501, level: 'info', text: 'request accepted'},
 	requestDispatched: {number: 1502, level: 'info', text: 'request dispatched'},
 	requestFinished: {number: 1503, level: 'info', text: 'request finished'},
--- a/packages/mulberrypitch-proxy/src/__tests__/backend-connection.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/backend-connection.test.ts
@@ -43,6 +43,9 @@
 		onClosed() {
 			// The tests use no connection pool.
 		},
+		onHead() {
+			// The tests read no statements of back ends.
+		},
 		onIdle() {
 			// The tests use no connection pool.
 		},
--- a/packages/mulberrypitch-proxy/src/__tests__/response-end.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/response-end.test.ts
@@ -54,6 +54,9 @@
 		onClosed() {
 			// The test uses no connection pool.
 		},
+		onHead() {
+			// The test reads no statements of back ends.
+		},
 		onIdle() {
 			// The test uses no connection pool.
 		},
--- a/packages/mulberrypitch-proxy/src/backend-connection.ts
+++ b/packages/mulberrypitch-proxy/src/backend-connection.ts
@@ -31,6 +31,8 @@
 	readonly onClosed: (connection: BackendConnection) => void;
 	/** Called when an exchange has ended and another one may follow. */
 	readonly onIdle: (connection: BackendConnection) => void;
+	/** Called with the head of each response to a request on this connection, and the monotonic time in milliseconds at which the request was sent. */
+	readonly onHead: (head: ResponseHead, sentAt: number) => void;
 	/** Returns the monotonic time in milliseconds. */
 	readonly now: () => number;
 };
@@ -94,6 +96,8 @@
 	/** Idle time in milliseconds after which the connection is not reused. */
 	#idleMs = defaultIdleMs;
 	#idleSince: number;
+	/** Monotonic time in milliseconds at which the last request was sent. */
+	#sentAt = Number.NEGATIVE_INFINITY;
 
 	private constructor(socket: net.Socket, options: ConnectionOptions) {
 		this.#socket = socket;
@@ -139,6 +143,7 @@
 	/** Sends a request. The connection must be idle. */
 	send(head: string, body: Uint8Array | undefined, exchange: Exchange): void {
 		this.#exchange = exchange;
+		this.#sentAt = this.#options.now();
 		this.#socket.cork();
 		this.#socket.write(head, 'latin1');
 		if (body !== undefined && body.length > 0) {
@@ -204,6 +209,7 @@
 		this.#isSkipping = answeredId !== undefined && this.#exchange.attemptId !== undefined && answeredId !== this.#exchange.attemptId;
 		if (!this.#isSkipping) {
 			this.#readKeepAlive(head);
+			this.#options.onHead(head, this.#sentAt);
 			this.#exchange.onHead(head);
 		}
 	}
--- /dev/null
+++ b/packages/mulberrypitch-proxy/src/backend-statement.ts
@@ -0,0 +1,13 @@
+/** What a back end states about itself in the head of a response. */
+import type {ResponseHead} from './response-parser.js';
+
+/** The statements of one response. */
+export type BackendStatement = {
+	/** Requests a second that the back end accepts from all entries together; absent if it states no limit. */
+	readonly requestsPerSecond?: number;
+	/** Text of a limit that can't be read; absent otherwise. It changes nothing: what the back end stated before still holds. */
+	readonly unreadableLimit?: string;
+};
+
+/** Reads the statements in the head of a response. */
+export type StatementDecoder = (head: ResponseHead) => BackendStatement;
--- a/packages/mulberrypitch-proxy/src/backend-view.ts
+++ b/packages/mulberrypitch-proxy/src/backend-view.ts
@@ -8,6 +8,8 @@
 export type BackendCounts = {
 	readonly serving: number;
 	readonly ejected: number;
+	/** Number of serving back ends that state a limit on requests. */
+	readonly limited: number;
 	readonly connections: number;
 };
 
@@ -50,6 +52,7 @@
 		return {
 			serving: serving.length,
 			ejected: serving.filter(({isEjected}) => isEjected).length,
+			limited: serving.filter(({limit}) => limit?.requestsPerSecond !== undefined).length,
 			connections: all.reduce((sum, {connectionCount}) => sum + connectionCount, 0),
 		};
 	}
--- a/packages/mulberrypitch-proxy/src/entry.ts
+++ b/packages/mulberrypitch-proxy/src/entry.ts
@@ -15,6 +15,7 @@
 import type {ConfigurationDecoder} from '@mulberrypitch/serving/types';
 import type {StoredConfiguration, ViewReply, ViewRequest} from '@mulberrypitch/serving/view-messages';
 import type {Transport} from '@mulberrypitch/transport/types';
+import type {StatementDecoder} from './backend-statement.js';
 import {BackendView} from './backend-view.js';
 import {ContentQuarantine} from './content-quarantine.js';
 import {ProxyServer} from './proxy-server.js';
@@ -42,6 +43,7 @@
 	readonly logger: Logger;
 	readonly metrics: MetricsRegistry;
 	readonly decode: ConfigurationDecoder;
+	readonly decodeStatement: StatementDecoder;
 	readonly retryBudget: {readonly ratio: number; readonly slack: number; readonly windowMs: number};
 	readonly quotaTolerance: QuotaTolerance;
 	/** Length in milliseconds of a window in which the requests of each workspace are counted. */
@@ -102,7 +104,15 @@
 		this.#entryCounts = new RecentMaximum(clock, entryCountWindowMs);
 		this.#usage = new UsageCounter(clock, options.usageWindowMs);
 		this.#backends = new BackendView(({service}) => ({
-			clock, attemptHeader: names.attemptId, connectTimeoutMs, getMaxConnections: () => this.#getMaxConnections(service),
+			clock,
+			logger,
+			decodeStatement: options.decodeStatement,
+			onUnreadable() {
+				options.metrics.count('mulberrypitch_unreadable_statements_total', 'Statements of back ends about themselves that could not be read.', {service});
+			},
+			attemptHeader: names.attemptId,
+			connectTimeoutMs,
+			getMaxConnections: () => this.#getMaxConnections(service),
 		}));
 		this.#quarantine = new ContentQuarantine(clock);
 		this.#quotas = new WorkspaceQuotas({
@@ -196,6 +206,7 @@
 		metrics.gauge('mulberrypitch_entry_view_age_seconds', 'Age of what the coordinators said.', () => Math.min(this.#view.ageMs, maxViewAgeGaugeMs) / 1000);
 		metrics.gauge('mulberrypitch_entry_backends', 'Back ends that may be given requests.', () => this.#backends.getCounts().serving);
 		metrics.gauge('mulberrypitch_entry_backends_set_aside', 'Back ends that failed too often and get nothing for a while.', () => this.#backends.getCounts().ejected);
+		metrics.gauge('mulberrypitch_entry_backends_limited', 'Back ends that state a limit on requests.', () => this.#backends.getCounts().limited);
 		metrics.gauge('mulberrypitch_entry_backend_connections', 'Connections to back ends.', () => this.#backends.getCounts().connections);
 		metrics.gauge('mulberrypitch_entry_quarantined_contents', 'Contents that are kept from back ends since they crash them.', () => this.#quarantine.count);
 		metrics.gauge('mulberrypitch_entries', 'Entries in touch, as the coordinators said.', () => this.#entryCount);
--- a/packages/mulberrypitch-proxy/src/known-backend.ts
+++ b/packages/mulberrypitch-proxy/src/known-backend.ts
@@ -2,12 +2,22 @@
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
 import type {AnnouncedBackend} from '@mulberrypitch/serving/types';
 import type {BackendLoad} from '@mulberrypitch/serving/view-messages';
+import {events} from '@mulberrypitch/logger/events';
+import type {Logger} from '@mulberrypitch/logger/logger';
 import {BackendConnection} from './backend-connection.js';
 import {BackendPermit} from './backend-place.js';
+import type {StatementDecoder} from './backend-statement.js';
+import type {ResponseHead} from './response-parser.js';
+import {StatedConditions, type LimitStatement} from './stated-conditions.js';
+import {misdirectedStatus} from './types.js';
 
 /** Dependencies and settings of a back end as an entry knows it. */
 export type KnownBackendOptions = {
 	readonly clock: Clock;
+	readonly logger: Logger;
+	readonly decodeStatement: StatementDecoder;
+	/** Called when the back end states something that can't be read. */
+	readonly onUnreadable: () => void;
 	/** Name of the header that identifies an attempt, in lower case. */
 	readonly attemptHeader: string;
 	readonly connectTimeoutMs: number;
@@ -30,6 +40,9 @@
 const fullBackoffMs = 60;
 /** Duration in milliseconds of the ejection of a back end when another process replies at its address. A new incarnation is not affected. */
 const misdirectedBackoffMs = 3000;
+/** Length in milliseconds of the window in which sends are counted for the log, and the maximum count. */
+const recentSendsMs = 4000;
+const maxRecentSends = 100;
 /** Share of the other entries' pending prompt tokens that is still pending when their report arrives here. */
 const pendingOthersShare = 0.5;
 
@@ -50,11 +63,15 @@
 	#ejectedUntil = Number.NEGATIVE_INFINITY;
 	#ejectionMs = firstEjectionMs;
 	#fullUntil = Number.NEGATIVE_INFINITY;
+	readonly #conditions: StatedConditions;
+	/** Monotonic times in milliseconds of the latest permits, oldest first. */
+	#permitTimes: number[] = [];
 	#isRetired = false;
 
 	constructor(announced: AnnouncedBackend, options: KnownBackendOptions) {
 		this.#announced = announced;
 		this.#options = options;
+		this.#conditions = new StatedConditions(options.clock);
 	}
 
 	/** Identifier of the back end. */
@@ -102,6 +119,17 @@
 		return {requests: this.#inFlight, pendingTokens: Math.round(this.#pendingTokens)};
 	}
 
+	/** The limit that the back end stated last; absent if it never stated one. */
+	get limit(): LimitStatement | undefined {
+		return this.#conditions.limit;
+	}
+
+	/** Number of requests that got a permit within the last seconds, up to a maximum. */
+	get recentSends(): number {
+		const since = this.#options.clock.now() - recentSendsMs;
+		return this.#permitTimes.filter(at => at >= since).length;
+	}
+
 	/** Whether the back end may be sent requests. */
 	get isServing(): boolean {
 		return !this.#isRetired && !this.#announced.isLeaving;
@@ -135,6 +163,7 @@
 	acquirePermit(pendingTokens: number): BackendPermit {
 		this.#inFlight += 1;
 		this.#pendingTokens += pendingTokens;
+		this.#permitTimes = [...this.#permitTimes, this.#options.clock.now()].slice(-maxRecentSends);
 		return new BackendPermit(this, {
 			onPrefilled: () => {
 				this.#pendingTokens -= pendingTokens;
@@ -216,6 +245,24 @@
 		return isMostlyFailing || (last.length === ejectionFailuresInRow && last.every(result => !result));
 	}
 
+	#recordStatement(head: ResponseHead, sentAt: number): void {
+		const {logger, decodeStatement, onUnreadable} = this.#options;
+		if (head.status === misdirectedStatus) {
+			// Another process responds at the address.
+			return;
+		}
+
+		const statement = decodeStatement(head);
+		if (statement.unreadableLimit !== undefined) {
+			onUnreadable();
+			logger.log(events.statementUnreadable, {backend: this.id, limit: statement.unreadableLimit});
+		}
+
+		if (this.#conditions.record(statement, sentAt)) {
+			logger.log(events.limitStated, {backend: this.id, requestsPerSecond: statement.requestsPerSecond, recentSends: this.recentSends});
+		}
+	}
+
 	async #openConnection(): Promise<BackendConnection> {
 		const {clock, attemptHeader, connectTimeoutMs} = this.#options;
 		return BackendConnection.open({
@@ -223,6 +270,9 @@
 			connectTimeoutMs,
 			attemptHeader,
 			now: () => clock.now(),
+			onHead: (head, sentAt) => {
+				this.#recordStatement(head, sentAt);
+			},
 			onClosed: connection => {
 				this.#connections.delete(connection);
 				const position = this.#idle.indexOf(connection);
--- a/packages/mulberrypitch-proxy/src/proxied-request.ts
+++ b/packages/mulberrypitch-proxy/src/proxied-request.ts
@@ -114,6 +114,8 @@
 			load: backend.load,
 			pendingTokens: Math.round(backend.pendingTokens),
 			slots: backend.slots,
+			limitPerSecond: backend.limit?.requestsPerSecond,
+			recentSends: backend.recentSends,
 			waitedMs: Math.round(waitedMs),
 			leftMs: Math.round(deadlineAt - clock.now()),
 			lastEventId: relay.lastEventId,
