Keep to the limits that back ends state, over all entries together

Cause: nothing read the statement, and no part of the system divides among entries what a back end offers to all of them. The class: a bound on the whole deployment is unknown to the processes that each use it up in part. Change: entries report stated limits, coordinators divide the newest one among few entries, and each entry spaces its sends by its part. All sends pass one check. A request that only such back ends could serve is refused at once, with Retry-After. Why it works: in any window the entries with a part send at most the limit plus one each, and their number is bounded by the limit.

--- a/packages/mulberrypitch-coordinator/src/entry-directory.ts
+++ b/packages/mulberrypitch-coordinator/src/entry-directory.ts
@@ -1,6 +1,7 @@
 /** The entries that report to the coordinators: which accept callers, how loaded they are, and how much quota they use. */
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
-import type {BackendLoad, EntryStatus} from '@mulberrypitch/serving/view-messages';
+import type {BackendLoad, EntryStatus, LimitShare} from '@mulberrypitch/serving/view-messages';
+import {allocateLimit, getNewestLimits} from './limit-allocation.js';
 import type {EntryUsage} from './serving-state.js';
 import {SpendingCounter} from './spending-count.js';
 
@@ -73,6 +74,15 @@
 		return loads;
 	}
 
+	/** Returns the limits that back ends stated to any entry, and the named entry's part of each. Entries that are stopping have none. */
+	getLimitShares(entry: string): readonly LimitShare[] {
+		const now = this.#clock.now();
+		const live = this.#getSeenWithin(entryTimeoutMs);
+		const limits = live.flatMap(({status, lastSeenAt}) => status.limits.map(limit => ({...limit, ageMs: now - lastSeenAt + limit.ageMs})));
+		const ready = live.filter(({status}) => status.isReady).map(({status}) => status.name);
+		return getNewestLimits(limits).map(limit => allocateLimit(limit, entry, ready));
+	}
+
 	/** Returns the quota units by workspace that all entries but the named one have spent, as far as this coordinator knows. */
 	getOthersSpent(except: string): Readonly<globalThis.Record<string, number>> {
 		return this.#spending.getOthers(except);
--- a/packages/mulberrypitch-coordinator/src/view-service.ts
+++ b/packages/mulberrypitch-coordinator/src/view-service.ts
@@ -70,6 +70,7 @@
 			loads: directory.getLoads(status.name),
 			othersSpent: directory.getOthersSpent(status.name),
 			verdict: {suspects: this.#evidence.getSuspects(), quarantined: this.#quarantine.capture()},
+			limits: directory.getLimitShares(status.name),
 			entryCount: Math.max(1, directory.count),
 			coordinators: getCoordinators(),
 			isInTouch: isInTouch(),
--- a/packages/mulberrypitch-proxy/src/backend-view.ts
+++ b/packages/mulberrypitch-proxy/src/backend-view.ts
@@ -1,7 +1,7 @@
 /** An entry's view of the back ends: those that it knows from the coordinators' roster, and its own state of each. */
 import type {RosterChanges} from '@mulberrypitch/serving/backend-roster';
 import type {AnnouncedBackend} from '@mulberrypitch/serving/types';
-import type {BackendLoad} from '@mulberrypitch/serving/view-messages';
+import type {BackendLoad, LimitShare, StatedLimit} from '@mulberrypitch/serving/view-messages';
 import {KnownBackend, type KnownBackendOptions} from './known-backend.js';
 
 /** Numbers of back ends and connections of one entry. */
@@ -52,7 +52,7 @@
 		return {
 			serving: serving.length,
 			ejected: serving.filter(({isEjected}) => isEjected).length,
-			limited: serving.filter(({limit}) => limit?.requestsPerSecond !== undefined).length,
+			limited: serving.filter(({requestsPerSecond}) => requestsPerSecond !== undefined).length,
 			connections: all.reduce((sum, {connectionCount}) => sum + connectionCount, 0),
 		};
 	}
@@ -89,6 +89,28 @@
 		}
 	}
 
+	/** Returns the limits that back ends stated to this entry. */
+	getStatedLimits(): readonly StatedLimit[] {
+		return [...this.#backends.values()].map(({ownLimit}) => ownLimit).filter(limit => limit !== undefined);
+	}
+
+	/** Applies the limits that back ends stated to any entry, and this entry's part of each. */
+	applyLimitShares(shares: readonly LimitShare[]): void {
+		const byBackend = new Map(shares.map(share => [share.backend, share]));
+		for (const backend of this.#backends.values()) {
+			backend.applyLimitShare(byBackend.get(backend.id));
+		}
+	}
+
+	/**
+	Returns the time in milliseconds until the first back end of a service accepts a request of this entry, by what the back ends have
+	stated; zero if one does now or none is known, infinite if this entry has no part of what they accept.
+	*/
+	getStatedWaitMs(service: string): number {
+		const waits = this.getCandidates(service).map(({statedWaitMs}) => statedWaitMs);
+		return waits.length === 0 ? 0 : Math.min(...waits);
+	}
+
 	/** Closes connections that have exceeded their idle time. */
 	closeIdle(): void {
 		for (const backend of this.#backends.values()) {
--- a/packages/mulberrypitch-proxy/src/entry.ts
+++ b/packages/mulberrypitch-proxy/src/entry.ts
@@ -105,7 +105,9 @@
 		this.#usage = new UsageCounter(clock, options.usageWindowMs);
 		this.#backends = new BackendView(({service}) => ({
 			clock,
+			random,
 			logger,
+			getEntryCount: () => this.#entryCount,
 			decodeStatement: options.decodeStatement,
 			onUnreadable() {
 				options.metrics.count('mulberrypitch_unreadable_statements_total', 'Statements of back ends about themselves that could not be read.', {service});
@@ -227,6 +229,7 @@
 				spent: this.#quotas.getSpent(),
 				usage: this.#usage.getCounts(),
 				crashes: this.#quarantine.createReport(),
+				limits: this.#backends.getStatedLimits(),
 			},
 			configurationVersion: this.#table?.configuration.version ?? 0,
 			rosterEpoch: this.#backends.epoch,
@@ -234,7 +237,7 @@
 		};
 	}
 
-	#applyView({configuration, roster, loads, othersSpent, entryCount, verdict}: ViewReply): void {
+	#applyView({configuration, roster, loads, othersSpent, entryCount, verdict, limits}: ViewReply): void {
 		this.#quarantine.apply(verdict);
 		if (configuration !== undefined) {
 			this.#applyConfiguration(configuration);
@@ -242,6 +245,7 @@
 
 		this.#backends.apply(roster);
 		this.#backends.setLoads(loads);
+		this.#backends.applyLimitShares(limits);
 		if (roster.epoch !== this.#spendingEpoch) {
 			this.#spendingEpoch = roster.epoch;
 			this.#quotas.resetOthersSpent();
--- a/packages/mulberrypitch-proxy/src/known-backend.ts
+++ b/packages/mulberrypitch-proxy/src/known-backend.ts
@@ -1,19 +1,21 @@
 /** A back end as one entry knows it: its announcement, the entry's requests and connections to it, and its outlier detection. */
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
+import type {Random} from '@mulberrypitch/lifecycle/random';
 import type {AnnouncedBackend} from '@mulberrypitch/serving/types';
-import type {BackendLoad} from '@mulberrypitch/serving/view-messages';
+import type {BackendLoad, LimitShare, StatedLimit} from '@mulberrypitch/serving/view-messages';
 import {events} from '@mulberrypitch/logger/events';
 import type {Logger} from '@mulberrypitch/logger/logger';
 import {BackendConnection} from './backend-connection.js';
 import {BackendPermit} from './backend-place.js';
 import type {StatementDecoder} from './backend-statement.js';
 import type {ResponseHead} from './response-parser.js';
-import {StatedConditions, type LimitStatement} from './stated-conditions.js';
+import {StatedConditions} from './stated-conditions.js';
 import {misdirectedStatus} from './types.js';
 
 /** Dependencies and settings of a back end as an entry knows it. */
 export type KnownBackendOptions = {
 	readonly clock: Clock;
+	readonly random: Random;
 	readonly logger: Logger;
 	readonly decodeStatement: StatementDecoder;
 	/** Called when the back end states something that can't be read. */
@@ -21,6 +23,8 @@
 	/** Name of the header that identifies an attempt, in lower case. */
 	readonly attemptHeader: string;
 	readonly connectTimeoutMs: number;
+	/** Returns the number of entries in the deployment. */
+	readonly getEntryCount: () => number;
 	/** Returns the maximum number of connections that this entry may hold to the back end. */
 	readonly getMaxConnections: () => number;
 };
@@ -71,7 +75,7 @@
 	constructor(announced: AnnouncedBackend, options: KnownBackendOptions) {
 		this.#announced = announced;
 		this.#options = options;
-		this.#conditions = new StatedConditions(options.clock);
+		this.#conditions = new StatedConditions(options);
 	}
 
 	/** Identifier of the back end. */
@@ -119,9 +123,27 @@
 		return {requests: this.#inFlight, pendingTokens: Math.round(this.#pendingTokens)};
 	}
 
-	/** The limit that the back end stated last; absent if it never stated one. */
-	get limit(): LimitStatement | undefined {
-		return this.#conditions.limit;
+	/** Requests a second that the back end accepts from all entries together; absent if it states no limit. */
+	get requestsPerSecond(): number | undefined {
+		return this.#conditions.requestsPerSecond;
+	}
+
+	/** The limit that the back end stated to this entry, as reported to the coordinators; absent if it never stated one. */
+	get ownLimit(): StatedLimit | undefined {
+		const {ownLimit} = this.#conditions;
+		if (ownLimit === undefined) {
+			return undefined;
+		}
+
+		const {statedAt, ...stated} = ownLimit;
+		return {
+			...stated, backend: this.id, startedAt: this.#announced.startedAt, ageMs: this.#options.clock.now() - statedAt,
+		};
+	}
+
+	/** Time in milliseconds until the back end accepts a request of this entry, by what it has stated; zero if it does now. */
+	get statedWaitMs(): number {
+		return this.#conditions.waitMs;
 	}
 
 	/** Number of requests that got a permit within the last seconds, up to a maximum. */
@@ -140,9 +162,9 @@
 		return this.#options.clock.now() < this.#ejectedUntil;
 	}
 
-	/** Whether a connection is available for another request and the back end has not just reported itself full. */
+	/** Whether a connection is available for another request, and the back end accepts one by what it has reported. */
 	get isAvailable(): boolean {
-		return this.#options.clock.now() >= this.#fullUntil && this.#hasConnection;
+		return this.statedWaitMs === 0 && this.#options.clock.now() >= this.#fullUntil && this.#hasConnection;
 	}
 
 	get #hasConnection(): boolean {
@@ -159,10 +181,17 @@
 		this.#otherLoad = load;
 	}
 
+	/** Applies what the coordinators know of the back end's limit; `undefined` if they know of none. */
+	applyLimitShare(share: LimitShare | undefined): void {
+		const isOfIncarnation = share?.startedAt === this.#announced.startedAt;
+		this.#conditions.applyShare(isOfIncarnation ? share : undefined);
+	}
+
 	/** Takes a permit for a request whose prefill is expected to process a number of prompt tokens. */
 	acquirePermit(pendingTokens: number): BackendPermit {
 		this.#inFlight += 1;
 		this.#pendingTokens += pendingTokens;
+		this.#conditions.recordSend();
 		this.#permitTimes = [...this.#permitTimes, this.#options.clock.now()].slice(-maxRecentSends);
 		return new BackendPermit(this, {
 			onPrefilled: () => {
@@ -259,7 +288,7 @@
 		}
 
 		if (this.#conditions.record(statement, sentAt)) {
-			logger.log(events.limitStated, {backend: this.id, requestsPerSecond: statement.requestsPerSecond, recentSends: this.recentSends});
+			logger.log(events.limitStated, {backend: this.id, requestsPerSecond: this.requestsPerSecond, recentSends: this.recentSends});
 		}
 	}
 
--- a/packages/mulberrypitch-proxy/src/proxied-request-options.ts
+++ b/packages/mulberrypitch-proxy/src/proxied-request-options.ts
@@ -39,6 +39,8 @@
 	back end is chosen only when no other one is available.
 	*/
 	readonly place: (excludedIds: ReadonlySet<string>) => Promise<BackendPermit | undefined>;
+	/** Returns the time in milliseconds until a back end accepts a request of this entry, by what the back ends have stated. */
+	readonly getStatedWaitMs: () => number;
 	/** Called after the permit for a back end was released. */
 	readonly onReleased: () => void;
 	/** Takes one retry from the service's retry budget. Returns whether one was left. */
--- a/packages/mulberrypitch-proxy/src/proxied-request.ts
+++ b/packages/mulberrypitch-proxy/src/proxied-request.ts
@@ -75,7 +75,7 @@
 			}
 
 			if (permit === undefined) {
-				return this.#endWithoutAttempt({kind: 'refused', service: this.#options.service, reason: 'no place'});
+				return this.#endWithoutPlace();
 			}
 
 			if (this.#isQuarantined) {
@@ -114,7 +114,7 @@
 			load: backend.load,
 			pendingTokens: Math.round(backend.pendingTokens),
 			slots: backend.slots,
-			limitPerSecond: backend.limit?.requestsPerSecond,
+			limitPerSecond: backend.requestsPerSecond,
 			recentSends: backend.recentSends,
 			waitedMs: Math.round(waitedMs),
 			leftMs: Math.round(deadlineAt - clock.now()),
@@ -141,6 +141,16 @@
 		return this.#options.content.getQuarantineMs() > 0;
 	}
 
+	/** Ends a request for which no back end was available in time. The caller is told when the first one is, if the back ends stated that. */
+	#endWithoutPlace(): RequestEnd {
+		const {service, getStatedWaitMs} = this.#options;
+		const waitMs = getStatedWaitMs();
+		const isKnown = waitMs > 0 && Number.isFinite(waitMs);
+		return this.#endWithoutAttempt({
+			kind: 'refused', service, reason: waitMs > 0 ? 'limits of all back ends' : 'no place', ...(isKnown && {retryAfterSeconds: waitMs / 1000}),
+		});
+	}
+
 	/** Ends a request whose content is quarantined. */
 	#endQuarantined(): RequestEnd {
 		const {service, content} = this.#options;
--- a/packages/mulberrypitch-proxy/src/proxy-server.ts
+++ b/packages/mulberrypitch-proxy/src/proxy-server.ts
@@ -309,6 +309,7 @@
 				maxWaitMs: Math.min(route.targetLatencyMs * maxQueueShare, deadlineAt - clock.now()),
 				signal: caller.signal,
 			}),
+			getStatedWaitMs: () => this.#options.backends.getStatedWaitMs(service),
 			getDecisionContext: () => ({...this.#getDecisionContext(), configuration: table.configuration.version}),
 			onReleased() {
 				traffic.grantPermits();
--- a/packages/mulberrypitch-proxy/src/service-traffic.ts
+++ b/packages/mulberrypitch-proxy/src/service-traffic.ts
@@ -71,8 +71,10 @@
 			return undefined;
 		}
 
+		// A request waits only if a back end can accept it in time by what the back ends have stated.
+		const isHopeless = this.#options.backends.getStatedWaitMs(service.name) > maxWaitMs;
 		return this.#queue.acquire({
-			priority, maxWaitMs, signal, tryAcquire: () => this.#choose(service, prompt, excludedIds)?.acquirePermit(estimateUncachedTokens(prompt)),
+			priority, maxWaitMs: isHopeless ? 0 : maxWaitMs, signal, tryAcquire: () => this.#choose(service, prompt, excludedIds)?.acquirePermit(estimateUncachedTokens(prompt)),
 		});
 	}
 
--- a/packages/mulberrypitch-proxy/src/stated-conditions.ts
+++ b/packages/mulberrypitch-proxy/src/stated-conditions.ts
@@ -1,6 +1,12 @@
-/** The conditions under which one incarnation of a back end accepts requests, as it states them in its responses. */
+/**
+ * The conditions under which one incarnation of a back end accepts requests, as it states them in its responses. Every send to a
+ * back end depends on them, whatever it is for.
+ */
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
+import type {Random} from '@mulberrypitch/lifecycle/random';
+import type {LimitShare} from '@mulberrypitch/serving/view-messages';
 import type {BackendStatement} from './backend-statement.js';
+import {SendPacer} from './send-pacer.js';
 
 /** A limit that a back end stated, or that it stated none any more. */
 export type LimitStatement = {
@@ -10,18 +16,51 @@
 	readonly statedAt: number;
 };
 
-/** Keeps the newest statements of one incarnation of a back end. */
+/** Dependencies of the conditions. */
+export type StatedConditionsOptions = {
+	readonly clock: Clock;
+	readonly random: Random;
+	/** Returns the number of entries in the deployment. */
+	readonly getEntryCount: () => number;
+};
+
+/** Lowest limit in requests a second that is applied. Only responses to requests can tell that a limit has ended. */
+const minRequestsPerSecond = 0.1;
+
+/** Keeps the newest statements of one incarnation of a back end, and this entry's part of what they allow. */
 export class StatedConditions {
-	readonly #clock: Clock;
-	#limit: LimitStatement | undefined;
+	readonly #options: StatedConditionsOptions;
+	readonly #pacer: SendPacer;
+	/** The newest statement in a response to this entry; absent if there was no limit in any. */
+	#ownLimit: LimitStatement | undefined;
+	/** The newest statement in a response to any entry, as last reported by the coordinators. */
+	#sharedLimit: LimitStatement | undefined;
+	/** This entry's part of the limit, as last reported by the coordinators. */
+	#part: number | undefined;
+
+	constructor(options: StatedConditionsOptions) {
+		this.#options = options;
+		this.#pacer = new SendPacer(options.clock, options.random);
+	}
 
-	constructor(clock: Clock) {
-		this.#clock = clock;
+	/** The newest statement in a response to this entry; absent if the back end never stated a limit to it. */
+	get ownLimit(): LimitStatement | undefined {
+		return this.#ownLimit;
 	}
 
-	/** The newest statement of a limit; absent if the back end never stated one. */
-	get limit(): LimitStatement | undefined {
-		return this.#limit;
+	/** Requests a second that the back end accepts from all entries together; absent if it states no limit now. */
+	get requestsPerSecond(): number | undefined {
+		return getNewer(this.#ownLimit, this.#sharedLimit)?.requestsPerSecond;
+	}
+
+	/** Time in milliseconds until this entry may send a request; zero if it may now, infinite if it has no part of the limit. */
+	get waitMs(): number {
+		return this.#pacer.waitMs;
+	}
+
+	/** Records a send, which uses up a part of the limit. */
+	recordSend(): void {
+		this.#pacer.recordSend();
 	}
 
 	/** Records the statements of a response to a request that was sent at `sentAt`. Returns whether they change the limit. */
@@ -30,14 +69,44 @@
 			return false;
 		}
 
-		const before = this.#limit?.requestsPerSecond;
+		const before = this.requestsPerSecond;
 		if (requestsPerSecond !== undefined) {
-			this.#limit = {requestsPerSecond, statedAt: this.#clock.now()};
-		} else if (this.#limit !== undefined && sentAt > this.#limit.statedAt) {
+			this.#ownLimit = {requestsPerSecond, statedAt: this.#options.clock.now()};
+		} else if (before !== undefined) {
 			// A response to an earlier request may have been made before the limit was stated.
-			this.#limit = {statedAt: sentAt};
+			this.#ownLimit = getNewer(this.#ownLimit, {statedAt: sentAt});
 		}
 
-		return this.#limit?.requestsPerSecond !== before;
+		this.#updateRate();
+		return this.requestsPerSecond !== before;
 	}
+
+	/** Applies what the coordinators know of the limit, and this entry's part of it; `undefined` if they know of none. */
+	applyShare(share: LimitShare | undefined): void {
+		this.#part = share?.part;
+		this.#sharedLimit = share && {
+			...(share.requestsPerSecond !== undefined && {requestsPerSecond: share.requestsPerSecond}),
+			statedAt: this.#options.clock.now() - share.ageMs,
+		};
+		this.#updateRate();
+	}
+
+	#updateRate(): void {
+		const limit = this.requestsPerSecond;
+		const part = this.#part ?? 1 / this.#options.getEntryCount();
+		this.#pacer.setRate(limit === undefined ? Number.POSITIVE_INFINITY : Math.max(minRequestsPerSecond, limit) * part);
+	}
+}
+
+/** Returns the statement that held later, and of two at the same time the one with a limit. */
+function getNewer(first: LimitStatement | undefined, second: LimitStatement | undefined): LimitStatement | undefined {
+	if (first === undefined || second === undefined) {
+		return first ?? second;
+	}
+
+	if (first.statedAt === second.statedAt) {
+		return first.requestsPerSecond === undefined ? second : first;
+	}
+
+	return first.statedAt > second.statedAt ? first : second;
 }
--- a/packages/mulberrypitch-serving/src/view-messages.ts
+++ b/packages/mulberrypitch-serving/src/view-messages.ts
@@ -28,6 +28,23 @@
 	readonly pendingTokens: number;
 };
 
+/** What one incarnation of a back end stated last of the requests that it accepts. */
+export type StatedLimit = {
+	/** Identifier of the back end, and wall time of the start of its incarnation in milliseconds. */
+	readonly backend: string;
+	readonly startedAt: number;
+	/** Requests a second from all entries together; absent if the back end stated no limit. */
+	readonly requestsPerSecond?: number;
+	/** Time in milliseconds since the statement held. */
+	readonly ageMs: number;
+};
+
+/** The newest statement known, and what it leaves to one entry. */
+export type LimitShare = StatedLimit & {
+	/** Part of the limit that the entry may use, from zero to one. */
+	readonly part: number;
+};
+
 /** A request that a back end broke off and that may have crashed it. */
 export type ContentCharge = {
 	/** Incarnation of the back end. */
@@ -80,6 +97,8 @@
 	readonly spent: Readonly<Record<string, number>>;
 	readonly usage: readonly UsageCount[];
 	readonly crashes: CrashReport;
+	/** Limits that back ends stated in their responses to this entry. */
+	readonly limits: readonly StatedLimit[];
 };
 
 /** A long-polling request for changes. The reply comes at once when there are any, otherwise after a timeout. */
@@ -108,6 +127,8 @@
 	/** Quota units that all other entries have spent, by workspace, as counted by this coordinator. */
 	readonly othersSpent: Readonly<Record<string, number>>;
 	readonly verdict: ContentVerdict;
+	/** Limits that back ends stated to any entry. */
+	readonly limits: readonly LimitShare[];
 	/** Number of entries in contact with the coordinators, including the one that asks. */
 	readonly entryCount: number;
 	/** Addresses of the coordinators for calls between processes. */
