Give up failure responses of back ends that do not end

Cause: a response that is no success is buffered until its end, without a limit. A refusal that states that the request did not run took the same way. Change: beyond 256 KiB a response below 500 is relayed as it arrives, since it is delivered in any case; one that states not to have run is given up as such; any other failure is given up as unknown. The connection is closed. A connection whose exchange gave up in the middle of a read goes on without it: the next chunk of that read ended the process with a TypeError.

--- /dev/null
+++ b/packages/mulberrypitch-proxy/src/__tests__/hostile-backends.test.ts
@@ -0,0 +1,188 @@
+/**
+ * Tests that no back end can fill an entry or keep a request from ending: back ends whose responses don't end, in each unit of a response
+ * that an entry holds before it passes it on.
+ */
+import {Buffer} from 'node:buffer';
+import http, {type ServerResponse} from 'node:http';
+import net from 'node:net';
+import t, {type Test} from 'tap';
+import {assumeType} from '@mulberrypitch/errors/assume-type';
+import {VirtualClock} from '@mulberrypitch/fakes/virtual-clock';
+import type {AttemptOutcome} from '../attempt-outcome.js';
+import {BackendConnection} from '../backend-connection.js';
+import {ResponseCollector} from '../response-collector.js';
+import {ResponseRelay} from '../response-relay.js';
+import {ResponseTiming} from '../response-timing.js';
+
+const host = '127.0.0.1';
+/** Size of an endless part after which the back end of a test gives up: what an entry has taken without an end is too much. */
+const endlessBytes = 24 * 1024 * 1024;
+const pieceBytes = 64 * 1024;
+const streamHead = 'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n';
+
+/** A response that begins with `start` and then repeats a piece. */
+type EndlessResponse = {
+	readonly start: string;
+	readonly piece: string;
+	readonly isStream?: boolean;
+	readonly isResumable?: boolean;
+	/** The outcome of the attempt: whether the request may have run, and whether a part of the response has reached the caller. */
+	readonly expected: AttemptOutcome['kind'];
+};
+
+function createChunk(text: string): string {
+	return `${text.length.toString(16)}\r\n${text}\r\n`;
+}
+
+function repeat(text: string): string {
+	return text.repeat(Math.ceil(pieceBytes / text.length));
+}
+
+const letters = 'a'.repeat(pieceBytes);
+const responses: Readonly<Record<string, EndlessResponse>> = {
+	'status line': {start: 'HTTP/1.1 200 ', piece: letters, expected: 'unknown'},
+	header: {start: 'HTTP/1.1 200 OK\r\nA: ', piece: letters, expected: 'unknown'},
+	'number of headers': {start: 'HTTP/1.1 200 OK\r\n', piece: repeat('A: b\r\n'), expected: 'unknown'},
+	'chunk size': {start: 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;', piece: letters, expected: 'unknown'},
+	'body of a failure': {start: 'HTTP/1.1 500 Internal Server Error\r\nTransfer-Encoding: chunked\r\n\r\n', piece: createChunk(letters), expected: 'unknown'},
+	'body of a failure in small chunks': {start: 'HTTP/1.1 500 Internal Server Error\r\nTransfer-Encoding: chunked\r\n\r\n', piece: repeat(createChunk('abc')), expected: 'unknown'},
+	'unframed body of a failure': {start: 'HTTP/1.1 500 Internal Server Error\r\n\r\n', piece: letters, expected: 'unknown'},
+	'body of a refusal': {start: 'HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nTransfer-Encoding: chunked\r\n\r\n', piece: createChunk(letters), expected: 'notRun'},
+	'body of a misdirected request': {start: 'HTTP/1.1 421 Misdirected\r\nTransfer-Encoding: chunked\r\n\r\n', piece: createChunk(letters), expected: 'notRun'},
+};
+
+async function listen(t: Test, server: net.Server): Promise<number> {
+	await new Promise<void>(resolve => {
+		server.listen(0, host, resolve);
+	});
+	t.teardown(() => {
+		server.close();
+	});
+	return assumeType<net.AddressInfo>(server.address()).port;
+}
+
+/** Sends a response without end. Resolves when the entry has closed the connection, or with `false` after `endlessBytes`. */
+async function sendWithoutEnd(socket: net.Socket, {start, piece}: EndlessResponse): Promise<boolean> {
+	socket.on('error', () => {
+		// The entry resets the connection.
+	});
+	socket.write(start, 'latin1');
+	for (let sentBytes = 0; sentBytes < endlessBytes; sentBytes += piece.length) {
+		if (socket.destroyed) {
+			return true;
+		}
+
+		await new Promise<void>(resolve => {
+			socket.once('close', resolve);
+			socket.write(piece, 'latin1', () => {
+				resolve();
+			});
+		});
+	}
+
+	socket.destroy();
+	return false;
+}
+
+async function relayResponse(backendPort: number, response: ServerResponse, {isStream = false, isResumable = false}: EndlessResponse): Promise<AttemptOutcome> {
+	const connection = await BackendConnection.open({
+		address: `${host}:${backendPort}`,
+		connectTimeoutMs: 1000,
+		attemptHeader: 'attempt',
+		onHead() {
+			// The test reads no statements of back ends.
+		},
+		onClosed() {
+			// The test uses no connection pool.
+		},
+		onIdle() {
+			// The test uses no connection pool.
+		},
+		now: () => 0,
+	});
+	const relay = new ResponseRelay(response, {isResumable, timing: new ResponseTiming(new VirtualClock(), 0), getExtraHeaders: () => []});
+	const outcome = await new Promise<AttemptOutcome>(resolve => {
+		connection.send('GET / HTTP/1.1\r\n\r\n', undefined, new ResponseCollector({
+			attemptId: undefined,
+			isHead: false,
+			isStream,
+			relay,
+			connection,
+			notRunHeader: 'not-run',
+			onBodyBytes() {
+				// The test has no permits.
+			},
+			onRunning() {
+				// The test counts no usage.
+			},
+			onOutcome: resolve,
+		}));
+	});
+	connection.destroy();
+	relay.cut();
+	return outcome;
+}
+
+// Guards against a back end that fills the memory of an entry, or holds a request until its deadline, with a part of a response that does not end.
+for (const [unit, endless] of Object.entries(responses)) {
+	await t.test(`a response whose ${unit} does not end is given up`, async t => {
+		let wasClosed = Promise.resolve(false);
+		const backendPort = await listen(t, net.createServer(socket => {
+			socket.once('data', () => {
+				wasClosed = sendWithoutEnd(socket, endless);
+			});
+		}));
+		const outcome = await new Promise<AttemptOutcome>(resolve => {
+			void (async () => {
+				const entryPort = await listen(t, http.createServer((_, response) => {
+					void (async () => {
+						resolve(await relayResponse(backendPort, response, endless));
+					})();
+				}));
+				const caller = net.connect(entryPort, host, () => {
+					caller.write('GET / HTTP/1.1\r\nHost: a\r\n\r\n');
+				});
+				caller.resume();
+				caller.on('error', () => {
+					// The entry breaks the response off.
+				});
+			})();
+		});
+		t.equal(outcome.kind, endless.expected);
+		t.ok(await wasClosed, 'the entry closed the connection');
+	});
+}
+
+// Guards against limits that cut off long answers which are sound.
+await t.test('a long error of a caller is relayed, and a long stream of small events as well', async t => {
+	const body = 'b'.repeat(1024 * 1024);
+	const eventCount = 60_000;
+	const soundResponses: ReadonlyArray<{readonly text: string; readonly isStream: boolean; readonly bodyBytes: number}> = [
+		{text: `HTTP/1.1 404 Not Found\r\nContent-Length: ${body.length}\r\n\r\n${body}`, isStream: false, bodyBytes: body.length},
+		{text: streamHead + createChunk('id: 1\ndata: abc\n\n'.repeat(eventCount)) + '0\r\n\r\n', isStream: true, bodyBytes: 17 * eventCount},
+	];
+	for (const {text, isStream, bodyBytes} of soundResponses) {
+		const backendPort = await listen(t, net.createServer(socket => {
+			socket.once('data', () => {
+				socket.end(text, 'latin1');
+			});
+		}));
+		const entryPort = await listen(t, http.createServer((_, response) => {
+			void relayResponse(backendPort, response, {
+				start: '', piece: '', isStream, isResumable: isStream, expected: 'delivered',
+			});
+		}));
+		const received = await new Promise<number>((resolve, reject) => {
+			http.get({host, port: entryPort, agent: false}, response => {
+				const parts: Uint8Array[] = [];
+				response.on('data', (data: Uint8Array) => {
+					parts.push(data);
+				});
+				response.once('end', () => {
+					resolve(Buffer.concat(parts).length);
+				});
+			}).once('error', reject);
+		});
+		t.equal(received, bodyBytes);
+	}
+});
--- a/packages/mulberrypitch-proxy/src/backend-connection.ts
+++ b/packages/mulberrypitch-proxy/src/backend-connection.ts
@@ -109,7 +109,8 @@
 			},
 			onBody: data => {
 				if (!this.#isSkipping) {
-					this.#exchange!.onBody(data);
+					// The exchange is absent when it has given the response up in the middle of the received bytes.
+					this.#exchange?.onBody(data);
 				}
 			},
 			onEnd: () => {
--- a/packages/mulberrypitch-proxy/src/response-collector.ts
+++ b/packages/mulberrypitch-proxy/src/response-collector.ts
@@ -26,8 +26,13 @@
 	readonly onOutcome: (outcome: AttemptOutcome) => void;
 };
 
-/** Size in bytes up to which a response is buffered until it is complete. A larger successful response is relayed as it arrives. */
+/**
+Size in bytes up to which a response is buffered until it is complete. A larger one is relayed as it arrives if it is delivered
+whatever its end is, and otherwise given up.
+*/
 const maxBufferedBytes = 256 * 1024;
+/** Lowest status of a failure after which the request may be sent again. Such a response is not written to the caller before its end. */
+const firstRetriedStatus = 500;
 const eventStreamType = /^text\/event-stream[ \t]*(?:;|$)/iv;
 
 /** Collects the response of one exchange. */
@@ -40,6 +45,8 @@
 	#bufferedBytes = 0;
 	#isRelaying = false;
 	#bodyBytes = 0;
+	/** Whether the outcome was reported before the end of the response. */
+	#isGivenUp = false;
 
 	constructor(options: ResponseCollectorOptions) {
 		this.#options = options;
@@ -73,12 +80,14 @@
 			return;
 		}
 
+		if (this.#isGivenUp) {
+			return;
+		}
+
 		this.#buffered.push(Buffer.from(data));
 		this.#bufferedBytes += data.length;
-		if (this.#bufferedBytes > maxBufferedBytes && isSuccess(this.#head!)) {
-			this.#beginRelay();
-			this.#relay(Buffer.concat(this.#buffered));
-			this.#buffered = [];
+		if (this.#bufferedBytes > maxBufferedBytes) {
+			this.#endBuffering();
 		}
 	}
 
@@ -107,16 +116,36 @@
 		onOutcome(relay.hasStarted ? {kind: 'cut', reason} : {kind: 'unknown', reason});
 	}
 
+	/** Relays a response that is too long to be buffered, or gives it up if it might not be delivered. */
+	#endBuffering(): void {
+		const {relay, connection, onOutcome} = this.#options;
+		const head = this.#head!;
+		const buffered = Buffer.concat(this.#buffered);
+		this.#buffered = [];
+		if (!this.#isNotRun(head) && head.status < firstRetriedStatus && !relay.hasStarted) {
+			this.#beginRelay();
+			this.#relay(buffered);
+			return;
+		}
+
+		this.#isGivenUp = true;
+		connection.destroy();
+		if (this.#isNotRun(head)) {
+			onOutcome(createNotRun(head));
+			return;
+		}
+
+		this.onFailed(`the response with status ${head.status} is longer than ${maxBufferedBytes} bytes`);
+	}
+
 	#endBuffered(answer: BufferedResponse): AttemptOutcome {
 		const {status} = answer.head;
 		if (this.#isNotRun(answer.head)) {
-			return {
-				kind: 'notRun', reason: `the back end answered ${status}`, wasSent: true, status,
-			};
+			return createNotRun(answer.head);
 		}
 
 		// The caller has got a part of a stream, which a complete response can't follow.
-		if (status >= 500 || this.#options.relay.hasStarted) {
+		if (status >= firstRetriedStatus || this.#options.relay.hasStarted) {
 			return {kind: 'failed', answer};
 		}
 
@@ -168,6 +197,12 @@
 	}
 }
 
+function createNotRun({status}: ResponseHead): AttemptOutcome {
+	return {
+		kind: 'notRun', reason: `the back end answered ${status}`, wasSent: true, status,
+	};
+}
+
 function endsInsideEvent(body: Uint8Array): boolean {
 	const boundary = new EventBoundary();
 	boundary.push(body);
