Give up streams whose events do not end

Cause: EventSplitter joined all that came before of an event at each read, without a limit. Change: an event of more than 256 KiB is an error of its back end, and the parts of an event are joined once, when it is complete. Measured: two rows of hostile-backends.test.ts (first and later event) failed before and pass now; a stream of 60,000 small events in one chunk passes before and after.

--- a/packages/mulberrypitch-proxy/src/__tests__/hostile-backends.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/hostile-backends.test.ts
@@ -49,6 +49,12 @@
 	'unframed body of a failure': {start: 'HTTP/1.1 500 Internal Server Error\r\n\r\n', piece: letters, expected: 'unknown'},
 	'body of a refusal': {start: 'HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nTransfer-Encoding: chunked\r\n\r\n', piece: createChunk(letters), expected: 'notRun'},
 	'body of a misdirected request': {start: 'HTTP/1.1 421 Misdirected\r\nTransfer-Encoding: chunked\r\n\r\n', piece: createChunk(letters), expected: 'notRun'},
+	'first event': {
+		start: streamHead, piece: createChunk(letters), isStream: true, isResumable: true, expected: 'unknown',
+	},
+	'later event': {
+		start: streamHead + createChunk('id: 1\ndata: a\n\n'), piece: createChunk(letters), isStream: true, isResumable: true, expected: 'cut',
+	},
 };
 
 async function listen(t: Test, server: net.Server): Promise<number> {
--- a/packages/mulberrypitch-proxy/src/event-splitter.ts
+++ b/packages/mulberrypitch-proxy/src/event-splitter.ts
@@ -1,7 +1,7 @@
 /** Splits a stream of server-sent events at event boundaries, and reads the events' identifiers. */
 import {Buffer} from 'node:buffer';
+import {ProtocolError} from '@mulberrypitch/errors/catalogue';
 import {EventBoundary} from './event-boundary.js';
-import type {NodeBuffer} from './response-parser.js';
 
 /** One or more complete events. */
 export type CompleteEvents = {
@@ -13,26 +13,36 @@
 
 const idLine = /^id:[ ]?(?<id>.*)$/gmv;
 
+/** Size in bytes beyond which an incomplete event is an error. */
+const maxEventBytes = 256 * 1024;
+
 /** Buffers an event until it is complete. */
 export class EventSplitter {
 	readonly #boundary: EventBoundary;
-	#incomplete: NodeBuffer = Buffer.alloc(0);
+	#incomplete: Uint8Array[] = [];
 
 	/** `boundary` scans the same stream, and nothing else. */
 	constructor(boundary = new EventBoundary()) {
 		this.#boundary = boundary;
 	}
 
-	/** Adds bytes. Returns the events that these complete, or `undefined` when there are none. */
+	/**
+	Adds bytes. Returns the events that these complete, or `undefined` when there are none. Throws `ProtocolError` when the event after them
+	is too long.
+	*/
 	push(data: Uint8Array): CompleteEvents | undefined {
 		const completeBytes = this.#boundary.push(data);
+		if (this.#boundary.openBytes > maxEventBytes) {
+			throw new ProtocolError(`An event of the stream is longer than ${maxEventBytes} bytes.`);
+		}
+
 		if (completeBytes === 0) {
-			this.#incomplete = Buffer.concat([this.#incomplete, data]);
+			this.#incomplete.push(Buffer.from(data));
 			return undefined;
 		}
 
-		const whole = Buffer.concat([this.#incomplete, data.subarray(0, completeBytes)]);
-		this.#incomplete = Buffer.from(data.subarray(completeBytes));
+		const whole = Buffer.concat([...this.#incomplete, data.subarray(0, completeBytes)]);
+		this.#incomplete = [Buffer.from(data.subarray(completeBytes))];
 		const text = whole.toString('latin1');
 		const lastId = [...text.matchAll(idLine)].at(-1)?.groups?.id;
 		return {data: whole, ...(lastId !== undefined && {lastId})};
@@ -40,8 +50,8 @@
 
 	/** Returns the incomplete rest at the end of a response, and clears it. */
 	takeRemainder(): Uint8Array {
-		const rest = this.#incomplete;
-		this.#incomplete = Buffer.alloc(0);
+		const rest = Buffer.concat(this.#incomplete);
+		this.#incomplete = [];
 		return rest;
 	}
 }
