Limit interim heads, trailers and complete heads of back ends

Cause: the limits held for a part that has not arrived whole; what arrives whole, however often, was not counted. Change: the head with the interim heads before it, the trailers, and each chunk-size line have a limit in total, whole or not. Measured: three rows of hostile-backends.test.ts failed before and pass now.

--- a/packages/mulberrypitch-proxy/src/response-parser.ts
+++ b/packages/mulberrypitch-proxy/src/response-parser.ts
@@ -44,9 +44,9 @@
 	onEnd(): void;
 };
 
-/** Number of received bytes above which an incomplete head or trailer line is an error. One that arrives complete is not checked. */
+/** Size in bytes above which the head of a response with the interim responses before it, or the trailers after it, are an error. */
 const maxHeadBytes = 64 * 1024;
-/** Number of received bytes above which an incomplete chunk-size line, with its extensions, is an error. One that arrives complete is not checked. */
+/** Size in bytes above which a chunk-size line, with its extensions, is an error. */
 const maxSizeLineBytes = 1024;
 const headEnd = Buffer.from('\r\n\r\n');
 const lineEnd = Buffer.from('\r\n');
@@ -80,6 +80,8 @@
 	#buffered: Uint8Array = Buffer.alloc(0);
 	/** Bytes of the body or chunk that have not arrived yet. */
 	#remainingBytes = 0;
+	/** Bytes of the interim responses before the current head, or of the current response's trailers. */
+	#headBytes = 0;
 
 	constructor(listener: ResponseListener, isBodiless: () => boolean) {
 		this.#listener = listener;
@@ -149,8 +151,8 @@
 
 	#consumeHead(data: NodeBuffer): NodeBuffer | undefined {
 		const end = data.indexOf(headEnd);
+		checkLength(this.#headBytes + (end === -1 ? data.length : end), maxHeadBytes);
 		if (end === -1) {
-			checkLength(data.length, maxHeadBytes);
 			checkStatusPrefix(data);
 			return undefined;
 		}
@@ -158,9 +160,12 @@
 		const head = parseHead(data.toString('latin1', 0, end));
 		const rest = data.subarray(end + headEnd.length);
 		if (head.status >= 100 && head.status < 200) {
+			this.#headBytes += end + headEnd.length;
 			return rest;
 		}
 
+		this.#headBytes = 0;
+
 		const isBodiless = this.#isBodiless() || head.status === 204 || head.status === 304;
 		const {framing, lengthBytes} = isBodiless ? noBody : findBodyFraming(head.headers);
 		this.#listener.onHead({...head, framing});
@@ -212,8 +217,8 @@
 
 	#consumeChunkSize(data: NodeBuffer): NodeBuffer | undefined {
 		const end = data.indexOf(lineEnd);
+		checkLength(end === -1 ? data.length : end, maxSizeLineBytes);
 		if (end === -1) {
-			checkLength(data.length, maxSizeLineBytes);
 			return undefined;
 		}
 
@@ -242,11 +247,12 @@
 
 	#consumeTrailer(data: NodeBuffer): NodeBuffer | undefined {
 		const end = data.indexOf(lineEnd);
+		checkLength(this.#headBytes + (end === -1 ? data.length : end), maxHeadBytes);
 		if (end === -1) {
-			checkLength(data.length, maxHeadBytes);
 			return undefined;
 		}
 
+		this.#headBytes += end + lineEnd.length;
 		if (end === 0) {
 			this.#end();
 		}
@@ -256,14 +262,15 @@
 
 	#end(): void {
 		this.#state = states.head;
+		this.#headBytes = 0;
 		this.#listener.onEnd();
 	}
 }
 
-/** Throws `ProtocolError` when the incomplete data is longer than the limit. */
+/** Throws `ProtocolError` when a part of a response is longer than the limit. */
 function checkLength(lengthBytes: number, limitBytes: number): void {
 	if (lengthBytes > limitBytes) {
-		throw new ProtocolError(`A head, trailer line or chunk-size line of the response is longer than ${limitBytes} bytes.`);
+		throw new ProtocolError(`The head, the trailers or a chunk-size line of the response is longer than ${limitBytes} bytes.`);
 	}
 }
 
