Send nothing more to back ends that state in their answers that they leave

Cause: the statement was not read, and the roster let a newer announcement put a leaving incarnation back into service. Change: decoded once into a typed field, kept with the other statements of the incarnation, which no send passes by; the entry tells the coordinators, which mark the roster for good. A service without back ends refuses at once.

--- a/packages/mulberrypitch-coordinator/src/__tests__/spending-count.test.ts
+++ b/packages/mulberrypitch-coordinator/src/__tests__/spending-count.test.ts
@@ -7,6 +7,7 @@
 	return {
 		name, incarnation, upMs, address: name, zone: 'a', isReady: true, loads: {}, pressure: {}, spent: {w: units}, usage: [], crashes: {charges: [], answered: [], quarantined: []},
 		limits: [],
+		leaves: [],
 	};
 }
 
--- a/packages/mulberrypitch-coordinator/src/__tests__/usage-duty.test.ts
+++ b/packages/mulberrypitch-coordinator/src/__tests__/usage-duty.test.ts
@@ -14,6 +14,7 @@
 	return {
 		name, incarnation, upMs: 60_000, address: name, zone: 'a', isReady: true, loads: {}, pressure: {}, spent: {}, usage, crashes: {charges: [], answered: [], quarantined: []},
 		limits: [],
+		leaves: [],
 	};
 }
 
--- a/packages/mulberrypitch-coordinator/src/view-service.ts
+++ b/packages/mulberrypitch-coordinator/src/view-service.ts
@@ -6,7 +6,7 @@
 import type {BackendRoster} from '@mulberrypitch/serving/backend-roster';
 import {QuarantineList} from '@mulberrypitch/serving/quarantine-list';
 import type {
-	GossipReply, GossipRequest, StoredConfiguration, ViewReply, ViewRequest,
+	EntryStatus, GossipReply, GossipRequest, StoredConfiguration, ViewReply, ViewRequest,
 } from '@mulberrypitch/serving/view-messages';
 import {CrashEvidence} from './crash-evidence.js';
 import type {EntryDirectory} from './entry-directory.js';
@@ -57,7 +57,7 @@
 	async watch({status, configurationVersion, rosterEpoch, rosterVersion}: ViewRequest): Promise<ViewReply> {
 		const {directory, roster, getConfiguration, getCoordinators, isInTouch} = this.#options;
 		directory.update(status);
-		this.#evidence.merge(status.crashes);
+		this.#mergeObservations(status);
 		const hasChanges = (getConfiguration()?.version ?? 0) > configurationVersion || roster.hasChanges(rosterEpoch, rosterVersion);
 		if (!hasChanges) {
 			await this.#waitForChanges();
@@ -82,7 +82,7 @@
 		const {directory, roster, changes} = this.#options;
 		for (const status of entries) {
 			directory.merge(status);
-			this.#evidence.merge(status.crashes);
+			this.#mergeObservations(status);
 		}
 
 		const hasChanged = backends.map(entry => roster.merge(entry));
@@ -103,6 +103,18 @@
 		}
 	}
 
+	/** Takes over what an entry observed of back ends. */
+	#mergeObservations({crashes, leaves}: EntryStatus): void {
+		const {roster, changes, logger} = this.#options;
+		this.#evidence.merge(crashes);
+		for (const leave of leaves) {
+			if (roster.markLeaving(leave)) {
+				logger.log(events.backendLeaving, {backend: leave.backend, isStated: true});
+				changes.notify();
+			}
+		}
+	}
+
 	async #waitForChanges(): Promise<void> {
 		const {clock, changes} = this.#options;
 		const timeout = new AbortController();
--- a/packages/mulberrypitch-proxy/src/__tests__/stated-conditions.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/stated-conditions.test.ts
@@ -17,11 +17,11 @@
 // Guards against a response that was made before the limit, and overtaken on its way, ending the limit.
 await t.test('only a response to a later request ends a limit', async t => {
 	const {clock, conditions} = await createConditions();
-	t.ok(conditions.record({requestsPerSecond: 2}, 900));
+	t.ok(conditions.record({isLeaving: false, requestsPerSecond: 2}, 900));
 	await clock.runFor(100);
-	t.notOk(conditions.record({}, 950));
+	t.notOk(conditions.record({isLeaving: false}, 950));
 	t.equal(conditions.requestsPerSecond, 2);
-	t.ok(conditions.record({}, 1050));
+	t.ok(conditions.record({isLeaving: false}, 1050));
 	t.equal(conditions.requestsPerSecond, undefined);
 	t.equal(conditions.waitMs, 0);
 });
@@ -29,7 +29,7 @@
 // Guards against an entry out of touch that uses the whole limit.
 await t.test('an entry that the coordinators told no part uses its share of the entries', async t => {
 	const {clock, conditions} = await createConditions(10);
-	conditions.record({requestsPerSecond: 2}, 900);
+	conditions.record({isLeaving: false, requestsPerSecond: 2}, 900);
 	let sends = 0;
 	for (let step = 0; step < 1000; step += 1) {
 		await clock.runFor(20);
--- a/packages/mulberrypitch-proxy/src/backend-statement.ts
+++ b/packages/mulberrypitch-proxy/src/backend-statement.ts
@@ -3,6 +3,8 @@
 
 /** The statements of one response. */
 export type BackendStatement = {
+	/** Whether the back end leaves. It ends the requests that it runs, and must get no others. */
+	readonly isLeaving: boolean;
 	/** Requests a second that the back end accepts from all entries together; absent if it states no limit. */
 	readonly requestsPerSecond?: number;
 	/** Text of a limit that can't be read; absent otherwise. It changes nothing: what the back end stated before still holds. */
--- a/packages/mulberrypitch-proxy/src/backend-view.ts
+++ b/packages/mulberrypitch-proxy/src/backend-view.ts
@@ -1,7 +1,9 @@
 /** An entry's view of the back ends: those that it knows from the coordinators' roster, and its own state of each. */
 import type {RosterChanges} from '@mulberrypitch/serving/backend-roster';
 import type {AnnouncedBackend} from '@mulberrypitch/serving/types';
-import type {BackendLoad, LimitShare, StatedLimit} from '@mulberrypitch/serving/view-messages';
+import type {
+	BackendLoad, Incarnation, LimitShare, StatedLimit,
+} from '@mulberrypitch/serving/view-messages';
 import {KnownBackend, type KnownBackendOptions} from './known-backend.js';
 
 /** Numbers of back ends and connections of one entry. */
@@ -23,6 +25,8 @@
 	#version = 0;
 	/** Whether the last whole roster was not settled, so that back ends that it doesn't list are retired only later. */
 	#isPartial = false;
+	/** Whether the coordinator of the last roster had been running for long enough to know all back ends. */
+	#isSettled = false;
 
 	constructor(createOptions: (announced: AnnouncedBackend) => KnownBackendOptions) {
 		this.#create = announced => new KnownBackend(announced, createOptions(announced));
@@ -70,6 +74,7 @@
 
 		this.#epoch = epoch;
 		this.#version = version;
+		this.#isSettled = isSettled;
 		if (isWhole && isSettled) {
 			this.#retireOthers(new Set(entries.map(({backend}) => backend.id)));
 		} else if (isWhole) {
@@ -89,6 +94,18 @@
 		}
 	}
 
+	/** Returns the incarnations that stated to this entry that they leave, and of which the coordinators don't know it yet. */
+	getStatedLeaves(): readonly Incarnation[] {
+		return [...this.#backends.values()]
+			.filter(({isLeavingUnknown}) => isLeavingUnknown)
+			.map(({id, announced}) => ({backend: id, startedAt: announced.startedAt}));
+	}
+
+	/** Reports whether none of a service may be sent requests, as told by a coordinator that has heard of all back ends. */
+	isWithoutBackends(service: string): boolean {
+		return this.#isSettled && this.getCandidates(service).length === 0;
+	}
+
 	/** Returns the limits that back ends stated to this entry. */
 	getStatedLimits(): readonly StatedLimit[] {
 		return [...this.#backends.values()].map(({ownLimit}) => ownLimit).filter(limit => limit !== undefined);
--- a/packages/mulberrypitch-proxy/src/known-backend.ts
+++ b/packages/mulberrypitch-proxy/src/known-backend.ts
@@ -154,7 +154,12 @@
 
 	/** Whether the back end may be sent requests. */
 	get isServing(): boolean {
-		return !this.#isRetired && !this.#announced.isLeaving;
+		return !this.#isRetired && !this.#announced.isLeaving && !this.#conditions.isLeaving;
+	}
+
+	/** Whether the back end has stated to this entry that it leaves, and the coordinators don't know it yet. */
+	get isLeavingUnknown(): boolean {
+		return this.#conditions.isLeaving && !this.#announced.isLeaving;
 	}
 
 	/** Whether outlier detection has ejected the back end for now. */
@@ -282,6 +287,10 @@
 		}
 
 		const statement = decodeStatement(head);
+		if (statement.isLeaving && this.isServing) {
+			logger.log(events.backendLeaving, {backend: this.id, service: this.#announced.service, isStated: true});
+		}
+
 		if (statement.unreadableLimit !== undefined) {
 			onUnreadable();
 			logger.log(events.statementUnreadable, {backend: this.id, limit: statement.unreadableLimit});
--- a/packages/mulberrypitch-proxy/src/service-traffic.ts
+++ b/packages/mulberrypitch-proxy/src/service-traffic.ts
@@ -72,7 +72,8 @@
 		}
 
 		// A request waits only if a back end can accept it in time by what the back ends have stated.
-		const isHopeless = this.#options.backends.getStatedWaitMs(service.name) > maxWaitMs;
+		const {backends} = this.#options;
+		const isHopeless = backends.isWithoutBackends(service.name) || backends.getStatedWaitMs(service.name) > maxWaitMs;
 		return this.#queue.acquire({
 			priority, maxWaitMs: isHopeless ? 0 : maxWaitMs, signal, tryAcquire: () => this.#choose(service, prompt, excludedIds)?.acquirePermit(estimateUncachedTokens(prompt)),
 		});
--- a/packages/mulberrypitch-proxy/src/stated-conditions.ts
+++ b/packages/mulberrypitch-proxy/src/stated-conditions.ts
@@ -37,6 +37,7 @@
 	#sharedLimit: LimitStatement | undefined;
 	/** This entry's part of the limit, as last reported by the coordinators. */
 	#part: number | undefined;
+	#isLeaving = false;
 
 	constructor(options: StatedConditionsOptions) {
 		this.#options = options;
@@ -48,6 +49,11 @@
 		return this.#ownLimit;
 	}
 
+	/** Whether the back end has stated that it leaves, which no later statement takes back. */
+	get isLeaving(): boolean {
+		return this.#isLeaving;
+	}
+
 	/** Requests a second that the back end accepts from all entries together; absent if it states no limit now. */
 	get requestsPerSecond(): number | undefined {
 		return getNewer(this.#ownLimit, this.#sharedLimit)?.requestsPerSecond;
@@ -64,7 +70,8 @@
 	}
 
 	/** Records the statements of a response to a request that was sent at `sentAt`. Returns whether they change the limit. */
-	record({requestsPerSecond, unreadableLimit}: BackendStatement, sentAt: number): boolean {
+	record({isLeaving, requestsPerSecond, unreadableLimit}: BackendStatement, sentAt: number): boolean {
+		this.#isLeaving ||= isLeaving;
 		if (unreadableLimit !== undefined) {
 			return false;
 		}
--- a/packages/mulberrypitch-serving/src/backend-roster.ts
+++ b/packages/mulberrypitch-serving/src/backend-roster.ts
@@ -1,6 +1,7 @@
 /** The back ends of a deployment, merged from the announcements that all coordinators have received. */
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
 import type {AnnouncedBackend, BackendDeregistration} from './types.js';
+import type {Incarnation} from './view-messages.js';
 
 /** A back end of the roster, as coordinators and entries exchange it. */
 export type RosterEntry = {
@@ -96,21 +97,36 @@
 		return true;
 	}
 
+	/** Marks a back end as leaving, as it stated in its responses. Returns whether this incarnation is listed and was not leaving. */
+	markLeaving({backend, startedAt}: Incarnation): boolean {
+		const record = this.#records.get(backend);
+		if (record === undefined || record.isGone || record.backend.isLeaving || record.backend.startedAt !== startedAt) {
+			return false;
+		}
+
+		record.backend = {...record.backend, isLeaving: true};
+		record.updatedAt = this.#options.clock.now();
+		this.#incrementVersion(record);
+		return true;
+	}
+
 	/** Merges an entry of another coordinator's roster. Returns whether it changed anything that affects routing. */
-	merge({backend, isGone, isSilent = false, ageMs}: RosterEntry): boolean {
+	merge({backend: announced, isGone, isSilent = false, ageMs}: RosterEntry): boolean {
 		const lastSeenAt = this.#options.clock.now() - ageMs;
-		const known = this.#records.get(backend.id);
+		const known = this.#records.get(announced.id);
 		if (known === undefined) {
 			return this.#add({
-				backend, isGone, isSilent, lastSeenAt, updatedAt: this.#options.clock.now(), version: 0,
+				backend: announced, isGone, isSilent, lastSeenAt, updatedAt: this.#options.clock.now(), version: 0,
 			});
 		}
 
-		if (isOlder(backend, known.backend)) {
+		if (isOlder(announced, known.backend)) {
 			return false;
 		}
 
-		const isNewIncarnation = backend.startedAt > known.backend.startedAt;
+		const isNewIncarnation = announced.startedAt > known.backend.startedAt;
+		// An incarnation that leaves never returns to service.
+		const backend = {...announced, isLeaving: announced.isLeaving || (!isNewIncarnation && known.backend.isLeaving)};
 		if (known.isGone && !isNewIncarnation && !this.#canReturn(known, backend, isGone)) {
 			if (isGone && !isSilent && known.isSilent) {
 				this.#markGone(known, {isSilent: false});
--- a/packages/mulberrypitch-serving/src/view-messages.ts
+++ b/packages/mulberrypitch-serving/src/view-messages.ts
@@ -28,11 +28,16 @@
 	readonly pendingTokens: number;
 };
 
-/** What one incarnation of a back end stated last of the requests that it accepts. */
-export type StatedLimit = {
-	/** Identifier of the back end, and wall time of the start of its incarnation in milliseconds. */
+/** Identifies one incarnation of a back end. */
+export type Incarnation = {
+	/** Identifier of the back end. */
 	readonly backend: string;
+	/** Wall time of the start in milliseconds. */
 	readonly startedAt: number;
+};
+
+/** What one incarnation of a back end stated last of the requests that it accepts. */
+export type StatedLimit = Incarnation & {
 	/** Requests a second from all entries together; absent if the back end stated no limit. */
 	readonly requestsPerSecond?: number;
 	/** Time in milliseconds since the statement held. */
@@ -99,6 +104,8 @@
 	readonly crashes: CrashReport;
 	/** Limits that back ends stated in their responses to this entry. */
 	readonly limits: readonly StatedLimit[];
+	/** Back ends that stated to this entry that they leave, and that the roster does not show as leaving. */
+	readonly leaves: readonly Incarnation[];
 };
 
 /** A long-polling request for changes. The reply comes at once when there are any, otherwise after a timeout. */
