Give back ends the pause that they ask for

Cause: Retry-After of a 503 was not read, and a refusal counted as a failure. Change: a pause is one more statement of the incarnation, for this entry alone, spread at its end, and no failure. A service of paused back ends refuses at once with the first end.

--- a/packages/mulberrypitch-logger/src/events.ts
+++ b/packages/mulberrypitch-logger/src/events.ts
@@ -52,6 +52,7 @@
 	contentQuarantined: {number: 1404, level: 'warn', text: 'content quarantined'},
 	limitStated: {number: 1405, level: 'info', text: 'back end stated a limit'},
 	statementUnreadable: {number: 1406, level: 'warn', text: 'statement of a back end unreadable'},
+	pauseStated: {number: 1407, level: 'info', text: 'back end asked for a pause'},
 	requestAccepted: {number: 1501, level: 'info', text: 'request accepted'},
 	requestDispatched: {number: 1502, level: 'info', text: 'request dispatched'},
 	requestFinished: {number: 1503, level: 'info', text: 'request finished'},
--- a/packages/mulberrypitch-proxy/src/__tests__/stated-conditions.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/stated-conditions.test.ts
@@ -81,3 +81,22 @@
 	view.applyLimitShares([share]);
 	t.equal(view.getStatedWaitMs('s'), 0);
 });
+
+// Guards against a short pause that ends a longer one, and against entries that all return at one moment.
+await t.test('a longer pause replaces a shorter one and not the reverse, and pauses end at different times', async t => {
+	const {clock, conditions} = await createConditions();
+	conditions.record({isLeaving: false, pauseMs: 5000}, 900);
+	const {waitMs} = conditions;
+	t.ok(waitMs >= 5000 && waitMs <= 6000);
+	conditions.record({isLeaving: false, pauseMs: 1000}, 900);
+	t.equal(conditions.waitMs, waitMs);
+	await clock.runFor(4500);
+	conditions.record({isLeaving: false, pauseMs: 2000}, 900);
+	t.ok(conditions.waitMs >= 2000);
+	const ends = Array.from({length: 20}, (_, seed) => {
+		const other = new StatedConditions({clock, random: new SeededRandom(seed), getEntryCount: () => 1});
+		other.record({isLeaving: false, pauseMs: 5000}, 900);
+		return other.waitMs;
+	});
+	t.ok(new Set(ends).size > 10);
+});
--- a/packages/mulberrypitch-proxy/src/backend-statement.ts
+++ b/packages/mulberrypitch-proxy/src/backend-statement.ts
@@ -9,6 +9,10 @@
 	readonly requestsPerSecond?: number;
 	/** Text of a limit that can't be read; absent otherwise. It changes nothing: what the back end stated before still holds. */
 	readonly unreadableLimit?: string;
+	/** Time in milliseconds for which the back end, which turned the request away, asks this entry to send nothing; absent if it asks for no pause. */
+	readonly pauseMs?: number;
+	/** Text of a pause that can't be read; absent otherwise. It changes nothing. */
+	readonly unreadablePause?: string;
 };
 
 /** Reads the statements in the head of a response. */
--- a/packages/mulberrypitch-proxy/src/backend-view.ts
+++ b/packages/mulberrypitch-proxy/src/backend-view.ts
@@ -12,6 +12,8 @@
 	readonly ejected: number;
 	/** Number of serving back ends that state a limit on requests. */
 	readonly limited: number;
+	/** Number of serving back ends that have asked this entry for a pause. */
+	readonly paused: number;
 	readonly connections: number;
 };
 
@@ -57,6 +59,7 @@
 			serving: serving.length,
 			ejected: serving.filter(({isEjected}) => isEjected).length,
 			limited: serving.filter(({requestsPerSecond}) => requestsPerSecond !== undefined).length,
+			paused: serving.filter(({isPaused}) => isPaused).length,
 			connections: all.reduce((sum, {connectionCount}) => sum + connectionCount, 0),
 		};
 	}
--- a/packages/mulberrypitch-proxy/src/entry.ts
+++ b/packages/mulberrypitch-proxy/src/entry.ts
@@ -209,6 +209,7 @@
 		metrics.gauge('mulberrypitch_entry_backends', 'Back ends that may be given requests.', () => this.#backends.getCounts().serving);
 		metrics.gauge('mulberrypitch_entry_backends_set_aside', 'Back ends that failed too often and get nothing for a while.', () => this.#backends.getCounts().ejected);
 		metrics.gauge('mulberrypitch_entry_backends_limited', 'Back ends that state a limit on requests.', () => this.#backends.getCounts().limited);
+		metrics.gauge('mulberrypitch_entry_backends_paused', 'Back ends that asked this entry for a pause.', () => this.#backends.getCounts().paused);
 		metrics.gauge('mulberrypitch_entry_backend_connections', 'Connections to back ends.', () => this.#backends.getCounts().connections);
 		metrics.gauge('mulberrypitch_entry_quarantined_contents', 'Contents that are kept from back ends since they crash them.', () => this.#quarantine.count);
 		metrics.gauge('mulberrypitch_entries', 'Entries in touch, as the coordinators said.', () => this.#entryCount);
--- a/packages/mulberrypitch-proxy/src/known-backend.ts
+++ b/packages/mulberrypitch-proxy/src/known-backend.ts
@@ -141,6 +141,11 @@
 		};
 	}
 
+	/** Whether the back end has asked this entry to send nothing for now. */
+	get isPaused(): boolean {
+		return this.#conditions.pauseMs > 0;
+	}
+
 	/** Time in milliseconds until the back end accepts a request of this entry, by what it has stated; zero if it does now. */
 	get statedWaitMs(): number {
 		return this.#conditions.waitMs;
@@ -291,9 +296,14 @@
 			logger.log(events.backendLeaving, {backend: this.id, service: this.#announced.service, isStated: true});
 		}
 
-		if (statement.unreadableLimit !== undefined) {
+		const {unreadableLimit: limit, unreadablePause: pause, pauseMs} = statement;
+		if (limit !== undefined || pause !== undefined) {
 			onUnreadable();
-			logger.log(events.statementUnreadable, {backend: this.id, limit: statement.unreadableLimit});
+			logger.log(events.statementUnreadable, {backend: this.id, limit, pause});
+		}
+
+		if (pauseMs !== undefined) {
+			logger.log(events.pauseStated, {backend: this.id, pauseMs, recentSends: this.recentSends});
 		}
 
 		if (this.#conditions.record(statement, sentAt)) {
--- a/packages/mulberrypitch-proxy/src/proxied-request.ts
+++ b/packages/mulberrypitch-proxy/src/proxied-request.ts
@@ -147,7 +147,7 @@
 		const waitMs = getStatedWaitMs();
 		const isKnown = waitMs > 0 && Number.isFinite(waitMs);
 		return this.#endWithoutAttempt({
-			kind: 'refused', service, reason: waitMs > 0 ? 'limits of all back ends' : 'no place', ...(isKnown && {retryAfterSeconds: waitMs / 1000}),
+			kind: 'refused', service, reason: waitMs > 0 ? 'all back ends limited or paused' : 'no place', ...(isKnown && {retryAfterSeconds: waitMs / 1000}),
 		});
 	}
 
@@ -230,8 +230,8 @@
 	/** Records the outcome for the back end's outlier detection, and logs it unless the attempt succeeded. A response with status 500 or above counts as a failure. */
 	#recordOutcome(backend: KnownBackend, outcome: AttemptOutcome, step: NextStep): void {
 		const {logger, attemptId, relay, prompt} = this.#options;
-		const isGood = outcome.kind === 'delivered' || outcome.kind === 'abandoned';
-		const isEjected = outcome.kind === 'notRun' ? recordNotRun(backend, outcome.status) : backend.recordResult(isGood);
+		const isGood = isGoodOutcome(outcome);
+		const isEjected = recordResult(backend, outcome);
 		if (!isGood) {
 			logger.log(events.sendFailed, {
 				request: attemptId,
@@ -352,6 +352,30 @@
 	}
 }
 
+/** Records an outcome for the back end's outlier detection. Returns whether the back end was ejected. */
+function recordResult(backend: KnownBackend, outcome: AttemptOutcome): boolean {
+	const isTurnedAway = getStatus(outcome) === fullStatus;
+	if (isTurnedAway && backend.isPaused) {
+		// Asking for a pause is no failure: the back end gets nothing until its end, and as much as before then.
+		return false;
+	}
+
+	return outcome.kind === 'notRun' ? recordNotRun(backend, outcome.status) : backend.recordResult(isGoodOutcome(outcome));
+}
+
+function isGoodOutcome({kind}: AttemptOutcome): boolean {
+	return kind === 'delivered' || kind === 'abandoned';
+}
+
+/** Returns the status of the response that ended the attempt, if that is a failure. */
+function getStatus(outcome: AttemptOutcome): number | undefined {
+	if (outcome.kind === 'failed') {
+		return outcome.answer.head.status;
+	}
+
+	return outcome.kind === 'notRun' ? outcome.status : undefined;
+}
+
 /** Records that a back end did not run a request. Returns whether the back end was ejected. */
 function recordNotRun(backend: KnownBackend, status: number | undefined): boolean {
 	if (status === misdirectedStatus) {
--- a/packages/mulberrypitch-proxy/src/stated-conditions.ts
+++ b/packages/mulberrypitch-proxy/src/stated-conditions.ts
@@ -26,6 +26,9 @@
 
 /** Lowest limit in requests a second that is applied. Only responses to requests can tell that a limit has ended. */
 const minRequestsPerSecond = 0.1;
+/** Longest random time by which a pause is extended, so that entries don't return at one moment: as a share of the pause, and in milliseconds. */
+const pauseSpreadShare = 0.2;
+const maxPauseSpreadMs = 1000;
 
 /** Keeps the newest statements of one incarnation of a back end, and this entry's part of what they allow. */
 export class StatedConditions {
@@ -38,6 +41,8 @@
 	/** This entry's part of the limit, as last reported by the coordinators. */
 	#part: number | undefined;
 	#isLeaving = false;
+	/** Monotonic time in milliseconds at which the pause that the back end asked for ends. */
+	#pausedUntil = Number.NEGATIVE_INFINITY;
 
 	constructor(options: StatedConditionsOptions) {
 		this.#options = options;
@@ -59,9 +64,14 @@
 		return getNewer(this.#ownLimit, this.#sharedLimit)?.requestsPerSecond;
 	}
 
+	/** Time in milliseconds until the pause that the back end asked for ends; zero if there is none. */
+	get pauseMs(): number {
+		return Math.max(0, this.#pausedUntil - this.#options.clock.now());
+	}
+
 	/** Time in milliseconds until this entry may send a request; zero if it may now, infinite if it has no part of the limit. */
 	get waitMs(): number {
-		return this.#pacer.waitMs;
+		return Math.max(this.pauseMs, this.#pacer.waitMs);
 	}
 
 	/** Records a send, which uses up a part of the limit. */
@@ -70,8 +80,12 @@
 	}
 
 	/** Records the statements of a response to a request that was sent at `sentAt`. Returns whether they change the limit. */
-	record({isLeaving, requestsPerSecond, unreadableLimit}: BackendStatement, sentAt: number): boolean {
+	record({isLeaving, pauseMs, requestsPerSecond, unreadableLimit}: BackendStatement, sentAt: number): boolean {
 		this.#isLeaving ||= isLeaving;
+		if (pauseMs !== undefined) {
+			this.#pause(pauseMs);
+		}
+
 		if (unreadableLimit !== undefined) {
 			return false;
 		}
@@ -98,6 +112,12 @@
 		this.#updateRate();
 	}
 
+	#pause(durationMs: number): void {
+		const {clock, random} = this.#options;
+		const spreadMs = random.next() * Math.min(maxPauseSpreadMs, durationMs * pauseSpreadShare);
+		this.#pausedUntil = Math.max(this.#pausedUntil, clock.now() + durationMs + spreadMs);
+	}
+
 	#updateRate(): void {
 		const limit = this.requestsPerSecond;
 		const part = this.#part ?? 1 / this.#options.getEntryCount();
