Take no request in a planned stop that can not end in time

Cause: a stop reported the entry as not ready and closed idle connections, but served whatever arrived, however long it usually takes. Change: StopWindow knows the usual time of each route and when the process ends; what comes too late is refused before it is sent.

--- a/packages/mulberrypitch-proxy/src/entry.ts
+++ b/packages/mulberrypitch-proxy/src/entry.ts
@@ -176,18 +176,20 @@
 	}
 
 	/**
-	Reports the entry as not ready, so that callers are no longer sent to it, and continues to serve requests that still arrive.
+	Reports the entry as not ready, so that callers are no longer sent to it, and continues to serve requests that still arrive and
+	can end in time.
 	Resolves when the drain time is over and no request is in progress, or when the grace period is almost over.
 	*/
 	async drain(): Promise<void> {
 		const {clock, logger, name, drainMs, graceMs} = this.#options;
 		this.#isDraining = true;
-		this.#server.drain();
+		const durationMs = graceMs - exitMarginMs;
+		this.#server.drain(durationMs);
 		logger.log(events.hostDraining, {node: name});
 		const startedAt = clock.now();
 		await clock.sleep(Math.min(drainMs, graceMs / 2));
 		this.#server.closeIdle();
-		while (this.#server.running > 0 && clock.now() - startedAt < graceMs - exitMarginMs) {
+		while (this.#server.running > 0 && clock.now() - startedAt < durationMs) {
 			await clock.sleep(drainPollMs);
 			this.#server.closeIdle();
 		}
--- a/packages/mulberrypitch-proxy/src/local-replies.ts
+++ b/packages/mulberrypitch-proxy/src/local-replies.ts
@@ -34,6 +34,8 @@
 	readonly getConnectionHeaders: () => readonly Header[];
 };
 
+/** `Retry-After` in seconds of a refusal whose end is not known, before the random part is added. */
+export const minRetryAfterSeconds = 0.25;
 /** Upper limit of the random part of `Retry-After`, in seconds. */
 const maxRetryAfterJitterSeconds = 0.5;
 /** Statuses that promise the caller that no back end ran the request. */
--- a/packages/mulberrypitch-proxy/src/proxy-server.ts
+++ b/packages/mulberrypitch-proxy/src/proxy-server.ts
@@ -12,27 +12,23 @@
 	type CallerLimits, type Route, type Workspace,
 } from '@mulberrypitch/serving/types';
 import type {ServicePressure} from '@mulberrypitch/serving/view-messages';
-import {framings, type Header} from './response-parser.js';
+import {RequestCompletion} from './request-completion.js';
+import type {Header} from './response-parser.js';
 import {admitRequest} from './admission.js';
-import {ResponseRelay, type BodyFacts} from './response-relay.js';
-import {ResponseTiming, type ResponseTimes} from './response-timing.js';
+import {ResponseRelay} from './response-relay.js';
+import {ResponseTiming} from './response-timing.js';
 import {
 	getHeader, getHeaders, getQuotaUnits, readBody, readPrompt, type Prompt,
 } from './caller-request.js';
 import {getContentFingerprints, type IdentifyingParts} from './content-fingerprints.js';
 import type {RequestContent} from './content-quarantine.js';
-import {LocalReplies} from './local-replies.js';
+import {LocalReplies, minRetryAfterSeconds} from './local-replies.js';
 import {ProxiedRequest, quarantineReason} from './proxied-request.js';
 import type {DecisionContext, RequestEnd} from './proxied-request-options.js';
 import type {ProxyServerOptions} from './proxy-server-options.js';
 import {chooseService} from './service-choice.js';
 import {ServiceTraffic} from './service-traffic.js';
-
-type CompletionFields = {
-	readonly arrivedAt: number;
-	readonly route: string;
-	readonly workspace: string | undefined;
-} & ResponseTimes & BodyFacts;
+import {StopWindow} from './stop-window.js';
 
 /** Size in bytes beyond which the HTTP parser itself rejects headers; the configured limit is checked afterwards. */
 const maxHeaderBytes = 32 * 1024;
@@ -44,8 +40,6 @@
 const keepAliveMarginMs = 2000;
 /** Limit of the wait for a permit, as a share of the route's target latency. */
 const maxQueueShare = 0.12;
-/** `Retry-After` of a refused request in seconds, before the random part is added. */
-const minRetryAfterSeconds = 0.25;
 /** Time after the start, in milliseconds, during which requests wait for the first configuration. */
 const maxStartupWaitMs = 800;
 
@@ -55,17 +49,20 @@
 	readonly #server: http.Server;
 	readonly #services = new Map<string, ServiceTraffic>();
 	readonly #replies: LocalReplies;
+	readonly #completion: RequestCompletion;
 	readonly #sockets = new Set<Socket>();
 	readonly #configured = new Deferred<void>();
 	readonly #startedAt: number;
 	/** Responses to the callers' requests in progress. */
 	readonly #responses = new Set<ServerResponse>();
+	readonly #stopWindow: StopWindow;
 	#isDraining = false;
 
 	constructor(options: ProxyServerOptions) {
 		const {names, random, logger, metrics} = options;
 		this.#options = options;
 		this.#startedAt = options.clock.now();
+		this.#stopWindow = new StopWindow(options.clock);
 		this.#replies = new LocalReplies({
 			attemptHeader: names.attemptId,
 			random,
@@ -74,6 +71,16 @@
 			getDecisionContext: () => this.#getDecisionContext(),
 			getConnectionHeaders: () => this.#getConnectionHeaders(),
 		});
+		this.#completion = new RequestCompletion({
+			...options,
+			replies: this.#replies,
+			onAnswered: (route, ms) => {
+				this.#stopWindow.record(route, ms);
+			},
+			onRefused: service => {
+				this.#getTraffic(service).recordRefused();
+			},
+		});
 		this.#server = http.createServer({
 			maxHeaderSize: maxHeaderBytes, keepAliveTimeout: defaultLimits.idleTimeoutMs + keepAliveMarginMs, requestTimeout: 0,
 		}, (request, response) => {
@@ -124,9 +131,13 @@
 		}
 	}
 
-	/** From now on, adds `Connection: close` to responses, so that callers reconnect to another entry. */
-	drain(): void {
+	/**
+	From now on, adds `Connection: close` to responses, so that callers reconnect to another entry, and refuses requests that don't usually
+	end within the given time, at whose end the process cuts off what still runs.
+	*/
+	drain(durationMs: number): void {
 		this.#isDraining = true;
+		this.#stopWindow.begin(durationMs);
 	}
 
 	/** Closes connections without a request in progress. */
@@ -183,6 +194,16 @@
 			return;
 		}
 
+		const late = this.#stopWindow.findLate(admission.route);
+		if (late !== undefined) {
+			this.#replies.send(request, response, {
+				status: 503, reason: 'stopping', retryAfterSeconds: minRetryAfterSeconds, inputs: {
+					route: admission.route.name, leftMs: Math.round(late.leftMs), usualMs: late.usualMs,
+				},
+			});
+			return;
+		}
+
 		const body = await readBody(request, table.configuration.limits.maxBodyBytes);
 		if (body === undefined) {
 			this.#replies.send(request, response, {status: 413, reason: 'body too large'});
@@ -221,7 +242,7 @@
 			quotas.refund(workspace, units);
 		}
 
-		this.#completeRequest(request, response, end, {
+		this.#completion.complete(request, response, end, {
 			arrivedAt, route: route.name, workspace: workspace?.name, ...timing.read(), ...relay.getBodyFacts(),
 		});
 	}
@@ -332,43 +353,6 @@
 		return proxied.run();
 	}
 
-	#completeRequest(request: IncomingMessage, response: ServerResponse, end: RequestEnd, {arrivedAt, ...named}: CompletionFields): void {
-		const {logger, clock, metrics} = this.#options;
-		const ms = clock.now() - arrivedAt;
-		const fields = {request: this.#getAttemptId(request), ms: Math.round(ms), ...named};
-		metrics.count('mulberrypitch_proxied_requests_total', 'Requests by how they ended.', {end: end.kind, route: named.route});
-		metrics.observe('mulberrypitch_proxied_request_seconds', 'Time from a request to its end.', ms, {end: end.kind});
-		switch (end.kind) {
-			case 'answered': {
-				metrics.count('mulberrypitch_relayed_responses_total', 'Relayed responses by framing of the body and whether it ended inside an event.', {
-					framing: named.framing ?? framings.none, endedInsideEvent: String((named.openEventBytes ?? 0) > 0),
-				});
-				logger.log(events.requestFinished, fields);
-				return;
-			}
-
-			case 'abandoned': {
-				logger.log(events.requestFinished, {...fields, isAbandoned: true});
-				return;
-			}
-
-			case 'cut': {
-				logger.log(events.requestFailed, {...fields, reason: end.reason, isCut: true});
-				return;
-			}
-
-			case 'refused': {
-				this.#getTraffic(end.service).recordRefused();
-				this.#replies.send(request, response, {status: 503, reason: end.reason, retryAfterSeconds: end.retryAfterSeconds ?? minRetryAfterSeconds});
-				return;
-			}
-
-			case 'replied': {
-				this.#replies.send(request, response, {status: end.status, reason: end.reason});
-			}
-		}
-	}
-
 	#getConnectionHeaders(): readonly Header[] {
 		return this.#isDraining ? [{name: 'Connection', value: 'close'}] : [];
 	}
