--- a/packages/mulberrypitch/src/commands/serve.ts
+++ b/packages/mulberrypitch/src/commands/serve.ts
@@ -9,7 +9,8 @@
 import {splitAddress} from '@mulberrypitch/lifecycle/listen';
 import {SystemClock} from '@mulberrypitch/lifecycle/clock';
 import {SeededRandom} from '@mulberrypitch/lifecycle/random';
-import {ConsoleLogger} from '@mulberrypitch/logger/logger';
+import type {Logger} from '@mulberrypitch/logger/logger';
+import {createProcessLogger} from '@mulberrypitch/logger/process-logger';
 import {TcpTransport} from '@mulberrypitch/transport/tcp-transport';
 
 /** Exclusive upper bound of the seed of a host. */
@@ -29,10 +30,11 @@
 }
 
 async function serve(settings: HostSettings): Promise<void> {
-	const logger = new ConsoleLogger({level: settings.logLevel, fields: {node: settings.name}});
+	const clock = new SystemClock();
+	const logger = createProcessLogger({level: settings.logLevel, fields: {node: settings.name}, getTime: () => clock.wallTime()});
 	const transport = createTransport(settings, logger);
 	const host = new Host({
-		settings, transport, clock: new SystemClock(), random: new SeededRandom(randomInt(maxSeed)), logger,
+		settings, transport, clock, random: new SeededRandom(randomInt(maxSeed)), logger,
 	});
 	await host.start();
 	// The transport listens only after the host has registered all its methods: a call that arrived earlier would fail because its
@@ -51,7 +53,7 @@
 	await stopped.promise;
 }
 
-function createTransport(settings: HostSettings, logger: ConsoleLogger): TcpTransport {
+function createTransport(settings: HostSettings, logger: Logger): TcpTransport {
 	return new TcpTransport({
 		name: settings.name,
 		listen: splitAddress(settings.peerListen),
