End a host that can not start, and stop one that is told to while it starts

Cause: the failed start left the transport, the replica and their timers running; signals were handled only once everything had started. Change: a failed start disposes of what has started. Signals are handled from the beginning and stop the host once it has started. A second signal whose drain fails is logged. Measured: 'a host whose port is taken ...' of host-lifecycle.test.ts timed out after 120 s before and passes now, as does 'a host that is stopped while it starts'.

--- a/packages/mulberrypitch/src/commands/serve.ts
+++ b/packages/mulberrypitch/src/commands/serve.ts
@@ -7,8 +7,10 @@
 import {Host} from '@mulberrypitch/host/host';
 import {Deferred} from '@mulberrypitch/lifecycle/background';
 import {splitAddress} from '@mulberrypitch/lifecycle/listen';
+import {getMessage} from '@mulberrypitch/errors/coded-error';
 import {SystemClock} from '@mulberrypitch/lifecycle/clock';
 import {SeededRandom} from '@mulberrypitch/lifecycle/random';
+import {events} from '@mulberrypitch/logger/events';
 import type {Logger} from '@mulberrypitch/logger/logger';
 import {createProcessLogger} from '@mulberrypitch/logger/process-logger';
 import {TcpTransport} from '@mulberrypitch/transport/tcp-transport';
@@ -36,21 +38,44 @@
 	const host = new Host({
 		settings, transport, clock, random: new SeededRandom(randomInt(maxSeed)), logger,
 	});
-	await host.start();
-	// The transport listens only after the host has registered all its methods: a call that arrived earlier would fail because its
-	// method is unknown.
-	await transport.listen();
-	const stopped = new Deferred<void>();
+	const stopRequest = new Deferred<void>();
+	const state = {isStopping: false};
 	for (const signal of ['SIGTERM', 'SIGINT'] as const) {
 		process.on(signal, () => {
-			void (async () => {
-				await host.drain();
-				stopped.resolve();
-			})();
+			if (state.isStopping) {
+				void hurry(host, logger);
+			}
+
+			stopRequest.resolve();
 		});
 	}
 
-	await stopped.promise;
+	await start(host, transport);
+	await stopRequest.promise;
+	state.isStopping = true;
+	await host.drain();
+}
+
+/** Starts a host. If that fails, stops what has started, so that the process ends. */
+async function start(host: Host, transport: TcpTransport): Promise<void> {
+	try {
+		await host.start();
+		// The transport listens only after the host has registered all its methods: a call that arrived earlier would fail because its
+		// method is unknown.
+		await transport.listen();
+	} catch (error) {
+		await host.dispose();
+		throw error;
+	}
+}
+
+/** Shortens the drain in progress, which reports its own failures. */
+async function hurry(host: Host, logger: Logger): Promise<void> {
+	try {
+		await host.drain();
+	} catch (error) {
+		logger.log(events.taskFailed, {task: 'drain', reason: getMessage(error)});
+	}
 }
 
 function createTransport(settings: HostSettings, logger: Logger): TcpTransport {
