Say that a configuration is missing, and what applies one

Cause: the error of an old view stood in for a missing configuration. Change: an error of its own with the same code, and the command as its next step. Measured: 'a host without a configuration says so ...' of host-lifecycle.test.ts passes; it needs the text, which was not there before.

--- a/packages/mulberrypitch-entry/src/entry-server.ts
+++ b/packages/mulberrypitch-entry/src/entry-server.ts
@@ -8,7 +8,7 @@
 import type {Random} from '@mulberrypitch/lifecycle/random';
 import type {Resource} from '@mulberrypitch/lifecycle/disposable-store';
 import {
-	BadRequestError, codes, NotFoundError, StaleViewError,
+	BadRequestError, codes, NoConfigurationError, NotFoundError,
 } from '@mulberrypitch/errors/catalogue';
 import {CodedError, getMessage, hasCode} from '@mulberrypitch/errors/coded-error';
 import {events} from '@mulberrypitch/logger/events';
@@ -79,7 +79,7 @@
 	constructor(options: EntryServerOptions) {
 		this.#options = options;
 		this.#burn = new BurnRecorder(options.clock);
-		// Unlike the option of the same name, this `getConfiguration` throws `StaleViewError` before the first configuration has arrived.
+		// Unlike the option of the same name, this `getConfiguration` throws `NoConfigurationError` before the first configuration has arrived.
 		this.#callerContext = {requests: new MeasuredRequests(options.requests, this.#burn, options.clock), getConfiguration: () => this.#requireConfiguration()};
 		this.#server = http.createServer({maxHeaderSize: maxHeaderBytes});
 		this.#server.maxHeadersCount = maxHeaderCount;
@@ -209,8 +209,7 @@
 	#requireConfiguration(): SharedConfiguration {
 		const configuration = this.#options.getConfiguration();
 		if (configuration === undefined) {
-			// No configuration has arrived yet, so the view has no age; 0 stands in for it.
-			throw new StaleViewError(0);
+			throw new NoConfigurationError();
 		}
 
 		return configuration;
--- a/packages/mulberrypitch-errors/src/catalogue.ts
+++ b/packages/mulberrypitch-errors/src/catalogue.ts
@@ -102,6 +102,20 @@
 	}
 }
 
+/** No configuration has been applied to the deployment, or none has reached this host yet. */
+export class NoConfigurationError extends CodedError {
+	override readonly name = 'NoConfigurationError';
+
+	constructor() {
+		super(
+			codes.staleView,
+			'This host has no configuration yet.',
+			'Apply one with "mulberrypitch config apply BASE [SITE] --host URL", or try again in 1 s.',
+			{details: {retryAfterSeconds: 1}},
+		);
+	}
+}
+
 /** No back end of the service can take a request now. */
 export class NoBackendError extends CodedError {
 	override readonly name = 'NoBackendError';
