Stop the last hosts of a control group in order

Cause: a stop awaits the control group to record that the session drains and closes, which no quorum is left to do; the rejection ended the process. A client that was disposed of went on calling for 10 s. Change: each step of a stop waits 2 s for its record, then is logged (1009) and goes on: the session ends with its lease. Requests in progress are waited for while the group can be reached, and 3 s more. A client that is disposed of starts no further call.

--- a/packages/mulberrypitch-control/src/control-client.ts
+++ b/packages/mulberrypitch-control/src/control-client.ts
@@ -83,6 +83,8 @@
 	/** Log index of the latest transfer of a request to this host that a view has brought. */
 	#lastAssignment = 0;
 	#wasFresh = false;
+	/** Whether calls to the leader are given up. */
+	#isDisposed = false;
 
 	constructor(options: ControlClientOptions) {
 		this.#options = options;
@@ -154,13 +156,13 @@
 	/**
 	Calls a method of the group's leader. Throws a failure that can't be retried at once. Otherwise retries on the same or other
 	replicas. No attempt starts later than `callDeadlineMs` after the call, but each, the last one included, may take
-	`attemptTimeoutMs`. Then throws the failure of the last attempt, or `TimeoutError` if no leader was found.
+	`attemptTimeoutMs`. After `dispose` no further attempt starts. Then throws the failure of the last attempt, or `TimeoutError` if no leader was found.
 	*/
 	async callLeader<Reply>(method: string, parameters: unknown, attemptTimeoutMs: number): Promise<Reply> {
 		const {clock, group, transport} = this.#options;
 		const startedAt = clock.now();
 		let failure: unknown;
-		for (let attempt = 0; clock.now() - startedAt < callDeadlineMs; attempt += 1) {
+		for (let attempt = 0; clock.now() - startedAt < callDeadlineMs && !this.#isDisposed; attempt += 1) {
 			const peer = this.#getTarget(attempt);
 			try {
 				const reply = await transport.call<Reply>(peer.address, `${group}.${method}`, parameters, {timeoutMs: attemptTimeoutMs});
@@ -197,6 +199,7 @@
 
 	/** Stops renewing the session without ending it. The leader ends it when its lease expires. */
 	async dispose(): Promise<void> {
+		this.#isDisposed = true;
 		await this.#resources.dispose();
 	}
 
--- a/packages/mulberrypitch-host/src/host.ts
+++ b/packages/mulberrypitch-host/src/host.ts
@@ -14,12 +14,14 @@
 import {ControlState} from '@mulberrypitch/control/control-state';
 import {Replica} from '@mulberrypitch/control/replica';
 import type {ConfigurationRevision} from '@mulberrypitch/control/types';
+import {TimeoutError} from '@mulberrypitch/errors/catalogue';
 import {getMessage} from '@mulberrypitch/errors/coded-error';
 import {BackendDirectory} from '@mulberrypitch/entry/backend-directory';
 import {EntryServer} from '@mulberrypitch/entry/entry-server';
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
 import {DisposableStore, type Resource} from '@mulberrypitch/lifecycle/disposable-store';
 import type {Random} from '@mulberrypitch/lifecycle/random';
+import {withTimeout} from '@mulberrypitch/lifecycle/with-timeout';
 import {events} from '@mulberrypitch/logger/events';
 import type {Logger} from '@mulberrypitch/logger/logger';
 import {MetricsRegistry} from '@mulberrypitch/metrics/registry';
@@ -34,6 +36,13 @@
 /** Share of a service's queue limit above which this host reports itself as overloaded, so that callers prefer others. */
 const overloadedQueueShare = 0.5;
 
+/** Time in milliseconds within which the control group must record a step of a planned stop. */
+const recordTimeoutMs = 2000;
+/** Time in milliseconds without contact to the control group after which a planned stop waits for no request any more. */
+const maxStaleDrainMs = 3000;
+/** Interval in milliseconds at which a planned stop checks for requests in progress. */
+const idlePollMs = 100;
+
 /** Settings of a host, and the parts of its environment that tests and the demo replace. */
 export type HostOptions = {
 	readonly settings: HostSettings;
@@ -107,16 +116,46 @@
 		this.#requests?.drain();
 		const session = this.#control?.session;
 		if (session !== undefined) {
-			await this.#control!.propose({kind: 'drainSession', node: session.node, epoch: session.epoch});
+			await this.#record('drainSession', this.#control!.propose({kind: 'drainSession', node: session.node, epoch: session.epoch}));
 			await clock.sleep(settings.entriesTtlSeconds * 1000, this.#drainDelay.signal);
 		}
 
-		await this.#requests?.waitIdle();
-		await this.#control?.close();
+		await this.#waitIdle();
+		if (this.#control !== undefined) {
+			await this.#record('closeSession', this.#control.close());
+		}
+
 		await this.dispose();
 		logger.log(events.hostStopped, {node: settings.name});
 	}
 
+	/** Waits until no request is in progress, or until the control group has been away for so long that none can end. */
+	async #waitIdle(): Promise<void> {
+		const {clock, logger} = this.#options;
+		let staleMs = 0;
+		while (this.#requests?.isIdle === false && staleMs < maxStaleDrainMs) {
+			await clock.sleep(idlePollMs);
+			staleMs = this.#control?.isFresh() === true ? 0 : staleMs + idlePollMs;
+		}
+
+		if (this.#requests?.isIdle === false) {
+			logger.log(events.stopUnrecorded, {step: 'waitIdle', running: this.#requests.running});
+		}
+	}
+
+	/**
+	Waits until the control group has recorded a step of the stop. Goes on without it when that takes too long or fails, for example because
+	the other hosts have stopped before: the session then ends with its lease.
+	*/
+	async #record(step: string, recorded: Promise<unknown>): Promise<void> {
+		const {clock, logger} = this.#options;
+		try {
+			await withTimeout(clock, recorded, recordTimeoutMs, () => new TimeoutError('The control group', recordTimeoutMs));
+		} catch (error) {
+			logger.log(events.stopUnrecorded, {step, reason: getMessage(error)});
+		}
+	}
+
 	async #startControl(): Promise<void> {
 		const {settings, transport, clock, random, logger} = this.#options;
 		const account = new AccountStore(this.#createStore('account'));
--- a/packages/mulberrypitch-logger/src/events.ts
+++ b/packages/mulberrypitch-logger/src/events.ts
@@ -18,6 +18,7 @@
 	settingsSignalled: {number: 1005, level: 'info', text: 'settings reload requested'},
 	settingsRead: {number: 1007, level: 'info', text: 'settings read again'},
 	settingsRefused: {number: 1008, level: 'warn', text: 'settings refused'},
+	stopUnrecorded: {number: 1009, level: 'warn', text: 'stop not recorded'},
 	callFailed: {number: 1006, level: 'warn', text: 'call failed'},
 	taskFailed: {number: 1004, level: 'error', text: 'background task failed'},
 	peerRefused: {number: 1101, level: 'warn', text: 'peer refused'},
--- a/packages/mulberrypitch-requests/src/request-service.ts
+++ b/packages/mulberrypitch-requests/src/request-service.ts
@@ -92,6 +92,11 @@
 		return this.#running;
 	}
 
+	/** Whether no request is in progress and no call to `submit` is pending. */
+	get isIdle(): boolean {
+		return this.#running + this.#accepting === 0;
+	}
+
 	/** Number of copies that this host stores as the standby of other hosts. */
 	get copies(): number {
 		return this.#standby.size;
@@ -123,7 +128,7 @@
 
 	/** Resolves when no request is in progress and no call to `submit` is pending. */
 	async waitIdle(): Promise<void> {
-		while (this.#running + this.#accepting > 0) {
+		while (!this.isIdle) {
 			await this.#options.clock.sleep(retryDelayMs);
 		}
 	}
--- a/packages/mulberrypitch/src/__tests__/host-processes.ts
+++ b/packages/mulberrypitch/src/__tests__/host-processes.ts
@@ -1,7 +1,7 @@
 /** Runs hosts and emulated back ends as separate processes, for tests. */
 import {spawn, type ChildProcess} from 'node:child_process';
 import {
-	closeSync, mkdirSync, openSync, writeFileSync,
+	closeSync, mkdirSync, openSync, readFileSync, writeFileSync,
 } from 'node:fs';
 import path from 'node:path';
 import process from 'node:process';
@@ -10,7 +10,8 @@
 import {request} from 'undici';
 
 const root = path.resolve(import.meta.dirname, '../../../..');
-const binary = path.join(root, 'build/mulberrypitch');
+/** The built program. */
+export const binary = path.join(root, 'build/mulberrypitch');
 const fakesMain = fileURLToPath(import.meta.resolve('@mulberrypitch/fakes/main'));
 const pollIntervalMs = 50;
 const waitTimeoutMs = 30_000;
@@ -51,13 +52,29 @@
 
 	/** Starts the host with the given index, or restarts it after it has stopped. */
 	startHost(index: number): HostProcess {
+		const {name, address, file} = this.prepareHost(index);
+		const host = {name, address, child: this.#spawn(name, binary, ['serve', file])};
+		this.hosts[index] = host;
+		return host;
+	}
+
+	/** Writes the settings of the host with the given index, without starting it. */
+	prepareHost(index: number): Omit<HostProcess, 'child'> & {readonly file: string} {
 		const name = `host-${index + 1}`;
 		const file = path.join(this.#folder, `${name}.ini`);
 		mkdirSync(this.#folder, {recursive: true});
 		writeFileSync(file, this.#createSettings(name, index));
-		const host = {name, address: `http://${this.#getIp(index)}:8080`, child: this.#spawn(name, binary, ['serve', file])};
-		this.hosts[index] = host;
-		return host;
+		return {name, address: `http://${this.getIp(index)}:8080`, file};
+	}
+
+	/** Returns what a process has written so far. */
+	readLog(name: string): string {
+		return readFileSync(path.join(this.#folder, `${name}.log`), 'utf8');
+	}
+
+	/** Returns the IP address of the host with the given index. */
+	getIp(index: number): string {
+		return `127.${this.#networkOctet}.${(process.pid % maxConcurrentRuns) + 1}.${index + 1}`;
 	}
 
 	/** Starts an emulated back end. */
@@ -118,12 +135,8 @@
 		return child;
 	}
 
-	#getIp(index: number): string {
-		return `127.${this.#networkOctet}.${(process.pid % maxConcurrentRuns) + 1}.${index + 1}`;
-	}
-
 	#createSettings(name: string, index: number): string {
-		const replicas = [0, 1, 2].map(replica => `host-${replica + 1}=${this.#getIp(replica)}:7080`).join(', ');
+		const replicas = [0, 1, 2].map(replica => `host-${replica + 1}=${this.getIp(replica)}:7080`).join(', ');
 		const isControl = index < 3;
 		return `[host]
 name = ${name}
@@ -132,8 +145,8 @@
 roles = ${isControl ? 'entry, control' : 'entry'}
 ${isControl ? `data = ${name}-data` : ''}
 [listen]
-http = ${this.#getIp(index)}:8080
-peer = ${this.#getIp(index)}:7080
+http = ${this.getIp(index)}:8080
+peer = ${this.getIp(index)}:7080
 entries-ttl-seconds = 1
 [control]
 replicas = ${replicas}
