--- a/packages/mulberrypitch-proxy/src/caller-request.ts
+++ b/packages/mulberrypitch-proxy/src/caller-request.ts
@@ -2,6 +2,10 @@
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
 import {assumeType} from '@mulberrypitch/errors/assume-type';
+import {codes, TimeoutError} from '@mulberrypitch/errors/catalogue';
+import {hasCode} from '@mulberrypitch/errors/coded-error';
+import type {Clock} from '@mulberrypitch/lifecycle/clock';
+import {withTimeout} from '@mulberrypitch/lifecycle/with-timeout';
 import type {Workspace} from '@mulberrypitch/serving/types';
 import type {Header} from './response-parser.js';
 
@@ -96,15 +100,44 @@
 	return Number.isFinite(count) ? count : 0;
 }
 
+/** The body of a request, or why it can't be read. */
+export type BodyRead
+	= | {readonly kind: 'whole'; readonly body: Uint8Array}
+		| {readonly kind: 'tooLong'}
+	/** The caller did not send all of it in time. */
+		| {readonly kind: 'late'};
+
+/** Limits on the body of a request. */
+export type BodyLimits = {
+	readonly clock: Clock;
+	readonly maxBytes: number;
+	/** Time in milliseconds that the caller has left to send it. */
+	readonly maxWaitMs: number;
+};
+
 /**
-Reads and returns the whole body. Returns `undefined` when the body is longer than the limit in bytes.
+Reads the whole body.
 
 @example
 ```
-const body = await readBody(request, 1024);
+const read = await readBody(request, {clock, maxBytes: 1024, maxWaitMs: 3000});
 ```
 */
-export async function readBody(request: IncomingMessage, limitBytes: number): Promise<Uint8Array | undefined> {
+export async function readBody(request: IncomingMessage, {clock, maxBytes, maxWaitMs}: BodyLimits): Promise<BodyRead> {
+	try {
+		const body = await withTimeout(clock, readWhole(request, maxBytes), maxWaitMs, () => new TimeoutError('The caller', maxWaitMs));
+		return body === undefined ? {kind: 'tooLong'} : {kind: 'whole', body};
+	} catch (error) {
+		if (!hasCode(error, codes.timeout)) {
+			throw error;
+		}
+
+		return {kind: 'late'};
+	}
+}
+
+/** Returns the whole body, or `undefined` when it is longer than the limit in bytes. */
+async function readWhole(request: IncomingMessage, limitBytes: number): Promise<Uint8Array | undefined> {
 	const parts: Uint8Array[] = [];
 	let lengthBytes = 0;
 	for await (const part of request) {
--- a/packages/mulberrypitch-proxy/src/local-replies.ts
+++ b/packages/mulberrypitch-proxy/src/local-replies.ts
@@ -39,7 +39,7 @@
 /** Upper limit of the random part of `Retry-After`, in seconds. */
 const maxRetryAfterJitterSeconds = 0.5;
 /** Statuses that promise the caller that no back end ran the request. */
-const refusalStatuses = new Set([429, 503]);
+const refusalStatuses = new Set([408, 429, 503]);
 
 /** Sends and logs local replies. */
 export class LocalReplies {
--- a/packages/mulberrypitch-proxy/src/proxy-server.ts
+++ b/packages/mulberrypitch-proxy/src/proxy-server.ts
@@ -181,7 +181,7 @@
 	}
 
 	async #serve(request: IncomingMessage, response: ServerResponse, arrivedAt: number): Promise<void> {
-		const {quotas} = this.#options;
+		const {quotas, clock} = this.#options;
 		const table = await this.#waitForTable();
 		if (table === undefined) {
 			this.#replies.send(request, response, {status: 503, reason: 'no configuration yet', retryAfterSeconds: minRetryAfterSeconds});
@@ -204,12 +204,15 @@
 			return;
 		}
 
-		const body = await readBody(request, table.configuration.limits.maxBodyBytes);
-		if (body === undefined) {
-			this.#replies.send(request, response, {status: 413, reason: 'body too large'});
+		const read = await readBody(request, {
+			clock, maxBytes: table.configuration.limits.maxBodyBytes, maxWaitMs: arrivedAt + admission.route.timeoutMs - clock.now(),
+		});
+		if (read.kind !== 'whole') {
+			this.#replies.send(request, response, read.kind === 'late' ? {status: 408, reason: 'body late'} : {status: 413, reason: 'body too large'});
 			return;
 		}
 
+		const {body} = read;
 		const {workspace, route} = admission;
 		const prompt = this.#readPrompt(request, route);
 		const content = this.#trackContent(request, body, {workspace: workspace?.name, sharedParts: prompt.sharedParts});
