Limit what a host reads of a back end's answer

Cause: the same as in the proxy: what is held until its end had no limit on the way. Change: answers are read up to their limit and then closed, lines have one.

--- a/packages/mulberrypitch-backends/src/engine-client.ts
+++ b/packages/mulberrypitch-backends/src/engine-client.ts
@@ -3,6 +3,7 @@
 import {Agent, request} from 'undici';
 import {BackendFailedError} from '@mulberrypitch/errors/catalogue';
 import {createBackendFailure} from './failure.js';
+import {readText} from './response-text.js';
 import type {
 	BackendCall, CacheCall, Engine, ExportedCache,
 } from './types.js';
@@ -12,6 +13,10 @@
 const inactivityTimeoutMs = 10_000;
 /** Maximum number of connections to each engine. */
 const maxConnections = 256;
+/** Largest reply of the cache API in bytes. */
+const maxReplyBytes = 64 * 1024;
+/** Largest number of characters of a line of a stream. */
+const maxLineLength = 256 * 1024;
 const dataPrefix = 'data: ';
 /** Data of the line with which an engine ends a complete stream. */
 const finishMarker = '[DONE]';
@@ -84,7 +89,7 @@
 				throw new BackendFailedError(`Engine ${call.address} answered ${response.statusCode} to a cache ${operation}.`, {isNotSent: false, status: response.statusCode});
 			}
 
-			return assumeType<Partial<ExportedCache>>(await response.body.json());
+			return assumeType<Partial<ExportedCache>>(JSON.parse(await readText(response.body, maxReplyBytes)));
 		} catch (error) {
 			throw createBackendFailure(error, call.address);
 		}
@@ -99,7 +104,7 @@
 
 /**
 Yields the text of each event that has any; each text counts as one token. Throws `BackendFailedError` when the stream ends without the
-`[DONE]` line or a data line is not JSON.
+`[DONE]` line, a line is too long, or a data line is not JSON.
 */
 async function * readTokens(body: AsyncIterable<Uint8Array>, address: string): AsyncGenerator<string, void> {
 	const decoder = new TextDecoder();
@@ -108,6 +113,10 @@
 		incompleteLine += decoder.decode(data, {stream: true});
 		const lines = incompleteLine.split('\n');
 		incompleteLine = lines.pop()!;
+		if (incompleteLine.length > maxLineLength) {
+			throw new BackendFailedError(`Engine ${address} sent a line of more than ${maxLineLength} characters.`, {isNotSent: false});
+		}
+
 		for (const line of lines) {
 			if (!line.startsWith(dataPrefix)) {
 				continue;
--- a/packages/mulberrypitch-backends/src/plain-client.ts
+++ b/packages/mulberrypitch-backends/src/plain-client.ts
@@ -1,8 +1,8 @@
 /** HTTP client for plain services, which send one complete response to each call. */
-import {Buffer} from 'node:buffer';
 import {Agent, request, type Dispatcher} from 'undici';
-import {BackendFailedError, TooLargeError} from '@mulberrypitch/errors/catalogue';
+import {BackendFailedError} from '@mulberrypitch/errors/catalogue';
 import {createBackendFailure} from './failure.js';
+import {readText} from './response-text.js';
 import type {BackendCall, PlainAnswer, PlainService} from './types.js';
 
 const connectTimeoutMs = 1000;
@@ -41,15 +41,10 @@
 				);
 			}
 
-			const body = Buffer.from(await response.body.arrayBuffer());
-			if (body.length > maxResponseBytes) {
-				throw new TooLargeError('The response of a plain service', maxResponseBytes);
-			}
-
 			return {
 				status: response.statusCode,
 				contentType: String(response.headers['content-type'] ?? 'application/octet-stream'),
-				body: body.toString(),
+				body: await readText(response.body, maxResponseBytes),
 			};
 		} catch (error) {
 			throw createBackendFailure(error, call.address);
