Go on after replies and failures that nobody expected

Cause: loops that must never end rethrew whatever was no coded error, to a task that logs it and is gone, or to nobody. Change: each loop logs any failure of one round and goes on with the next; the view client also asks another coordinator. Not shown by a test of their own: session renewals, requests to join, exchange of demand.

--- a/packages/mulberrypitch-admission/src/demand-exchange.ts
+++ b/packages/mulberrypitch-admission/src/demand-exchange.ts
@@ -98,12 +98,13 @@
 	}
 
 	async #sendDemand({address}: DemandPeer, demand: Demand): Promise<void> {
-		const {host, transport} = this.#options;
+		const {host, transport, onFailure} = this.#options;
 		try {
 			await transport.call(address, method, {host, demand}, {timeoutMs: callTimeoutMs});
 		} catch (error) {
 			if (!(error instanceof CodedError)) {
-				throw error;
+				// What is not a failed call is reported. The next round sends the demand again.
+				onFailure(error);
 			}
 		}
 	}
--- a/packages/mulberrypitch-control/src/control-client.ts
+++ b/packages/mulberrypitch-control/src/control-client.ts
@@ -248,10 +248,6 @@
 			try {
 				await this.#renew();
 			} catch (error) {
-				if (!(error instanceof CodedError)) {
-					throw error;
-				}
-
 				this.#onRenewalFailure(error);
 			}
 
@@ -265,8 +261,14 @@
 	}
 
 	/** Handles a failure to open or renew the session. */
-	#onRenewalFailure(error: CodedError): void {
+	#onRenewalFailure(error: unknown): void {
 		const {logger, onSessionLost} = this.#options;
+		if (!(error instanceof CodedError)) {
+			// The view is malformed or can't be applied. The next one may be sound.
+			logger.log(events.viewRejected, {code: codes.internal, reason: getMessage(error)});
+			return;
+		}
+
 		const session = this.#session;
 		if (error.code === codes.staleEpoch && session !== undefined) {
 			logger.log(events.sessionLost, {epoch: session.epoch});
--- a/packages/mulberrypitch-coordinator/src/coordinator.ts
+++ b/packages/mulberrypitch-coordinator/src/coordinator.ts
@@ -332,11 +332,7 @@
 				await transport.call(getAddress(leader), methods.join, {name}, {timeoutMs: forwardTimeoutMs});
 			}
 		} catch (error) {
-			if (!(error instanceof CodedError)) {
-				throw error;
-			}
-
-			this.#options.logger.log(events.joinRefused, {peer: other, reason: error.message});
+			this.#options.logger.log(events.joinRefused, {peer: other, reason: getMessage(error)});
 		}
 	}
 
--- a/packages/mulberrypitch-coordinator/src/duty-runner.ts
+++ b/packages/mulberrypitch-coordinator/src/duty-runner.ts
@@ -2,6 +2,7 @@
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
 import {BackgroundTask} from '@mulberrypitch/lifecycle/background';
 import {DisposableStore, type Resource} from '@mulberrypitch/lifecycle/disposable-store';
+import {codes} from '@mulberrypitch/errors/catalogue';
 import {CodedError, getMessage} from '@mulberrypitch/errors/coded-error';
 import {events} from '@mulberrypitch/logger/events';
 import type {Logger} from '@mulberrypitch/logger/logger';
@@ -120,12 +121,8 @@
 				await duty.step({propose, confirm: async () => this.#confirm()});
 			}
 		} catch (error) {
-			if (!(error instanceof CodedError)) {
-				throw error;
-			}
-
 			// This holder's next step, or the next holder, repeats the work that is still due.
-			logger.log(events.dutyPostponed, {code: error.code, reason: error.message});
+			logger.log(events.dutyPostponed, {code: error instanceof CodedError ? error.code : codes.internal, reason: getMessage(error)});
 		}
 	}
 
--- a/packages/mulberrypitch-coordinator/src/gossip.ts
+++ b/packages/mulberrypitch-coordinator/src/gossip.ts
@@ -3,7 +3,7 @@
 import {BackgroundTask} from '@mulberrypitch/lifecycle/background';
 import {DisposableStore, type Resource} from '@mulberrypitch/lifecycle/disposable-store';
 import type {Peer} from '@mulberrypitch/control/types';
-import {CodedError, getMessage} from '@mulberrypitch/errors/coded-error';
+import {getMessage} from '@mulberrypitch/errors/coded-error';
 import {events} from '@mulberrypitch/logger/events';
 import type {Logger} from '@mulberrypitch/logger/logger';
 import type {BackendRoster} from '@mulberrypitch/serving/backend-roster';
@@ -99,10 +99,6 @@
 
 			return true;
 		} catch (error) {
-			if (!(error instanceof CodedError)) {
-				throw error;
-			}
-
 			this.#handleFailure(peer, error);
 			return false;
 		} finally {
@@ -111,9 +107,9 @@
 	}
 
 	/** Makes the next call send the whole roster, and logs the first failure after a success. */
-	#handleFailure(peer: Peer, error: CodedError): void {
+	#handleFailure(peer: Peer, error: unknown): void {
 		if (this.#lastSentAt.delete(peer.name)) {
-			this.#options.logger.log(events.coordinatorLost, {peer: peer.name, reason: error.message});
+			this.#options.logger.log(events.coordinatorLost, {peer: peer.name, reason: getMessage(error)});
 		}
 	}
 }
--- /dev/null
+++ b/packages/mulberrypitch-proxy/src/__tests__/view-client.test.ts
@@ -0,0 +1,51 @@
+/** Tests that an entry goes on after a reply of a coordinator that it can't use. */
+import t from 'tap';
+import {assumeType} from '@mulberrypitch/errors/assume-type';
+import {VirtualClock} from '@mulberrypitch/fakes/virtual-clock';
+import {SeededRandom} from '@mulberrypitch/lifecycle/random';
+import type {CataloguedEvent} from '@mulberrypitch/logger/events';
+import type {ViewReply, ViewRequest} from '@mulberrypitch/serving/view-messages';
+import type {Transport} from '@mulberrypitch/transport/types';
+import {ViewClient} from '../view-client.js';
+
+const runMs = 5000;
+
+// Guards against one malformed reply ending the polls of an entry, which then serves an old view until its process ends.
+await t.test('polls go on after a malformed reply, and after one that can not be applied', async t => {
+	const clock = new VirtualClock();
+	const replies: unknown[] = [undefined, 'text', {}, {coordinators: ['a'], isInTouch: true, isBad: true}];
+	const applied: ViewReply[] = [];
+	const logged: number[] = [];
+	const client = new ViewClient({
+		getSeeds: () => ['a', 'b'],
+		transport: assumeType<Transport>({
+			async call() {
+				await clock.sleep(50);
+				return replies.length > 0 ? replies.shift() : {coordinators: ['a'], isInTouch: true};
+			},
+		}),
+		clock,
+		random: new SeededRandom(1),
+		logger: {
+			log({number}: CataloguedEvent) {
+				logged.push(number);
+			},
+		},
+		createRequest: () => assumeType<ViewRequest>({}),
+		onReply(reply) {
+			if (assumeType<{isBad?: boolean}>(reply).isBad === true) {
+				throw new TypeError('This reply can not be applied.');
+			}
+
+			applied.push(reply);
+		},
+	});
+	client.start();
+	await clock.runFor(runMs);
+	t.ok(applied.length > 20, `${applied.length} replies were applied`);
+	t.ok(client.ageMs < 1000);
+	t.ok(logged.includes(1004), 'the failures are logged');
+	const disposed = client.dispose();
+	await clock.runFor(1000);
+	await disposed;
+});
--- a/packages/mulberrypitch-proxy/src/view-client.ts
+++ b/packages/mulberrypitch-proxy/src/view-client.ts
@@ -101,7 +101,7 @@
 		return choices[position]!;
 	}
 
-	/** Polls a coordinator once. Returns whether it replied and is in contact with a leader. */
+	/** Polls a coordinator once. Returns whether its reply was applied and it is in contact with a leader. */
 	async #watch(address: string, timeoutMs: number): Promise<boolean> {
 		const {transport, createRequest, onReply, logger, clock, getSeeds} = this.#options;
 		try {
@@ -118,12 +118,11 @@
 
 			return reply.isInTouch;
 		} catch (error) {
-			if (!(error instanceof CodedError)) {
-				throw error;
-			}
-
 			this.#unresponsiveUntil.set(address, clock.now() + unresponsiveMs);
-			if (this.#current !== undefined) {
+			if (!(error instanceof CodedError)) {
+				// The reply is malformed or can't be applied. The next one, or that of another coordinator, may be sound.
+				logger.log(events.taskFailed, {task: 'view', coordinator: address, reason: getMessage(error)});
+			} else if (this.#current !== undefined) {
 				logger.log(events.viewStale, {coordinator: address, code: error.code, ageMs: Math.round(this.ageMs)});
 			}
 
