Give no permit to a caller that has left before it asked

Change: a signal that is aborted before the call ends it. Measured: the new test of permit-queue.test.ts failed before and passes now.

--- a/packages/mulberrypitch-proxy/src/__tests__/permit-queue.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/permit-queue.test.ts
@@ -48,3 +48,15 @@
 	t.equal(await waiting, undefined);
 	t.equal(queue.length, 0);
 });
+
+// Guards against a permit that a caller takes who has already left.
+await t.test('a caller that left before it asked gets no permit and does not wait', async t => {
+	const clock = new VirtualClock();
+	const {queue, free, acquire} = createQueue(clock);
+	const caller = new AbortController();
+	caller.abort();
+	free.push('a');
+	t.equal(await acquire(1, 1000, caller), undefined);
+	t.equal(queue.length, 0);
+	t.equal(await acquire(1, 0), 'a');
+});
--- a/packages/mulberrypitch-proxy/src/permit-queue.ts
+++ b/packages/mulberrypitch-proxy/src/permit-queue.ts
@@ -11,7 +11,7 @@
 	readonly priority: number;
 	/** Longest wait in milliseconds; with zero or less, the request doesn't wait. */
 	readonly maxWaitMs: number;
-	/** Ends the wait without a permit when it is aborted. If it was aborted before `acquire`, a free permit is still taken, and a wait lasts until its timeout. */
+	/** Ends the wait without a permit when it is aborted. If it was aborted before `acquire`, no permit is taken. */
 	readonly signal: AbortSignal;
 	/** Takes a permit and returns it, or returns `undefined` when none is free. */
 	readonly tryAcquire: () => Permit | undefined;
@@ -42,6 +42,10 @@
 	permit at once only if none of the same or a more urgent priority waits.
 	*/
 	async acquire(request: PermitRequest<Permit>): Promise<Permit | undefined> {
+		if (request.signal.aborted) {
+			return undefined;
+		}
+
 		if (!this.#hasWaiterAhead(request.priority)) {
 			const permit = request.tryAcquire();
 			if (permit !== undefined) {
