--- a/packages/mulberrypitch-serving/src/__tests__/backend-roster.test.ts
+++ b/packages/mulberrypitch-serving/src/__tests__/backend-roster.test.ts
@@ -172,3 +172,32 @@
 	t.notOk(roster.announce(createBackend({sequence: 9})));
 	t.match(roster.getServing(), [{id: 'i-2'}]);
 });
+
+// Guards against a back end that leaves and returns to service, since it announces itself as ready after its answers said so.
+await t.test('an incarnation that stated that it leaves never serves again, and a later one does', async t => {
+	const {roster} = createRoster();
+	const {roster: other} = createRoster('other');
+	roster.announce(createBackend());
+	t.notOk(roster.markLeaving({backend: 'i-1', startedAt: 99}), 'another incarnation');
+	t.notOk(roster.markLeaving({backend: 'i-9', startedAt: 100}), 'an unknown back end');
+	t.ok(roster.markLeaving({backend: 'i-1', startedAt: 100}));
+	t.notOk(roster.markLeaving({backend: 'i-1', startedAt: 100}));
+	roster.announce(createBackend({sequence: 9}));
+	for (const entry of roster.getEntries()) {
+		other.merge(entry);
+	}
+
+	t.same([...roster.getServing(), ...other.getServing()], []);
+	roster.announce(createBackend({startedAt: 200, sequence: 1}));
+	t.match(roster.getServing(), [{id: 'i-1', startedAt: 200}]);
+});
+
+// Guards against a back end whose address another one has taken, and of which the other coordinators are not told.
+await t.test('a back end that another one replaces at its address is sent to the other coordinators', async t => {
+	const {roster, clock} = createRoster();
+	roster.announce(createBackend());
+	clock.time += 1000;
+	const since = clock.time;
+	roster.announce(createBackend({id: 'i-2', startedAt: 300}));
+	t.match(roster.getEntries(since).map(({backend, isGone}) => ({id: backend.id, isGone})), [{id: 'i-1', isGone: true}, {id: 'i-2', isGone: false}]);
+});
--- a/packages/mulberrypitch-serving/src/backend-roster.ts
+++ b/packages/mulberrypitch-serving/src/backend-roster.ts
@@ -239,6 +239,7 @@
 		if (predecessor !== undefined) {
 			predecessor.isGone = true;
 			predecessor.isSilent = false;
+			predecessor.updatedAt = this.#options.clock.now();
 			this.#incrementVersion(predecessor);
 		}
 	}
