Let entries and coordinators of the version before take part

Cause: the new fields of the messages between entries and coordinators were required, so that a coordinator of this version answered every poll of an entry of the one before with an error during an upgrade. Change: the fields may be absent, which says nothing. The statuses of two older tests, which lack them, are as before; they now show it. Measured: usage-duty and spending-count tests pass with statuses without the fields.

--- a/packages/mulberrypitch-coordinator/src/__tests__/spending-count.test.ts
+++ b/packages/mulberrypitch-coordinator/src/__tests__/spending-count.test.ts
@@ -6,8 +6,6 @@
 function createStatus(name: string, units: number, upMs: number, incarnation = 'one'): EntryStatus {
 	return {
 		name, incarnation, upMs, address: name, zone: 'a', isReady: true, loads: {}, pressure: {}, spent: {w: units}, usage: [], crashes: {charges: [], answered: [], quarantined: []},
-		limits: [],
-		leaves: [],
 	};
 }
 
--- a/packages/mulberrypitch-coordinator/src/__tests__/usage-duty.test.ts
+++ b/packages/mulberrypitch-coordinator/src/__tests__/usage-duty.test.ts
@@ -13,8 +13,6 @@
 function createStatus(name: string, incarnation: string, usage: readonly UsageCount[]): EntryStatus {
 	return {
 		name, incarnation, upMs: 60_000, address: name, zone: 'a', isReady: true, loads: {}, pressure: {}, spent: {}, usage, crashes: {charges: [], answered: [], quarantined: []},
-		limits: [],
-		leaves: [],
 	};
 }
 
--- a/packages/mulberrypitch-coordinator/src/entry-directory.ts
+++ b/packages/mulberrypitch-coordinator/src/entry-directory.ts
@@ -78,7 +78,7 @@
 	getLimitShares(entry: string): readonly LimitShare[] {
 		const now = this.#clock.now();
 		const live = this.#getSeenWithin(entryTimeoutMs);
-		const limits = live.flatMap(({status, lastSeenAt}) => status.limits.map(limit => ({...limit, ageMs: now - lastSeenAt + limit.ageMs})));
+		const limits = live.flatMap(({status, lastSeenAt}) => (status.limits ?? []).map(limit => ({...limit, ageMs: now - lastSeenAt + limit.ageMs})));
 		const ready = live.filter(({status}) => status.isReady).map(({status}) => status.name);
 		return getNewestLimits(limits).map(limit => allocateLimit(limit, entry, ready));
 	}
--- a/packages/mulberrypitch-coordinator/src/view-service.ts
+++ b/packages/mulberrypitch-coordinator/src/view-service.ts
@@ -104,7 +104,7 @@
 	}
 
 	/** Takes over what an entry observed of back ends. */
-	#mergeObservations({crashes, leaves}: EntryStatus): void {
+	#mergeObservations({crashes, leaves = []}: EntryStatus): void {
 		const {roster, changes, logger} = this.#options;
 		this.#evidence.merge(crashes);
 		for (const leave of leaves) {
--- a/packages/mulberrypitch-proxy/src/entry.ts
+++ b/packages/mulberrypitch-proxy/src/entry.ts
@@ -241,7 +241,7 @@
 		};
 	}
 
-	#applyView({configuration, roster, loads, othersSpent, entryCount, verdict, limits}: ViewReply): void {
+	#applyView({configuration, roster, loads, othersSpent, entryCount, verdict, limits = []}: ViewReply): void {
 		this.#quarantine.apply(verdict);
 		if (configuration !== undefined) {
 			this.#applyConfiguration(configuration);
--- a/packages/mulberrypitch-serving/src/view-messages.ts
+++ b/packages/mulberrypitch-serving/src/view-messages.ts
@@ -102,10 +102,10 @@
 	readonly spent: Readonly<Record<string, number>>;
 	readonly usage: readonly UsageCount[];
 	readonly crashes: CrashReport;
-	/** Limits that back ends stated in their responses to this entry. */
-	readonly limits: readonly StatedLimit[];
-	/** Back ends that stated to this entry that they leave, and that the roster does not show as leaving. */
-	readonly leaves: readonly Incarnation[];
+	/** Limits that back ends stated in their responses to this entry; absent from an entry of an earlier version. */
+	readonly limits?: readonly StatedLimit[];
+	/** Back ends that stated to this entry that they leave, and that the roster does not show as leaving; absent from an entry of an earlier version. */
+	readonly leaves?: readonly Incarnation[];
 };
 
 /** A long-polling request for changes. The reply comes at once when there are any, otherwise after a timeout. */
@@ -134,8 +134,8 @@
 	/** Quota units that all other entries have spent, by workspace, as counted by this coordinator. */
 	readonly othersSpent: Readonly<Record<string, number>>;
 	readonly verdict: ContentVerdict;
-	/** Limits that back ends stated to any entry. */
-	readonly limits: readonly LimitShare[];
+	/** Limits that back ends stated to any entry; absent from a coordinator of an earlier version. */
+	readonly limits?: readonly LimitShare[];
 	/** Number of entries in contact with the coordinators, including the one that asks. */
 	readonly entryCount: number;
 	/** Addresses of the coordinators for calls between processes. */
