Give back ends of the product's own path the pause that they ask for

Cause: the clients of engines and plain services dropped every header but the content type. Change: one reader of Retry-After for both paths; the clients pass a pause on, and the router of the host leaves the back end out until its end.

--- a/packages/mulberrypitch-backends/src/engine-client.ts
+++ b/packages/mulberrypitch-backends/src/engine-client.ts
@@ -3,6 +3,7 @@
 import {Agent, request} from 'undici';
 import {BackendFailedError} from '@mulberrypitch/errors/catalogue';
 import {createBackendFailure} from './failure.js';
+import {getPauseMs} from './retry-after.js';
 import {readText} from './response-text.js';
 import type {
 	BackendCall, CacheCall, Engine, ExportedCache,
@@ -48,7 +49,10 @@
 			});
 			if (response.statusCode !== 200) {
 				await response.body.dump();
-				throw new BackendFailedError(`Engine ${call.address} answered ${response.statusCode}.`, {isNotSent: false, status: response.statusCode});
+				const pauseMs = getPauseMs(response);
+				throw new BackendFailedError(`Engine ${call.address} answered ${response.statusCode}.`, {
+					isNotSent: false, status: response.statusCode, ...(pauseMs !== undefined && {pauseMs}),
+				});
 			}
 
 			yield * readTokens(response.body, call.address);
--- a/packages/mulberrypitch-backends/src/plain-client.ts
+++ b/packages/mulberrypitch-backends/src/plain-client.ts
@@ -2,6 +2,7 @@
 import {Agent, request, type Dispatcher} from 'undici';
 import {BackendFailedError} from '@mulberrypitch/errors/catalogue';
 import {createBackendFailure} from './failure.js';
+import {getPauseMs} from './retry-after.js';
 import {readText} from './response-text.js';
 import type {BackendCall, PlainAnswer, PlainService} from './types.js';
 
@@ -41,7 +42,9 @@
 				);
 			}
 
+			const pauseMs = getPauseMs(response);
 			return {
+				...(pauseMs !== undefined && {pauseMs}),
 				status: response.statusCode,
 				contentType: String(response.headers['content-type'] ?? 'application/octet-stream'),
 				body: await readText(response.body, maxResponseBytes),
--- a/packages/mulberrypitch-backends/src/types.ts
+++ b/packages/mulberrypitch-backends/src/types.ts
@@ -29,6 +29,8 @@
 	readonly status: number;
 	readonly contentType: string;
 	readonly body: string;
+	/** Time in milliseconds for which the back end, which turned the call away, asks for no others; absent if it asks for no pause. */
+	readonly pauseMs?: number;
 };
 
 /** Identifies a request on an engine whose KV cache is exported or imported. */
--- a/packages/mulberrypitch-requests/src/request-holder.ts
+++ b/packages/mulberrypitch-requests/src/request-holder.ts
@@ -53,6 +53,8 @@
 	#tokensBeforeAttempt = 0;
 	#attemptStartedAt = 0;
 	#lastFailure: CodedError | undefined;
+	/** Time in milliseconds for which the back end of the current attempt asked for no requests. */
+	#pauseMs: number | undefined;
 
 	constructor(context: HolderContext, start: HolderStart) {
 		this.#context = context;
@@ -293,7 +295,10 @@
 			return await this.#handleFailure(error, backend);
 		} finally {
 			// An aborted request or one past its deadline doesn't count as a failure of the back end.
-			dispatch.finish({isFailure: isFailure && !this.#abort.signal.aborted && this.#getRemainingMs() > 0});
+			const pauseMs = this.#takePause();
+			dispatch.finish({
+				isFailure: isFailure && !this.#abort.signal.aborted && this.#getRemainingMs() > 0, ...(pauseMs !== undefined && {pauseMs}),
+			});
 		}
 	}
 
@@ -320,6 +325,13 @@
 		await this.#attemptRecord.chargeContent(backend);
 	}
 
+	/** Returns and clears the pause in milliseconds for which the last answer asked. */
+	#takePause(): number | undefined {
+		const pauseMs = this.#pauseMs;
+		this.#pauseMs = undefined;
+		return pauseMs;
+	}
+
 	async #handleFailure(error: unknown, backend: BackendServer): Promise<Outcome | undefined> {
 		const {copy} = this.#start;
 		if (!(error instanceof CodedError) || error.code === codes.staleEpoch || error.code === codes.invariant) {
@@ -327,6 +339,10 @@
 		}
 
 		this.#lastFailure = error;
+		if (typeof error.details.pauseMs === 'number') {
+			this.#pauseMs = error.details.pauseMs;
+		}
+
 		await this.#chargeContent(error, backend);
 		this.#context.logger.log(events.requestRetried, {
 			request: this.requestId, customer: copy.customer, backend: backend.id, attempt: this.#attempt, reason: error.message,
@@ -389,6 +405,7 @@
 
 	async #runPlain(call: BackendCall): Promise<Outcome> {
 		const answer = await this.#context.plain.run(call);
+		this.#pauseMs = answer.pauseMs;
 		if (this.#start.copy.isIdempotent && unavailableStatuses.has(answer.status)) {
 			throw new BackendFailedError(`Back end ${call.address} answered ${answer.status}.`, {isNotSent: false, status: answer.status});
 		}
--- a/packages/mulberrypitch-routing/src/__tests__/affinity-router.test.ts
+++ b/packages/mulberrypitch-routing/src/__tests__/affinity-router.test.ts
@@ -115,3 +115,21 @@
 
 	t.equal(router.getSlots(candidates), 4 * 16);
 });
+
+// Guards against a back end that asks for a pause and is sent requests all the same, or is ejected for asking.
+await t.test('a back end that asks for a pause gets nothing until its end, and is no failure', async t => {
+	const clock = new VirtualClock();
+	const router = createRouter(clock);
+	const candidates = createCandidates(2);
+	const first = router.choose(candidates, request)!;
+	first.finish({isFailure: true, pauseMs: 2000});
+	await clock.runFor(1999);
+	for (let index = 0; index < 20; index += 1) {
+		t.not(router.choose(candidates, request)!.backend, first.backend);
+	}
+
+	t.equal(router.getSlots(candidates), 16);
+	await clock.runFor(500);
+	t.equal(router.getSlots(candidates), 32);
+	t.ok(Array.from({length: 40}, () => router.choose(candidates, {...request, prefix: ''})!.backend).includes(first.backend));
+});
--- a/packages/mulberrypitch-routing/src/affinity-router.ts
+++ b/packages/mulberrypitch-routing/src/affinity-router.ts
@@ -14,6 +14,8 @@
 
 /** Maximum load of a back end chosen by prefix, relative to the mean load. */
 const maxLoadFactor = 1.25;
+/** Largest share of a pause by which it is extended at random. */
+const pauseSpreadShare = 0.2;
 /** Number of top-ranked back ends that are preferred for a prefix. */
 const affinityCandidates = 2;
 
@@ -45,6 +47,8 @@
 	readonly #ejection: OutlierEjection;
 	readonly #hints: PrefixHints;
 	readonly #budget: RetryBudget;
+	/** Monotonic time in milliseconds until which a back end asked for no requests. */
+	readonly #pausedUntil = new Map<string, number>();
 
 	constructor(options: AffinityRouterOptions) {
 		this.#options = options;
@@ -55,7 +59,7 @@
 
 	/** Starts a dispatch to a back end. Returns `undefined` if no back end is usable, or if a retry finds the retry budget empty. */
 	choose(candidates: readonly Candidate[], request: RoutingRequest): Dispatch | undefined {
-		const staying = candidates.filter(candidate => !candidate.isLeaving);
+		const staying = this.#filterAccepting(candidates);
 		const healthy = this.#ejection.removeEjected(getSubset(this.#options.host, staying));
 		const usable = healthy.filter(({id}) => !request.excluded.has(id));
 		if (usable.length === 0 || !this.#tryDispatch(request)) {
@@ -67,9 +71,9 @@
 		return this.#begin((best ?? this.#chooseByLoad(usable)).id, fingerprint);
 	}
 
-	/** Returns the number of slots of the candidates that are neither leaving nor left out by outlier detection. */
+	/** Returns the number of slots of the candidates that neither leave nor pause and that outlier detection does not leave out. */
 	getSlots(candidates: readonly Candidate[]): number {
-		return countSlots(this.#ejection.removeEjected(candidates.filter(candidate => !candidate.isLeaving)));
+		return countSlots(this.#ejection.removeEjected(this.#filterAccepting(candidates)));
 	}
 
 	/** Records that a back end cached or evicted a prompt prefix at a time. Events may arrive late. */
@@ -77,6 +81,19 @@
 		this.#hints.record(hashText(event.prefix), event.backend, event.isCached, event.at);
 	}
 
+	/** Returns the candidates that neither leave nor have asked this host for a pause. */
+	#filterAccepting(candidates: readonly Candidate[]): readonly Candidate[] {
+		const now = this.#options.clock.now();
+		return candidates.filter(({id, isLeaving}) => !isLeaving && (this.#pausedUntil.get(id) ?? now) <= now);
+	}
+
+	/** Sends a back end nothing for a while, and a little longer, so that hosts return one after the other. A longer pause stays. */
+	#pause(backend: string, pauseMs: number): void {
+		const {clock, random} = this.#options;
+		const until = clock.now() + (pauseMs * (1 + (random.next() * pauseSpreadShare)));
+		this.#pausedUntil.set(backend, Math.max(until, this.#pausedUntil.get(backend) ?? until));
+	}
+
 	/** Credits the retry budget for a first dispatch, or takes a retry from it. Returns whether the dispatch is allowed. */
 	#tryDispatch(request: RoutingRequest): boolean {
 		if (request.isRetry === true) {
@@ -118,14 +135,19 @@
 		let isFinished = false;
 		return {
 			backend,
-			finish: ({isFailure, cachedTokens}) => {
+			finish: ({isFailure, cachedTokens, pauseMs}) => {
 				if (isFinished) {
 					return;
 				}
 
 				isFinished = true;
 				this.#load.finish(backend);
-				this.#ejection.report(backend, isFailure);
+				if (pauseMs === undefined) {
+					this.#ejection.report(backend, isFailure);
+				} else {
+					this.#pause(backend, pauseMs);
+				}
+
 				this.#recordResult(fingerprint, backend, isFailure, cachedTokens);
 			},
 		};
--- a/packages/mulberrypitch-routing/src/types.ts
+++ b/packages/mulberrypitch-routing/src/types.ts
@@ -34,6 +34,8 @@
 /** How a dispatch ended. */
 export type DispatchReport = {
 	readonly isFailure: boolean;
+	/** Time in milliseconds for which the back end asked for no requests; absent if it asked for no pause. Asking is no failure. */
+	readonly pauseMs?: number;
 	/** Time to first token in milliseconds; absent if it is not known. */
 	readonly firstTokenMs?: number;
 	/** Number of prompt tokens that the engine found in its prefix cache; absent if it is not known. */
