Split the attempts off the request holder

Change: AttemptRun runs one attempt on a back end, with its progress and the pause that the back end asked for. No change of behaviour.

--- a/packages/mulberrypitch-requests/src/request-holder.ts
+++ b/packages/mulberrypitch-requests/src/request-holder.ts
@@ -2,7 +2,7 @@
 import {abortReason} from '@mulberrypitch/lifecycle/abort-reason';
 import {CodedError, hasCode} from '@mulberrypitch/errors/coded-error';
 import {
-	assertInvariant, BackendFailedError, codes, StaleEpochError,
+	assertInvariant, codes, StaleEpochError,
 } from '@mulberrypitch/errors/catalogue';
 import {events} from '@mulberrypitch/logger/events';
 import type {BackendCall} from '@mulberrypitch/backends/types';
@@ -11,11 +11,12 @@
 } from '@mulberrypitch/control/types';
 import {AnswerLog} from './answer-log.js';
 import {AttemptRecord, findRefusal} from './attempt-record.js';
+import {AttemptRun} from './attempt-run.js';
 import {moveCache} from './cache-move.js';
 import type {HolderContext, HolderStart} from './holder-context.js';
 import {ProposalLoop} from './proposal-loop.js';
 import type {ReclaimedRequest} from './reclaim-planner.js';
-import {createAnsweredOutcome, createOutcomeWithoutAnswer} from './request-outcome.js';
+import {createOutcomeWithoutAnswer} from './request-outcome.js';
 import {StandbyLink} from './standby-link.js';
 import {TargetChoice, type Target} from './target-choice.js';
 import {TimeoutSignal} from './timeout-signal.js';
@@ -28,10 +29,6 @@
 const isolationRetryMs = 500;
 /** Estimated number of characters of the prompt for each token. */
 const charactersPerToken = 4;
-/** Time between tokens that is assumed before the first token of an attempt, in milliseconds. */
-const defaultTokenMs = 50;
-/** HTTP statuses that make an idempotent call retry on another back end. A non-idempotent call takes any response as its outcome. */
-const unavailableStatuses = new Set([502, 503, 504]);
 
 /** Runs one request on the host that holds it, until its outcome is committed or another host takes it over. */
 export class RequestHolder {
@@ -44,17 +41,14 @@
 	readonly #proposals: ProposalLoop;
 	readonly #attemptRecord: AttemptRecord;
 	readonly #targetChoice: TargetChoice;
+	readonly #attemptRun: AttemptRun;
 	#attempt: number;
 	#lastDispatchedAttempt = 0;
 	#isSuspect: boolean;
 	#attemptAbort = new AbortController();
 	#currentTarget: Target | undefined;
 	#movedTarget: Target | undefined;
-	#tokensBeforeAttempt = 0;
-	#attemptStartedAt = 0;
 	#lastFailure: CodedError | undefined;
-	/** Time in milliseconds for which the back end of the current attempt asked for no requests. */
-	#pauseMs: number | undefined;
 
 	constructor(context: HolderContext, start: HolderStart) {
 		this.#context = context;
@@ -68,6 +62,11 @@
 		this.#attemptRecord = new AttemptRecord({copy: start.copy, proposals: this.#proposals, clock});
 		this.#targetChoice = new TargetChoice({copy: start.copy, control, router});
 		this.answer = new AnswerLog(start.copy.chunks);
+		this.#attemptRun = new AttemptRun({
+			context, copy: start.copy, answer: this.answer, requireNotAbandoned: () => {
+				this.#requireNotAbandoned();
+			},
+		});
 		this.#standbyLink = new StandbyLink(context, {
 			copy: start.copy, answer: this.answer, ...(start.standby !== undefined && {standby: start.standby}),
 		});
@@ -85,13 +84,12 @@
 	/** Returns the progress of the request, from which a reclaim is planned. */
 	getProgress(): ReclaimedRequest {
 		const {copy} = this.#start;
-		const attemptTokens = this.answer.length - this.#tokensBeforeAttempt;
 		const promptTokens = Math.ceil(copy.body.text.length / charactersPerToken);
 		return {
 			requestId: this.requestId,
 			contextTokens: promptTokens + this.answer.length,
 			remainingTokens: Math.max(0, copy.maxTokens - this.answer.length),
-			tokenMs: attemptTokens === 0 ? defaultTokenMs : (this.#context.clock.now() - this.#attemptStartedAt) / attemptTokens,
+			tokenMs: this.#attemptRun.tokenMs,
 		};
 	}
 
@@ -295,7 +293,7 @@
 			return await this.#handleFailure(error, backend);
 		} finally {
 			// An aborted request or one past its deadline doesn't count as a failure of the back end.
-			const pauseMs = this.#takePause();
+			const pauseMs = this.#attemptRun.takePause();
 			dispatch.finish({
 				isFailure: isFailure && !this.#abort.signal.aborted && this.#getRemainingMs() > 0, ...(pauseMs !== undefined && {pauseMs}),
 			});
@@ -325,13 +323,6 @@
 		await this.#attemptRecord.chargeContent(backend);
 	}
 
-	/** Returns and clears the pause in milliseconds for which the last answer asked. */
-	#takePause(): number | undefined {
-		const pauseMs = this.#pauseMs;
-		this.#pauseMs = undefined;
-		return pauseMs;
-	}
-
 	async #handleFailure(error: unknown, backend: BackendServer): Promise<Outcome | undefined> {
 		const {copy} = this.#start;
 		if (!(error instanceof CodedError) || error.code === codes.staleEpoch || error.code === codes.invariant) {
@@ -339,9 +330,7 @@
 		}
 
 		this.#lastFailure = error;
-		if (typeof error.details.pauseMs === 'number') {
-			this.#pauseMs = error.details.pauseMs;
-		}
+		this.#attemptRun.recordPause(error);
 
 		await this.#chargeContent(error, backend);
 		this.#context.logger.log(events.requestRetried, {
@@ -363,7 +352,8 @@
 	async #runAttempt(target: Target): Promise<Outcome> {
 		const {backend} = target;
 		const {copy} = this.#start;
-		this.#startAttempt(target);
+		this.#attemptAbort = new AbortController();
+		this.#currentTarget = target;
 		const timeout = new TimeoutSignal(this.#context.clock, this.#getRemainingMs(), AbortSignal.any([this.#abort.signal, this.#attemptAbort.signal]));
 		const call: BackendCall = {
 			requestId: this.requestId,
@@ -375,46 +365,13 @@
 			signal: timeout.signal,
 		};
 		try {
-			return await (backend.kind === backendKinds.engine ? this.#runEngine(call) : this.#runPlain(call));
+			return await this.#attemptRun.run(target, call);
 		} finally {
 			timeout.cancel();
 			this.#currentTarget = undefined;
 		}
 	}
 
-	#startAttempt(target: Target): void {
-		const {clock, metrics} = this.#context;
-		this.#attemptAbort = new AbortController();
-		this.#currentTarget = target;
-		this.#tokensBeforeAttempt = this.answer.length;
-		this.#attemptStartedAt = clock.now();
-		const recomputedTokens = this.answer.length - target.cachedTokens;
-		if (target.backend.kind === backendKinds.engine && recomputedTokens > 0) {
-			metrics.count('mulberrypitch_tokens_recomputed_total', 'Tokens of answers computed again.', {service: this.#start.copy.service}, recomputedTokens);
-		}
-	}
-
-	async #runEngine(call: BackendCall): Promise<Outcome> {
-		for await (const token of this.#context.engine.stream(call)) {
-			this.#requireNotAbandoned();
-			this.answer.append(token);
-		}
-
-		return createAnsweredOutcome(this.answer);
-	}
-
-	async #runPlain(call: BackendCall): Promise<Outcome> {
-		const answer = await this.#context.plain.run(call);
-		this.#pauseMs = answer.pauseMs;
-		if (this.#start.copy.isIdempotent && unavailableStatuses.has(answer.status)) {
-			throw new BackendFailedError(`Back end ${call.address} answered ${answer.status}.`, {isNotSent: false, status: answer.status});
-		}
-
-		this.answer.setHead({status: answer.status, contentType: answer.contentType});
-		this.answer.append(answer.body);
-		return createAnsweredOutcome(this.answer);
-	}
-
 	async #finish(outcome: Outcome): Promise<void> {
 		const {clock, logger, metrics} = this.#context;
 		const {copy} = this.#start;
