--- a/packages/mulberrypitch-proxy/src/__tests__/hostile-backends.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/hostile-backends.test.ts
@@ -3,16 +3,12 @@
  * that an entry holds before it passes it on.
  */
 import {Buffer} from 'node:buffer';
-import http, {type ServerResponse} from 'node:http';
+import http from 'node:http';
 import net from 'node:net';
 import t, {type Test} from 'tap';
 import {assumeType} from '@mulberrypitch/errors/assume-type';
-import {VirtualClock} from '@mulberrypitch/fakes/virtual-clock';
 import type {AttemptOutcome} from '../attempt-outcome.js';
-import {BackendConnection} from '../backend-connection.js';
-import {ResponseCollector} from '../response-collector.js';
-import {ResponseRelay} from '../response-relay.js';
-import {ResponseTiming} from '../response-timing.js';
+import {relayResponse, type RelayOptions} from './relay-response.js';
 
 const host = '127.0.0.1';
 /** Size of an endless part after which the back end of a test gives up: what an entry has taken without an end is too much. */
@@ -21,11 +17,9 @@
 const streamHead = 'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n';
 
 /** A response that begins with `start` and then repeats a piece. */
-type EndlessResponse = {
+type EndlessResponse = RelayOptions & {
 	readonly start: string;
 	readonly piece: string;
-	readonly isStream?: boolean;
-	readonly isResumable?: boolean;
 	/** The outcome of the attempt: whether the request may have run, and whether a part of the response has reached the caller. */
 	readonly expected: AttemptOutcome['kind'];
 };
@@ -93,45 +87,6 @@
 	return false;
 }
 
-async function relayResponse(backendPort: number, response: ServerResponse, {isStream = false, isResumable = false}: EndlessResponse): Promise<AttemptOutcome> {
-	const connection = await BackendConnection.open({
-		address: `${host}:${backendPort}`,
-		connectTimeoutMs: 1000,
-		attemptHeader: 'attempt',
-		onHead() {
-			// The test reads no statements of back ends.
-		},
-		onClosed() {
-			// The test uses no connection pool.
-		},
-		onIdle() {
-			// The test uses no connection pool.
-		},
-		now: () => 0,
-	});
-	const relay = new ResponseRelay(response, {isResumable, timing: new ResponseTiming(new VirtualClock(), 0), getExtraHeaders: () => []});
-	const outcome = await new Promise<AttemptOutcome>(resolve => {
-		connection.send('GET / HTTP/1.1\r\n\r\n', undefined, new ResponseCollector({
-			attemptId: undefined,
-			isHead: false,
-			isStream,
-			relay,
-			connection,
-			notRunHeader: 'not-run',
-			onBodyBytes() {
-				// The test has no permits.
-			},
-			onRunning() {
-				// The test counts no usage.
-			},
-			onOutcome: resolve,
-		}));
-	});
-	connection.destroy();
-	relay.cut();
-	return outcome;
-}
-
 // Guards against a back end that fills the memory of an entry, or holds a request until its deadline, with a part of a response that does not end.
 for (const [unit, endless] of Object.entries(responses)) {
 	await t.test(`a response whose ${unit} does not end is given up`, async t => {
@@ -145,7 +100,7 @@
 			void (async () => {
 				const entryPort = await listen(t, http.createServer((_, response) => {
 					void (async () => {
-						resolve(await relayResponse(backendPort, response, endless));
+						resolve(await relayResponse(backendPort, response, {isStream: false, ...endless}));
 					})();
 				}));
 				const caller = net.connect(entryPort, host, () => {
@@ -177,9 +132,7 @@
 			});
 		}));
 		const entryPort = await listen(t, http.createServer((_, response) => {
-			void relayResponse(backendPort, response, {
-				start: '', piece: '', isStream, isResumable: isStream, expected: 'delivered',
-			});
+			void relayResponse(backendPort, response, {isStream, isResumable: isStream});
 		}));
 		const received = await new Promise<number>((resolve, reject) => {
 			http.get({host, port: entryPort, agent: false}, response => {
--- /dev/null
+++ b/packages/mulberrypitch-proxy/src/__tests__/relay-response.ts
@@ -0,0 +1,68 @@
+/** Relays one response of a back end to a caller, without the entry around it. For tests. */
+import type {ServerResponse} from 'node:http';
+import {VirtualClock} from '@mulberrypitch/fakes/virtual-clock';
+import type {AttemptOutcome} from '../attempt-outcome.js';
+import {BackendConnection} from '../backend-connection.js';
+import {ResponseCollector} from '../response-collector.js';
+import {ResponseRelay} from '../response-relay.js';
+import {ResponseTiming} from '../response-timing.js';
+
+const host = '127.0.0.1';
+
+/** How the route of a relayed response treats it. */
+export type RelayOptions = {
+	/** Whether streams may be resumed; not by default. */
+	readonly isResumable?: boolean;
+	/** Whether the route responds with a stream; it does by default. */
+	readonly isStream?: boolean;
+};
+
+/**
+Sends a request to the back end at a port and relays its response. Closes the caller's connection unless the response was delivered.
+
+@example
+```
+const outcome = await relayResponse(backendPort, response, {isStream: false});
+```
+*/
+export async function relayResponse(backendPort: number, response: ServerResponse, {isResumable = false, isStream = true}: RelayOptions): Promise<AttemptOutcome> {
+	const connection = await BackendConnection.open({
+		address: `${host}:${backendPort}`,
+		connectTimeoutMs: 1000,
+		attemptHeader: 'attempt',
+		onHead() {
+			// The tests read no statements of back ends.
+		},
+		onClosed() {
+			// The tests use no connection pool.
+		},
+		onIdle() {
+			// The tests use no connection pool.
+		},
+		now: () => 0,
+	});
+	const relay = new ResponseRelay(response, {isResumable, timing: new ResponseTiming(new VirtualClock(), 0), getExtraHeaders: () => []});
+	const outcome = await new Promise<AttemptOutcome>(resolve => {
+		connection.send('GET / HTTP/1.1\r\n\r\n', undefined, new ResponseCollector({
+			attemptId: undefined,
+			isHead: false,
+			isStream,
+			relay,
+			connection,
+			notRunHeader: 'not-run',
+			onBodyBytes() {
+				// The tests have no permits.
+			},
+			onRunning() {
+				// The tests count no usage.
+			},
+			onOutcome: resolve,
+		}));
+	});
+	connection.destroy();
+	if (outcome.kind !== 'delivered') {
+		relay.cut();
+	}
+
+	return outcome;
+}
--- a/packages/mulberrypitch-proxy/src/__tests__/response-end.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/response-end.test.ts
@@ -1,16 +1,12 @@
 /** Tests that a caller can tell a broken stream from a complete one, with back ends whose responses end with their connection. */
 import {Buffer} from 'node:buffer';
-import http, {type ServerResponse} from 'node:http';
+import http from 'node:http';
 import net from 'node:net';
 import t, {type Test} from 'tap';
 import {assumeType} from '@mulberrypitch/errors/assume-type';
 import {getSystemCode} from '@mulberrypitch/errors/coded-error';
-import {VirtualClock} from '@mulberrypitch/fakes/virtual-clock';
 import type {AttemptOutcome} from '../attempt-outcome.js';
-import {BackendConnection} from '../backend-connection.js';
-import {ResponseCollector} from '../response-collector.js';
-import {ResponseRelay} from '../response-relay.js';
-import {ResponseTiming} from '../response-timing.js';
+import {relayResponse} from './relay-response.js';
 
 type Received = {
 	/** Everything that the caller received, head included. */
@@ -45,48 +41,6 @@
 	return assumeType<net.AddressInfo>(server.address()).port;
 }
 
-/** Relays one response of the back end to a caller, and closes the caller's connection unless the response was delivered. */
-async function relayResponse(backendPort: number, response: ServerResponse, {isResumable = false, isStream = true}: Exchange): Promise<AttemptOutcome> {
-	const connection = await BackendConnection.open({
-		address: `${host}:${backendPort}`,
-		connectTimeoutMs: 1000,
-		attemptHeader: 'attempt',
-		onClosed() {
-			// The test uses no connection pool.
-		},
-		onHead() {
-			// The test reads no statements of back ends.
-		},
-		onIdle() {
-			// The test uses no connection pool.
-		},
-		now: () => 0,
-	});
-	const relay = new ResponseRelay(response, {isResumable, timing: new ResponseTiming(new VirtualClock(), 0), getExtraHeaders: () => []});
-	const outcome = await new Promise<AttemptOutcome>(resolve => {
-		connection.send('GET / HTTP/1.1\r\n\r\n', undefined, new ResponseCollector({
-			attemptId: undefined,
-			isHead: false,
-			isStream,
-			relay,
-			connection,
-			notRunHeader: 'not-run',
-			onBodyBytes() {
-				// The test has no permits.
-			},
-			onRunning() {
-				// The test counts no usage.
-			},
-			onOutcome: resolve,
-		}));
-	});
-	if (outcome.kind !== 'delivered') {
-		relay.cut();
-	}
-
-	return outcome;
-}
-
 /** Sends one request through a relay to a back end, and returns what the caller received. */
 async function run(t: Test, exchange: Exchange): Promise<Received> {
 	const backendPort = await listen(t, net.createServer(socket => {
