Read on when a response ends while its caller holds it back

Callers would have seen: a request that waits for its deadline and fails, since it went out on a pooled connection that reads nothing. Cause: a slow caller has the connection paused; it is resumed when the caller's connection drains. Node.js emits no 'drain' after the end of a response, so a connection whose last read filled the caller's buffer went back to the pool paused. Change: a connection reads on when its response has ended. Measured: the new test of backend-connection.test.ts was silent before and passes now; 70 tests of the package pass.

--- a/packages/mulberrypitch-proxy/src/__tests__/backend-connection.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/backend-connection.test.ts
@@ -12,6 +12,8 @@
 	end: string;
 };
 
+/** Number of event-loop turns after which a response is taken to be missing. */
+const maxTurns = 20_000;
 const head = 'POST /a/ HTTP/1.1\r\n\r\n';
 
 /** Starts a server that calls `respond` for each chunk that it receives, and returns its address. */
@@ -127,3 +129,45 @@
 		await sleep(5);
 	}
 });
+
+// Guards against a pooled connection that reads nothing any more, since a slow caller had it paused when the last response ended.
+await t.test('a connection that was paused at the end of a response reads the next one', async t => {
+	const address = await startServer(t, (socket, request) => {
+		socket.write(`HTTP/1.1 200 OK\r\nAttempt: ${request}\r\nContent-Length: 5\r\n\r\nhello`);
+	});
+	const connection = await open(address);
+	const first = new Promise<void>(resolve => {
+		connection.send(head, undefined, {
+			attemptId: '1',
+			isHead: false,
+			onHead() {
+				// Only the body matters here.
+			},
+			onBody() {
+				connection.pause();
+			},
+			onEnd() {
+				resolve();
+			},
+			onFailed() {
+				t.fail('the response is whole');
+			},
+		});
+	});
+	await first;
+	t.ok(connection.isReusable);
+	const second = exchange(connection, '2');
+	const giveUp = new AbortController();
+	const silent = (async () => {
+		for (let turn = 0; turn < maxTurns && !giveUp.signal.aborted; turn += 1) {
+			await new Promise(resolve => {
+				setImmediate(resolve);
+			});
+		}
+
+		return {end: 'silent'};
+	})();
+	t.match(await Promise.race([second, silent]), {body: 'hello', end: 'whole'});
+	giveUp.abort();
+	connection.destroy();
+});
--- a/packages/mulberrypitch-proxy/src/backend-connection.ts
+++ b/packages/mulberrypitch-proxy/src/backend-connection.ts
@@ -225,6 +225,11 @@
 		this.#exchange = undefined;
 		this.#idleSince = this.#options.now();
 		exchange?.onEnd();
+		if (this.#isPaused) {
+			// Nobody resumes a connection for the sake of a response that has ended, and the next one must be read.
+			this.resume();
+		}
+
 		if (!this.#isPersistent || this.#hasEnded) {
 			this.#close();
 		} else if (!this.#isClosed) {
