--- a/packages/mulberrypitch-backends/src/__tests__/hostile-backends.test.ts
+++ b/packages/mulberrypitch-backends/src/__tests__/hostile-backends.test.ts
@@ -36,6 +36,7 @@
 		await new Promise<void>(resolve => {
 			socket.once('close', resolve);
 			socket.write(piece, 'latin1', () => {
+				socket.off('close', resolve);
 				resolve();
 			});
 		});
