Tell coordinators again of leaves after all of them have restarted

The log: all coordinators were killed, an entry restarted, got the back end from a coordinator as serving, and sent to it, while another entry still knew. Cause: an entry reported a leave only until the roster had it; after a restart of all coordinators nobody told them again, and their roster took the next announcement for a back end that serves. Change: an entry reports all back ends that it knows to leave, for as long as it knows them.

--- a/packages/mulberrypitch-proxy/src/backend-view.ts
+++ b/packages/mulberrypitch-proxy/src/backend-view.ts
@@ -97,10 +97,10 @@
 		}
 	}
 
-	/** Returns the incarnations that stated to this entry that they leave, and of which the coordinators don't know it yet. */
-	getStatedLeaves(): readonly Incarnation[] {
+	/** Returns the incarnations that leave, so that coordinators that have restarted learn of it again. */
+	getLeaves(): readonly Incarnation[] {
 		return [...this.#backends.values()]
-			.filter(({isLeavingUnknown}) => isLeavingUnknown)
+			.filter(({isLeaving}) => isLeaving)
 			.map(({id, announced}) => ({backend: id, startedAt: announced.startedAt}));
 	}
 
--- a/packages/mulberrypitch-proxy/src/entry.ts
+++ b/packages/mulberrypitch-proxy/src/entry.ts
@@ -233,7 +233,7 @@
 				usage: this.#usage.getCounts(),
 				crashes: this.#quarantine.createReport(),
 				limits: this.#backends.getStatedLimits(),
-				leaves: this.#backends.getStatedLeaves(),
+				leaves: this.#backends.getLeaves(),
 			},
 			configurationVersion: this.#table?.configuration.version ?? 0,
 			rosterEpoch: this.#backends.epoch,
--- a/packages/mulberrypitch-proxy/src/known-backend.ts
+++ b/packages/mulberrypitch-proxy/src/known-backend.ts
@@ -159,12 +159,12 @@
 
 	/** Whether the back end may be sent requests. */
 	get isServing(): boolean {
-		return !this.#isRetired && !this.#announced.isLeaving && !this.#conditions.isLeaving;
+		return !this.#isRetired && !this.isLeaving;
 	}
 
-	/** Whether the back end has stated to this entry that it leaves, and the coordinators don't know it yet. */
-	get isLeavingUnknown(): boolean {
-		return this.#conditions.isLeaving && !this.#announced.isLeaving;
+	/** Whether the back end leaves, by its announcements or by what it stated to this entry. */
+	get isLeaving(): boolean {
+		return this.#announced.isLeaving || this.#conditions.isLeaving;
 	}
 
 	/** Whether outlier detection has ejected the back end for now. */
--- a/packages/mulberrypitch-serving/src/view-messages.ts
+++ b/packages/mulberrypitch-serving/src/view-messages.ts
@@ -104,7 +104,7 @@
 	readonly crashes: CrashReport;
 	/** Limits that back ends stated in their responses to this entry; absent from an entry of an earlier version. */
 	readonly limits?: readonly StatedLimit[];
-	/** Back ends that stated to this entry that they leave, and that the roster does not show as leaving; absent from an entry of an earlier version. */
+	/** Back ends that leave, as this entry knows from their responses or from the coordinators; absent from an entry of an earlier version. */
 	readonly leaves?: readonly Incarnation[];
 };
 
