Replace machines whose weights failed to load

Cause: the reconciler logged the failure and went on to count the machine as running. Change: the next step stops it, and plans without it. Measured: the new test of fleet.test.ts failed before and passes now (5 other tests of the file as before).

--- a/packages/mulberrypitch-fleet/src/__tests__/fleet.test.ts
+++ b/packages/mulberrypitch-fleet/src/__tests__/fleet.test.ts
@@ -124,6 +124,43 @@
 	t.ok(getTokensWithoutLargestZone(reconciler.ready, () => 1) >= 900);
 });
 
+// Guards against a machine that is paid for and serves nothing, since its weights could not be fetched.
+await t.test('a machine whose weights failed to load is stopped and replaced', async t => {
+	const {cloud, clock, advance} = createSimulation();
+	let failures = 2;
+	const fetched: string[] = [];
+	const reconciler = new FleetReconciler({
+		cloud,
+		clock,
+		random: new SeededRandom(1),
+		logger: new SilentLogger(),
+		startupMs,
+		reclaimPrice: 1,
+		plan: planFleet,
+		weightStore: {
+			fetchIntervalMs: 0,
+			async fetch(id: string) {
+				failures -= 1;
+				if (failures >= 0) {
+					throw new CodedError('unavailable', 'The weight store is unavailable.', 'Try again.');
+				}
+
+				fetched.push(id);
+			},
+		},
+	});
+	await reconciler.step(300);
+	const first = await cloud.listMachines();
+	await advance(1000);
+	t.equal(reconciler.ready.length, first.length - 2);
+	await reconciler.step(300);
+	await advance(1000);
+	const second = await cloud.listMachines();
+	t.ok(getTokensWithoutLargestZone(reconciler.ready, () => 1) >= 300);
+	t.equal(reconciler.ready.length, second.length);
+	t.equal(fetched.length, second.length);
+});
+
 await t.test('the planner costs less than on-demand machines only, and is below the target less often than cheapest first', async t => {
 	const results = await compareFleetPolicies({
 		createSimulation, durationMs: 48 * hourMs, peakTokensPerSecond: 1500, startupMs,
--- a/packages/mulberrypitch-fleet/src/fleet-reconciler.ts
+++ b/packages/mulberrypitch-fleet/src/fleet-reconciler.ts
@@ -37,6 +37,8 @@
 	readonly #reclaimRates = new ReclaimRates();
 	readonly #backoff: OfferBackoff;
 	readonly #readyIds = new Set<string>();
+	/** Machines whose weights failed to load, which the next step stops. */
+	readonly #failedIds = new Set<string>();
 	#machines = new Map<string, Machine>();
 	/** Monotonic time in milliseconds at which the machines were last listed. */
 	#observedAt: number;
@@ -57,6 +59,7 @@
 	/** Lists the running machines, plans for the demand, starts missing machines and stops surplus ones. */
 	async step(tokensPerSecond: number): Promise<void> {
 		await this.#observe();
+		await this.#stopFailed();
 		const offers = await this.#options.cloud.listOffers();
 		let plan = this.#createPlan(offers, tokensPerSecond);
 		for (let count = 1; await this.#startMissing(plan) && count < maxPlansPerStep; count += 1) {
@@ -78,12 +81,22 @@
 			if (!running.has(machine.id)) {
 				this.#reclaimRates.recordReclaim(machine.offer);
 				this.#readyIds.delete(machine.id);
+				this.#failedIds.delete(machine.id);
 			}
 		}
 
 		this.#machines = running;
 	}
 
+	/** Stops the machines whose weights failed to load. */
+	async #stopFailed(): Promise<void> {
+		for (const id of this.#failedIds) {
+			await this.#options.cloud.stop(id);
+			this.#machines.delete(id);
+			this.#failedIds.delete(id);
+		}
+	}
+
 	#createPlan(offers: readonly Offer[], tokensPerSecond: number): FleetPlan {
 		const {clock, plan} = this.#options;
 		return plan({
@@ -148,7 +161,8 @@
 			await weightStore.fetch(id);
 			this.#readyIds.add(id);
 		} catch (error) {
-			// The machine never becomes ready. It runs until a later step stops it as surplus or the cloud reclaims it.
+			// The machine would never become ready. The next step stops it, so that the plan lacks it and replaces it.
+			this.#failedIds.add(id);
 			logger.log(events.weightsFailed, {machine: id, reason: getMessage(error)});
 		}
 	}
