--- a/packages/mulberrypitch-load/src/experiment-result.ts
+++ b/packages/mulberrypitch-load/src/experiment-result.ts
@@ -48,7 +48,7 @@
 
 type Tally = {good: number; all: number};
 
-/** Collects the measurements of one run. Outcomes of requests that arrive during the warm-up are not counted. */
+/** Collects the measurements of one run. Outcomes and dispatches of requests that arrive during the warm-up are not counted. */
 export class ResultRecorder {
 	readonly #firstTokenByClass = new Map<RequestClass, Histogram>();
 	readonly #shortAnswersByWorkspace = new Map<string, Histogram>();
@@ -72,11 +72,15 @@
 		this.#warmUpMs = warmUpMs;
 	}
 
-	/** Counts a dispatch. */
-	addDispatch({entry, prefix}: Arrival, backend: string, isRetry: boolean): void {
+	/** Counts a dispatch, unless its request arrived during the warm-up. */
+	addDispatch({at, entry, prefix}: Arrival, backend: string, isRetry: boolean): void {
 		const key = `${entry}/${prefix}`;
 		const last = this.#lastBackends.get(key);
 		this.#lastBackends.set(key, backend);
+		if (at < this.#warmUpMs) {
+			return;
+		}
+
 		this.#backendChanges += prefix !== '' && last !== undefined && last !== backend ? 1 : 0;
 		this.#dispatches += 1;
 		this.#retries += isRetry ? 1 : 0;
