Skip late answers to others for requests without an identifier too

Operators of similar systems saw a second copy of an answer, late, on a connection that was in use again. Here it could reach a caller that sends no identifier: the check compared identifiers only where the request had one. Change: an answer with an identifier belongs to the request with the same one; a request without one takes only an answer without one. Measured: the new test of backend-connection.test.ts failed before (the next caller got the first answer) and passes now.

--- a/packages/mulberrypitch-proxy/src/__tests__/backend-connection.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/backend-connection.test.ts
@@ -55,7 +55,7 @@
 	});
 }
 
-async function exchange(connection: BackendConnection, attemptId: string): Promise<Result> {
+async function exchange(connection: BackendConnection, attemptId: string | undefined): Promise<Result> {
 	const result: Result = {statuses: [], body: '', end: ''};
 	return new Promise(resolve => {
 		const listener: Exchange = {
@@ -171,3 +171,15 @@
 	giveUp.abort();
 	connection.destroy();
 });
+
+// Guards against the late second copy of an answer reaching the next caller on the connection, where that caller sent no identifier.
+await t.test('a late response to an earlier request is skipped for a request without an identifier', async t => {
+	const address = await startServer(t, (socket, request) => {
+		const late = 'HTTP/1.1 200 OK\r\nAttempt: 1\r\nContent-Length: 5\r\n\r\nfirst';
+		socket.write(request === 1 ? late : `${late}HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond`);
+	});
+	const connection = await open(address);
+	t.match(await exchange(connection, '1'), {body: 'first', end: 'whole'});
+	t.match(await exchange(connection, undefined), {statuses: [200], body: 'second', end: 'whole'});
+	connection.destroy();
+});
--- a/packages/mulberrypitch-proxy/src/backend-connection.ts
+++ b/packages/mulberrypitch-proxy/src/backend-connection.ts
@@ -11,7 +11,7 @@
 is closed by `destroy`, neither is called.
 */
 export type Exchange = {
-	/** Distinguishes the response from late ones to earlier requests. */
+	/** Distinguishes the response from late ones to earlier requests. Absent if the request has none; its response then has none either. */
 	readonly attemptId: string | undefined;
 	/** Whether the request's method is HEAD, so that the response has no body. */
 	readonly isHead: boolean;
@@ -207,7 +207,7 @@
 
 		this.#isPersistent = head.isPersistent;
 		const answeredId = findHeader(head, this.#options.attemptHeader);
-		this.#isSkipping = answeredId !== undefined && this.#exchange.attemptId !== undefined && answeredId !== this.#exchange.attemptId;
+		this.#isSkipping = answeredId !== undefined && answeredId !== (this.#exchange.attemptId ?? '');
 		if (!this.#isSkipping) {
 			this.#readKeepAlive(head);
 			this.#options.onHead(head, this.#sentAt);
