--- a/packages/mulberrypitch-host/src/host.ts
+++ b/packages/mulberrypitch-host/src/host.ts
@@ -39,7 +39,7 @@
 /** Time in milliseconds within which the control group must record a step of a planned stop. */
 const recordTimeoutMs = 2000;
 /** Time in milliseconds without contact to the control group after which a planned stop waits for no request any more. */
-const maxStaleDrainMs = 3000;
+const maxStaleDrainMs = 15_000;
 /** Interval in milliseconds at which a planned stop checks for requests in progress. */
 const idlePollMs = 100;
 
