Log what a planned stop takes and what its end cuts off

Line 1503 told a refusal in a stop; nothing told a request that a stop took, with which estimate, nor one that the end of the process cut off. The set of requests in progress is a module of its own.

--- a/packages/mulberrypitch-logger/src/events.ts
+++ b/packages/mulberrypitch-logger/src/events.ts
@@ -61,6 +61,7 @@
 	requestRefused: {number: 1505, level: 'info', text: 'request refused'},
 	requestTakenOver: {number: 1506, level: 'warn', text: 'request taken over'},
 	requestFailed: {number: 1507, level: 'warn', text: 'request failed'},
+	requestInStop: {number: 1509, level: 'info', text: 'request arrived in a stop'},
 	sendFailed: {number: 1508, level: 'warn', text: 'send to back end failed'},
 	orderSent: {number: 1601, level: 'info', text: 'order sent'},
 	orderFailed: {number: 1602, level: 'warn', text: 'order failed'},
--- a/packages/mulberrypitch-proxy/src/entry.ts
+++ b/packages/mulberrypitch-proxy/src/entry.ts
@@ -194,6 +194,7 @@
 			this.#server.closeIdle();
 		}
 
+		this.#server.logCutOff();
 		logger.log(events.hostStopped, {node: name, running: this.#server.running});
 	}
 
--- a/packages/mulberrypitch-proxy/src/proxy-server.ts
+++ b/packages/mulberrypitch-proxy/src/proxy-server.ts
@@ -24,6 +24,7 @@
 import type {RequestContent} from './content-quarantine.js';
 import {LocalReplies, minRetryAfterSeconds} from './local-replies.js';
 import {ProxiedRequest, quarantineReason} from './proxied-request.js';
+import {RequestsInProgress} from './requests-in-progress.js';
 import type {DecisionContext, RequestEnd} from './proxied-request-options.js';
 import type {ProxyServerOptions} from './proxy-server-options.js';
 import {chooseService} from './service-choice.js';
@@ -53,8 +54,7 @@
 	readonly #sockets = new Set<Socket>();
 	readonly #configured = new Deferred<void>();
 	readonly #startedAt: number;
-	/** Responses to the callers' requests in progress. */
-	readonly #responses = new Set<ServerResponse>();
+	readonly #requests = new RequestsInProgress();
 	readonly #stopWindow: StopWindow;
 	#isDraining = false;
 
@@ -99,7 +99,7 @@
 
 	/** Number of callers' requests in progress. */
 	get running(): number {
-		return this.#responses.size;
+		return this.#requests.size;
 	}
 
 	/** Starts to listen, and resolves with the port. */
@@ -140,6 +140,16 @@
 		this.#stopWindow.begin(durationMs);
 	}
 
+	/** Logs the requests that the end of a stop cuts off. */
+	logCutOff(): void {
+		const {clock, logger} = this.#options;
+		for (const {attemptId, arrivedAt} of this.#requests.list()) {
+			logger.log(events.requestFailed, {
+				request: attemptId, reason: 'the entry stopped', ms: Math.round(clock.now() - arrivedAt), isCut: true,
+			});
+		}
+	}
+
 	/** Closes connections without a request in progress. */
 	closeIdle(): void {
 		this.#server.closeIdleConnections();
@@ -151,12 +161,7 @@
 			this.#server.close(() => {
 				resolve();
 			});
-			for (const response of this.#responses) {
-				if (!response.writableEnded) {
-					breakOff(response);
-				}
-			}
-
+			this.#requests.breakOff();
 			for (const socket of this.#sockets) {
 				socket.destroy();
 			}
@@ -166,7 +171,7 @@
 	async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		const {clock, logger} = this.#options;
 		const arrivedAt = clock.now();
-		this.#responses.add(response);
+		this.#requests.add(response, {attemptId: this.#getAttemptId(request), arrivedAt});
 		try {
 			await this.#serve(request, response, arrivedAt);
 		} catch (error) {
@@ -176,7 +181,7 @@
 				breakOff(response);
 			}
 		} finally {
-			this.#responses.delete(response);
+			this.#requests.remove(response);
 		}
 	}
 
@@ -195,6 +200,7 @@
 		}
 
 		const late = this.#stopWindow.findLate(admission.route);
+		this.#logArrivalInStop(request, admission.route, late !== undefined);
 		if (late !== undefined) {
 			this.#replies.send(request, response, {
 				status: 503, reason: 'stopping', retryAfterSeconds: minRetryAfterSeconds, inputs: {
@@ -250,6 +256,16 @@
 		});
 	}
 
+	/** Logs a request that arrives during a stop, with what decides whether it is taken. */
+	#logArrivalInStop(request: IncomingMessage, route: Route, isLate: boolean): void {
+		const {leftMs, usualMs} = this.#stopWindow.estimate(route);
+		if (Number.isFinite(leftMs)) {
+			this.#options.logger.log(events.requestInStop, {
+				request: this.#getAttemptId(request), route: route.name, leftMs: Math.round(leftMs), usualMs, isTaken: !isLate,
+			});
+		}
+	}
+
 	/**
 	Returns the configuration in force. Waits briefly for the first one, since callers reconnect to a restarted entry before the
 	entry has received it.
--- a/packages/mulberrypitch-proxy/src/stop-window.ts
+++ b/packages/mulberrypitch-proxy/src/stop-window.ts
@@ -6,8 +6,8 @@
 /** Factor by which a request may take longer than usual. */
 const safetyFactor = 1.25;
 
-/** Why a request comes too late. */
-export type LateArrival = {
+/** What decides whether a request is taken during a stop. */
+export type StopEstimate = {
 	/** Time in milliseconds until the process ends. */
 	readonly leftMs: number;
 	/** Time in milliseconds that a request of its route usually takes. */
@@ -41,10 +41,14 @@
 		duration.record(durationMs);
 	}
 
+	/** Returns the time that is left, infinite while the process is not being stopped, and the usual time of a route's requests. */
+	estimate({name, timeoutMs}: Route): StopEstimate {
+		return {leftMs: this.#endsAt - this.#clock.now(), usualMs: this.#durations.get(name)?.ms ?? timeoutMs};
+	}
+
 	/** Returns why a request that arrives now is not taken, or `undefined` if it usually ends in time. */
-	findLate({name, timeoutMs}: Route): LateArrival | undefined {
-		const leftMs = this.#endsAt - this.#clock.now();
-		const usualMs = this.#durations.get(name)?.ms ?? timeoutMs;
-		return usualMs * safetyFactor > leftMs ? {leftMs, usualMs} : undefined;
+	findLate(route: Route): StopEstimate | undefined {
+		const estimate = this.estimate(route);
+		return estimate.usualMs * safetyFactor > estimate.leftMs ? estimate : undefined;
 	}
 }
