--- a/packages/mulberrypitch-proxy/src/caller-request.ts
+++ b/packages/mulberrypitch-proxy/src/caller-request.ts
@@ -34,6 +34,20 @@
 	return Array.from({length: rawHeaders.length / 2}, (_, index) => ({name: rawHeaders[2 * index]!, value: rawHeaders[(2 * index) + 1]!}));
 }
 
+/**
+Returns the monotonic time in milliseconds by which the caller gets its final response: when the caller stops waiting, by the header of the
+given name, or at the timeout of the route.
+
+@example
+```
+const deadlineAt = getDeadlineAt(request, names.deadline, {arrivedAt, timeoutMs: 3000});
+```
+*/
+export function getDeadlineAt(request: IncomingMessage, header: string, {arrivedAt, timeoutMs}: {readonly arrivedAt: number; readonly timeoutMs: number}): number {
+	const waitMs = Number(getHeader(request, header) ?? timeoutMs);
+	return arrivedAt + (Number.isFinite(waitMs) ? Math.min(waitMs, timeoutMs) : timeoutMs);
+}
+
 /**
 Returns the units that a request takes from its workspace's quota: one, or the sum of the prompt tokens and the maximum number of
 output tokens if the quota counts tokens. The token count is `PROMPT,MAXOUTPUT`.
--- a/packages/mulberrypitch-proxy/src/proxy-server.ts
+++ b/packages/mulberrypitch-proxy/src/proxy-server.ts
@@ -18,7 +18,7 @@
 import {ResponseRelay} from './response-relay.js';
 import {ResponseTiming} from './response-timing.js';
 import {
-	getHeader, getHeaders, getQuotaUnits, readBody, readPrompt, type Prompt,
+	getDeadlineAt, getHeader, getHeaders, getQuotaUnits, readBody, readPrompt, type Prompt,
 } from './caller-request.js';
 import {getContentFingerprints, type IdentifyingParts} from './content-fingerprints.js';
 import type {RequestContent} from './content-quarantine.js';
@@ -62,7 +62,7 @@
 		const {names, random, logger, metrics} = options;
 		this.#options = options;
 		this.#startedAt = options.clock.now();
-		this.#stopWindow = new StopWindow(options.clock);
+		this.#stopWindow = new StopWindow(options.clock, logger);
 		this.#replies = new LocalReplies({
 			attemptHeader: names.attemptId,
 			random,
@@ -132,7 +132,7 @@
 	}
 
 	/**
-	From now on, adds `Connection: close` to responses, so that callers reconnect to another entry, and refuses requests that don't usually
+	From now on, adds `Connection: close` to responses, so that callers reconnect to another entry, and refuses requests that may not
 	end within the given time, at whose end the process cuts off what still runs.
 	*/
 	drain(durationMs: number): void {
@@ -199,19 +199,18 @@
 			return;
 		}
 
-		const late = this.#stopWindow.findLate(admission.route);
-		this.#logArrivalInStop(request, admission.route, late !== undefined);
+		const {workspace, route} = admission;
+		const deadlineAt = getDeadlineAt(request, this.#options.names.deadline, {arrivedAt, timeoutMs: route.timeoutMs});
+		const late = this.#stopWindow.judge({attemptId: this.#getAttemptId(request), route, deadlineAt});
 		if (late !== undefined) {
 			this.#replies.send(request, response, {
-				status: 503, reason: 'stopping', retryAfterSeconds: minRetryAfterSeconds, inputs: {
-					route: admission.route.name, leftMs: Math.round(late.leftMs), usualMs: late.usualMs,
-				},
+				status: 503, reason: 'stopping', retryAfterSeconds: minRetryAfterSeconds, inputs: {route: route.name, ...late},
 			});
 			return;
 		}
 
 		const read = await readBody(request, {
-			clock, maxBytes: table.configuration.limits.maxBodyBytes, maxWaitMs: arrivedAt + admission.route.timeoutMs - clock.now(),
+			clock, maxBytes: table.configuration.limits.maxBodyBytes, maxWaitMs: arrivedAt + route.timeoutMs - clock.now(),
 		});
 		if (read.kind !== 'whole') {
 			this.#replies.send(request, response, read.kind === 'late' ? {status: 408, reason: 'body late'} : {status: 413, reason: 'body too large'});
@@ -219,7 +218,6 @@
 		}
 
 		const {body} = read;
-		const {workspace, route} = admission;
 		const prompt = this.#readPrompt(request, route);
 		const content = this.#trackContent(request, body, {workspace: workspace?.name, sharedParts: prompt.sharedParts});
 		if (content.getQuarantineMs() > 0) {
@@ -245,7 +243,7 @@
 		const timing = new ResponseTiming(this.#options.clock, arrivedAt);
 		const relay = new ResponseRelay(response, {isResumable: route.isResumable, timing, getExtraHeaders: () => this.#getConnectionHeaders()});
 		const end = await this.#run(request, response, {
-			body, arrivedAt, route, workspace, table, relay, prompt, content,
+			body, arrivedAt, deadlineAt, route, workspace, table, relay, prompt, content,
 		});
 		if (end.kind === 'refused' && workspace !== undefined) {
 			quotas.refund(workspace, units);
@@ -256,16 +254,6 @@
 		});
 	}
 
-	/** Logs a request that arrives during a stop, with what decides whether it is taken. */
-	#logArrivalInStop(request: IncomingMessage, route: Route, isLate: boolean): void {
-		const {leftMs, usualMs} = this.#stopWindow.estimate(route);
-		if (Number.isFinite(leftMs)) {
-			this.#options.logger.log(events.requestInStop, {
-				request: this.#getAttemptId(request), route: route.name, leftMs: Math.round(leftMs), usualMs, isTaken: !isLate,
-			});
-		}
-	}
-
 	/**
 	Returns the configuration in force. Waits briefly for the first one, since callers reconnect to a restarted entry before the
 	entry has received it.
@@ -296,6 +284,7 @@
 	async #run(request: IncomingMessage, response: ServerResponse, admitted: {
 		readonly body: Uint8Array;
 		readonly arrivedAt: number;
+		readonly deadlineAt: number;
 		readonly route: Route;
 		readonly workspace: Workspace | undefined;
 		readonly table: RouteTable;
@@ -305,12 +294,10 @@
 	}): Promise<RequestEnd> {
 		const {names, clock, logger, random, retries, usage, metrics} = this.#options;
 		const {
-			body, arrivedAt, route, workspace, table, relay, prompt, content,
+			body, arrivedAt, deadlineAt, route, workspace, table, relay, prompt, content,
 		} = admitted;
 		const service = chooseService(route, random);
 		const traffic = this.#getTraffic(service);
-		const deadlineMs = Number(getHeader(request, names.deadline) ?? route.timeoutMs);
-		const deadlineAt = arrivedAt + Math.min(Number.isFinite(deadlineMs) ? deadlineMs : route.timeoutMs, route.timeoutMs);
 		const caller = new AbortController();
 		response.once('close', () => {
 			if (!response.writableFinished) {
