Split the recording of results and the wait at startup off the two largest modules of the proxy

No change of behaviour: the tests of the proxy server, of unreachable back ends and of hostile back ends pass as before (34 of 34).

--- a/packages/mulberrypitch-proxy/src/proxied-request.ts
+++ b/packages/mulberrypitch-proxy/src/proxied-request.ts
@@ -14,8 +14,8 @@
 import type {BackendPermit} from './backend-place.js';
 import type {KnownBackend} from './known-backend.js';
 import type {ProxiedRequestOptions, RequestEnd} from './proxied-request-options.js';
+import {isGoodOutcome, recordResult} from './recorded-result.js';
 import {createRequestHead} from './request-head.js';
-import {misdirectedStatus} from './types.js';
 
 type ExchangeParts = {
 	readonly place: BackendPermit;
@@ -27,8 +27,6 @@
 const minAttemptMs = 60;
 /** Pause in milliseconds before a back end that refused a connection is tried again. */
 const unreachableRetryMs = 50;
-/** Status with which a back end rejects a request when it has no free slot, or too little time for the request. */
-const fullStatus = 503;
 /** Largest number that back ends accept as a priority, which is the least urgent one. */
 const lowestBackendPriority = 9;
 
@@ -351,43 +349,3 @@
 		}
 	}
 }
-
-/** Records an outcome for the back end's outlier detection. Returns whether the back end was ejected. */
-function recordResult(backend: KnownBackend, outcome: AttemptOutcome): boolean {
-	const isTurnedAway = getStatus(outcome) === fullStatus;
-	if (isTurnedAway && backend.isPaused) {
-		// Asking for a pause is no failure: the back end gets nothing until its end, and as much as before then.
-		return false;
-	}
-
-	return outcome.kind === 'notRun' ? recordNotRun(backend, outcome.status) : backend.recordResult(isGoodOutcome(outcome));
-}
-
-function isGoodOutcome({kind}: AttemptOutcome): boolean {
-	return kind === 'delivered' || kind === 'abandoned';
-}
-
-/** Returns the status of the response that ended the attempt, if that is a failure. */
-function getStatus(outcome: AttemptOutcome): number | undefined {
-	if (outcome.kind === 'failed') {
-		return outcome.answer.head.status;
-	}
-
-	return outcome.kind === 'notRun' ? outcome.status : undefined;
-}
-
-/** Records that a back end did not run a request. Returns whether the back end was ejected. */
-function recordNotRun(backend: KnownBackend, status: number | undefined): boolean {
-	if (status === misdirectedStatus) {
-		backend.markMisdirected();
-		return true;
-	}
-
-	const isFull = status === fullStatus && backend.load >= backend.slots;
-	if (status === fullStatus) {
-		backend.markFull();
-	}
-
-	// A back end that has free slots but rejects requests is unhealthy.
-	return !isFull && backend.recordResult(false);
-}
--- a/packages/mulberrypitch-proxy/src/proxy-server.ts
+++ b/packages/mulberrypitch-proxy/src/proxy-server.ts
@@ -1,7 +1,6 @@
 /** The HTTP server for callers, which admits their requests and handles each one as a `ProxiedRequest`. */
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
-import {Deferred} from '@mulberrypitch/lifecycle/background';
 import {breakOff} from '@mulberrypitch/lifecycle/break-off';
 import type {Resource} from '@mulberrypitch/lifecycle/disposable-store';
 import {listenOn, splitAddress} from '@mulberrypitch/lifecycle/listen';
@@ -29,6 +28,7 @@
 import type {ProxyServerOptions} from './proxy-server-options.js';
 import {chooseService} from './service-choice.js';
 import {ServiceTraffic} from './service-traffic.js';
+import {StartupWait} from './startup-wait.js';
 import {StopWindow} from './stop-window.js';
 
 /** Size in bytes beyond which the HTTP parser itself rejects headers; the configured limit is checked afterwards. */
@@ -41,8 +41,6 @@
 const keepAliveMarginMs = 2000;
 /** Limit of the wait for a permit, as a share of the route's target latency. */
 const maxQueueShare = 0.12;
-/** Time after the start, in milliseconds, during which requests wait for the first configuration. */
-const maxStartupWaitMs = 800;
 
 /** Accepts callers' connections until it is disposed of. */
 export class ProxyServer implements Resource {
@@ -52,8 +50,7 @@
 	readonly #replies: LocalReplies;
 	readonly #completion: RequestCompletion;
 	readonly #sockets = new Set<Socket>();
-	readonly #configured = new Deferred<void>();
-	readonly #startedAt: number;
+	readonly #startup: StartupWait;
 	readonly #requests = new RequestsInProgress();
 	readonly #stopWindow: StopWindow;
 	#isDraining = false;
@@ -61,7 +58,7 @@
 	constructor(options: ProxyServerOptions) {
 		const {names, random, logger, metrics} = options;
 		this.#options = options;
-		this.#startedAt = options.clock.now();
+		this.#startup = new StartupWait(options.clock, options.getTable);
 		this.#stopWindow = new StopWindow(options.clock, logger);
 		this.#replies = new LocalReplies({
 			attemptHeader: names.attemptId,
@@ -120,10 +117,7 @@
 	refresh(): void {
 		const table = this.#options.getTable();
 		const limits = table?.configuration.limits ?? defaultLimits;
-		if (table !== undefined) {
-			this.#configured.resolve();
-		}
-
+		this.#startup.refresh();
 		this.#server.keepAliveTimeout = limits.idleTimeoutMs + keepAliveMarginMs;
 		this.#server.headersTimeout = limits.headerTimeoutMs + keepAliveMarginMs;
 		for (const traffic of this.#services.values()) {
@@ -187,7 +181,7 @@
 
 	async #serve(request: IncomingMessage, response: ServerResponse, arrivedAt: number): Promise<void> {
 		const {quotas, clock} = this.#options;
-		const table = await this.#waitForTable();
+		const table = await this.#startup.waitForTable();
 		if (table === undefined) {
 			this.#replies.send(request, response, {status: 503, reason: 'no configuration yet', retryAfterSeconds: minRetryAfterSeconds});
 			return;
@@ -254,22 +248,6 @@
 		});
 	}
 
-	/**
-	Returns the configuration in force. Waits briefly for the first one, since callers reconnect to a restarted entry before the
-	entry has received it.
-	*/
-	async #waitForTable(): Promise<RouteTable | undefined> {
-		const {getTable, clock} = this.#options;
-		const leftMs = this.#startedAt + maxStartupWaitMs - clock.now();
-		if (getTable() === undefined && leftMs > 0) {
-			const timerAbort = new AbortController();
-			await Promise.race([this.#configured.promise, clock.sleep(leftMs, timerAbort.signal)]);
-			timerAbort.abort();
-		}
-
-		return getTable();
-	}
-
 	#readPrompt(request: IncomingMessage, {hasSharedPrompts}: Route): Prompt {
 		const {tokenCount, promptParts} = this.#options.names;
 		return readPrompt(getHeader(request, tokenCount), hasSharedPrompts ? getHeader(request, promptParts) : undefined);
