Ask before each send in a planned stop whether the request can still end

What callers see: a request that a stop took in time waits for a free back end, or is to be sent again after a failure, and is then cut off by the end of the process, though nothing has run or a whole failure is at hand. Cause: the time that is left was compared once, when the request arrived. Change: the place that checks for quarantined content before and after the wait for a permit asks this too. A request that has not run is refused, one that has failed ends with that failure; a stream that has begun goes on, since cutting it earlier helps nobody. What ran before the signal is finished.

--- a/packages/mulberrypitch-proxy/src/__tests__/unreachable-backend.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/unreachable-backend.test.ts
@@ -44,6 +44,7 @@
 		logger: {log: ignore},
 		signal: caller.signal,
 		place: async () => ({backend, release: ignore}),
+		isTooLate: () => false,
 		getStatedWaitMs: () => 0,
 		onReleased: ignore,
 		takeRetry: () => true,
--- a/packages/mulberrypitch-proxy/src/proxied-request-options.ts
+++ b/packages/mulberrypitch-proxy/src/proxied-request-options.ts
@@ -41,6 +41,8 @@
 	readonly place: (excludedIds: ReadonlySet<string>) => Promise<BackendPermit | undefined>;
 	/** Returns the time in milliseconds until a back end accepts a request of this entry, by what the back ends have stated. */
 	readonly getStatedWaitMs: () => number;
+	/** Reports whether the process is being stopped and may end before the request, if it is sent now. */
+	readonly isTooLate: () => boolean;
 	/** Called after the permit for a back end was released. */
 	readonly onReleased: () => void;
 	/** Takes one retry from the service's retry budget. Returns whether one was left. */
--- a/packages/mulberrypitch-proxy/src/proxied-request.ts
+++ b/packages/mulberrypitch-proxy/src/proxied-request.ts
@@ -35,6 +35,10 @@
 
 /** Reason of a refusal because of quarantined content. */
 export const quarantineReason = 'quarantined content';
+/** Reason of a refusal since the process ends before the request might. */
+export const stoppingReason = 'stopping';
+
+type Refusal = Extract<RequestEnd, {kind: 'refused'}>;
 
 /** Handles one request until it is answered, refused, cut off or abandoned. */
 export class ProxiedRequest {
@@ -58,8 +62,9 @@
 	async run(): Promise<RequestEnd> {
 		const {clock} = this.#options;
 		for (;;) {
-			if (this.#isQuarantined) {
-				return this.#endQuarantined();
+			const refusal = this.#findRefusal();
+			if (refusal !== undefined) {
+				return this.#endWithoutAttempt(refusal);
 			}
 
 			const queuedAt = clock.now();
@@ -76,9 +81,10 @@
 				return this.#endWithoutPlace();
 			}
 
-			if (this.#isQuarantined) {
+			const lateRefusal = this.#findRefusal();
+			if (lateRefusal !== undefined) {
 				this.#release(permit);
-				return this.#endQuarantined();
+				return this.#endWithoutAttempt(lateRefusal);
 			}
 
 			const isRepeated = this.#triedIds.has(permit.backend.id);
@@ -135,8 +141,18 @@
 		return outcome.kind === 'notRun' && this.#earlierFailure !== undefined ? {...outcome, earlierFailure: this.#earlierFailure} : outcome;
 	}
 
-	get #isQuarantined(): boolean {
-		return this.#options.content.getQuarantineMs() > 0;
+	/** Returns how a request ends that must not be sent to a back end now. */
+	#findRefusal(): Refusal | undefined {
+		const {service, content, relay, isTooLate} = this.#options;
+		const quarantineMs = content.getQuarantineMs();
+		if (quarantineMs > 0) {
+			return {
+				kind: 'refused', service, reason: quarantineReason, retryAfterSeconds: quarantineMs / 1000,
+			};
+		}
+
+		// A stream that has begun goes on for as long as the process does.
+		return !relay.hasStarted && isTooLate() ? {kind: 'refused', service, reason: stoppingReason} : undefined;
 	}
 
 	/** Ends a request for which no back end was available in time. The caller is told when the first one is, if the back ends stated that. */
@@ -149,16 +165,8 @@
 		});
 	}
 
-	/** Ends a request whose content is quarantined. */
-	#endQuarantined(): RequestEnd {
-		const {service, content} = this.#options;
-		return this.#endWithoutAttempt({
-			kind: 'refused', service, reason: quarantineReason, retryAfterSeconds: content.getQuarantineMs() / 1000,
-		});
-	}
-
 	/** Ends a request that is not sent to a back end again. `refusal` is how it ends if no back end has run it. */
-	#endWithoutAttempt(refusal: Extract<RequestEnd, {kind: 'refused'}>): RequestEnd {
+	#endWithoutAttempt(refusal: Refusal): RequestEnd {
 		const {relay, clock, deadlineAt} = this.#options;
 		if (relay.hasStarted) {
 			relay.cut();
--- a/packages/mulberrypitch-proxy/src/proxy-server.ts
+++ b/packages/mulberrypitch-proxy/src/proxy-server.ts
@@ -22,7 +22,7 @@
 import {getContentFingerprints, type IdentifyingParts} from './content-fingerprints.js';
 import type {RequestContent} from './content-quarantine.js';
 import {LocalReplies, minRetryAfterSeconds} from './local-replies.js';
-import {ProxiedRequest, quarantineReason} from './proxied-request.js';
+import {ProxiedRequest, quarantineReason, stoppingReason} from './proxied-request.js';
 import {RequestsInProgress} from './requests-in-progress.js';
 import type {DecisionContext, RequestEnd} from './proxied-request-options.js';
 import type {ProxyServerOptions} from './proxy-server-options.js';
@@ -198,7 +198,7 @@
 		const late = this.#stopWindow.judge({attemptId: this.#getAttemptId(request), route, deadlineAt});
 		if (late !== undefined) {
 			this.#replies.send(request, response, {
-				status: 503, reason: 'stopping', retryAfterSeconds: minRetryAfterSeconds, inputs: {route: route.name, ...late},
+				status: 503, reason: stoppingReason, retryAfterSeconds: minRetryAfterSeconds, inputs: {route: route.name, ...late},
 			});
 			return;
 		}
@@ -314,6 +314,7 @@
 				maxWaitMs: Math.min(route.targetLatencyMs * maxQueueShare, deadlineAt - clock.now()),
 				signal: caller.signal,
 			}),
+			isTooLate: () => this.#stopWindow.findLate(route, deadlineAt) !== undefined,
 			getStatedWaitMs: () => this.#options.backends.getStatedWaitMs(service),
 			getDecisionContext: () => ({...this.#getDecisionContext(), configuration: table.configuration.version}),
 			onReleased() {
