Count requests that were given up in how long requests usually take

What callers see: under load, a stop takes requests whose like mostly outlast their callers, and cuts them off. Those that callers give up, that time out or that a stop cuts off are the slow ones, so the 95th percentile was one of the fast requests alone. The class: an estimate from data out of which the extreme values have been taken. Change: each request that was not refused is recorded with whether its answer was complete, and the percentile comes from the product-limit (Kaplan-Meier) estimator, for which a request that was given up counts as longer than it lasted. It needs the single durations, so they take the place of the two histograms (500 of each route at the least, 1000 at the most).

--- a/packages/mulberrypitch-proxy/src/proxy-server.ts
+++ b/packages/mulberrypitch-proxy/src/proxy-server.ts
@@ -71,8 +71,8 @@
 		this.#completion = new RequestCompletion({
 			...options,
 			replies: this.#replies,
-			onAnswered: (route, ms) => {
-				this.#stopWindow.record(route, ms);
+			onEnded: (route, ms, isWhole) => {
+				this.#stopWindow.record(route, ms, isWhole);
 			},
 			onRefused: service => {
 				this.#getTraffic(service).recordRefused();
--- a/packages/mulberrypitch-proxy/src/request-completion.ts
+++ b/packages/mulberrypitch-proxy/src/request-completion.ts
@@ -27,8 +27,8 @@
 	readonly logger: Logger;
 	readonly metrics: MetricsRegistry;
 	readonly replies: LocalReplies;
-	/** Called when a request was answered, with its route and the time that it took in milliseconds. */
-	readonly onAnswered: (route: string, ms: number) => void;
+	/** Called when a request that was not refused ends, with its route, the time that it took in milliseconds, and whether its answer was complete. */
+	readonly onEnded: (route: string, ms: number, isWhole: boolean) => void;
 	/** Called when a request was refused since no back end ran it, with its service. */
 	readonly onRefused: (service: string) => void;
 };
@@ -43,14 +43,17 @@
 
 	/** Counts and logs how a request ended, and replies to one that no back end answered. */
 	complete(request: IncomingMessage, response: ServerResponse, end: RequestEnd, {arrivedAt, ...named}: CompletionFields): void {
-		const {names, logger, clock, metrics, replies, onAnswered, onRefused} = this.#options;
+		const {names, logger, clock, metrics, replies, onEnded, onRefused} = this.#options;
 		const ms = clock.now() - arrivedAt;
 		const fields = {request: getHeader(request, names.attemptId), ms: Math.round(ms), ...named};
 		metrics.count('mulberrypitch_proxied_requests_total', 'Requests by how they ended.', {end: end.kind, route: named.route});
 		metrics.observe('mulberrypitch_proxied_request_seconds', 'Time from a request to its end.', ms, {end: end.kind});
+		if (end.kind !== 'refused') {
+			onEnded(named.route, ms, end.kind === 'answered');
+		}
+
 		switch (end.kind) {
 			case 'answered': {
-				onAnswered(named.route, ms);
 				metrics.count('mulberrypitch_relayed_responses_total', 'Relayed responses by framing of the body and whether it ended inside an event.', {
 					framing: named.framing ?? framings.none, endedInsideEvent: String((named.openEventBytes ?? 0) > 0),
 				});
--- a/packages/mulberrypitch-proxy/src/stop-window.ts
+++ b/packages/mulberrypitch-proxy/src/stop-window.ts
@@ -55,15 +55,15 @@
 		this.#endsAt = now + durationMs;
 	}
 
-	/** Records how long a request of a route took until its answer was complete. */
-	record(route: string, durationMs: number): void {
+	/** Records how long a request of a route took until it ended, and whether its answer was complete. */
+	record(route: string, durationMs: number, isWhole: boolean): void {
 		let duration = this.#durations.get(route);
 		if (duration === undefined) {
 			duration = new UsualDuration(this.#clock);
 			this.#durations.set(route, duration);
 		}
 
-		duration.record(durationMs);
+		duration.record(durationMs, isWhole);
 	}
 
 	/** Returns why a request that arrives now is not taken, or `undefined` if it is. Logs the decision during a stop. */
@@ -95,8 +95,7 @@
 
 	#estimate({name, timeoutMs}: Route, deadlineAt: number): StopEstimate {
 		const now = this.#clock.now();
-		return {
-			leftMs: Math.round(this.#endsAt - now), deadlineMs: Math.round(deadlineAt - now), usualMs: this.#durations.get(name)?.ms ?? timeoutMs,
-		};
+		const usualMs = this.#durations.get(name)?.ms ?? timeoutMs;
+		return {leftMs: Math.round(this.#endsAt - now), deadlineMs: Math.round(deadlineAt - now), usualMs: Math.round(usualMs)};
 	}
 }
--- a/packages/mulberrypitch-proxy/src/usual-duration.ts
+++ b/packages/mulberrypitch-proxy/src/usual-duration.ts
@@ -1,46 +1,61 @@
 /** How long the requests of a route usually take. */
-import {build, type Histogram} from 'hdr-histogram-js';
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
 
-/** Time in milliseconds after which a new histogram begins. Durations count until the end of the next one. */
-const histogramMs = 15_000;
-/** Percentile of the durations that counts as usual. */
-const usualPercentile = 95;
-/** Longest duration in milliseconds that a histogram tells from longer ones. */
-const maxDurationMs = 120_000;
+/** A request that has ended. */
+type EndedRequest = {
+	/** Monotonic time in milliseconds of its end. */
+	readonly endedAt: number;
+	readonly durationMs: number;
+	/** Whether its answer was complete; otherwise it would have taken longer than it lasted. */
+	readonly isWhole: boolean;
+};
 
-/** Keeps the durations of one route's answered requests for some seconds. */
+/** Time in milliseconds for which an ended request counts. */
+const retentionMs = 30_000;
+/** Maximum number of requests that count. */
+const maxRequests = 500;
+/** Share of the requests that take no longer than usual. */
+const usualShare = 0.95;
+/** Tolerance of the comparison of a product of shares, which is not exact. */
+const epsilon = 1e-9;
+
+/** Keeps the durations of one route's ended requests for some seconds. */
 export class UsualDuration {
 	readonly #clock: Clock;
-	#current = createHistogram();
-	#previous: Histogram | undefined;
-	#startedAt: number;
+	#requests: EndedRequest[] = [];
 
 	constructor(clock: Clock) {
 		this.#clock = clock;
-		this.#startedAt = clock.now();
 	}
 
-	/** Usual duration in milliseconds; absent while no request has been answered. */
+	/** Usual duration in milliseconds; absent if none has ended lately, or if too many were given up to tell. */
 	get ms(): number | undefined {
-		const known = [this.#current, this.#previous].filter(histogram => histogram !== undefined && histogram.totalCount > 0);
-		return known.length === 0 ? undefined : Math.max(...known.map(histogram => histogram!.getValueAtPercentile(usualPercentile)));
+		const since = this.#clock.now() - retentionMs;
+		return estimateQuantile(this.#requests.filter(({endedAt}) => endedAt >= since), usualShare);
 	}
 
-	/** Records the duration of an answered request in milliseconds. */
-	record(durationMs: number): void {
-		if (this.#clock.now() - this.#startedAt >= histogramMs) {
-			this.#previous = this.#current;
-			this.#current = createHistogram();
-			this.#startedAt = this.#clock.now();
+	/** Records a request that has ended, and whether its answer was complete. */
+	record(durationMs: number, isWhole: boolean): void {
+		this.#requests.push({endedAt: this.#clock.now(), durationMs, isWhole});
+		if (this.#requests.length > 2 * maxRequests) {
+			this.#requests = this.#requests.slice(-maxRequests);
 		}
-
-		this.#current.recordValue(Math.min(maxDurationMs, Math.max(1, Math.round(durationMs))));
 	}
 }
 
-function createHistogram(): Histogram {
-	return build({
-		bitBucketSize: 16, lowestDiscernibleValue: 1, highestTrackableValue: maxDurationMs, numberOfSignificantValueDigits: 2, autoResize: false,
-	});
+/**
+Returns the duration that the given share of requests does not exceed, by the product-limit (Kaplan-Meier) estimator: a request without a
+complete answer counts as running until it ended, and not at all from then on. Returns `undefined` if that is longer than any answer took.
+*/
+function estimateQuantile(requests: readonly EndedRequest[], share: number): number | undefined {
+	const sorted = requests.toSorted((left, right) => left.durationMs - right.durationMs || Number(right.isWhole) - Number(left.isWhole));
+	let longerShare = 1;
+	for (const [index, {durationMs, isWhole}] of sorted.entries()) {
+		longerShare *= isWhole ? 1 - (1 / (sorted.length - index)) : 1;
+		if (longerShare <= 1 - share + epsilon) {
+			return durationMs;
+		}
+	}
+
+	return undefined;
 }
