Leave the exit of a process no more than an eighth of its grace period

What callers see: with a short grace period, what runs at the signal is cut off before its last sixth, where the users' page does not excuse it, though it might still have ended. Cause: the process kept 700 ms for its exit, whatever the grace period is; below 4.2 s that is more than a sixth of it. Measured by the new test (grace period of 3 s, an answer that comes 50 ms before the last sixth): before, cut off; now 200. With 8 s nothing changes. The 16 assertions of planned-stop pass.

Looked at beside it, not changed: a stop counts an answer as ended once it is written, not when its caller has taken it. A test with an answer of 24 MB and a slow caller lost nothing, with and without a count until the connection has taken it, so it was taken back.

--- a/packages/mulberrypitch-proxy/src/entry.ts
+++ b/packages/mulberrypitch-proxy/src/entry.ts
@@ -68,8 +68,9 @@
 const maxSpendingAgeMs = 1500;
 /** Time in milliseconds for which the highest reported number of entries is used. */
 const entryCountWindowMs = 5000;
-/** Time in milliseconds reserved for the exit of the process after the drain. */
-const exitMarginMs = 700;
+/** Longest time in milliseconds reserved for the exit of the process after the drain, and its largest share of the grace period. */
+const maxExitMarginMs = 700;
+const maxExitMarginShare = 1 / 8;
 /** Interval in milliseconds at which a drain checks for requests in progress. */
 const drainPollMs = 50;
 /** Upper limit of the reported view age in milliseconds; also reported before the first reply. */
@@ -183,7 +184,7 @@
 	async drain(): Promise<void> {
 		const {clock, logger, name, drainMs, graceMs} = this.#options;
 		this.#isDraining = true;
-		const durationMs = graceMs - exitMarginMs;
+		const durationMs = graceMs - Math.min(maxExitMarginMs, graceMs * maxExitMarginShare);
 		this.#server.drain(durationMs);
 		logger.log(events.hostDraining, {node: name});
 		const startedAt = clock.now();
