Decode the versions of back ends' software and the attempt that a caller resumes, and log both

Logs could not tell a stream that a caller takes up again from one that an entry resumes within one answer, nor the version of any back end.

--- a/packages/mulberrypitch-proxy/src/caller-request.ts
+++ b/packages/mulberrypitch-proxy/src/caller-request.ts
@@ -8,6 +8,7 @@
 import {withTimeout} from '@mulberrypitch/lifecycle/with-timeout';
 import type {Workspace} from '@mulberrypitch/serving/types';
 import type {Header} from './response-parser.js';
+import type {HeaderNames} from './types.js';
 
 /**
 Returns the first value of a header, by its lower-case name.
@@ -114,6 +115,28 @@
 	return Number.isFinite(count) ? count : 0;
 }
 
+/** Where a caller takes a stream up again. */
+export type StreamPosition = {
+	/** Identifier of the last event that the caller received. */
+	readonly lastEventId: string;
+	/** Identifier of the attempt that brought the first event; absent if the caller named none. */
+	readonly attemptId?: string;
+};
+
+/**
+Returns where the caller takes a stream up again, or `undefined` if it begins one.
+
+@example
+```
+const position = readStreamPosition(request, names);
+```
+*/
+export function readStreamPosition(request: IncomingMessage, names: HeaderNames): StreamPosition | undefined {
+	const lastEventId = getHeader(request, names.lastEventId);
+	const attemptId = getHeader(request, names.resumedAttempt);
+	return lastEventId === undefined ? undefined : {lastEventId, ...(attemptId !== undefined && {attemptId})};
+}
+
 /** The body of a request, or why it can't be read. */
 export type BodyRead
 	= | {readonly kind: 'whole'; readonly body: Uint8Array}
--- a/packages/mulberrypitch-proxy/src/proxied-request-options.ts
+++ b/packages/mulberrypitch-proxy/src/proxied-request-options.ts
@@ -4,7 +4,7 @@
 import type {Route} from '@mulberrypitch/serving/types';
 import type {AttemptOutcome} from './attempt-outcome.js';
 import type {BackendPermit} from './backend-place.js';
-import type {Prompt} from './caller-request.js';
+import type {Prompt, StreamPosition} from './caller-request.js';
 import type {RequestContent} from './content-quarantine.js';
 import type {CallerHead} from './request-head.js';
 import type {ResponseRelay} from './response-relay.js';
@@ -23,6 +23,8 @@
 	/** Priority of the request; zero is the most urgent. */
 	readonly priority: number;
 	readonly prompt: Prompt;
+	/** Where the caller takes a stream up again; absent if it begins one. */
+	readonly position: StreamPosition | undefined;
 	readonly content: RequestContent;
 	/** Whether the caller's `Authorization` header is withheld from the back end. */
 	readonly dropsKey: boolean;
--- a/packages/mulberrypitch-proxy/src/proxied-request.ts
+++ b/packages/mulberrypitch-proxy/src/proxied-request.ts
@@ -107,13 +107,14 @@
 
 	#logDispatch(backend: KnownBackend, waitedMs: number): void {
 		const {
-			logger, attemptId, service, clock, deadlineAt, relay, getDecisionContext, prompt,
+			logger, attemptId, service, clock, deadlineAt, relay, getDecisionContext, prompt, position,
 		} = this.#options;
 		logger.log(events.requestDispatched, {
 			request: attemptId,
 			service,
 			promptTokens: prompt.tokens,
 			backend: backend.id,
+			version: backend.announced.version,
 			send: this.#sendCount + 1,
 			load: backend.load,
 			pendingTokens: Math.round(backend.pendingTokens),
@@ -122,7 +123,8 @@
 			recentSends: backend.recentSends,
 			waitedMs: Math.round(waitedMs),
 			leftMs: Math.round(deadlineAt - clock.now()),
-			lastEventId: relay.lastEventId,
+			lastEventId: relay.lastEventId ?? position?.lastEventId,
+			resumes: position?.attemptId,
 			...getDecisionContext(),
 		});
 	}
--- a/packages/mulberrypitch-proxy/src/proxy-server.ts
+++ b/packages/mulberrypitch-proxy/src/proxy-server.ts
@@ -17,7 +17,7 @@
 import {ResponseRelay} from './response-relay.js';
 import {ResponseTiming} from './response-timing.js';
 import {
-	getDeadlineAt, getHeader, getHeaders, getQuotaUnits, readBody, readPrompt, type Prompt,
+	getDeadlineAt, getHeader, getHeaders, getQuotaUnits, readBody, readPrompt, readStreamPosition, type Prompt,
 } from './caller-request.js';
 import {getContentFingerprints, type IdentifyingParts} from './content-fingerprints.js';
 import type {RequestContent} from './content-quarantine.js';
@@ -298,6 +298,7 @@
 			workspace: workspace?.name,
 			priority,
 			prompt,
+			position: readStreamPosition(request, names),
 			content,
 			dropsKey: table.requiresKeys,
 			deadlineAt,
--- a/packages/mulberrypitch-proxy/src/types.ts
+++ b/packages/mulberrypitch-proxy/src/types.ts
@@ -16,6 +16,8 @@
 	readonly workspace: string;
 	/** Identifier of the last received event of a stream, after which the stream is to be resumed. */
 	readonly lastEventId: string;
+	/** Identifier of the attempt that brought the first event of a stream that the caller takes up again. */
+	readonly resumedAttempt: string;
 	/** Number of prompt tokens and maximum number of output tokens, separated by a comma. */
 	readonly tokenCount: string;
 	/** Parts of the prompt as `ID:TOKENS`, separated by commas. */
--- a/packages/mulberrypitch-serving/src/backend-roster.ts
+++ b/packages/mulberrypitch-serving/src/backend-roster.ts
@@ -268,6 +268,7 @@
 	return left.service === right.service
 		&& left.address === right.address
 		&& left.zone === right.zone
+		&& left.version === right.version
 		&& left.slots === right.slots
 		&& left.isLeaving === right.isLeaving
 		&& left.isSpot === right.isSpot;
--- a/packages/mulberrypitch-serving/src/types.ts
+++ b/packages/mulberrypitch-serving/src/types.ts
@@ -144,6 +144,8 @@
 	/** `host:port`. */
 	readonly address: string;
 	readonly zone: string;
+	/** Version of the back end's software; absent if a process of an earlier version passed the announcement on, so that it is unknown. */
+	readonly version?: string;
 	/** Number of requests that the back end runs concurrently. */
 	readonly slots: number;
 	/** Whether the back end is leaving (draining): it accepts no new requests. */
