Resume a stream within its answer only at the version that began it

Cause: an entry resumed a broken-off stream at any back end of the service, since it didn't know the version of their software.

Change: the version of the back end whose first part the caller gets is required for every later send of that response. The choice of a back end filters by it before anything else, also before it falls back to ejected back ends and when it decides whether waiting can help, so no send passes the check by.

--- a/packages/mulberrypitch-proxy/src/__tests__/relay-response.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/relay-response.ts
@@ -41,7 +41,14 @@
 		},
 		now: () => 0,
 	});
-	const relay = new ResponseRelay(response, {isResumable, timing: new ResponseTiming(new VirtualClock(), 0), getExtraHeaders: () => []});
+	const relay = new ResponseRelay(response, {
+		isResumable,
+		timing: new ResponseTiming(new VirtualClock(), 0),
+		onStarted() {
+			// The response is bound to no version.
+		},
+		getExtraHeaders: () => [],
+	});
 	const outcome = await new Promise<AttemptOutcome>(resolve => {
 		connection.send('GET / HTTP/1.1\r\n\r\n', undefined, new ResponseCollector({
 			attemptId: undefined,
--- a/packages/mulberrypitch-proxy/src/__tests__/stated-conditions.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/stated-conditions.test.ts
@@ -75,11 +75,11 @@
 	};
 	announce(1);
 	view.applyLimitShares([share]);
-	t.equal(view.getStatedWaitMs('s'), Number.POSITIVE_INFINITY);
+	t.equal(view.getStatedWaitMs('s', () => true), Number.POSITIVE_INFINITY);
 	announce(2);
-	t.equal(view.getStatedWaitMs('s'), 0);
+	t.equal(view.getStatedWaitMs('s', () => true), 0);
 	view.applyLimitShares([share]);
-	t.equal(view.getStatedWaitMs('s'), 0);
+	t.equal(view.getStatedWaitMs('s', () => true), 0);
 });
 
 // Guards against a short pause that ends a longer one, and against entries that all return at one moment.
--- a/packages/mulberrypitch-proxy/src/backend-view.ts
+++ b/packages/mulberrypitch-proxy/src/backend-view.ts
@@ -17,6 +17,9 @@
 	readonly connections: number;
 };
 
+/** Reports whether a request may be sent to a back end. */
+export type BackendFilter = (backend: KnownBackend) => boolean;
+
 const noLoad: BackendLoad = {requests: 0, pendingTokens: 0};
 
 /** Adds, updates and retires back ends as the roster changes. */
@@ -44,9 +47,9 @@
 		return this.#version;
 	}
 
-	/** Returns the serving back ends of a service: those that are not ejected, or all of them when every one is ejected. */
-	getCandidates(service: string): readonly KnownBackend[] {
-		const serving = [...this.#backends.values()].filter(backend => backend.announced.service === service && backend.isServing);
+	/** Returns the serving back ends of a service that a request may be sent to: those that are not ejected, or all of them when every one is ejected. */
+	getCandidates(service: string, isMatching: BackendFilter): readonly KnownBackend[] {
+		const serving = [...this.#backends.values()].filter(backend => backend.announced.service === service && backend.isServing && isMatching(backend));
 		const healthy = serving.filter(backend => !backend.isEjected);
 		return healthy.length > 0 ? healthy : serving;
 	}
@@ -104,9 +107,9 @@
 			.map(({id, announced}) => ({backend: id, startedAt: announced.startedAt}));
 	}
 
-	/** Reports whether none of a service may be sent requests, as told by a coordinator that has heard of all back ends. */
-	isWithoutBackends(service: string): boolean {
-		return this.#isSettled && this.getCandidates(service).length === 0;
+	/** Reports whether none of a service may be sent a request, as told by a coordinator that has heard of all back ends. */
+	isWithoutBackends(service: string, isMatching: BackendFilter): boolean {
+		return this.#isSettled && this.getCandidates(service, isMatching).length === 0;
 	}
 
 	/** Returns the limits that back ends stated to this entry. */
@@ -123,11 +126,11 @@
 	}
 
 	/**
-	Returns the time in milliseconds until the first back end of a service accepts a request of this entry, by what the back ends have
+	Returns the time in milliseconds until the first back end of a service accepts a request that may be sent to it, by what the back ends have
 	stated; zero if one does now or none is known, infinite if this entry has no part of what they accept.
 	*/
-	getStatedWaitMs(service: string): number {
-		const waits = this.getCandidates(service).map(({statedWaitMs}) => statedWaitMs);
+	getStatedWaitMs(service: string, isMatching: BackendFilter): number {
+		const waits = this.getCandidates(service, isMatching).map(({statedWaitMs}) => statedWaitMs);
 		return waits.length === 0 ? 0 : Math.min(...waits);
 	}
 
--- a/packages/mulberrypitch-proxy/src/proxied-request-options.ts
+++ b/packages/mulberrypitch-proxy/src/proxied-request-options.ts
@@ -8,6 +8,7 @@
 import type {RequestContent} from './content-quarantine.js';
 import type {CallerHead} from './request-head.js';
 import type {ResponseRelay} from './response-relay.js';
+import type {StreamBinding} from './stream-binding.js';
 import type {HeaderNames} from './types.js';
 
 /** An admitted request, and the dependencies and settings with which it is handled. */
@@ -31,6 +32,7 @@
 	/** Monotonic time in milliseconds by which the caller gets its final response. */
 	readonly deadlineAt: number;
 	readonly relay: ResponseRelay;
+	readonly binding: StreamBinding;
 	readonly names: HeaderNames;
 	readonly clock: Clock;
 	readonly logger: Logger;
@@ -41,7 +43,9 @@
 	back end is chosen only when no other one is available.
 	*/
 	readonly place: (excludedIds: ReadonlySet<string>) => Promise<BackendPermit | undefined>;
-	/** Returns the time in milliseconds until a back end accepts a request of this entry, by what the back ends have stated. */
+	/** Reports whether there is a back end to which the request may be sent. */
+	readonly hasCandidates: () => boolean;
+	/** Returns the time in milliseconds until a back end accepts the request, by what the back ends have stated. */
 	readonly getStatedWaitMs: () => number;
 	/** Reports whether the process is being stopped and may end before the request, if it is sent now. */
 	readonly isTooLate: () => boolean;
--- a/packages/mulberrypitch-proxy/src/proxied-request.ts
+++ b/packages/mulberrypitch-proxy/src/proxied-request.ts
@@ -40,6 +40,9 @@
 
 type Refusal = Extract<RequestEnd, {kind: 'refused'}>;
 
+/** Reason for which a stream does not go on while its service may have back ends of other versions. */
+const versionGoneReason = 'no back end of the version that began the stream';
+
 /** Handles one request until it is answered, refused, cut off or abandoned. */
 export class ProxiedRequest {
 	readonly #options: ProxiedRequestOptions;
@@ -159,7 +162,11 @@
 
 	/** Ends a request for which no back end was available in time. The caller is told when the first one is, if the back ends stated that. */
 	#endWithoutPlace(): RequestEnd {
-		const {service, getStatedWaitMs} = this.#options;
+		const {service, getStatedWaitMs, hasCandidates, binding} = this.#options;
+		if (binding.isBound && !hasCandidates()) {
+			return this.#endWithoutAttempt({kind: 'refused', service, reason: versionGoneReason});
+		}
+
 		const waitMs = getStatedWaitMs();
 		const isKnown = waitMs > 0 && Number.isFinite(waitMs);
 		return this.#endWithoutAttempt({
@@ -281,7 +288,7 @@
 
 	async #exchange(permit: BackendPermit, connection: BackendConnection): Promise<AttemptOutcome> {
 		const {
-			caller, body, clock, deadlineAt, names, signal, workspace, dropsKey, relay, priority,
+			caller, body, clock, deadlineAt, names, signal, workspace, dropsKey, relay, priority, binding,
 		} = this.#options;
 		const head = createRequestHead(caller, {
 			backendId: permit.backend.id,
@@ -301,6 +308,7 @@
 
 		signal.addEventListener('abort', abandon, {once: true});
 		void this.#enforceDeadline(done, timerAbort.signal);
+		binding.recordSend(permit.backend);
 		this.#sendCount += 1;
 		this.#runCount += 1;
 		connection.send(head, body, exchange);
--- a/packages/mulberrypitch-proxy/src/proxy-server.ts
+++ b/packages/mulberrypitch-proxy/src/proxy-server.ts
@@ -14,6 +14,7 @@
 import {RequestCompletion} from './request-completion.js';
 import type {Header} from './response-parser.js';
 import {admitRequest} from './admission.js';
+import type {BackendFilter} from './backend-view.js';
 import {ResponseRelay} from './response-relay.js';
 import {ResponseTiming} from './response-timing.js';
 import {
@@ -29,6 +30,7 @@
 import {chooseService} from './service-choice.js';
 import {ServiceTraffic} from './service-traffic.js';
 import {StartupWait} from './startup-wait.js';
+import {StreamBinding} from './stream-binding.js';
 import {StopWindow} from './stop-window.js';
 
 /** Size in bytes beyond which the HTTP parser itself rejects headers; the configured limit is checked afterwards. */
@@ -235,9 +237,17 @@
 		}
 
 		const timing = new ResponseTiming(this.#options.clock, arrivedAt);
-		const relay = new ResponseRelay(response, {isResumable: route.isResumable, timing, getExtraHeaders: () => this.#getConnectionHeaders()});
+		const binding = new StreamBinding();
+		const relay = new ResponseRelay(response, {
+			isResumable: route.isResumable,
+			timing,
+			onStarted() {
+				binding.bind();
+			},
+			getExtraHeaders: () => this.#getConnectionHeaders(),
+		});
 		const end = await this.#run(request, response, {
-			body, arrivedAt, deadlineAt, route, workspace, table, relay, prompt, content,
+			body, arrivedAt, deadlineAt, route, workspace, table, relay, binding, prompt, content,
 		});
 		if (end.kind === 'refused' && workspace !== undefined) {
 			quotas.refund(workspace, units);
@@ -267,13 +277,17 @@
 		readonly workspace: Workspace | undefined;
 		readonly table: RouteTable;
 		readonly relay: ResponseRelay;
+		readonly binding: StreamBinding;
 		readonly prompt: Prompt;
 		readonly content: RequestContent;
 	}): Promise<RequestEnd> {
-		const {names, clock, logger, random, retries, usage, metrics} = this.#options;
 		const {
-			body, arrivedAt, deadlineAt, route, workspace, table, relay, prompt, content,
+			names, clock, logger, random, retries, usage, metrics, backends,
+		} = this.#options;
+		const {
+			body, arrivedAt, deadlineAt, route, workspace, table, relay, binding, prompt, content,
 		} = admitted;
+		const isMatching: BackendFilter = backend => binding.isMatching(backend);
 		const service = chooseService(route, random);
 		const traffic = this.#getTraffic(service);
 		const caller = new AbortController();
@@ -303,6 +317,7 @@
 			dropsKey: table.requiresKeys,
 			deadlineAt,
 			relay,
+			binding,
 			names,
 			clock,
 			logger,
@@ -312,11 +327,13 @@
 				prompt,
 				priority,
 				excludedIds,
+				isMatching,
 				maxWaitMs: Math.min(route.targetLatencyMs * maxQueueShare, deadlineAt - clock.now()),
 				signal: caller.signal,
 			}),
 			isTooLate: () => this.#stopWindow.findLate(route, deadlineAt) !== undefined,
-			getStatedWaitMs: () => this.#options.backends.getStatedWaitMs(service),
+			hasCandidates: () => backends.getCandidates(service, isMatching).length > 0,
+			getStatedWaitMs: () => backends.getStatedWaitMs(service, isMatching),
 			getDecisionContext: () => ({...this.#getDecisionContext(), configuration: table.configuration.version}),
 			onReleased() {
 				traffic.grantPermits();
--- a/packages/mulberrypitch-proxy/src/response-relay.ts
+++ b/packages/mulberrypitch-proxy/src/response-relay.ts
@@ -33,6 +33,8 @@
 	/** Whether the route's streams may be resumed, so that only complete events may be written. */
 	readonly isResumable: boolean;
 	readonly timing: ResponseTiming;
+	/** Called when the first part of the response is about to be written to the caller. */
+	readonly onStarted: () => void;
 	/** Returns headers to add to the response. */
 	readonly getExtraHeaders: () => readonly Header[];
 };
@@ -51,6 +53,7 @@
 	readonly #getExtraHeaders: () => readonly Header[];
 	readonly #isResumable: boolean;
 	readonly #timing: ResponseTiming;
+	readonly #onStarted: () => void;
 	#splitter = new EventSplitter();
 	/** Scans the stream of the current back end; absent while no stream has begun. */
 	#boundary: EventBoundary | undefined;
@@ -64,6 +67,7 @@
 		this.#response = response;
 		this.#isResumable = options.isResumable;
 		this.#timing = options.timing;
+		this.#onStarted = options.onStarted;
 		this.#getExtraHeaders = options.getExtraHeaders;
 	}
 
@@ -160,6 +164,7 @@
 		}
 
 		this.#hasStarted = true;
+		this.#onStarted();
 		const {status, reason, headers} = this.#head!;
 		const shown = [...getEndToEndHeaders(headers), ...this.#getExtraHeaders()];
 		this.#response.sendDate = false;
--- a/packages/mulberrypitch-proxy/src/service-traffic.ts
+++ b/packages/mulberrypitch-proxy/src/service-traffic.ts
@@ -5,7 +5,7 @@
 import type {ServicePressure} from '@mulberrypitch/serving/view-messages';
 import {chooseEngine, choosePlainBackend} from './backend-choice.js';
 import type {BackendPermit} from './backend-place.js';
-import type {BackendView} from './backend-view.js';
+import type {BackendFilter, BackendView} from './backend-view.js';
 import type {Prompt} from './caller-request.js';
 import type {KnownBackend} from './known-backend.js';
 import {PermitQueue} from './permit-queue.js';
@@ -30,6 +30,8 @@
 	readonly priority: number;
 	/** Identifiers of back ends that have been tried already. They are chosen only when no other one is available. */
 	readonly excludedIds: ReadonlySet<string>;
+	/** Reports whether the request may be sent to a back end. */
+	readonly isMatching: BackendFilter;
 	/** Longest wait in milliseconds. */
 	readonly maxWaitMs: number;
 	/** Ends the wait without a permit when it is aborted. */
@@ -66,16 +68,18 @@
 	}
 
 	/** Resolves with a permit for a back end, or `undefined` when none became free in time or the signal was aborted. */
-	async place({service, prompt, priority, excludedIds, maxWaitMs, signal}: PermitParameters): Promise<BackendPermit | undefined> {
+	async place({
+		service, prompt, priority, excludedIds, isMatching, maxWaitMs, signal,
+	}: PermitParameters): Promise<BackendPermit | undefined> {
 		if (service === undefined) {
 			return undefined;
 		}
 
 		// A request waits only if a back end can accept it in time by what the back ends have stated.
 		const {backends} = this.#options;
-		const isHopeless = backends.isWithoutBackends(service.name) || backends.getStatedWaitMs(service.name) > maxWaitMs;
+		const isHopeless = backends.isWithoutBackends(service.name, isMatching) || backends.getStatedWaitMs(service.name, isMatching) > maxWaitMs;
 		return this.#queue.acquire({
-			priority, maxWaitMs: isHopeless ? 0 : maxWaitMs, signal, tryAcquire: () => this.#choose(service, prompt, excludedIds)?.acquirePermit(estimateUncachedTokens(prompt)),
+			priority, maxWaitMs: isHopeless ? 0 : maxWaitMs, signal, tryAcquire: () => this.#choose(service, {prompt, excludedIds, isMatching})?.acquirePermit(estimateUncachedTokens(prompt)),
 		});
 	}
 
@@ -89,9 +93,10 @@
 		return {refused: this.#refused, tokensPerSecond: this.#tokens.readPerSecond(), ...this.#cost.read()};
 	}
 
-	#choose({name, engine}: ServiceProfile, prompt: Prompt, excludedIds: ReadonlySet<string>): KnownBackend | undefined {
+	/** Chooses the back end of each send: first ones, retries and resumed streams. */
+	#choose({name, engine}: ServiceProfile, {prompt, excludedIds, isMatching}: Pick<PermitParameters, 'prompt' | 'excludedIds' | 'isMatching'>): KnownBackend | undefined {
 		const {backends, random, zone} = this.#options;
-		const candidates = backends.getCandidates(name).filter(backend => backend.isAvailable);
+		const candidates = backends.getCandidates(name, isMatching).filter(backend => backend.isAvailable);
 		const untried = candidates.filter(({id}) => !excludedIds.has(id));
 		const choices = untried.length > 0 ? untried : candidates;
 		if (engine === undefined) {
