Resume a stream that its caller takes up again only at the version that began it

Cause: an entry sent a stream that a caller took up again to any back end of a service that it drew by weight. Only the entry at which the stream began could know its version, and it kept no record.

Change: entries record where resumable streams began and report it; coordinators pass it on to each other and to all entries, by position. A request with a last event goes to the service and the version of its origin, or is refused before the quota: at once if the version has no back end, after a short wait if the origin isn't known.

The fixture of malformed gossip replies has the new option.

--- a/packages/mulberrypitch-coordinator/src/__tests__/malformed-replies.test.ts
+++ b/packages/mulberrypitch-coordinator/src/__tests__/malformed-replies.test.ts
@@ -5,6 +5,7 @@
 import {VirtualClock} from '@mulberrypitch/fakes/virtual-clock';
 import {SilentLogger} from '@mulberrypitch/logger/logger';
 import {BackendRoster} from '@mulberrypitch/serving/backend-roster';
+import {OriginTable} from '@mulberrypitch/serving/origin-table';
 import type {Transport} from '@mulberrypitch/transport/types';
 import {DutyRunner} from '../duty-runner.js';
 import {EntryDirectory} from '../entry-directory.js';
@@ -37,6 +38,7 @@
 			},
 		}),
 		roster: new BackendRoster({epoch: 'e', clock, announceIntervalMs: 500}),
+		origins: new OriginTable(clock),
 		directory: new EntryDirectory(clock),
 		getOthers: () => [{name: 'b', address: 'b'}],
 		onRoster() {
--- a/packages/mulberrypitch-coordinator/src/coordinator.ts
+++ b/packages/mulberrypitch-coordinator/src/coordinator.ts
@@ -16,6 +16,7 @@
 import type {Logger} from '@mulberrypitch/logger/logger';
 import type {MetricsRegistry} from '@mulberrypitch/metrics/registry';
 import {BackendRoster} from '@mulberrypitch/serving/backend-roster';
+import {OriginTable} from '@mulberrypitch/serving/origin-table';
 import {validateServingConfiguration} from '@mulberrypitch/serving/configuration-check';
 import type {
 	AnnouncedBackend, BackendDeregistration, ConfigurationDecoder, ServingConfiguration,
@@ -107,7 +108,9 @@
 		const {name, clock, transport, logger} = options;
 		this.#options = options;
 		this.directory = new EntryDirectory(clock);
-		this.roster = new BackendRoster({epoch: randomUUID(), clock, announceIntervalMs: options.announceIntervalMs});
+		const epoch = randomUUID();
+		const origins = new OriginTable(clock);
+		this.roster = new BackendRoster({epoch, clock, announceIntervalMs: options.announceIntervalMs});
 		this.#state = new ServingState({
 			onConfiguration: configuration => {
 				this.#applyConfiguration(configuration);
@@ -138,6 +141,7 @@
 			logger,
 			transport,
 			roster: this.roster,
+			origins,
 			directory: this.directory,
 			getOthers: () => this.#getOthers(),
 			onRoster: () => {
@@ -149,6 +153,8 @@
 			logger,
 			directory: this.directory,
 			roster: this.roster,
+			origins,
+			epoch,
 			changes: this.#changes,
 			getConfiguration: () => this.#state.configuration,
 			getCoordinators: () => this.#replica.getPeers().map(({address}) => address),
--- a/packages/mulberrypitch-coordinator/src/gossip.ts
+++ b/packages/mulberrypitch-coordinator/src/gossip.ts
@@ -1,4 +1,4 @@
-/** Sends the other coordinators the statuses of entries and the announcements of back ends that this coordinator received. */
+/** Sends the other coordinators the statuses of entries, the announcements of back ends and the origins of streams that this coordinator received. */
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
 import {BackgroundTask} from '@mulberrypitch/lifecycle/background';
 import {DisposableStore, type Resource} from '@mulberrypitch/lifecycle/disposable-store';
@@ -7,6 +7,7 @@
 import {events} from '@mulberrypitch/logger/events';
 import type {Logger} from '@mulberrypitch/logger/logger';
 import type {BackendRoster} from '@mulberrypitch/serving/backend-roster';
+import type {OriginTable} from '@mulberrypitch/serving/origin-table';
 import {methods, type GossipReply, type GossipRequest} from '@mulberrypitch/serving/view-messages';
 import type {Transport} from '@mulberrypitch/transport/types';
 import type {EntryDirectory} from './entry-directory.js';
@@ -26,6 +27,8 @@
 	readonly logger: Logger;
 	readonly transport: Transport;
 	readonly roster: BackendRoster;
+	/** Where streams began. */
+	readonly origins: OriginTable;
 	readonly directory: EntryDirectory;
 	/** Returns all other coordinators. */
 	readonly getOthers: () => readonly Peer[];
@@ -39,6 +42,8 @@
 	readonly #resources = new DisposableStore();
 	/** Monotonic time of the start of the last successful call, by coordinator. One that is not listed is sent the whole roster. */
 	readonly #lastSentAt = new Map<string, number>();
+	/** Position up to which each coordinator has the origins of streams. One that is not listed is sent all. */
+	readonly #originPositions = new Map<string, number>();
 	/** Names of coordinators with a call in progress. */
 	readonly #pendingCalls = new Set<string>();
 
@@ -78,7 +83,8 @@
 
 	/** Exchanges entries and back ends with one coordinator; resolves with whether the call succeeded. */
 	async #sendTo(peer: Peer): Promise<boolean> {
-		const {name, clock, transport, roster, directory, onRoster} = this.#options;
+		const {name, clock, transport, roster, origins, directory, onRoster} = this.#options;
+		const {position} = origins;
 		const startedAt = clock.now();
 		const lastSentAt = this.#lastSentAt.get(peer.name);
 		const shouldSendAll = lastSentAt === undefined;
@@ -86,12 +92,15 @@
 			from: name,
 			entries: directory.getLocalStatuses(),
 			backends: shouldSendAll ? roster.getEntries() : roster.getEntries(lastSentAt - overlapMs),
+			origins: origins.getSince(this.#originPositions.get(peer.name) ?? 0),
 			wantsAll: shouldSendAll,
 		};
 		this.#pendingCalls.add(peer.name);
 		try {
 			const reply = await transport.call<GossipReply>(peer.address, methods.gossip, request, {timeoutMs: callTimeoutMs});
 			this.#lastSentAt.set(peer.name, startedAt);
+			this.#originPositions.set(peer.name, position);
+			origins.merge(reply.origins ?? []);
 			const changes = reply.backends.map(entry => roster.merge(entry));
 			if (changes.includes(true)) {
 				onRoster();
@@ -106,8 +115,9 @@
 		}
 	}
 
-	/** Makes the next call send the whole roster, and logs the first failure after a success. */
+	/** Makes the next call send the whole roster and all origins, and logs the first failure after a success. */
 	#handleFailure(peer: Peer, error: unknown): void {
+		this.#originPositions.delete(peer.name);
 		if (this.#lastSentAt.delete(peer.name)) {
 			this.#options.logger.log(events.coordinatorLost, {peer: peer.name, reason: getMessage(error)});
 		}
--- a/packages/mulberrypitch-coordinator/src/view-service.ts
+++ b/packages/mulberrypitch-coordinator/src/view-service.ts
@@ -4,9 +4,10 @@
 import {events} from '@mulberrypitch/logger/events';
 import type {Logger} from '@mulberrypitch/logger/logger';
 import type {BackendRoster} from '@mulberrypitch/serving/backend-roster';
+import type {OriginTable} from '@mulberrypitch/serving/origin-table';
 import {QuarantineList} from '@mulberrypitch/serving/quarantine-list';
 import type {
-	EntryStatus, GossipReply, GossipRequest, StoredConfiguration, ViewReply, ViewRequest,
+	EntryStatus, GossipReply, GossipRequest, OriginChanges, OriginReport, StoredConfiguration, ViewReply, ViewRequest,
 } from '@mulberrypitch/serving/view-messages';
 import {CrashEvidence} from './crash-evidence.js';
 import type {EntryDirectory} from './entry-directory.js';
@@ -17,6 +18,10 @@
 	readonly logger: Logger;
 	readonly directory: EntryDirectory;
 	readonly roster: BackendRoster;
+	/** Where streams began, as the entries reported it. */
+	readonly origins: OriginTable;
+	/** Identifies this start of the coordinator. */
+	readonly epoch: string;
 	/** Notified when the configuration, the roster or the quarantine changes. */
 	readonly changes: Notification;
 	/** Returns the configuration in force, or `undefined` before the first one. */
@@ -54,10 +59,13 @@
 	}
 
 	/** Stores the status of an entry and replies with the changes since its versions, for which it waits up to the timeout. */
-	async watch({status, configurationVersion, rosterEpoch, rosterVersion}: ViewRequest): Promise<ViewReply> {
-		const {directory, roster, getConfiguration, getCoordinators, isInTouch} = this.#options;
+	async watch({
+		status, configurationVersion, rosterEpoch, rosterVersion, origins: report,
+	}: ViewRequest): Promise<ViewReply> {
+		const {directory, roster, origins, getConfiguration, getCoordinators, isInTouch} = this.#options;
 		directory.update(status);
 		this.#mergeObservations(status);
+		origins.merge(report?.begun ?? []);
 		const hasChanges = (getConfiguration()?.version ?? 0) > configurationVersion || roster.hasChanges(rosterEpoch, rosterVersion);
 		if (!hasChanges) {
 			await this.#waitForChanges();
@@ -71,15 +79,19 @@
 			othersSpent: directory.getOthersSpent(status.name),
 			verdict: {suspects: this.#evidence.getSuspects(), quarantined: this.#quarantine.capture()},
 			limits: directory.getLimitShares(status.name),
+			origins: this.#getOriginChanges(report),
 			entryCount: Math.max(1, directory.count),
 			coordinators: getCoordinators(),
 			isInTouch: isInTouch(),
 		};
 	}
 
-	/** Merges what another coordinator sends, and replies with the whole roster if it asks for it. */
-	async mergeGossip({entries, backends, wantsAll}: GossipRequest): Promise<GossipReply> {
-		const {directory, roster, changes} = this.#options;
+	/** Merges what another coordinator sends, and replies with the whole roster and all origins if it asks for them. */
+	async mergeGossip({
+		entries, backends, origins: told = [], wantsAll,
+	}: GossipRequest): Promise<GossipReply> {
+		const {directory, roster, origins, changes} = this.#options;
+		origins.merge(told);
 		for (const status of entries) {
 			directory.merge(status);
 			this.#mergeObservations(status);
@@ -90,7 +102,7 @@
 			changes.notify();
 		}
 
-		return {backends: wantsAll ? roster.getEntries() : []};
+		return wantsAll ? {backends: roster.getEntries(), origins: origins.getSince(0)} : {backends: []};
 	}
 
 	/** Removes entries, back ends and charges that have not been heard of for too long. */
@@ -103,6 +115,11 @@
 		}
 	}
 
+	#getOriginChanges(report: OriginReport | undefined): OriginChanges {
+		const {origins, epoch} = this.#options;
+		return {epoch, position: origins.position, groups: origins.getSince(report?.epoch === epoch ? report.position : 0)};
+	}
+
 	/** Takes over what an entry observed of back ends. */
 	#mergeObservations({crashes, leaves = []}: EntryStatus): void {
 		const {roster, changes, logger} = this.#options;
--- a/packages/mulberrypitch-proxy/src/caller-request.ts
+++ b/packages/mulberrypitch-proxy/src/caller-request.ts
@@ -6,7 +6,7 @@
 import {hasCode} from '@mulberrypitch/errors/coded-error';
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
 import {withTimeout} from '@mulberrypitch/lifecycle/with-timeout';
-import type {Workspace} from '@mulberrypitch/serving/types';
+import type {Route, Workspace} from '@mulberrypitch/serving/types';
 import type {Header} from './response-parser.js';
 import type {HeaderNames} from './types.js';
 
--- a/packages/mulberrypitch-proxy/src/entry.ts
+++ b/packages/mulberrypitch-proxy/src/entry.ts
@@ -23,6 +23,7 @@
 import {WorkspaceQuotas} from './workspace-quotas.js';
 import {WindowedRetryBudget} from './windowed-retry-budget.js';
 import {RecentMaximum} from './recent-maximum.js';
+import {StreamOrigins} from './stream-origins.js';
 import type {HeaderNames} from './types.js';
 import {UsageCounter} from './usage-counter.js';
 import {ViewClient} from './view-client.js';
@@ -84,6 +85,7 @@
 	readonly #startedAt: number;
 	readonly #backends: BackendView;
 	readonly #quarantine: ContentQuarantine;
+	readonly #origins: StreamOrigins;
 	readonly #quotas: WorkspaceQuotas;
 	readonly #usage: UsageCounter;
 	readonly #view: ViewClient;
@@ -118,6 +120,7 @@
 			getMaxConnections: () => this.#getMaxConnections(service),
 		}));
 		this.#quarantine = new ContentQuarantine(clock);
+		this.#origins = new StreamOrigins(clock);
 		this.#quotas = new WorkspaceQuotas({
 			clock, getEntryCount: () => this.#entryCount, isInTouch: () => this.#isSpendingKnown(), tolerance: options.quotaTolerance,
 		});
@@ -141,6 +144,7 @@
 			logger,
 			backends: this.#backends,
 			quarantine: this.#quarantine,
+			origins: this.#origins,
 			quotas: this.#quotas,
 			retries: new WindowedRetryBudget({clock, ...retryBudget, getEntryCount: () => this.#entryCount}),
 			usage: this.#usage,
@@ -216,6 +220,7 @@
 		metrics.gauge('mulberrypitch_entry_backends_paused', 'Back ends that asked this entry for a pause.', () => this.#backends.getCounts().paused);
 		metrics.gauge('mulberrypitch_entry_backend_connections', 'Connections to back ends.', () => this.#backends.getCounts().connections);
 		metrics.gauge('mulberrypitch_entry_quarantined_contents', 'Contents that are kept from back ends since they crash them.', () => this.#quarantine.count);
+		metrics.gauge('mulberrypitch_entry_stream_origins', 'Streams of which the entry was told where they began.', () => this.#origins.count);
 		metrics.gauge('mulberrypitch_entries', 'Entries in touch, as the coordinators said.', () => this.#entryCount);
 	}
 
@@ -240,16 +245,20 @@
 			configurationVersion: this.#table?.configuration.version ?? 0,
 			rosterEpoch: this.#backends.epoch,
 			rosterVersion: this.#backends.version,
+			origins: this.#origins.createReport(),
 		};
 	}
 
-	#applyView({configuration, roster, loads, othersSpent, entryCount, verdict, limits = []}: ViewReply): void {
+	#applyView({
+		configuration, roster, loads, othersSpent, entryCount, verdict, limits = [], origins,
+	}: ViewReply): void {
 		this.#quarantine.apply(verdict);
 		if (configuration !== undefined) {
 			this.#applyConfiguration(configuration);
 		}
 
 		this.#backends.apply(roster);
+		this.#origins.apply(origins);
 		this.#backends.setLoads(loads);
 		this.#backends.applyLimitShares(limits);
 		if (roster.epoch !== this.#spendingEpoch) {
--- a/packages/mulberrypitch-proxy/src/proxy-server-options.ts
+++ b/packages/mulberrypitch-proxy/src/proxy-server-options.ts
@@ -6,6 +6,7 @@
 import type {RouteTable} from '@mulberrypitch/serving/route-table';
 import type {BackendView} from './backend-view.js';
 import type {ContentQuarantine} from './content-quarantine.js';
+import type {StreamOrigins} from './stream-origins.js';
 import type {HeaderNames} from './types.js';
 import type {UsageCounter} from './usage-counter.js';
 import type {WindowedRetryBudget} from './windowed-retry-budget.js';
@@ -23,6 +24,7 @@
 	readonly logger: Logger;
 	readonly backends: BackendView;
 	readonly quarantine: ContentQuarantine;
+	readonly origins: StreamOrigins;
 	readonly quotas: WorkspaceQuotas;
 	readonly retries: WindowedRetryBudget;
 	readonly usage: UsageCounter;
--- a/packages/mulberrypitch-proxy/src/proxy-server.ts
+++ b/packages/mulberrypitch-proxy/src/proxy-server.ts
@@ -18,7 +18,7 @@
 import {ResponseRelay} from './response-relay.js';
 import {ResponseTiming} from './response-timing.js';
 import {
-	getDeadlineAt, getHeader, getHeaders, getQuotaUnits, readBody, readPrompt, readStreamPosition, type Prompt,
+	getDeadlineAt, getHeader, getHeaders, getQuotaUnits, readBody, readPrompt, readStreamPosition, type Prompt, type StreamPosition,
 } from './caller-request.js';
 import {getContentFingerprints, type IdentifyingParts} from './content-fingerprints.js';
 import type {RequestContent} from './content-quarantine.js';
@@ -31,6 +31,7 @@
 import {ServiceTraffic} from './service-traffic.js';
 import {StartupWait} from './startup-wait.js';
 import {StreamBinding} from './stream-binding.js';
+import {StreamResumption} from './stream-resumption.js';
 import {StopWindow} from './stop-window.js';
 
 /** Size in bytes beyond which the HTTP parser itself rejects headers; the configured limit is checked afterwards. */
@@ -55,6 +56,7 @@
 	readonly #startup: StartupWait;
 	readonly #requests = new RequestsInProgress();
 	readonly #stopWindow: StopWindow;
+	readonly #resumption: StreamResumption;
 	#isDraining = false;
 
 	constructor(options: ProxyServerOptions) {
@@ -62,6 +64,7 @@
 		this.#options = options;
 		this.#startup = new StartupWait(options.clock, options.getTable);
 		this.#stopWindow = new StopWindow(options.clock, logger);
+		this.#resumption = new StreamResumption(options);
 		this.#replies = new LocalReplies({
 			attemptHeader: names.attemptId,
 			random,
@@ -225,6 +228,13 @@
 			return;
 		}
 
+		const position = readStreamPosition(request, this.#options.names);
+		const resumption = await this.#resumption.resolve(position, route, deadlineAt - clock.now());
+		if (resumption.kind === 'refused') {
+			this.#replies.send(request, response, resumption.reply);
+			return;
+		}
+
 		const units = workspace === undefined ? 0 : getQuotaUnits(workspace, getHeader(request, this.#options.names.tokenCount));
 		const waitSeconds = workspace === undefined ? 0 : quotas.take(workspace, {units, isUrgent: route.priority === 0});
 		if (waitSeconds > 0) {
@@ -237,17 +247,22 @@
 		}
 
 		const timing = new ResponseTiming(this.#options.clock, arrivedAt);
-		const binding = new StreamBinding();
+		const {origin} = resumption;
+		const service = origin?.service ?? chooseService(route, this.#options.random);
+		const binding = new StreamBinding(origin?.version);
 		const relay = new ResponseRelay(response, {
 			isResumable: route.isResumable,
 			timing,
-			onStarted() {
+			onStarted: () => {
 				binding.bind();
+				this.#resumption.recordBegun({
+					attemptId: this.#getAttemptId(request), route, position, service, version: binding.version,
+				});
 			},
 			getExtraHeaders: () => this.#getConnectionHeaders(),
 		});
 		const end = await this.#run(request, response, {
-			body, arrivedAt, deadlineAt, route, workspace, table, relay, binding, prompt, content,
+			body, arrivedAt, deadlineAt, route, service, position, workspace, table, relay, binding, prompt, content,
 		});
 		if (end.kind === 'refused' && workspace !== undefined) {
 			quotas.refund(workspace, units);
@@ -274,6 +289,8 @@
 		readonly arrivedAt: number;
 		readonly deadlineAt: number;
 		readonly route: Route;
+		readonly service: string;
+		readonly position: StreamPosition | undefined;
 		readonly workspace: Workspace | undefined;
 		readonly table: RouteTable;
 		readonly relay: ResponseRelay;
@@ -282,13 +299,12 @@
 		readonly content: RequestContent;
 	}): Promise<RequestEnd> {
 		const {
-			names, clock, logger, random, retries, usage, metrics, backends,
+			names, clock, logger, retries, usage, metrics, backends,
 		} = this.#options;
 		const {
-			body, arrivedAt, deadlineAt, route, workspace, table, relay, binding, prompt, content,
+			body, arrivedAt, deadlineAt, route, service, position, workspace, table, relay, binding, prompt, content,
 		} = admitted;
 		const isMatching: BackendFilter = backend => binding.isMatching(backend);
-		const service = chooseService(route, random);
 		const traffic = this.#getTraffic(service);
 		const caller = new AbortController();
 		response.once('close', () => {
@@ -312,7 +328,7 @@
 			workspace: workspace?.name,
 			priority,
 			prompt,
-			position: readStreamPosition(request, names),
+			position,
 			content,
 			dropsKey: table.requiresKeys,
 			deadlineAt,
--- a/packages/mulberrypitch-proxy/src/stream-binding.ts
+++ b/packages/mulberrypitch-proxy/src/stream-binding.ts
@@ -13,14 +13,25 @@
 export class StreamBinding {
 	/** Version of the back end to which the request was sent last. */
 	#sentVersion: string | undefined;
-	#isBound = false;
+	#isBound: boolean;
 	#version: string | undefined;
 
+	/** `version` is that of a stream that began in an earlier response; absent if this one begins it. */
+	constructor(version?: string) {
+		this.#isBound = version !== undefined;
+		this.#version = version;
+	}
+
 	/** Whether only back ends of one version may go on with the response. */
 	get isBound(): boolean {
 		return this.#isBound;
 	}
 
+	/** Version that the response is bound to; absent if it is not bound yet, or to an unknown version. */
+	get version(): string | undefined {
+		return this.#version;
+	}
+
 	/** Records the back end to which the request is sent now. */
 	recordSend({announced}: VersionedBackend): void {
 		this.#sentVersion = announced.version;
--- /dev/null
+++ b/packages/mulberrypitch-serving/src/origin-table.ts
@@ -0,0 +1,102 @@
+/** Where streams began, as entries and coordinators remember it: the service and the software version of the first back end. */
+import type {Clock} from '@mulberrypitch/lifecycle/clock';
+import type {OriginGroup, StreamOrigin} from './view-messages.js';
+
+/** Time in milliseconds for which an origin is remembered: longer than callers come again for a stream. */
+const retentionMs = 60_000;
+/** Maximum number of origins; the oldest ones are forgotten first. */
+const maxOrigins = 50_000;
+
+type OriginRecord = {
+	readonly attemptId: string;
+	readonly origin: StreamOrigin;
+	/** Monotonic time in milliseconds. */
+	readonly addedAt: number;
+};
+
+/** Holds origins in the order in which they became known here. */
+export class OriginTable {
+	readonly #clock: Clock;
+	readonly #records: OriginRecord[] = [];
+	/** Number of origins that were forgotten. */
+	#forgotten = 0;
+	/** Origins that were told of each attempt. More than one contradict each other. */
+	readonly #byAttempt = new Map<string, readonly StreamOrigin[]>();
+
+	constructor(clock: Clock) {
+		this.#clock = clock;
+	}
+
+	/** Number of streams of which the origin was told. */
+	get size(): number {
+		return this.#byAttempt.size;
+	}
+
+	/** Number of origins that were ever added, which is the position after the last one. */
+	get position(): number {
+		return this.#forgotten + this.#records.length;
+	}
+
+	/** Adds the origin of the stream that an attempt began. Returns false if it was known. */
+	add(attemptId: string, {service, version}: StreamOrigin): boolean {
+		const told = this.#byAttempt.get(attemptId) ?? [];
+		if (told.length > 1 || told.some(origin => origin.service === service && origin.version === version)) {
+			return false;
+		}
+
+		this.#forgetOldest();
+		const origin = {service, version};
+		this.#byAttempt.set(attemptId, [...told, origin]);
+		this.#records.push({attemptId, origin, addedAt: this.#clock.now()});
+		return true;
+	}
+
+	/** Adds what another process knows. Returns whether anything was new. */
+	merge(groups: readonly OriginGroup[]): boolean {
+		const results = groups.flatMap(({attemptIds, ...origin}) => attemptIds.map(attemptId => this.add(attemptId, origin)));
+		return results.includes(true);
+	}
+
+	/** Returns the origin of the stream that an attempt began; `undefined` if it isn't known, or if what was told contradicts itself. */
+	getOrigin(attemptId: string): StreamOrigin | undefined {
+		const told = this.#byAttempt.get(attemptId) ?? [];
+		return told.length === 1 ? told[0] : undefined;
+	}
+
+	/** Returns the origins from a position on. */
+	getSince(position: number): readonly OriginGroup[] {
+		return groupOrigins(this.#records.slice(Math.max(0, position - this.#forgotten)));
+	}
+
+	#forgetOldest(): void {
+		const before = this.#clock.now() - retentionMs;
+		const firstKept = this.#records.findIndex(({addedAt}) => addedAt >= before);
+		const expired = firstKept === -1 ? this.#records.length : firstKept;
+		const count = Math.max(expired, this.#records.length + 1 - maxOrigins);
+		for (const {attemptId} of this.#records.splice(0, count)) {
+			this.#byAttempt.delete(attemptId);
+		}
+
+		this.#forgotten += count;
+	}
+}
+
+/**
+Groups attempts by origin, which is how processes exchange them.
+
+@example
+```
+const groups = groupOrigins([{attemptId: 'a-1', origin: {service: 's', version: 'v1'}}]);
+```
+*/
+export function groupOrigins(records: ReadonlyArray<Pick<OriginRecord, 'attemptId' | 'origin'>>): readonly OriginGroup[] {
+	const groups = new Map<string, {readonly origin: StreamOrigin; readonly attemptIds: string[]}>();
+	for (const {attemptId, origin} of records) {
+		const key = JSON.stringify([origin.service, origin.version]);
+		const group = groups.get(key) ?? {origin, attemptIds: []};
+		group.attemptIds.push(attemptId);
+		groups.set(key, group);
+	}
+
+	return [...groups.values()].map(({origin, attemptIds}) => ({...origin, attemptIds}));
+}
--- a/packages/mulberrypitch-serving/src/view-messages.ts
+++ b/packages/mulberrypitch-serving/src/view-messages.ts
@@ -82,6 +82,35 @@
 	readonly quarantined: readonly QuarantinedContent[];
 };
 
+/** The back ends at which a stream began. Only back ends of that service and that version of the software may go on with it. */
+export type StreamOrigin = {
+	readonly service: string;
+	readonly version: string;
+};
+
+/** Streams that began at the same service and version. */
+export type OriginGroup = StreamOrigin & {
+	/** Identifiers of the attempts that brought the first events. */
+	readonly attemptIds: readonly string[];
+};
+
+/** What an entry tells a coordinator of streams, and what it knows from it. */
+export type OriginReport = {
+	/** Epoch and position of the last changes that the entry has applied. */
+	readonly epoch: string;
+	readonly position: number;
+	/** Streams that began at the entry, or all that it knows of if the coordinator may have just started. */
+	readonly begun: readonly OriginGroup[];
+};
+
+/** The origins that a coordinator has learned since the position in the report, or all that it knows if the epoch differs. */
+export type OriginChanges = {
+	/** Identifies one start of the coordinator. */
+	readonly epoch: string;
+	readonly position: number;
+	readonly groups: readonly OriginGroup[];
+};
+
 /** The status that an entry reports. */
 export type EntryStatus = {
 	readonly name: string;
@@ -116,6 +145,8 @@
 	/** Epoch and version of the last roster changes that the entry has applied. */
 	readonly rosterEpoch: string;
 	readonly rosterVersion: number;
+	/** Absent from an entry of an earlier version. */
+	readonly origins?: OriginReport;
 };
 
 /** A configuration in the form in which the operator sent it. */
@@ -136,6 +167,8 @@
 	readonly verdict: ContentVerdict;
 	/** Limits that back ends stated to any entry; absent from a coordinator of an earlier version. */
 	readonly limits?: readonly LimitShare[];
+	/** Absent from a coordinator of an earlier version. */
+	readonly origins?: OriginChanges;
 	/** Number of entries in contact with the coordinators, including the one that asks. */
 	readonly entryCount: number;
 	/** Addresses of the coordinators for calls between processes. */
@@ -150,13 +183,17 @@
 	readonly from: string;
 	readonly entries: readonly EntryStatus[];
 	readonly backends: readonly RosterEntry[];
-	/** Whether the reply should contain all back ends. */
+	/** Origins of streams that the called coordinator may not know; absent from a coordinator of an earlier version. */
+	readonly origins?: readonly OriginGroup[];
+	/** Whether the reply should contain all back ends and origins. */
 	readonly wantsAll: boolean;
 };
 
-/** All back ends that the called coordinator knows, if the request asked for them; otherwise none. */
+/** All back ends and origins that the called coordinator knows, if the request asked for them; otherwise none. */
 export type GossipReply = {
 	readonly backends: readonly RosterEntry[];
+	/** Absent from a coordinator of an earlier version. */
+	readonly origins?: readonly OriginGroup[];
 };
 
 /** Method names of the calls between processes. */
