Exchange only new origins of streams with a coordinator that an entry comes back to

Cause: an entry sent all origins to a coordinator whenever the last reply was another one's, and got all in turn. Without a leader it changes between all coordinators some ten times a second, which would cost most while the system is in trouble already.

Change: an entry remembers its positions at the last 16 starts of coordinators, and which of these it told everything. What it told a coordinator without contact with a leader is reported again.

--- a/packages/mulberrypitch-coordinator/src/view-service.ts
+++ b/packages/mulberrypitch-coordinator/src/view-service.ts
@@ -117,7 +117,8 @@
 
 	#getOriginChanges(report: OriginReport | undefined): OriginChanges {
 		const {origins, epoch} = this.#options;
-		return {epoch, position: origins.position, groups: origins.getSince(report?.epoch === epoch ? report.position : 0)};
+		const known = report?.known.find(position => position.epoch === epoch);
+		return {epoch, position: origins.position, groups: origins.getSince(known?.position ?? 0)};
 	}
 
 	/** Takes over what an entry observed of back ends. */
--- a/packages/mulberrypitch-proxy/src/__tests__/stream-resumption.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/stream-resumption.test.ts
@@ -81,18 +81,33 @@
 	t.end();
 });
 
+const begun = [{service: 's', version: 'v1', attemptIds: ['a-1']}];
+
 // Guards against origins that a coordinator got, but lost before it could pass them on.
 await t.test('what a coordinator may not have is reported again, and all of it to another one', async t => {
 	const {clock, origins} = createResumption([]);
 	origins.record('a-1', {service: 's', version: 'v1'});
-	const begun = [{service: 's', version: 'v1', attemptIds: ['a-1']}];
 	await clock.runFor(5000);
 	t.same(origins.createReport().begun, begun);
-	t.same(origins.createReport().begun, begun);
-	origins.apply({epoch: 'c-1', position: 1, groups: []});
-	t.same(origins.createReport(), {epoch: 'c-1', position: 1, begun});
-	origins.apply({epoch: 'c-1', position: 1, groups: []});
+	origins.apply({epoch: 'c-1', position: 1, groups: []}, false);
+	t.same(origins.createReport(), {known: [{epoch: 'c-1', position: 1}], begun});
+	origins.apply({epoch: 'c-1', position: 1, groups: []}, true);
 	t.same(origins.createReport().begun, []);
-	origins.apply({epoch: 'c-2', position: 0, groups: []});
+	origins.apply({epoch: 'c-2', position: 0, groups: []}, true);
 	t.same(origins.createReport().begun, begun);
 });
+
+// Guards against entries that exchange all origins with every coordinator again and again while there is no leader.
+await t.test('an entry that changes between coordinators exchanges only what is new with each', async t => {
+	const {clock, origins} = createResumption([]);
+	origins.record('a-1', {service: 's', version: 'v1'});
+	await clock.runFor(5000);
+	const epochs = ['c-1', 'c-1', 'c-2', 'c-2', 'c-1', 'c-2', 'c-1'];
+	const reports = epochs.map((epoch, index) => {
+		const report = origins.createReport();
+		origins.apply({epoch, position: index, groups: []}, true);
+		return report;
+	});
+	t.same(reports.map(report => report.begun), [begun, begun, [], begun, [], [], []]);
+	t.same(origins.createReport().known, [{epoch: 'c-2', position: 5}, {epoch: 'c-1', position: 6}]);
+});
--- a/packages/mulberrypitch-proxy/src/entry.ts
+++ b/packages/mulberrypitch-proxy/src/entry.ts
@@ -250,7 +250,7 @@
 	}
 
 	#applyView({
-		configuration, roster, loads, othersSpent, entryCount, verdict, limits = [], origins,
+		configuration, roster, loads, othersSpent, entryCount, verdict, limits = [], origins, isInTouch,
 	}: ViewReply): void {
 		this.#quarantine.apply(verdict);
 		if (configuration !== undefined) {
@@ -258,7 +258,7 @@
 		}
 
 		this.#backends.apply(roster);
-		this.#origins.apply(origins);
+		this.#origins.apply(origins, isInTouch);
 		this.#backends.setLoads(loads);
 		this.#backends.applyLimitShares(limits);
 		if (roster.epoch !== this.#spendingEpoch) {
--- a/packages/mulberrypitch-proxy/src/stream-origins.ts
+++ b/packages/mulberrypitch-proxy/src/stream-origins.ts
@@ -10,6 +10,9 @@
 /** Time in milliseconds for which an origin is reported even though a coordinator has it, since that one may end before it passes it on. */
 const reportMs = 1000;
 
+/** Number of starts of coordinators whose positions are remembered. */
+const maxEpochs = 16;
+
 type OwnOrigin = {
 	readonly attemptId: string;
 	readonly origin: StreamOrigin;
@@ -27,11 +30,14 @@
 	#own: readonly OwnOrigin[] = [];
 	/** Origins in the report that the last request carried. */
 	#reported: readonly OwnOrigin[] = [];
-	/** Epoch and position of the last changes; the epoch is empty before the first ones. */
-	#epoch = '';
-	#position = 0;
+	/** Positions by epoch, the one of the last reply last. */
+	readonly #positions = new Map<string, number>();
+	/** Epochs of coordinators that were told everything. */
+	readonly #toldAll = new Set<string>();
 	/** Whether the next report holds everything, since the coordinator may have just started. */
 	#mustReportAll = false;
+	/** Whether the report that the last request carried holds everything. */
+	#hasReportedAll = false;
 
 	constructor(clock: Clock) {
 		this.#clock = clock;
@@ -65,32 +71,48 @@
 		const since = this.#clock.now() - reportMs;
 		this.#own = this.#own.filter(({begunAt, isAcknowledged}) => !isAcknowledged || begunAt >= since);
 		this.#reported = this.#own;
+		this.#hasReportedAll = this.#mustReportAll;
 		return {
-			epoch: this.#epoch,
-			position: this.#position,
+			known: [...this.#positions].map(([epoch, position]) => ({epoch, position})),
 			begun: this.#mustReportAll ? this.#table.getSince(0) : groupOrigins(this.#own),
 		};
 	}
 
-	/** Applies the reply to the last report. `undefined` came from a coordinator of an earlier version, which passes nothing on. */
-	apply(changes: OriginChanges | undefined): void {
+	/**
+	Applies the reply to the last report. `undefined` came from a coordinator of an earlier version, which passes nothing on. One that has
+	no contact with a leader may not reach the others, so what it was told is reported again.
+	*/
+	apply(changes: OriginChanges | undefined, isInTouch: boolean): void {
 		if (changes === undefined) {
 			return;
 		}
 
 		for (const own of this.#reported) {
-			own.isAcknowledged = true;
+			own.isAcknowledged ||= isInTouch;
 		}
 
 		const {epoch, position, groups} = changes;
-		this.#mustReportAll = epoch !== this.#epoch;
-		this.#epoch = epoch;
-		this.#position = position;
+		if (this.#hasReportedAll) {
+			this.#toldAll.add(epoch);
+		}
+
+		this.#mustReportAll = !this.#toldAll.has(epoch);
+		this.#rememberPosition(epoch, position);
 		if (this.#table.merge(groups)) {
 			this.#changes.notify();
 		}
 	}
 
+	#rememberPosition(epoch: string, position: number): void {
+		this.#positions.delete(epoch);
+		this.#positions.set(epoch, position);
+		if (this.#positions.size > maxEpochs) {
+			const [oldest] = this.#positions.keys();
+			this.#positions.delete(oldest!);
+			this.#toldAll.delete(oldest!);
+		}
+	}
+
 	async #waitFor(attemptId: string, maxWaitMs: number): Promise<void> {
 		const timeout = new AbortController();
 		const abortAfterWait = async () => {
--- a/packages/mulberrypitch-serving/src/view-messages.ts
+++ b/packages/mulberrypitch-serving/src/view-messages.ts
@@ -94,20 +94,23 @@
 	readonly attemptIds: readonly string[];
 };
 
-/** What an entry tells a coordinator of streams, and what it knows from it. */
-export type OriginReport = {
-	/** Epoch and position of the last changes that the entry has applied. */
+/** Up to where an entry has applied the origins that a coordinator has learned. */
+export type OriginPosition = {
+	/** Identifies one start of the coordinator. */
 	readonly epoch: string;
 	readonly position: number;
+};
+
+/** What an entry tells a coordinator of streams, and what it knows from it. */
+export type OriginReport = {
+	/** Positions at the coordinators that replied last, since the entry doesn't know which one it calls. */
+	readonly known: readonly OriginPosition[];
 	/** Streams that began at the entry, or all that it knows of if the coordinator may have just started. */
 	readonly begun: readonly OriginGroup[];
 };
 
-/** The origins that a coordinator has learned since the position in the report, or all that it knows if the epoch differs. */
-export type OriginChanges = {
-	/** Identifies one start of the coordinator. */
-	readonly epoch: string;
-	readonly position: number;
+/** The origins that a coordinator has learned since its position in the report, or all that it knows if the report has none. */
+export type OriginChanges = OriginPosition & {
 	readonly groups: readonly OriginGroup[];
 };
 
