Keep the version of a back end when an announcement comes through a coordinator of an earlier version

Cause: such a coordinator drops the version, and its newer announcement replaced the one with it, at other coordinators and at entries. In an upgrade each heartbeat could make a version unknown, which ends the streams that are bound to it.

Change: within an incarnation, a known version stays. Rosters and entries update an incarnation with one function.

--- a/packages/mulberrypitch-proxy/src/backend-view.ts
+++ b/packages/mulberrypitch-proxy/src/backend-view.ts
@@ -1,5 +1,5 @@
 /** An entry's view of the back ends: those that it knows from the coordinators' roster, and its own state of each. */
-import type {RosterChanges} from '@mulberrypitch/serving/backend-roster';
+import {updateIncarnation, type RosterChanges} from '@mulberrypitch/serving/backend-roster';
 import type {AnnouncedBackend} from '@mulberrypitch/serving/types';
 import type {
 	BackendLoad, Incarnation, LimitShare, StatedLimit,
@@ -150,8 +150,7 @@
 		if (isGone) {
 			this.#retire(announced.id);
 		} else if (known?.announced.startedAt === announced.startedAt && known.announced.address === announced.address) {
-			// Within one incarnation, a back end that drains never returns to service.
-			known.update({...announced, isLeaving: announced.isLeaving || known.announced.isLeaving});
+			known.update(updateIncarnation(known.announced, announced));
 		} else {
 			this.#retire(announced.id);
 			this.#backends.set(announced.id, this.#create(announced));
--- a/packages/mulberrypitch-serving/src/__tests__/backend-roster.test.ts
+++ b/packages/mulberrypitch-serving/src/__tests__/backend-roster.test.ts
@@ -201,3 +201,14 @@
 	roster.announce(createBackend({id: 'i-2', startedAt: 300}));
 	t.match(roster.getEntries(since).map(({backend, isGone}) => ({id: backend.id, isGone})), [{id: 'i-1', isGone: true}, {id: 'i-2', isGone: false}]);
 });
+
+// Guards against streams that are cut off in an upgrade, since coordinators of an earlier version pass announcements on without the version.
+await t.test('the version of an incarnation outlasts announcements without one, and not the incarnation', async t => {
+	const {roster} = createRoster();
+	roster.announce(createBackend({version: 'v1'}));
+	t.notOk(roster.merge({backend: createBackend({sequence: 2}), isGone: false, ageMs: 0}));
+	t.match(roster.getServing(), [{sequence: 2, version: 'v1'}]);
+	roster.merge({backend: createBackend({startedAt: 200}), isGone: false, ageMs: 0});
+	t.equal(roster.getServing()[0]!.version, undefined);
+	t.ok(roster.announce(createBackend({startedAt: 200, sequence: 2, version: 'v2'})));
+});
--- a/packages/mulberrypitch-serving/src/backend-roster.ts
+++ b/packages/mulberrypitch-serving/src/backend-roster.ts
@@ -125,8 +125,7 @@
 		}
 
 		const isNewIncarnation = announced.startedAt > known.backend.startedAt;
-		// An incarnation that leaves never returns to service.
-		const backend = {...announced, isLeaving: announced.isLeaving || (!isNewIncarnation && known.backend.isLeaving)};
+		const backend = isNewIncarnation ? announced : updateIncarnation(known.backend, announced);
 		if (known.isGone && !isNewIncarnation && !this.#canReturn(known, backend, isGone)) {
 			if (isGone && !isSilent && known.isSilent) {
 				this.#markGone(known, {isSilent: false});
@@ -264,6 +263,20 @@
 	return backend.startedAt < known.startedAt || (backend.startedAt === known.startedAt && backend.sequence < known.sequence);
 }
 
+/**
+Returns a newer announcement of an incarnation with what holds until its end: one that leaves never returns to service, and its version
+stays known when the announcement came through a process of an earlier version.
+
+@example
+```
+const backend = updateIncarnation(known, announced);
+```
+*/
+export function updateIncarnation(known: AnnouncedBackend, announced: AnnouncedBackend): AnnouncedBackend {
+	const version = announced.version ?? known.version;
+	return {...announced, isLeaving: announced.isLeaving || known.isLeaving, ...(version !== undefined && {version})};
+}
+
 function isSameForRouting(left: AnnouncedBackend, right: AnnouncedBackend): boolean {
 	return left.service === right.service
 		&& left.address === right.address
