--- a/packages/mulberrypitch-proxy/src/proxy-server.ts
+++ b/packages/mulberrypitch-proxy/src/proxy-server.ts
@@ -28,7 +28,7 @@
 import type {DecisionContext, RequestEnd} from './proxied-request-options.js';
 import type {ProxyServerOptions} from './proxy-server-options.js';
 import {chooseService} from './service-choice.js';
-import {ServiceTraffic} from './service-traffic.js';
+import {ServiceTraffics} from './service-traffics.js';
 import {StartupWait} from './startup-wait.js';
 import {StreamBinding} from './stream-binding.js';
 import {StreamResumption} from './stream-resumption.js';
@@ -49,7 +49,7 @@
 export class ProxyServer implements Resource {
 	readonly #options: ProxyServerOptions;
 	readonly #server: http.Server;
-	readonly #services = new Map<string, ServiceTraffic>();
+	readonly #services: ServiceTraffics;
 	readonly #replies: LocalReplies;
 	readonly #completion: RequestCompletion;
 	readonly #sockets = new Set<Socket>();
@@ -63,6 +63,7 @@
 		const {names, random, logger, metrics} = options;
 		this.#options = options;
 		this.#startup = new StartupWait(options.clock, options.getTable);
+		this.#services = new ServiceTraffics(options);
 		this.#stopWindow = new StopWindow(options.clock, logger);
 		this.#resumption = new StreamResumption(options);
 		this.#replies = new LocalReplies({
@@ -80,7 +81,7 @@
 				this.#stopWindow.record(route, ms, isWhole);
 			},
 			onRefused: service => {
-				this.#getTraffic(service).recordRefused();
+				this.#services.get(service).recordRefused();
 			},
 		});
 		this.#server = http.createServer({
@@ -112,7 +113,7 @@
 
 	/** Returns the load of each service, for the coordinators. */
 	getPressure(): Readonly<Record<string, ServicePressure>> {
-		return Object.fromEntries([...this.#services].map(([name, traffic]) => [name, traffic.getPressure()]));
+		return this.#services.getPressure();
 	}
 
 	/**
@@ -125,9 +126,7 @@
 		this.#startup.refresh();
 		this.#server.keepAliveTimeout = limits.idleTimeoutMs + keepAliveMarginMs;
 		this.#server.headersTimeout = limits.headerTimeoutMs + keepAliveMarginMs;
-		for (const traffic of this.#services.values()) {
-			traffic.grantPermits();
-		}
+		this.#services.grantPermits();
 	}
 
 	/**
@@ -305,7 +304,7 @@
 			body, arrivedAt, deadlineAt, route, service, position, workspace, table, relay, binding, prompt, content,
 		} = admitted;
 		const isMatching: BackendFilter = backend => binding.isMatching(backend);
-		const traffic = this.#getTraffic(service);
+		const traffic = this.#services.get(service);
 		const caller = new AbortController();
 		response.once('close', () => {
 			if (!response.writableFinished) {
@@ -380,19 +379,6 @@
 		return {configuration: this.#options.getTable()?.configuration.version ?? 0, viewAgeMs: Math.round(this.#options.getViewAgeMs())};
 	}
 
-	#getTraffic(service: string): ServiceTraffic {
-		const {clock, random, zone, backends} = this.#options;
-		let traffic = this.#services.get(service);
-		if (traffic === undefined) {
-			traffic = new ServiceTraffic({
-				clock, random, zone, backends,
-			});
-			this.#services.set(service, traffic);
-		}
-
-		return traffic;
-	}
-
 	#getAttemptId(request: IncomingMessage): string | undefined {
 		return getHeader(request, this.#options.names.attemptId);
 	}
