Remember which back ends left after the coordinators drop them

Cause: an entry dropped a back end together with what it knew of it as soon as the coordinators had it as silent.

The next poll then tells it to coordinators that have forgotten it; messages stay as they are.

--- a/packages/mulberrypitch-proxy/src/backend-view.ts
+++ b/packages/mulberrypitch-proxy/src/backend-view.ts
@@ -5,6 +5,7 @@
 	BackendLoad, Incarnation, LimitShare, StatedLimit,
 } from '@mulberrypitch/serving/view-messages';
 import {KnownBackend, type KnownBackendOptions} from './known-backend.js';
+import {RetiredBackends} from './retired-backends.js';
 
 /** Numbers of back ends and connections of one entry. */
 export type BackendCounts = {
@@ -26,6 +27,7 @@
 export class BackendView {
 	readonly #create: (announced: AnnouncedBackend) => KnownBackend;
 	readonly #backends = new Map<string, KnownBackend>();
+	readonly #retired = new RetiredBackends();
 	#epoch = '';
 	#version = 0;
 	/** Whether the last whole roster was not settled, so that back ends that it doesn't list are retired only later. */
@@ -153,7 +155,7 @@
 			known.update(updateIncarnation(known.announced, announced));
 		} else {
 			this.#retire(announced.id);
-			this.#backends.set(announced.id, this.#create(announced));
+			this.#backends.set(announced.id, this.#create({...announced, isLeaving: announced.isLeaving || this.#retired.hasLeft(announced)}));
 		}
 	}
 
@@ -166,7 +168,13 @@
 	}
 
 	#retire(id: string): void {
-		this.#backends.get(id)?.retire();
+		const backend = this.#backends.get(id);
+		if (backend === undefined) {
+			return;
+		}
+
+		backend.retire();
 		this.#backends.delete(id);
+		this.#retired.add(backend);
 	}
 }
--- a/packages/mulberrypitch-proxy/src/known-backend.ts
+++ b/packages/mulberrypitch-proxy/src/known-backend.ts
@@ -70,7 +70,8 @@
 	readonly #conditions: StatedConditions;
 	/** Monotonic times in milliseconds of the latest permits, oldest first. */
 	#permitTimes: number[] = [];
-	#isRetired = false;
+	/** Monotonic time in milliseconds at which the incarnation was retired. */
+	#retiredAt: number | undefined;
 
 	constructor(announced: AnnouncedBackend, options: KnownBackendOptions) {
 		this.#announced = announced;
@@ -162,6 +163,11 @@
 		return !this.#isRetired && !this.isLeaving;
 	}
 
+	/** Time in milliseconds since the incarnation was retired; zero if it is in use. */
+	get retiredForMs(): number {
+		return this.#retiredAt === undefined ? 0 : this.#options.clock.now() - this.#retiredAt;
+	}
+
 	/** Whether the back end leaves, by its announcements or by what it stated to this entry. */
 	get isLeaving(): boolean {
 		return this.#announced.isLeaving || this.#conditions.isLeaving;
@@ -177,6 +183,10 @@
 		return this.statedWaitMs === 0 && this.#options.clock.now() >= this.#fullUntil && this.#hasConnection;
 	}
 
+	get #isRetired(): boolean {
+		return this.#retiredAt !== undefined;
+	}
+
 	get #hasConnection(): boolean {
 		return this.#idle.some(connection => connection.isReusable) || this.#connections.size + this.#opening < this.#options.getMaxConnections();
 	}
@@ -271,7 +281,7 @@
 
 	/** Stops the use of this incarnation. Requests in progress continue. */
 	retire(): void {
-		this.#isRetired = true;
+		this.#retiredAt ??= this.#options.clock.now();
 		for (const connection of this.#idle) {
 			connection.destroy();
 		}
