Tell contents apart whose long identifiers begin alike

Cause: the fingerprint of a prompt part was the first 64 characters of its identifier, so two parts that differ later were one content: if one crashes back ends, requests with the other were refused for ten minutes. Change: an identifier of more than 64 characters is replaced by its hash; a shorter one stays readable.

--- a/packages/mulberrypitch-proxy/src/content-fingerprints.ts
+++ b/packages/mulberrypitch-proxy/src/content-fingerprints.ts
@@ -1,5 +1,5 @@
 /** Identifies the contents of a request that may crash back ends. */
-import {createHash} from 'node:crypto';
+import {createHash, type Hash} from 'node:crypto';
 
 /** What identifies a caller's request. */
 export type IdentifyingParts = {
@@ -14,9 +14,9 @@
 
 /** Number of shared parts of one prompt that are identified. */
 const maxParts = 16;
-/** Number of characters of a part's identifier that are used. */
-const maxPartLength = 64;
-/** Number of characters of the hash of a whole request. */
+/** Number of characters above which a part's identifier is replaced by its hash, since fingerprints are sent often. */
+const maxIdLength = 64;
+/** Number of characters of a hash. */
 const hashLength = 16;
 
 /**
@@ -33,7 +33,15 @@
 	hash.update(JSON.stringify([workspace ?? null, method, path]));
 	hash.update(body);
 	return [
-		...sharedParts.slice(0, maxParts).map(part => `part:${part.slice(0, maxPartLength)}`),
-		`request:${hash.digest('base64url').slice(0, hashLength)}`,
+		...sharedParts.slice(0, maxParts).map(part => getPartFingerprint(part)),
+		`request:${encodeHash(hash)}`,
 	];
 }
+
+function getPartFingerprint(id: string): string {
+	return id.length <= maxIdLength ? `part:${id}` : `part-hash:${encodeHash(createHash('sha256').update(id))}`;
+}
+
+function encodeHash(hash: Hash): string {
+	return hash.digest('base64url').slice(0, hashLength);
+}
