--- a/packages/mulberrypitch-routing/src/rendezvous.ts
+++ b/packages/mulberrypitch-routing/src/rendezvous.ts
@@ -1,12 +1,11 @@
 /** Rendezvous hashing, which ranks nodes in a stable order for each key. */
-/* eslint-disable no-bitwise -- Hash functions work on bits. */
+import {hash} from 'node:crypto';
 
-/** Parameters of the 32-bit FNV-1a hash. */
-const offsetBasis = 0x81_1C_9D_C5;
-const prime = 0x01_00_01_93;
+/** Number of hexadecimal digits of a hash that are used: 48 bits, which a number holds exactly. */
+const hashDigits = 12;
 
 /**
-Returns a 32-bit hash of a text (FNV-1a with a final mix).
+Returns a 48-bit hash of a text.
 
 @example
 ```
@@ -14,12 +13,7 @@
 ```
 */
 export function hashText(text: string): number {
-	let hash = offsetBasis;
-	for (let index = 0; index < text.length; index += 1) {
-		hash = Math.imul(hash ^ text.codePointAt(index)!, prime);
-	}
-
-	return mix(hash);
+	return Number.parseInt(hash('sha256', text, 'hex').slice(0, hashDigits), 16);
 }
 
 /**
@@ -33,15 +27,7 @@
 */
 export function rankNodes<Node>(key: number, nodes: readonly Node[], getId: (node: Node) => string): Node[] {
 	return nodes
-		.map(node => ({node, score: mix(key ^ hashText(getId(node)))}))
+		.map(node => ({node, score: hashText(`${key} ${getId(node)}`)}))
 		.toSorted((left, right) => right.score - left.score)
 		.map(({node}) => node);
 }
-
-/** Mixes the bits of a number (the finalizer of MurmurHash3). */
-function mix(value: number): number {
-	let hash = value;
-	hash = Math.imul(hash ^ (hash >>> 16), 0x85_EB_CA_6B);
-	hash = Math.imul(hash ^ (hash >>> 13), 0xC2_B2_AE_35);
-	return (hash ^ (hash >>> 16)) >>> 0;
-}
