--- a/packages/mulberrypitch-backends/src/engine-client.ts
+++ b/packages/mulberrypitch-backends/src/engine-client.ts
@@ -2,9 +2,9 @@
 import {assumeType} from '@mulberrypitch/errors/assume-type';
 import {Agent, request} from 'undici';
 import {BackendFailedError} from '@mulberrypitch/errors/catalogue';
+import {readText} from '@mulberrypitch/lifecycle/read-text';
 import {createBackendFailure} from './failure.js';
 import {getPauseMs} from './retry-after.js';
-import {readText} from './response-text.js';
 import type {
 	BackendCall, CacheCall, Engine, ExportedCache,
 } from './types.js';
@@ -93,7 +93,7 @@
 				throw new BackendFailedError(`Engine ${call.address} answered ${response.statusCode} to a cache ${operation}.`, {isNotSent: false, status: response.statusCode});
 			}
 
-			return assumeType<Partial<ExportedCache>>(JSON.parse(await readText(response.body, maxReplyBytes)));
+			return assumeType<Partial<ExportedCache>>(JSON.parse(await readText(response.body, {maxBytes: maxReplyBytes, subject: 'The reply of a back end about its cache'})));
 		} catch (error) {
 			throw createBackendFailure(error, call.address);
 		}
--- a/packages/mulberrypitch-backends/src/plain-client.ts
+++ b/packages/mulberrypitch-backends/src/plain-client.ts
@@ -1,9 +1,9 @@
 /** HTTP client for plain services, which send one complete response to each call. */
 import {Agent, request, type Dispatcher} from 'undici';
 import {BackendFailedError} from '@mulberrypitch/errors/catalogue';
+import {readText} from '@mulberrypitch/lifecycle/read-text';
 import {createBackendFailure} from './failure.js';
 import {getPauseMs} from './retry-after.js';
-import {readText} from './response-text.js';
 import type {BackendCall, PlainAnswer, PlainService} from './types.js';
 
 const connectTimeoutMs = 1000;
@@ -47,7 +47,7 @@
 				...(pauseMs !== undefined && {pauseMs}),
 				status: response.statusCode,
 				contentType: String(response.headers['content-type'] ?? 'application/octet-stream'),
-				body: await readText(response.body, maxResponseBytes),
+				body: await readText(response.body, {maxBytes: maxResponseBytes, subject: 'The response of a back end'}),
 			};
 		} catch (error) {
 			throw createBackendFailure(error, call.address);
--- /dev/null
+++ b/packages/mulberrypitch-lifecycle/src/read-text.ts
@@ -0,0 +1,34 @@
+/** Reads bodies that peers send, up to a limit. */
+import {Buffer} from 'node:buffer';
+import {TooLargeError} from '@mulberrypitch/errors/catalogue';
+
+/** What may be read of a body. */
+export type BodyLimit = {
+	readonly maxBytes: number;
+	/** Names the body in the error, as the subject of a sentence. */
+	readonly subject: string;
+};
+
+/**
+Returns the whole body as UTF-8 text. Throws `TooLargeError` as soon as it is longer than the limit; the rest is not read, and the
+connection is closed.
+
+@example
+```
+const text = await readText(response.body, {maxBytes: 1024, subject: 'The response of a back end'});
+```
+*/
+export async function readText(body: AsyncIterable<Uint8Array>, {maxBytes, subject}: BodyLimit): Promise<string> {
+	const parts: Uint8Array[] = [];
+	let lengthBytes = 0;
+	for await (const part of body) {
+		lengthBytes += part.length;
+		if (lengthBytes > maxBytes) {
+			throw new TooLargeError(subject, maxBytes);
+		}
+
+		parts.push(part);
+	}
+
+	return Buffer.concat(parts).toString();
+}
