Let every command end, whatever the host that it calls sends

Cause: a command waited 15 s for the head of a reply, then for as long as something came now and then, and held all of it. Change: the whole reply must have arrived within 30 s and have at most 16 MiB.

--- a/packages/mulberrypitch/src/operator-client.ts
+++ b/packages/mulberrypitch/src/operator-client.ts
@@ -1,10 +1,18 @@
 /** Client of the operator API, which every entry host serves under `/v1/admin/`. */
 import {request} from 'undici';
 import {assumeType} from '@mulberrypitch/errors/assume-type';
-import {createErrorFromWire, type WireFailure} from '@mulberrypitch/errors/coded-error';
-import {PeerUnreachableError, ProtocolError} from '@mulberrypitch/errors/catalogue';
+import {createErrorFromWire, hasCode, type WireFailure} from '@mulberrypitch/errors/coded-error';
+import {
+	codes, PeerUnreachableError, ProtocolError, TimeoutError,
+} from '@mulberrypitch/errors/catalogue';
+import {SystemClock, type Clock} from '@mulberrypitch/lifecycle/clock';
+import {readText} from '@mulberrypitch/lifecycle/read-text';
+import {withTimeout} from '@mulberrypitch/lifecycle/with-timeout';
 
-const responseTimeoutMs = 15_000;
+/** Time in milliseconds within which the whole reply must have arrived. */
+const replyTimeoutMs = 30_000;
+/** Largest reply in bytes. */
+const maxReplyBytes = 16 * 1024 * 1024;
 
 /** Address and credentials of the operator API. */
 export type OperatorEndpoint = {
@@ -12,41 +20,65 @@
 	readonly host: string;
 	/** Operator token, sent as bearer token. */
 	readonly token: string;
+	/** Clock of the timeout; the system's clock if absent. */
+	readonly clock?: Clock;
+};
+
+/** A call of the operator API. */
+type OperatorCall = {
+	readonly method: 'GET' | 'POST';
+	readonly path: string;
+	/** Value to send as JSON; absent if there is none. */
+	readonly body?: unknown;
+};
+
+type Reply = {
+	readonly statusCode: number;
+	readonly text: string;
 };
 
 /**
 Calls the operator API and returns the parsed reply. Throws the `CodedError` that the host reports, `PeerUnreachableError` when
-the call fails or times out, and `ProtocolError` when the reply is not JSON.
+the call fails or times out, and `ProtocolError` when the reply is too long or not JSON.
 
 @example
 ```
 const status = await callOperatorApi(endpoint, 'GET', '/v1/admin/status');
 ```
 */
-export async function callOperatorApi<Reply>(endpoint: OperatorEndpoint, method: 'GET' | 'POST', path: string, body?: unknown): Promise<Reply> {
-	const {statusCode, text} = await sendRequest(endpoint, method, path, body);
+export async function callOperatorApi<Value>(endpoint: OperatorEndpoint, method: 'GET' | 'POST', path: string, body?: unknown): Promise<Value> {
+	const {statusCode, text} = await sendInTime(endpoint, {method, path, body});
 	const reply = parseReply(text, endpoint.host);
 	if (statusCode >= 400) {
 		throw createErrorFromWire(assumeType<{error: WireFailure}>(reply).error);
 	}
 
-	return assumeType<Reply>(reply);
+	return assumeType<Value>(reply);
 }
 
-async function sendRequest(endpoint: OperatorEndpoint, method: 'GET' | 'POST', path: string, body: unknown): Promise<{statusCode: number; text: string}> {
+async function sendInTime(endpoint: OperatorEndpoint, call: OperatorCall): Promise<Reply> {
+	const {host, clock = new SystemClock()} = endpoint;
+	const abort = new AbortController();
 	try {
-		const response = await request(new URL(path, endpoint.host), {
-			method,
-			headersTimeout: responseTimeoutMs,
-			headers: {authorization: `Bearer ${endpoint.token}`, 'content-type': 'application/json'},
-			...(body !== undefined && {body: JSON.stringify(body)}),
-		});
-		return {statusCode: response.statusCode, text: await response.body.text()};
+		return await withTimeout(clock, sendRequest(endpoint, call, abort.signal), replyTimeoutMs, () => new TimeoutError(host, replyTimeoutMs));
 	} catch (error) {
-		throw new PeerUnreachableError(endpoint.host, {cause: error});
+		throw hasCode(error, codes.tooLarge) ? new ProtocolError(error.message) : new PeerUnreachableError(host, {cause: error});
+	} finally {
+		abort.abort();
 	}
 }
 
+async function sendRequest({host, token}: OperatorEndpoint, {method, path, body}: OperatorCall, signal: AbortSignal): Promise<Reply> {
+	const response = await request(new URL(path, host), {
+		method,
+		signal,
+		headersTimeout: replyTimeoutMs,
+		headers: {authorization: `Bearer ${token}`, 'content-type': 'application/json'},
+		...(body !== undefined && {body: JSON.stringify(body)}),
+	});
+	return {statusCode: response.statusCode, text: await readText(response.body, {maxBytes: maxReplyBytes, subject: `The reply of ${host}`})};
+}
+
 function parseReply(text: string, host: string): unknown {
 	try {
 		return JSON.parse(text);
