Report an error reply that can't be read as such

Cause: a command took whatever a host sent with an error status for an error of the system: null or {} ended in a TypeError with an internal code, {"error":"no"} in an error without code or message. Change: isWireFailure checks the form; anything else is a ProtocolError that names the host.

--- a/packages/mulberrypitch-errors/src/coded-error.ts
+++ b/packages/mulberrypitch-errors/src/coded-error.ts
@@ -57,6 +57,23 @@
 	return new CodedError(wire.code, wire.message, wire.nextStep, {details: wire.details});
 }
 
+/**
+Reports whether a value that another process sent is an error in its JSON form.
+
+@example
+```
+if (isWireFailure(reply.error)) { … }
+```
+*/
+export function isWireFailure(value: unknown): value is WireFailure {
+	if (typeof value !== 'object' || value === null) {
+		return false;
+	}
+
+	const {code, message, nextStep, details}: Partial<Record<keyof WireFailure, unknown>> = value;
+	return typeof code === 'string' && typeof message === 'string' && typeof nextStep === 'string' && typeof details === 'object' && details !== null;
+}
+
 /**
 Reports whether a value is a `CodedError` with the given code. Works for errors from other processes too.
 
--- a/packages/mulberrypitch/src/__tests__/operator-client.test.ts
+++ b/packages/mulberrypitch/src/__tests__/operator-client.test.ts
@@ -31,3 +31,14 @@
 		t.equal(result.code, name === 'endless in its body' ? codes.protocol : codes.peerUnreachable);
 	});
 }
+
+// Guards against a command that reports a fault of its own when a host sends an error that is not one of the system's.
+await t.test('an error reply that is not one of the system\'s is reported as a violation of the protocol', async t => {
+	for (const body of ['null', '5', '{}', '{"error":null}', '{"error":"no"}', '{"error":{"code":5}}']) {
+		const server = new HostileServer({start: `HTTP/1.1 500 Internal Server Error\r\nContent-Length: ${body.length}\r\n\r\n${body}`});
+		t.teardown(() => {
+			server.dispose();
+		});
+		await t.rejects(callOperatorApi({host: `http://${await server.listen()}`, token: 't'}, 'GET', '/v1/admin/status'), {code: codes.protocol}, body);
+	}
+});
--- a/packages/mulberrypitch/src/operator-client.ts
+++ b/packages/mulberrypitch/src/operator-client.ts
@@ -1,7 +1,9 @@
 /** Client of the operator API, which every entry host serves under `/v1/admin/`. */
 import {request} from 'undici';
 import {assumeType} from '@mulberrypitch/errors/assume-type';
-import {createErrorFromWire, hasCode, type WireFailure} from '@mulberrypitch/errors/coded-error';
+import {
+	createErrorFromWire, hasCode, isWireFailure, type CodedError,
+} from '@mulberrypitch/errors/coded-error';
 import {
 	codes, PeerUnreachableError, ProtocolError, TimeoutError,
 } from '@mulberrypitch/errors/catalogue';
@@ -50,7 +52,7 @@
 	const {statusCode, text} = await sendInTime(endpoint, {method, path, body});
 	const reply = parseReply(text, endpoint.host);
 	if (statusCode >= 400) {
-		throw createErrorFromWire(assumeType<{error: WireFailure}>(reply).error);
+		throw parseFailure(reply, endpoint.host);
 	}
 
 	return assumeType<Value>(reply);
@@ -86,3 +88,8 @@
 		throw new ProtocolError(`${host} sent a reply that is not JSON.`);
 	}
 }
+
+function parseFailure(reply: unknown, host: string): CodedError {
+	const failure = assumeType<{readonly error?: unknown} | undefined>(reply ?? undefined)?.error;
+	return isWireFailure(failure) ? createErrorFromWire(failure) : new ProtocolError(`${host} sent an error that can't be read.`);
+}
