--- a/packages/mulberrypitch-proxy/src/local-replies.ts
+++ b/packages/mulberrypitch-proxy/src/local-replies.ts
@@ -6,6 +6,7 @@
 import type {Logger} from '@mulberrypitch/logger/logger';
 import type {MetricsRegistry} from '@mulberrypitch/metrics/registry';
 import {breakOff} from '@mulberrypitch/lifecycle/break-off';
+import {rejectMalformed} from '@mulberrypitch/lifecycle/reject-malformed';
 import type {Random} from '@mulberrypitch/lifecycle/random';
 import type {Header} from './response-parser.js';
 import {getHeader} from './caller-request.js';
@@ -71,13 +72,7 @@
 
 	/** Replies to bytes that are not a valid request, and closes the connection. */
 	rejectMalformed(error: Error & {code?: string}, socket: Duplex): void {
-		if (!socket.writable) {
-			socket.destroy();
-			return;
-		}
-
-		const status = error.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : '400 Bad Request';
-		socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+		rejectMalformed(error, socket);
 	}
 
 	#createHeaders(request: IncomingMessage, text: string, retryAfter: string | undefined): readonly Header[] {
