--- /dev/null
+++ b/packages/mulberrypitch-transport/src/line-stream.ts
@@ -0,0 +1,55 @@
+/** JSON texts over a socket, one in each line. */
+import type net from 'node:net';
+import split2 from 'split2';
+import {assumeType} from '@mulberrypitch/errors/assume-type';
+import {ProtocolError} from '@mulberrypitch/errors/catalogue';
+
+/** Maximum number of characters of a line. */
+const maxFrameLength = 8 * 1024 * 1024;
+
+/**
+Returns the lines that a socket receives. Closes the socket when a line is too long.
+
+@example
+```
+for await (const line of createLineReader(socket)) { … }
+```
+*/
+export function createLineReader(socket: net.Socket): AsyncIterable<string> {
+	const lines = split2({maxLength: maxFrameLength});
+	lines.on('error', () => {
+		socket.destroy();
+	});
+	socket.once('close', () => {
+		lines.destroy();
+	});
+	return socket.pipe(lines);
+}
+
+/**
+Sends a message as one line.
+
+@example
+```
+writeLine(socket, {nonce});
+```
+*/
+export function writeLine(socket: net.Socket, message: unknown): void {
+	socket.write(JSON.stringify(message) + '\n');
+}
+
+/**
+Parses a line. Throws `ProtocolError` when it is not JSON.
+
+@example
+```
+const request = parseLine<JSONRPCRequest>(line);
+```
+*/
+export function parseLine<Message>(line: string): Message {
+	try {
+		return assumeType<Message>(JSON.parse(line));
+	} catch {
+		throw new ProtocolError('A line is not JSON.');
+	}
+}
--- a/packages/mulberrypitch-transport/src/tcp-transport.ts
+++ b/packages/mulberrypitch-transport/src/tcp-transport.ts
@@ -4,30 +4,22 @@
 import net from 'node:net';
 import tls from 'node:tls';
 import {assumeType} from '@mulberrypitch/errors/assume-type';
-import {
-	JSONRPCClient, JSONRPCErrorException, JSONRPCServer, type JSONRPCRequest, type JSONRPCResponse,
-} from 'json-rpc-2.0';
-import split2 from 'split2';
-import {
-	CodedError, createErrorFromWire, hasCode, type WireFailure,
-} from '@mulberrypitch/errors/coded-error';
-import {
-	codes, PeerUnreachableError, ProtocolError, TimeoutError,
-} from '@mulberrypitch/errors/catalogue';
+import {JSONRPCServer, type JSONRPCRequest} from 'json-rpc-2.0';
+import {CodedError, type WireFailure} from '@mulberrypitch/errors/coded-error';
+import {codes, PeerUnreachableError, ProtocolError} from '@mulberrypitch/errors/catalogue';
 import {listenOn, splitAddress} from '@mulberrypitch/lifecycle/listen';
-import {Deferred} from '@mulberrypitch/lifecycle/background';
 import {events} from '@mulberrypitch/logger/events';
 import type {Logger} from '@mulberrypitch/logger/logger';
 import {createCheckedMethod} from './checked-method.js';
+import {Connection, jsonRpcServerError} from './connection.js';
+import {createLineReader, parseLine, writeLine} from './line-stream.js';
 import type {
 	Address, CallOptions, Method, Schema, Transport,
 } from './types.js';
 
-const maxFrameBytes = 8 * 1024 * 1024;
 const defaultConnectTimeoutMs = 1000;
 const handshakeTimeoutMs = 2000;
 const nonceBytes = 16;
-const jsonRpcServerError = -32_000;
 
 /** Private key and certificate of this process, and the authority that it trusts, as PEM texts. */
 export type Certificates = {
@@ -263,102 +255,12 @@
 	}
 }
 
-/** The client side of one connection, with its calls in progress. */
-class Connection {
-	readonly #client: JSONRPCClient;
-	/** Rejects each call in progress when the connection is lost. One promise for all calls would retain every reply in memory. */
-	readonly #calls = new Set<Deferred<never>>();
-	readonly #address: Address;
-	readonly #socket: net.Socket;
-	#isLost = false;
-	/** Number of replies received. If a call times out and no reply came since its start, the connection is closed as lost. */
-	#replyCount = 0;
-
-	constructor(address: Address, socket: net.Socket) {
-		this.#address = address;
-		this.#socket = socket;
-		this.#client = new JSONRPCClient(async request => {
-			writeLine(socket, request);
-		});
-	}
-
-	async request(method: string, parameters: unknown, timeoutMs: number): Promise<unknown> {
-		const client = this.#client.timeout(timeoutMs, id => ({
-			jsonrpc: '2.0', id, error: {code: jsonRpcServerError, message: 'timeout', data: new TimeoutError(method, timeoutMs).toWire()},
-		}));
-		const lost = new Deferred<never>();
-		const repliesBefore = this.#replyCount;
-		this.#calls.add(lost);
-		try {
-			this.#requireOpen();
-			return await Promise.race([client.request(method, parameters), lost.promise]);
-		} catch (error) {
-			const failure = fromRpcError(error);
-			if (hasCode(failure, codes.timeout) && this.#replyCount === repliesBefore) {
-				this.#socket.destroy();
-			}
-
-			throw failure;
-		} finally {
-			this.#calls.delete(lost);
-		}
-	}
-
-	async readReplies(reader: AsyncIterator<string>): Promise<void> {
-		try {
-			for (let line = await reader.next(); !line.done; line = await reader.next()) {
-				this.#replyCount += 1;
-				this.#client.receive(parseLine<JSONRPCResponse>(line.value));
-			}
-		} catch {
-			// The handler of the socket's close event fails the calls in progress.
-			this.#socket.destroy();
-		}
-	}
-
-	failCalls(): void {
-		this.#isLost = true;
-		for (const call of this.#calls) {
-			call.reject(new PeerUnreachableError(this.#address));
-		}
-	}
-
-	#requireOpen(): void {
-		if (this.#isLost) {
-			throw new PeerUnreachableError(this.#address);
-		}
-	}
-}
-
 type Handshake = {
 	readonly name: string;
 	readonly nonce: string;
 	readonly proof: string;
 };
 
-function createLineReader(socket: net.Socket): AsyncIterable<string> {
-	const lines = split2({maxLength: maxFrameBytes});
-	lines.on('error', () => {
-		socket.destroy();
-	});
-	socket.once('close', () => {
-		lines.destroy();
-	});
-	return socket.pipe(lines);
-}
-
-function writeLine(socket: net.Socket, message: unknown): void {
-	socket.write(JSON.stringify(message) + '\n');
-}
-
-function parseLine<Message>(line: string): Message {
-	try {
-		return assumeType<Message>(JSON.parse(line));
-	} catch {
-		throw new ProtocolError('A line is not JSON.');
-	}
-}
-
 async function readHandshake(peer: Address, socket: net.Socket, reader: AsyncIterator<string>): Promise<Handshake> {
 	const timer = setTimeout(() => {
 		socket.destroy();
@@ -388,12 +290,3 @@
 		code: codes.internal, message: error instanceof Error ? error.message : 'Unknown failure.', nextStep: 'Report this as a bug, with the log of the host.', details: {},
 	};
 }
-
-function fromRpcError(error: unknown): unknown {
-	if (!(error instanceof JSONRPCErrorException)) {
-		return error;
-	}
-
-	const wire = assumeType<WireFailure | undefined>(error.data);
-	return wire?.code === undefined ? new ProtocolError(error.message) : createErrorFromWire(wire);
-}
