Let a call between processes end by its timeout while it connects

Cause: the timeout of a call began once the connection stood. A process that is stopped (SIGSTOP) still takes connections, so that a call to it waited 2 s for the handshake, whatever its timeout: an entry that asks a silent coordinator leaves it after 400 ms only if it was connected already. Change: the timeout includes connecting; the attempt goes on for later calls. The clock of these timeouts can be given, for tests.

--- a/packages/mulberrypitch-transport/src/tcp-transport.ts
+++ b/packages/mulberrypitch-transport/src/tcp-transport.ts
@@ -7,7 +7,9 @@
 import {JSONRPCServer, type JSONRPCRequest} from 'json-rpc-2.0';
 import {CodedError, type WireFailure} from '@mulberrypitch/errors/coded-error';
 import {codes, PeerUnreachableError, ProtocolError} from '@mulberrypitch/errors/catalogue';
+import {SystemClock, type Clock} from '@mulberrypitch/lifecycle/clock';
 import {listenOn, splitAddress} from '@mulberrypitch/lifecycle/listen';
+import {withTimeout} from '@mulberrypitch/lifecycle/with-timeout';
 import {events} from '@mulberrypitch/logger/events';
 import type {Logger} from '@mulberrypitch/logger/logger';
 import {createCheckedMethod} from './checked-method.js';
@@ -38,6 +40,8 @@
 	/** Enables mutual TLS. Without certificates, connections are plain TCP. */
 	readonly certificates?: Certificates;
 	readonly connectTimeoutMs?: number;
+	/** Clock of the timeouts of connecting; the system's clock if absent. */
+	readonly clock?: Clock;
 	readonly logger: Logger;
 };
 
@@ -47,6 +51,7 @@
 */
 export class TcpTransport implements Transport {
 	readonly #options: TcpTransportOptions;
+	readonly #clock: Clock;
 	readonly #server = new JSONRPCServer<string>({
 		errorListener() {
 		// The calling peer gets each failure in the reply and logs it.
@@ -60,6 +65,7 @@
 
 	constructor(options: TcpTransportOptions) {
 		this.#options = options;
+		this.#clock = options.clock ?? new SystemClock();
 		this.#server.mapErrorToJSONRPCErrorResponse = (id, error) => ({
 			jsonrpc: '2.0',
 			id,
@@ -96,9 +102,12 @@
 		this.#server.addMethod(method, createCheckedMethod(method, schema, handler));
 	}
 
-	async call<Reply>(address: Address, method: string, parameters: unknown, options: CallOptions): Promise<Reply> {
-		const connection = await this.#connect(address);
-		return assumeType<Reply>(await connection.request(method, parameters, options.timeoutMs));
+	/** Calls a method of a peer. The timeout includes the time that connecting takes. */
+	async call<Reply>(address: Address, method: string, parameters: unknown, {timeoutMs}: CallOptions): Promise<Reply> {
+		const startedAt = this.#clock.now();
+		const connection = await withTimeout(this.#clock, this.#connect(address), timeoutMs, () => new PeerUnreachableError(address));
+		const leftMs = Math.max(0, startedAt + timeoutMs - this.#clock.now());
+		return assumeType<Reply>(await connection.request(method, parameters, leftMs));
 	}
 
 	async dispose(): Promise<void> {
