Bound what a peer may send before it has proved that it knows the secret

Cause: the limit on a line, 8 MiB, held for the handshake too, so that any peer could make a process hold that much for each connection; each line of the handshake had 2 s of its own. Change: HandshakeGuard: 256 KiB and 2 s for the whole handshake, on either side, by the clock of the transport.

--- a/packages/mulberrypitch-transport/src/tcp-transport.ts
+++ b/packages/mulberrypitch-transport/src/tcp-transport.ts
@@ -14,13 +14,13 @@
 import type {Logger} from '@mulberrypitch/logger/logger';
 import {createCheckedMethod} from './checked-method.js';
 import {Connection, jsonRpcServerError} from './connection.js';
+import {HandshakeGuard} from './handshake-guard.js';
 import {createLineReader, parseLine, writeLine} from './line-stream.js';
 import type {
 	Address, CallOptions, Method, Schema, Transport,
 } from './types.js';
 
 const defaultConnectTimeoutMs = 1000;
-const handshakeTimeoutMs = 2000;
 const nonceBytes = 16;
 
 /** Private key and certificate of this process, and the authority that it trusts, as PEM texts. */
@@ -152,11 +152,14 @@
 			connection.failCalls();
 		});
 		const reader = lines[Symbol.asyncIterator]();
+		const guard = new HandshakeGuard(socket, this.#clock);
 		try {
 			await this.#authenticateToServer(address, socket, reader);
 		} catch (error) {
 			socket.destroy();
 			throw error instanceof CodedError ? error : new PeerUnreachableError(address, {cause: error});
+		} finally {
+			guard.dispose();
 		}
 
 		void connection.readReplies(reader);
@@ -191,7 +194,7 @@
 	async #authenticateToServer(address: Address, socket: net.Socket, reader: AsyncIterator<string>): Promise<void> {
 		const nonce = randomBytes(nonceBytes).toString('hex');
 		writeLine(socket, {name: this.#options.name, nonce});
-		const reply = await readHandshake(address, socket, reader);
+		const reply = await readHandshake(address, reader);
 		const proof = this.#createProof('server', nonce, reply.nonce);
 		if (!isEqualProof(proof, reply.proof)) {
 			this.#options.logger.log(events.peerRefused, {peer: address});
@@ -205,8 +208,10 @@
 		this.#trackSocket(socket);
 		socket.setNoDelay(true);
 		const reader = createLineReader(socket)[Symbol.asyncIterator]();
+		const guard = new HandshakeGuard(socket, this.#clock);
 		try {
 			const from = await this.#authenticateClient(socket, reader);
+			guard.dispose();
 			for (let line = await reader.next(); !line.done; line = await reader.next()) {
 				void this.#answer(socket, parseLine<JSONRPCRequest>(line.value), from);
 			}
@@ -214,15 +219,16 @@
 			this.#logProtocolError(socket, error);
 		}
 
+		guard.dispose();
 		socket.destroy();
 	}
 
 	async #authenticateClient(socket: net.Socket, reader: AsyncIterator<string>): Promise<string> {
 		const peer = socket.remoteAddress ?? '';
-		const hello = await readHandshake(peer, socket, reader);
+		const hello = await readHandshake(peer, reader);
 		const nonce = randomBytes(nonceBytes).toString('hex');
 		writeLine(socket, {nonce, proof: this.#createProof('server', hello.nonce, nonce)});
-		const reply = await readHandshake(peer, socket, reader);
+		const reply = await readHandshake(peer, reader);
 		if (!isEqualProof(this.#createProof('client', hello.nonce, nonce), reply.proof)) {
 			this.#options.logger.log(events.peerRefused, {peer, name: hello.name});
 			throw new ProtocolError('The peer does not hold the shared secret.');
@@ -270,12 +276,8 @@
 	readonly proof: string;
 };
 
-async function readHandshake(peer: Address, socket: net.Socket, reader: AsyncIterator<string>): Promise<Handshake> {
-	const timer = setTimeout(() => {
-		socket.destroy();
-	}, handshakeTimeoutMs);
+async function readHandshake(peer: Address, reader: AsyncIterator<string>): Promise<Handshake> {
 	const line = await reader.next();
-	clearTimeout(timer);
 	if (line.done) {
 		throw new PeerUnreachableError(peer);
 	}
