Take no further calls from a peer that reads no replies

Cause: a process answered every call that had arrived and held the replies that the peer did not read, without a limit. Change: once 8 MiB of replies wait on a connection, its next call is taken when the peer has read them. Other connections are not affected.

--- a/packages/mulberrypitch-transport/src/line-stream.ts
+++ b/packages/mulberrypitch-transport/src/line-stream.ts
@@ -6,6 +6,8 @@
 
 /** Maximum number of characters of a line. */
 const maxFrameLength = 8 * 1024 * 1024;
+/** Number of bytes that may wait for a peer to read them before the process takes further calls from it. */
+const maxUnreadBytes = 8 * 1024 * 1024;
 
 /**
 Returns the lines that a socket receives. Closes the socket when a line is too long.
@@ -38,6 +40,31 @@
 	socket.write(JSON.stringify(message) + '\n');
 }
 
+/**
+Waits while the peer does not read what was sent to it, so that little of it has to be held.
+
+@example
+```
+await waitForReader(socket);
+```
+*/
+export async function waitForReader(socket: net.Socket): Promise<void> {
+	if (socket.destroyed || socket.writableLength <= maxUnreadBytes) {
+		return;
+	}
+
+	await new Promise<void>(resolve => {
+		const finish = () => {
+			socket.off('drain', finish);
+			socket.off('close', finish);
+			resolve();
+		};
+
+		socket.on('drain', finish);
+		socket.on('close', finish);
+	});
+}
+
 /**
 Parses a line. Throws `ProtocolError` when it is not JSON.
 
--- a/packages/mulberrypitch-transport/src/tcp-transport.ts
+++ b/packages/mulberrypitch-transport/src/tcp-transport.ts
@@ -15,7 +15,9 @@
 import {createCheckedMethod} from './checked-method.js';
 import {Connection, jsonRpcServerError} from './connection.js';
 import {HandshakeGuard} from './handshake-guard.js';
-import {createLineReader, parseLine, writeLine} from './line-stream.js';
+import {
+	createLineReader, parseLine, waitForReader, writeLine,
+} from './line-stream.js';
 import type {
 	Address, CallOptions, Method, Schema, Transport,
 } from './types.js';
@@ -214,6 +216,7 @@
 			guard.dispose();
 			for (let line = await reader.next(); !line.done; line = await reader.next()) {
 				void this.#answer(socket, parseLine<JSONRPCRequest>(line.value), from);
+				await waitForReader(socket);
 			}
 		} catch (error) {
 			this.#logProtocolError(socket, error);
