Close the connection of a caller whose body is too long for a host

Cause: a host answered a body over its limit and went on to read and drop the rest, until the timer of Node.js ended the request 30 s after its beginning: leaving the loop over a request's body doesn't close its connection. Change: the reply closes the connection. A request that is refused for another reason is read on as before, so that its caller gets the reply.

--- a/packages/mulberrypitch-entry/src/entry-server.ts
+++ b/packages/mulberrypitch-entry/src/entry-server.ts
@@ -196,6 +196,11 @@
 			return;
 		}
 
+		if (hasCode(error, codes.tooLarge)) {
+			// The server would go on to read the rest of the body.
+			response.setHeader('connection', 'close');
+		}
+
 		const otherEntry = this.#listEntries().entries[0];
 		if (hasCode(error, codes.draining) && otherEntry !== undefined) {
 			response.writeHead(temporaryRedirect, {location: `${otherEntry.address}${request.url}`, connection: 'close'});
