Give an entry that starts no configuration that a newer one has replaced

Cause: an entry without a configuration took the first one that any coordinator gave. Being in contact with a leader, which replies state, does not mean to have caught up. Change: a replica knows whether it has applied all that its leader reports as committed, in the leader's own term (isCurrent). In the first second of an entry that has no configuration, only such a coordinator gives it one; later any, as before.

--- a/packages/mulberrypitch-control/src/replica-follower.ts
+++ b/packages/mulberrypitch-control/src/replica-follower.ts
@@ -19,6 +19,8 @@
 	readonly onNewTerm: (leader: string) => void;
 	/** Called when the leader of the current term makes contact. */
 	readonly onLeader: (term: number, leader: string) => void;
+	/** Called when this replica has all entries that the leader of the current term reports as committed. */
+	readonly onCaughtUp: () => void;
 };
 
 /** Answers append and snapshot calls of leaders, and adopts the terms of new leaders. */
@@ -54,6 +56,11 @@
 			await this.#storeEntries(entries);
 			const index = previousIndex + entries.length;
 			applier.commit(Math.min(request.commitIndex, index));
+			// Before an entry of its own term is committed, a leader may not know all that earlier ones have committed.
+			if (request.commitIndex <= index && log.getTermAt(request.commitIndex) === request.term) {
+				this.#options.onCaughtUp();
+			}
+
 			return {
 				term: log.hardState.term, isMatching: true, index, replicaId,
 			};
--- a/packages/mulberrypitch-control/src/replica.ts
+++ b/packages/mulberrypitch-control/src/replica.ts
@@ -86,6 +86,8 @@
 	#role: Role = roles.follower;
 	#leader: string | undefined;
 	#leadership: Leader | undefined;
+	/** Monotonic time in milliseconds at which this replica last had all entries that its leader reported as committed. */
+	#caughtUpAt = Number.NEGATIVE_INFINITY;
 
 	constructor(options: ReplicaOptions) {
 		this.#options = options;
@@ -184,6 +186,15 @@
 		return this.#leadership === undefined ? this.#elections.hasLeaderContact : this.hasLease();
 	}
 
+	/** Reports whether this replica had applied, within the last election timeout, all that a leader then knew to be committed. */
+	isCurrent(): boolean {
+		if (this.#leadership !== undefined) {
+			return this.hasLease();
+		}
+
+		return this.#options.clock.now() - this.#caughtUpAt < this.#timing.electionTimeoutMs && this.appliedIndex >= this.commitIndex;
+	}
+
 	/**
 	Resolves once a quorum has acknowledged this leader after the call and all entries committed before it are applied.
 	Throws `NotLeaderError` if this does not happen within the timeout.
@@ -351,6 +362,9 @@
 				this.#leader = leader;
 				this.#elections.recordLeaderContact();
 			},
+			onCaughtUp: () => {
+				this.#caughtUpAt = this.#options.clock.now();
+			},
 		});
 	}
 
--- a/packages/mulberrypitch-coordinator/src/coordinator.ts
+++ b/packages/mulberrypitch-coordinator/src/coordinator.ts
@@ -22,7 +22,7 @@
 	AnnouncedBackend, BackendDeregistration, ConfigurationDecoder, ServingConfiguration,
 } from '@mulberrypitch/serving/types';
 import {
-	methods, type GossipRequest, type StoredConfiguration, type ViewRequest,
+	methods, type GossipRequest, type StoredConfiguration, type ViewReply, type ViewRequest,
 } from '@mulberrypitch/serving/view-messages';
 import type {LogStore} from '@mulberrypitch/storage/types';
 import type {Schema, Transport} from '@mulberrypitch/transport/types';
@@ -82,6 +82,8 @@
 const expiryIntervalMs = 500;
 const storageWatchIntervalMs = 300;
 const snapshotIntervalEntries = 256;
+/** Time in milliseconds after its start for which an entry waits for a configuration that is certainly the newest. */
+const entryStartMs = 1000;
 /** Reads and duties confirm leadership with a quorum each time, so an election need not wait for a lease to expire. */
 const timing: ReplicaTiming = {electionTimeoutMs: 400, heartbeatMs: 80, reliesOnLeases: false};
 
@@ -185,7 +187,7 @@
 	/** Registers the call handlers and starts the replica, the gossip and the background tasks. */
 	async start(): Promise<void> {
 		const {transport} = this.#options;
-		transport.handle(methods.watch, unchecked<ViewRequest>(), async request => this.#views.watch(request));
+		transport.handle(methods.watch, unchecked<ViewRequest>(), async request => this.#watch(request));
 		transport.handle(methods.gossip, unchecked<GossipRequest>(), async request => this.#views.mergeGossip(request));
 		transport.handle(methods.propose, unchecked<ProposedCommand>(), async command => this.#replica.propose(command));
 		transport.handle(methods.read, unchecked<Record<string, never>>(), async () => this.#readAsLeader());
@@ -255,6 +257,17 @@
 		await this.#resources.dispose();
 	}
 
+	/**
+	Replies to an entry. One that has just started gets no configuration that a newer one may have replaced, since another coordinator may
+	give it the newest; an entry that has been without for longer gets the one that is known here.
+	*/
+	async #watch(request: ViewRequest): Promise<ViewReply> {
+		const isCurrent = this.#replica.isCurrent();
+		const {configuration, ...reply} = await this.#views.watch(request);
+		const isWithheld = !isCurrent && request.configurationVersion === 0 && request.status.upMs < entryStartMs;
+		return {...reply, ...(configuration !== undefined && !isWithheld && {configuration})};
+	}
+
 	#addGauges(): void {
 		const {metrics} = this.#options;
 		metrics.gauge('mulberrypitch_coordinator_in_touch', 'One while a leader is heard.', () => this.isInTouch ? 1 : 0);
