Tell outages from other crashes in one place

Cause: the quarantine of the platform's path (crash-evidence) and that of the product's path (quarantine-table) each had the same test of outages, with the same figures. Change: crash-outages of control has it for both. What is left apart differs: the product's charges are replicated, need a confirmed crash and quarantine a whole request after two; the platform's are gossiped and wait for the entries' reports; their fingerprints differ in form and go into logs.

--- a/packages/mulberrypitch-control/src/quarantine-table.ts
+++ b/packages/mulberrypitch-control/src/quarantine-table.ts
@@ -6,16 +6,13 @@
 import {QuarantinedError} from '@mulberrypitch/errors/catalogue';
 import type {BackendTable} from './backend-table.js';
 import type {CommandOf} from './commands.js';
+import {findOutages} from './crash-outages.js';
 import type {BackendServer} from './types.js';
 
 /** Number of confirmed charges that quarantine a fingerprint. */
 const quarantineThreshold = 2;
 /** Number of confirmed charges that quarantine a part. */
 const partThreshold = 3;
-/** Time in milliseconds within which several back ends crash in an outage. */
-const outageMs = 100;
-/** Number of back ends that crash in an outage at least. Charges for them don't count for a part. */
-const outageBackends = 3;
 /** Time for which a confirmed charge counts, in milliseconds. */
 const quarantineMs = 10 * 60_000;
 /** Time for which an unconfirmed charge counts, in milliseconds. Longer than the lease of a back end, whose end reveals a crash. */
@@ -140,11 +137,8 @@
 			crashedAt.set(incarnation, Math.min(crashedAt.get(incarnation) ?? at, at));
 		}
 
-		const times = [...crashedAt.values()];
-		return charges.filter(({incarnation}) => {
-			const at = crashedAt.get(incarnation)!;
-			return times.filter(time => Math.abs(time - at) <= outageMs).length < outageBackends;
-		}).length;
+		const outages = findOutages(crashedAt);
+		return charges.filter(({incarnation}) => !outages.has(incarnation)).length;
 	}
 
 	#dropExpired(now: number): void {
--- a/packages/mulberrypitch-coordinator/src/crash-evidence.ts
+++ b/packages/mulberrypitch-coordinator/src/crash-evidence.ts
@@ -3,6 +3,7 @@
  * request that it runs, most of them innocent. What tells a fatal content from those is that back end after back end breaks it off
  * and none answers it.
  */
+import {findOutages} from '@mulberrypitch/control/crash-outages';
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
 import type {QuarantineList} from '@mulberrypitch/serving/quarantine-list';
 import type {CrashReport} from '@mulberrypitch/serving/view-messages';
@@ -36,10 +37,6 @@
 const quarantineThreshold = 3;
 /** Crashes that are less than this time, in milliseconds, apart count as one: they may have one cause outside of the requests. */
 const sameCrashMs = 250;
-/** Time in milliseconds within which several back ends crash in an outage. */
-const outageMs = 100;
-/** Number of back ends that crash in an outage at least. Whatever they were running is no evidence. */
-const outageBackends = 3;
 /**
 Time in milliseconds for which the entries may report, before a content is quarantined: what else a crash broke off, and whether a
 suspect content was answered.
@@ -213,12 +210,6 @@
 	}
 }
 
-/** Returns the back ends that crashed at about the same time as several others. */
-function findOutages(crashedAt: ReadonlyMap<string, number>): readonly string[] {
-	const times = [...crashedAt.values()];
-	return [...crashedAt].filter(([, at]) => times.filter(time => Math.abs(time - at) <= outageMs).length >= outageBackends).map(([backend]) => backend);
-}
-
 /** Returns the number of separate crashes up to a time that speak against a content. */
 function countCrashes({charges}: Content, unrelated: ReadonlySet<string>, until: number): number {
 	const times = [...charges]
