Add nothing to a response in progress when bytes that are no request follow

Cause: an entry and a coordinator replied with 400 or 431 to malformed bytes on a connection, also while an earlier request of it was running or its response was being sent. The caller took that reply for the answer to its request, which may have run, or for a part of its body. Change: such a connection is closed without a reply.

--- a/packages/mulberrypitch-lifecycle/src/reject-malformed.ts
+++ b/packages/mulberrypitch-lifecycle/src/reject-malformed.ts
@@ -1,11 +1,19 @@
 /** Answers bytes that an HTTP server can't take for a request. */
 import type {Duplex} from 'node:stream';
+import {assumeType} from '@mulberrypitch/errors/assume-type';
 
 /** Code of the error of a head that is longer than the server's limit. */
 const headOverflow = 'HPE_HEADER_OVERFLOW';
 
+/** What the HTTP server of Node.js keeps with a socket. */
+type ServerSocket = {
+	/** The response in progress, begun or not; absent if there is none. Node.js has no public name for it. */
+	readonly _httpMessage?: unknown;
+};
+
 /**
-Replies to bytes that are not a valid request, and closes the connection.
+Replies to bytes that are not a valid request, and closes the connection. While another request of the connection is in progress, it is only
+closed, since the caller would take the reply for a part of that response.
 
 @example
 ```
@@ -13,7 +21,8 @@
 ```
 */
 export function rejectMalformed(error: Error & {readonly code?: string}, socket: Duplex): void {
-	if (!socket.writable) {
+	const isAnswering = Boolean(assumeType<ServerSocket>(socket)._httpMessage);
+	if (!socket.writable || isAnswering) {
 		socket.destroy();
 		return;
 	}
