Let no malformed command into the log of the coordinators

Cause: a coordinator proposed whatever another process sent it. A command that no replica can apply ended the task that applies the log, on every coordinator and again after each restart; others were stored as a configuration or as usage that can't be read.

--- a/packages/mulberrypitch-coordinator/src/coordinator.ts
+++ b/packages/mulberrypitch-coordinator/src/coordinator.ts
@@ -26,6 +26,7 @@
 } from '@mulberrypitch/serving/view-messages';
 import type {LogStore} from '@mulberrypitch/storage/types';
 import type {Schema, Transport} from '@mulberrypitch/transport/types';
+import {createCommandSchema} from './command-schema.js';
 import {DutyRunner, type Duty} from './duty-runner.js';
 import {EntryDirectory} from './entry-directory.js';
 import {Gossip} from './gossip.js';
@@ -189,7 +190,7 @@
 		const {transport} = this.#options;
 		transport.handle(methods.watch, unchecked<ViewRequest>(), async request => this.#watch(request));
 		transport.handle(methods.gossip, unchecked<GossipRequest>(), async request => this.#views.mergeGossip(request));
-		transport.handle(methods.propose, unchecked<ProposedCommand>(), async command => this.#replica.propose(command));
+		transport.handle(methods.propose, createCommandSchema(this.#options.decode), async command => this.#replica.propose(command));
 		transport.handle(methods.read, unchecked<Record<string, never>>(), async () => this.#readAsLeader());
 		transport.handle(methods.join, unchecked<{readonly name: string}>(), async ({name}) => {
 			this.#replica.admit(name);
@@ -398,7 +399,7 @@
 	readonly configuration?: StoredConfiguration;
 };
 
-/** Returns a schema that accepts any value: all processes run the same version, so no validation is needed. */
+/** Returns a schema that accepts any value, for messages that are not kept. */
 function unchecked<Parameters>(): Schema<Parameters> {
 	return {parse: value => assumeType<Parameters>(value)};
 }
