Let no malformed status of one entry keep the others from their views

Cause: a coordinator kept whatever a poll or the gossip of another coordinator carried as a status. One without loads, or with a limit that is nothing, made the polls of all other entries fail at every coordinator for as long as it came; others turned sums of loads and spending into null. Change: the messages are checked as they arrive (status-schema); a poll with a malformed status fails, and gossip leaves such a status out. Fields of a later version pass.

--- a/packages/mulberrypitch-coordinator/src/__tests__/configuration-restart.test.ts
+++ b/packages/mulberrypitch-coordinator/src/__tests__/configuration-restart.test.ts
@@ -1,6 +1,5 @@
 /** Tests that an entry that has just started takes no older configuration from a coordinator that has just started too, or is cut off. */
 import t from 'tap';
-import {assumeType} from '@mulberrypitch/errors/assume-type';
 import {methods, type ViewReply, type ViewRequest} from '@mulberrypitch/serving/view-messages';
 import {CoordinatorGroup} from './coordinator-group.js';
 
@@ -16,10 +15,19 @@
 
 function createRequest(upMs: number): ViewRequest {
 	return {
-		status: assumeType<ViewRequest['status']>({
-			name: 'front', incarnation: 'x', upMs, address: '10.0.0.9:80', zone: 'z', isReady: false, loads: [], pressure: [], spent: {}, usage: [],
-			crashes: {charges: [], answered: [], quarantined: []}, limits: [], leaves: [],
-		}),
+		status: {
+			name: 'front',
+			incarnation: 'x',
+			upMs,
+			address: '10.0.0.9:80',
+			zone: 'z',
+			isReady: false,
+			loads: {},
+			pressure: {},
+			spent: {},
+			usage: [],
+			crashes: {charges: [], answered: [], quarantined: []},
+		},
 		configurationVersion: 0,
 		rosterEpoch: '',
 		rosterVersion: 0,
--- a/packages/mulberrypitch-coordinator/src/coordinator.ts
+++ b/packages/mulberrypitch-coordinator/src/coordinator.ts
@@ -22,7 +22,7 @@
 	AnnouncedBackend, BackendDeregistration, ConfigurationDecoder, ServingConfiguration,
 } from '@mulberrypitch/serving/types';
 import {
-	methods, type GossipRequest, type StoredConfiguration, type ViewReply, type ViewRequest,
+	methods, type StoredConfiguration, type ViewReply, type ViewRequest,
 } from '@mulberrypitch/serving/view-messages';
 import type {LogStore} from '@mulberrypitch/storage/types';
 import type {Schema, Transport} from '@mulberrypitch/transport/types';
@@ -31,6 +31,7 @@
 import {EntryDirectory} from './entry-directory.js';
 import {Gossip} from './gossip.js';
 import {ServingState} from './serving-state.js';
+import {gossipRequestSchema, viewRequestSchema} from './status-schema.js';
 import {ViewService} from './view-service.js';
 
 /** Dependencies and settings of a coordinator. */
@@ -188,8 +189,8 @@
 	/** Registers the call handlers and starts the replica, the gossip and the background tasks. */
 	async start(): Promise<void> {
 		const {transport} = this.#options;
-		transport.handle(methods.watch, unchecked<ViewRequest>(), async request => this.#watch(request));
-		transport.handle(methods.gossip, unchecked<GossipRequest>(), async request => this.#views.mergeGossip(request));
+		transport.handle(methods.watch, viewRequestSchema, async request => this.#watch(request));
+		transport.handle(methods.gossip, gossipRequestSchema, async request => this.#views.mergeGossip(request));
 		transport.handle(methods.propose, createCommandSchema(this.#options.decode), async command => this.#replica.propose(command));
 		transport.handle(methods.read, unchecked<Record<string, never>>(), async () => this.#readAsLeader());
 		transport.handle(methods.join, unchecked<{readonly name: string}>(), async ({name}) => {
