Limit the token counts that callers state

Cause: any number passed. Two requests with counts of 308 digits made the pending tokens of a back end infinite, which they then stayed, so that its cost was never finite again and the entry's status could not be read; a negative count gave a workspace quota back. Change: counts are from 0 to 1,000,000,000.

--- a/packages/mulberrypitch-proxy/src/caller-request.ts
+++ b/packages/mulberrypitch-proxy/src/caller-request.ts
@@ -10,6 +10,9 @@
 import type {Header} from './response-parser.js';
 import type {HeaderNames} from './types.js';
 
+/** Number of tokens that no prompt has; sums of larger counts would not be exact. */
+const maxTokens = 1_000_000_000;
+
 /**
 Returns the first value of a header, by its lower-case name.
 
@@ -65,7 +68,7 @@
 
 	const counts = tokenCount?.split(',').map(Number) ?? [];
 	const sum = counts.reduce((total, count) => total + count, 0);
-	return tokenCount !== undefined && Number.isFinite(sum) ? sum : plainTokens;
+	return tokenCount !== undefined && Number.isFinite(sum) ? limitTokens(sum) : plainTokens;
 }
 
 /** The prompt of a request, as its headers describe it. */
@@ -94,7 +97,7 @@
 ```
 */
 export function readPrompt(tokenCount: string | undefined, parts: string | undefined): Prompt {
-	const tokens = Math.max(0, readCount(tokenCount));
+	const tokens = readCount(tokenCount);
 	const shared = (parts?.split(',') ?? []).map(part => readPart(part)).slice(0, -1);
 	const sharedPart = shared.at(-1)?.id;
 	return {
@@ -107,12 +110,16 @@
 
 function readPart(text: string): PromptPart {
 	const [id, tokens] = text.trim().split(':', 2);
-	return {id: id!, tokens: Math.max(0, readCount(tokens))};
+	return {id: id!, tokens: readCount(tokens)};
 }
 
 function readCount(text: string | undefined): number {
 	const count = Number.parseInt(text ?? '', 10);
-	return Number.isFinite(count) ? count : 0;
+	return Number.isFinite(count) ? limitTokens(count) : 0;
+}
+
+function limitTokens(count: number): number {
+	return Math.min(maxTokens, Math.max(0, count));
 }
 
 /** Where a caller takes a stream up again. */
