Count requests in progress in how long requests usually take

What callers see: when back ends turn slow shortly before a planned stop, the stop takes requests whose like are still running after many times their usual duration, and cuts them off. Cause: a request counted only once it had ended, so that slow ones were missing from the estimate for as long as they run. The class is that of the requests that were given up: an estimate from data out of which the extreme values have been taken. Change: requests in progress of the route count as longer than they have lasted (censored in the product-limit estimator). Those whose body has not been read don't count, since their callers could raise the estimate at will.

--- a/packages/mulberrypitch-proxy/src/proxy-server.ts
+++ b/packages/mulberrypitch-proxy/src/proxy-server.ts
@@ -64,7 +64,10 @@
 		this.#options = options;
 		this.#startup = new StartupWait(options.clock, options.getTable);
 		this.#services = new ServiceTraffics(options);
-		this.#stopWindow = new StopWindow(options.clock, logger);
+		this.#stopWindow = new StopWindow(options.clock, logger, route => {
+			const now = options.clock.now();
+			return this.#requests.listArrivals(route).map(arrivedAt => now - arrivedAt);
+		});
 		this.#resumption = new StreamResumption(options);
 		this.#replies = new LocalReplies({
 			attemptHeader: names.attemptId,
@@ -315,6 +318,7 @@
 			return {kind: 'abandoned'};
 		}
 
+		this.#requests.setRoute(response, route.name);
 		const priority = workspace?.priority ?? route.priority;
 		retries.add(service);
 		traffic.add(prompt);
--- a/packages/mulberrypitch-proxy/src/requests-in-progress.ts
+++ b/packages/mulberrypitch-proxy/src/requests-in-progress.ts
@@ -8,6 +8,8 @@
 	readonly attemptId: string | undefined;
 	/** Monotonic time in milliseconds at which the request arrived. */
 	readonly arrivedAt: number;
+	/** Name of its route; absent until the request has been read and admitted. */
+	readonly route?: string;
 };
 
 /** Holds the requests in progress by their responses. */
@@ -24,6 +26,19 @@
 		this.#requests.set(response, request);
 	}
 
+	/** Records the route of a request that has been read and admitted. */
+	setRoute(response: ServerResponse, route: string): void {
+		const request = this.#requests.get(response);
+		if (request !== undefined) {
+			this.#requests.set(response, {...request, route});
+		}
+	}
+
+	/** Returns the arrival times of the requests of a route. */
+	listArrivals(route: string): readonly number[] {
+		return this.list().filter(request => request.route === route).map(({arrivedAt}) => arrivedAt);
+	}
+
 	/** Removes a request that has ended. */
 	remove(response: ServerResponse): void {
 		this.#requests.delete(response);
--- a/packages/mulberrypitch-proxy/src/stop-window.ts
+++ b/packages/mulberrypitch-proxy/src/stop-window.ts
@@ -38,14 +38,17 @@
 export class StopWindow {
 	readonly #clock: Clock;
 	readonly #logger: Logger;
+	readonly #listRunningMs: (route: string) => readonly number[];
 	readonly #durations = new Map<string, UsualDuration>();
 	/** Monotonic times in milliseconds until which requests are taken by estimate, and at which the process ends; infinite while it is not being stopped. */
 	#estimatingUntil = Number.POSITIVE_INFINITY;
 	#endsAt = Number.POSITIVE_INFINITY;
 
-	constructor(clock: Clock, logger: Logger) {
+	/** `listRunningMs` returns for how long, in milliseconds, each request in progress of a route has lasted. */
+	constructor(clock: Clock, logger: Logger, listRunningMs: (route: string) => readonly number[]) {
 		this.#clock = clock;
 		this.#logger = logger;
+		this.#listRunningMs = listRunningMs;
 	}
 
 	/** Begins the stop, at whose end the process cuts off what still runs. */
@@ -95,7 +98,7 @@
 
 	#estimate({name, timeoutMs}: Route, deadlineAt: number): StopEstimate {
 		const now = this.#clock.now();
-		const usualMs = this.#durations.get(name)?.ms ?? timeoutMs;
+		const usualMs = this.#durations.get(name)?.estimateMs(this.#listRunningMs(name)) ?? timeoutMs;
 		return {leftMs: Math.round(this.#endsAt - now), deadlineMs: Math.round(deadlineAt - now), usualMs: Math.round(usualMs)};
 	}
 }
--- a/packages/mulberrypitch-proxy/src/usual-duration.ts
+++ b/packages/mulberrypitch-proxy/src/usual-duration.ts
@@ -1,15 +1,19 @@
 /** How long the requests of a route usually take. */
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
 
-/** A request that has ended. */
-type EndedRequest = {
-	/** Monotonic time in milliseconds of its end. */
-	readonly endedAt: number;
+/** How long a request has lasted. */
+type Lasting = {
 	readonly durationMs: number;
 	/** Whether its answer was complete; otherwise it would have taken longer than it lasted. */
 	readonly isWhole: boolean;
 };
 
+/** A request that has ended. */
+type EndedRequest = Lasting & {
+	/** Monotonic time in milliseconds of its end. */
+	readonly endedAt: number;
+};
+
 /** Time in milliseconds for which an ended request counts. */
 const retentionMs = 30_000;
 /** Maximum number of requests that count. */
@@ -28,10 +32,14 @@
 		this.#clock = clock;
 	}
 
-	/** Usual duration in milliseconds; absent if none has ended lately, or if too many were given up to tell. */
-	get ms(): number | undefined {
+	/**
+	Returns the usual duration in milliseconds, given for how long requests in progress have run; `undefined` if none has ended lately, or
+	if too many were given up or still run to tell.
+	*/
+	estimateMs(runningMs: readonly number[]): number | undefined {
 		const since = this.#clock.now() - retentionMs;
-		return estimateQuantile(this.#requests.filter(({endedAt}) => endedAt >= since), usualShare);
+		const ended = this.#requests.filter(({endedAt}) => endedAt >= since);
+		return estimateQuantile([...ended, ...runningMs.map(durationMs => ({durationMs, isWhole: false}))], usualShare);
 	}
 
 	/** Records a request that has ended, and whether its answer was complete. */
@@ -45,9 +53,9 @@
 
 /**
 Returns the duration that the given share of requests does not exceed, by the product-limit (Kaplan-Meier) estimator: a request without a
-complete answer counts as running until it ended, and not at all from then on. Returns `undefined` if that is longer than any answer took.
+complete answer counts as running for as long as it has lasted, and not at all from then on. Returns `undefined` if that is longer than any answer took.
 */
-function estimateQuantile(requests: readonly EndedRequest[], share: number): number | undefined {
+function estimateQuantile(requests: readonly Lasting[], share: number): number | undefined {
 	const sorted = requests.toSorted((left, right) => left.durationMs - right.durationMs || Number(right.isWhole) - Number(left.isWhole));
 	let longerShare = 1;
 	for (const [index, {durationMs, isWhole}] of sorted.entries()) {
