End a request at its deadline while it connects to a back end

What callers see: a request whose back end accepts no connection is answered up to 300 ms after its deadline. A planned stop reckons that a request has ended 100 ms after its deadline at the latest, so its end could cut off the answer. Cause: the deadline bounded the wait for a permit and the exchange, not the opening of a connection between them. Change: the opening ends at the deadline as a request that was not sent, which does not eject the back end; a connection that comes later is closed.

--- a/packages/mulberrypitch-proxy/src/__tests__/unreachable-backend.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/unreachable-backend.test.ts
@@ -1,4 +1,4 @@
-/** Tests how often a request tries back ends that refuse connections. */
+/** Tests how often and for how long a request tries back ends that refuse connections or don't answer. */
 import t from 'tap';
 import {assumeType} from '@mulberrypitch/errors/assume-type';
 import {PeerUnreachableError} from '@mulberrypitch/errors/catalogue';
@@ -57,3 +57,48 @@
 	t.match(await running, {kind: 'refused'});
 	t.ok(attempts > 1 && attempts <= maxAttempts, `${attempts} attempts`);
 });
+
+// Guards against a request that is still connecting after its deadline, by which a planned stop reckons that each request has ended.
+await t.test('a request whose back end accepts no connection ends at its deadline', async t => {
+	const clock = new VirtualClock();
+	const connectTimeoutMs = 300;
+	const leftMs = 10;
+	const backend = {
+		id: 'engine-1',
+		announced: {startedAt: 1, isLeaving: false},
+		async connect() {
+			await clock.sleep(connectTimeoutMs);
+			throw new PeerUnreachableError('engine-1');
+		},
+		eject: ignore,
+		recordResult: () => false,
+	};
+	const request = new ProxiedRequest(assumeType<ProxiedRequestOptions>({
+		route: {kind: 'idempotent', maxAttempts: 2},
+		service: 'desk',
+		prompt: {tokens: 0, sharedTokens: 0, sharedParts: []},
+		content: {getQuarantineMs: () => 0, recordBrokenOff: ignore, recordAnswered: ignore},
+		deadlineAt: deadlineMs,
+		relay: {hasStarted: false, getBodyFacts: () => ({})},
+		clock,
+		logger: {log: ignore},
+		signal: new AbortController().signal,
+		async place() {
+			await clock.sleep(deadlineMs - leftMs);
+			return {backend, release: ignore};
+		},
+		isTooLate: () => false,
+		getStatedWaitMs: () => 0,
+		onReleased: ignore,
+		takeRetry: () => true,
+		getDecisionContext: () => ({configuration: 1, viewAgeMs: 0}),
+		onAttemptEnded: ignore,
+		onRunStarted: ignore,
+	}));
+	let endedAt = Number.POSITIVE_INFINITY;
+	void request.run().then(() => {
+		endedAt = clock.now();
+	});
+	await clock.runFor(deadlineMs + connectTimeoutMs);
+	t.equal(endedAt, deadlineMs);
+});
--- a/packages/mulberrypitch-proxy/src/proxied-request.ts
+++ b/packages/mulberrypitch-proxy/src/proxied-request.ts
@@ -3,7 +3,9 @@
  * is safe.
  */
 import {Deferred} from '@mulberrypitch/lifecycle/background';
-import {CodedError} from '@mulberrypitch/errors/coded-error';
+import {codes, TimeoutError} from '@mulberrypitch/errors/catalogue';
+import {CodedError, hasCode} from '@mulberrypitch/errors/coded-error';
+import {withTimeout} from '@mulberrypitch/lifecycle/with-timeout';
 import {events} from '@mulberrypitch/logger/events';
 import {requestKinds} from '@mulberrypitch/serving/types';
 import {ResponseCollector} from './response-collector.js';
@@ -268,13 +270,17 @@
 		this.#triedIds.add(backend.id);
 		let connection: BackendConnection;
 		try {
-			connection = await backend.connect();
+			connection = await this.#connect(backend);
 		} catch (error) {
 			if (!(error instanceof CodedError)) {
 				throw error;
 			}
 
-			backend.eject();
+			// A connection that the deadline cut short tells little of the back end.
+			if (!hasCode(error, codes.timeout)) {
+				backend.eject();
+			}
+
 			return {kind: 'notRun', reason: error.message, wasSent: false};
 		}
 
@@ -286,6 +292,22 @@
 		return this.#exchange(permit, connection);
 	}
 
+	/** Connects to a back end. Throws `TimeoutError` at the deadline of the request, and closes a connection that comes later. */
+	async #connect(backend: KnownBackend): Promise<BackendConnection> {
+		const {clock, deadlineAt} = this.#options;
+		const leftMs = deadlineAt - clock.now();
+		const connecting = backend.connect();
+		try {
+			return await withTimeout(clock, connecting, leftMs, () => new TimeoutError(backend.id, leftMs));
+		} catch (error) {
+			if (hasCode(error, codes.timeout)) {
+				void destroyLate(connecting);
+			}
+
+			throw error;
+		}
+	}
+
 	async #exchange(permit: BackendPermit, connection: BackendConnection): Promise<AttemptOutcome> {
 		const {
 			caller, body, clock, deadlineAt, names, signal, workspace, dropsKey, relay, priority, binding,
@@ -367,3 +389,13 @@
 		}
 	}
 }
+
+/** Closes a connection that is no longer needed once it is open. */
+async function destroyLate(connecting: Promise<BackendConnection>): Promise<void> {
+	try {
+		const connection = await connecting;
+		connection.destroy();
+	} catch {
+		// The request has ended, and the back end was not reached: there is nothing to close.
+	}
+}
