Do not count a request that its caller gave up as a success of its back end

What callers see: a back end that accepts requests and answers nothing keeps getting them while some callers give up early. Cause: the outlier detection recorded each abandoned request as a success, which ends a row of failures and sets the length of the ejection back. Change: an abandoned request is not recorded, as it tells nothing of its end. Open: a back end of which all callers give up before their deadline is still not ejected.

--- a/packages/mulberrypitch-proxy/src/recorded-result.ts
+++ b/packages/mulberrypitch-proxy/src/recorded-result.ts
@@ -21,6 +21,11 @@
 		return false;
 	}
 
+	if (outcome.kind === 'abandoned') {
+		// The caller left before the end, so whether the back end would have answered is not known.
+		return false;
+	}
+
 	return outcome.kind === 'notRun' ? recordNotRun(backend, outcome.status) : backend.recordResult(isGoodOutcome(outcome));
 }
 
