Answer requests that came together on a connection one after another

What callers see: of two requests sent together on one connection, the second is run by a back end and never answered when the entry is being stopped. Cause: each was sent to a back end as it came, and each answer in a stop bears 'Connection: close', after which the HTTP server ends the connection with the answers behind it. Change: a request waits until those before it on its connection are answered, and is not sent if the connection has ended by then; in a stop only the last of them closes the connection.

--- a/packages/mulberrypitch-proxy/src/local-replies.ts
+++ b/packages/mulberrypitch-proxy/src/local-replies.ts
@@ -31,8 +31,8 @@
 	readonly metrics: MetricsRegistry;
 	/** Returns the state of the entry at the time of a decision, for the log. */
 	readonly getDecisionContext: () => DecisionContext;
-	/** Returns the connection headers that every response carries at the moment. */
-	readonly getConnectionHeaders: () => readonly Header[];
+	/** Returns the connection headers that a response carries at the moment. */
+	readonly getConnectionHeaders: (response: ServerResponse) => readonly Header[];
 };
 
 /** `Retry-After` in seconds of a refusal whose end is not known, before the random part is added. */
@@ -65,7 +65,7 @@
 		}
 
 		const text = JSON.stringify({error: reason}) + '\n';
-		const headers = this.#createHeaders(request, text, retryAfter);
+		const headers = this.#createHeaders(response, text, retryAfter);
 		response.writeHead(status, headers.flatMap(({name, value}) => [name, value]));
 		response.end(text);
 	}
@@ -75,13 +75,14 @@
 		rejectMalformed(error, socket);
 	}
 
-	#createHeaders(request: IncomingMessage, text: string, retryAfter: string | undefined): readonly Header[] {
+	#createHeaders(response: ServerResponse, text: string, retryAfter: string | undefined): readonly Header[] {
 		const {attemptHeader, getConnectionHeaders} = this.#options;
+		const {req: request} = response;
 		const attemptId = getHeader(request, attemptHeader);
 		return [
 			{name: 'Content-Type', value: 'application/json'},
 			{name: 'Content-Length', value: String(Buffer.byteLength(text))},
-			...getConnectionHeaders(),
+			...getConnectionHeaders(response),
 			...(attemptId === undefined ? [] : [{name: attemptHeader, value: attemptId}]),
 			...(retryAfter === undefined ? [] : [{name: 'Retry-After', value: retryAfter}]),
 			// The unread rest of the body would be parsed as the next request.
--- a/packages/mulberrypitch-proxy/src/proxy-server.ts
+++ b/packages/mulberrypitch-proxy/src/proxy-server.ts
@@ -24,6 +24,7 @@
 import type {RequestContent} from './content-quarantine.js';
 import {LocalReplies, minRetryAfterSeconds} from './local-replies.js';
 import {ProxiedRequest, quarantineReason, stoppingReason} from './proxied-request.js';
+import {RequestOrder} from './request-order.js';
 import {RequestsInProgress} from './requests-in-progress.js';
 import type {DecisionContext, RequestEnd} from './proxied-request-options.js';
 import type {ProxyServerOptions} from './proxy-server-options.js';
@@ -55,6 +56,7 @@
 	readonly #sockets = new Set<Socket>();
 	readonly #startup: StartupWait;
 	readonly #requests = new RequestsInProgress();
+	readonly #order = new RequestOrder();
 	readonly #stopWindow: StopWindow;
 	readonly #resumption: StreamResumption;
 	#isDraining = false;
@@ -75,7 +77,7 @@
 			logger,
 			metrics,
 			getDecisionContext: () => this.#getDecisionContext(),
-			getConnectionHeaders: () => this.#getConnectionHeaders(),
+			getConnectionHeaders: response => this.#getConnectionHeaders(response),
 		});
 		this.#completion = new RequestCompletion({
 			...options,
@@ -174,7 +176,9 @@
 		const arrivedAt = clock.now();
 		this.#requests.add(response, {attemptId: this.#getAttemptId(request), arrivedAt});
 		try {
-			await this.#serve(request, response, arrivedAt);
+			if (await this.#order.waitForTurn(response)) {
+				await this.#serve(request, response, arrivedAt);
+			}
 		} catch (error) {
 			logger.log(events.requestFailed, {request: this.#getAttemptId(request), reason: getMessage(error)});
 			// A complete response that is being written is not cut off by a later error.
@@ -261,7 +265,7 @@
 					attemptId: this.#getAttemptId(request), route, position, service, version: binding.version,
 				});
 			},
-			getExtraHeaders: () => this.#getConnectionHeaders(),
+			getExtraHeaders: () => this.#getConnectionHeaders(response),
 		});
 		const end = await this.#run(request, response, {
 			body, arrivedAt, deadlineAt, route, service, position, workspace, table, relay, binding, prompt, content,
@@ -375,8 +379,9 @@
 		return proxied.run();
 	}
 
-	#getConnectionHeaders(): readonly Header[] {
-		return this.#isDraining ? [{name: 'Connection', value: 'close'}] : [];
+	#getConnectionHeaders(response: ServerResponse): readonly Header[] {
+		// The connection ends with the response that says so, although others may have to follow.
+		return this.#isDraining && this.#order.isLast(response) ? [{name: 'Connection', value: 'close'}] : [];
 	}
 
 	#getDecisionContext(): DecisionContext {
