Refuse a request whose body arrives after its deadline at the deadline

What callers see: a request whose body comes late is sent to a back end after its caller has stopped waiting, with a negative time left. Cause: the wait for the body was bounded by the timeout of the route, not by the caller's deadline, and nothing compares the deadline before the send. Change: the wait for the body ends at the deadline, which is never later than the timeout of the route.

--- a/packages/mulberrypitch-proxy/src/proxy-server.ts
+++ b/packages/mulberrypitch-proxy/src/proxy-server.ts
@@ -215,7 +215,7 @@
 		}
 
 		const read = await readBody(request, {
-			clock, maxBytes: table.configuration.limits.maxBodyBytes, maxWaitMs: arrivedAt + route.timeoutMs - clock.now(),
+			clock, maxBytes: table.configuration.limits.maxBodyBytes, maxWaitMs: deadlineAt - clock.now(),
 		});
 		if (read.kind !== 'whole') {
 			this.#replies.send(request, response, read.kind === 'late' ? {status: 408, reason: 'body late'} : {status: 413, reason: 'body too large'});
