Let a planned stop wait for the callers who read answers at the host

What callers saw: "other side closed" in the middle of an answer while the host was stopped. Cause: a stop waited for the requests that the host holds, not for the callers who receive answers there. A request that another host holds doesn't count: one that is read by id, and one that moved to its standby since the host's session had ended. The connections were closed 1 s after the wait. Answers that were written but not yet taken by a slow caller were closed as well. Class: a stop that counts what its process computes in place of what its callers still wait for. Change: the HTTP server of a host counts the answers of accepted requests until their last byte was sent or their connection closed; a stop waits for them before it ends the session. A second signal waits for no answers, as before.

--- a/packages/mulberrypitch-entry/src/caller-routes.ts
+++ b/packages/mulberrypitch-entry/src/caller-routes.ts
@@ -7,6 +7,7 @@
 import type {AcceptedRequest, AnswerEvent, IncomingCall} from '@mulberrypitch/requests/types';
 import {getWorkspace} from './authentication.js';
 import type {CallerRequests} from './measured-requests.js';
+import type {OpenResponses} from './open-responses.js';
 import {
 	getStatus, parseJson, readBody, sendJson,
 } from './http-reply.js';
@@ -22,6 +23,8 @@
 /** Dependencies of the handlers. */
 export type CallerContext = {
 	readonly requests: CallerRequests;
+	/** The responses to accepted requests, for which a planned stop waits. */
+	readonly responses: OpenResponses;
 	readonly getConfiguration: () => SharedConfiguration;
 };
 
@@ -51,6 +54,7 @@
 		prefix: getPrefix(body),
 		maxTokens: typeof body.max_tokens === 'number' ? body.max_tokens : defaultMaxTokens,
 	});
+	context.responses.add(response);
 	await (body.stream === true ? streamAnswer(accepted, response, 0) : sendCompletion(accepted, response));
 }
 
@@ -80,7 +84,9 @@
 		prefix: '',
 		maxTokens: 0,
 	};
-	await sendPlain(await context.requests.submit(call), response);
+	const accepted = await context.requests.submit(call);
+	context.responses.add(response);
+	await sendPlain(accepted, response);
 }
 
 /**
@@ -101,6 +107,7 @@
 		throw new BadRequestError('Last-Event-ID must be the id of a received event, an integer from 0.');
 	}
 
+	context.responses.add(response);
 	await streamAnswer(accepted, response, fromOffset);
 }
 
--- a/packages/mulberrypitch-entry/src/entry-server.ts
+++ b/packages/mulberrypitch-entry/src/entry-server.ts
@@ -31,6 +31,7 @@
 	parseJson, readBody, sendFailure, sendJson, toFailure,
 } from './http-reply.js';
 import {MeasuredRequests} from './measured-requests.js';
+import {OpenResponses} from './open-responses.js';
 import {
 	announcementSchema, configurationChangeSchema, type EntryList,
 } from './types.js';
@@ -74,13 +75,19 @@
 	readonly #server: http.Server;
 	readonly #callerContext: CallerContext;
 	readonly #burn: BurnRecorder;
+	readonly #responses: OpenResponses;
 	#isDraining = false;
 
 	constructor(options: EntryServerOptions) {
 		this.#options = options;
 		this.#burn = new BurnRecorder(options.clock);
-		// Unlike the option of the same name, this `getConfiguration` throws `NoConfigurationError` before the first configuration has arrived.
-		this.#callerContext = {requests: new MeasuredRequests(options.requests, this.#burn, options.clock), getConfiguration: () => this.#requireConfiguration()};
+		this.#responses = new OpenResponses(options.clock);
+		this.#callerContext = {
+			requests: new MeasuredRequests(options.requests, this.#burn, options.clock),
+			responses: this.#responses,
+			// Unlike the option of the same name, this throws `NoConfigurationError` before the first configuration has arrived.
+			getConfiguration: () => this.#requireConfiguration(),
+		};
 		this.#server = http.createServer({maxHeaderSize: maxHeaderBytes});
 		this.#server.maxHeadersCount = maxHeaderCount;
 		this.#server.headersTimeout = headersTimeoutMs;
@@ -96,6 +103,11 @@
 		this.#server.on('request', assumeType<http.RequestListener>(app.handler));
 	}
 
+	/** Number of answers that callers are receiving, whichever host holds the request. */
+	get openResponses(): number {
+		return this.#responses.countReceiving();
+	}
+
 	/** Starts listening. Resolves with the port in use. */
 	async listen(): Promise<number> {
 		const {host, port} = splitAddress(this.#options.settings.httpListen);
--- a/packages/mulberrypitch-host/src/host.ts
+++ b/packages/mulberrypitch-host/src/host.ts
@@ -90,9 +90,9 @@
 	}
 
 	/**
-	Stops gracefully: removes the host from the list of entry hosts, waits until cached lists have expired, finishes the requests in
-	progress, then closes the session. A second call ends the wait for cached lists and transfers the idempotent requests to their
-	standbys.
+	Stops gracefully: removes the host from the list of entry hosts, waits until cached lists have expired, finishes the requests and the
+	answers in progress, then closes the session. A second call ends the wait for cached lists and for answers, and transfers the
+	idempotent requests to their standbys.
 	*/
 	async drain(): Promise<void> {
 		if (this.#drainDone === undefined) {
@@ -129,20 +129,32 @@
 		logger.log(events.hostStopped, {node: settings.name});
 	}
 
-	/** Waits until no request is in progress, or until the control group has been away for so long that none can end. */
+	/**
+	Waits until no request is in progress and callers have received their answers, or until the control group has been away for so long that
+	no request can end.
+	*/
 	async #waitIdle(): Promise<void> {
 		const {clock, logger} = this.#options;
 		let staleMs = 0;
-		while (this.#requests?.isIdle === false && staleMs < maxStaleDrainMs) {
+		while (this.#isBusy() && staleMs < maxStaleDrainMs) {
 			await clock.sleep(idlePollMs);
 			staleMs = this.#control?.isFresh() === true ? 0 : staleMs + idlePollMs;
 		}
 
-		if (this.#requests?.isIdle === false) {
-			logger.log(events.stopUnrecorded, {step: 'waitIdle', running: this.#requests.running});
+		if (this.#isBusy()) {
+			logger.log(events.stopUnrecorded, {step: 'waitIdle', running: this.#requests?.running, responses: this.#server?.openResponses});
 		}
 	}
 
+	/**
+	Reports whether a request or an answer is in progress. After a second call of `drain` answers don't count: their callers read on by request
+	id at another host.
+	*/
+	#isBusy(): boolean {
+		const hasOpenResponses = !this.#drainDelay.signal.aborted && (this.#server?.openResponses ?? 0) > 0;
+		return this.#requests?.isIdle === false || hasOpenResponses;
+	}
+
 	/**
 	Waits until the control group has recorded a step of the stop. Goes on without it when that takes too long or fails, for example because
 	the other hosts have stopped before: the session then ends with its lease.
--- a/packages/mulberrypitch/src/__tests__/stops.test.ts
+++ b/packages/mulberrypitch/src/__tests__/stops.test.ts
@@ -6,16 +6,19 @@
 import {request} from 'undici';
 import {demoConfiguration, demoKey} from '@mulberrypitch/config/defaults';
 import {getPrompt, getToken} from '@mulberrypitch/fakes/engine-server';
-import {HostProcesses, waitForExit} from './host-processes.js';
+import {readStatus} from './booking-cluster.js';
+import {HostProcesses, waitForExit, waitUntil} from './host-processes.js';
 
 const tokenCount = 120;
+/** Inter-token latency in milliseconds at which an answer takes longer than a stop that waits for no callers. */
+const slowTokenMs = 100;
 const testTimeoutMs = 120_000;
 const authorization = `Bearer ${demoKey}`;
 const hostCount = 4;
 
 t.setTimeout(testTimeoutMs);
 
-async function startHosts(t: Test, networkOctet: number): Promise<HostProcesses> {
+async function startHosts(t: Test, networkOctet: number, tokenMs = 10): Promise<HostProcesses> {
 	const folder = t.testdir();
 	const processes = new HostProcesses(folder, networkOctet);
 	t.teardown(async () => processes.dispose());
@@ -25,7 +28,9 @@
 	const applied = await processes.run('config', 'apply', baseFile, '--host', processes.hosts[0]!.address, '--json');
 	t.equal(applied.code, 0, applied.stderr);
 	for (const zone of ['palermo', 'catania']) {
-		processes.startBackend('engine', {id: `engine-${zone}`, zone, service: 'advice'});
+		processes.startBackend('engine', {
+			id: `engine-${zone}`, zone, service: 'advice', 'token-ms': tokenMs,
+		});
 	}
 
 	await Promise.all(processes.hosts.map(async host => processes.waitFor(host, '/readyz')));
@@ -141,3 +146,38 @@
 	t.equal(getContent(completeEvents) + getContent(text), getExpectedContent('maintenance plan'));
 	t.ok(text.endsWith('data: [DONE]\n\n'));
 });
+
+// Guards against a stop that waits for the requests that its host holds, and cuts off the callers that read there an answer of another host.
+await t.test('a caller that reads an answer of another host at a host that stops gets it whole', async t => {
+	const processes = await startHosts(t, 44, slowTokenMs);
+	const [first] = processes.hosts;
+	const last = processes.hosts[3]!;
+	const held = await requestCompletion(first!.address, 'plan of another host');
+	const heldText = held.body.text();
+	const read = await request(`${last.address}/v1/requests/${String(held.headers['x-request-id'])}`, {headers: {authorization}});
+	t.equal(read.statusCode, 200);
+	const readText = read.body.text();
+	last.child.kill('SIGTERM');
+	for (const text of await Promise.all([readText, heldText])) {
+		t.equal(getContent(text), getExpectedContent('plan of another host'));
+	}
+
+	t.equal(await waitForExit(last.child), 0);
+});
+
+// Guards against a stop that cuts off the callers whose requests went to another host since the session of their own had ended.
+await t.test('a caller whose request went to another host, since the session ended, gets the rest while its own host stops', async t => {
+	const processes = await startHosts(t, 45, slowTokenMs);
+	const last = processes.hosts[3]!;
+	const response = await requestCompletion(last.address, 'plan of a suspended host');
+	last.child.kill('SIGSTOP');
+	await waitUntil('the session of the suspended host has ended', async () => {
+		const {sessions} = await readStatus(processes, processes.hosts[0]!);
+		return sessions.length === hostCount - 1;
+	});
+	last.child.kill('SIGCONT');
+	await waitUntil('the host has learned that its request moved', async () => processes.readLog(last.name).includes('session lost'));
+	last.child.kill('SIGTERM');
+	t.equal(getContent(await response.body.text()), getExpectedContent('plan of a suspended host'));
+	t.equal(await waitForExit(last.child), 0);
+});
