Refuse callers who read an answer by request id at a host that stops

What callers saw: a host that stops took a caller who read an answer by request id, although it can't know whether that answer ends before the host does. Cause: only new requests were refused during a stop, not reads of requests that another host holds. Change: a read is refused like a new request: redirected to another host, or 503 if there is none. Looked at before and after the look-up of the request. Readers that the host had before get the whole answer.

--- a/packages/mulberrypitch-requests/src/request-service.ts
+++ b/packages/mulberrypitch-requests/src/request-service.ts
@@ -102,7 +102,7 @@
 		return this.#standby.size;
 	}
 
-	/** Makes `submit` refuse new requests with `DrainingError` from now on. */
+	/** Makes `submit` and `getRequest` refuse callers with `DrainingError` from now on. */
 	drain(): void {
 		this.#isDraining = true;
 	}
@@ -145,13 +145,16 @@
 		}
 	}
 
-	/** Returns a request of a customer, whichever host holds it. Throws `NotFoundError` when the customer has no such request. */
+	/** Returns a request of a customer, whichever host holds it. Throws `NotFoundError` when the customer has no such request, and `DrainingError` when this host stops. */
 	async getRequest(requestId: string, customer: string): Promise<AcceptedRequest> {
+		this.#requireNotDraining();
 		const record = await this.#options.control.lookupRequest(requestId);
 		if (record?.customer !== customer) {
 			throw new NotFoundError(`Request ${requestId} is not known.`);
 		}
 
+		// The host may have started to drain during the look-up.
+		this.#requireNotDraining();
 		return this.#createAcceptedRequest(record);
 	}
 
