Ask callers to close their connections with every reply of a host that stops

What callers saw: those who keep a connection could send on it at the moment at which the stopping host closed it, and got no reply. Cause: only the redirect of a new request carried `Connection: close`; a refusal (503) and other replies during a stop kept the connection open until the host closed it. Change: each reply that begins during a stop carries it.

--- a/packages/mulberrypitch-entry/src/entry-server.ts
+++ b/packages/mulberrypitch-entry/src/entry-server.ts
@@ -99,6 +99,11 @@
 		});
 		this.#addCallerRoutes(app);
 		this.#addOperatorRoutes(app);
+		this.#server.on('request', (_request, response) => {
+			if (this.#isDraining) {
+				response.setHeader('connection', 'close');
+			}
+		});
 		// Polka attaches its handler in its own `listen()`, which is not used here, so the handler is attached explicitly.
 		this.#server.on('request', assumeType<http.RequestListener>(app.handler));
 	}
@@ -115,8 +120,8 @@
 	}
 
 	/**
-	Removes this host from the list of entry hosts that it sends, and makes `/readyz` report it as not ready. Requests in progress
-	continue; the request service, which the host drains too, refuses new ones.
+	Removes this host from the list of entry hosts that it sends, makes `/readyz` report it as not ready, and asks callers to close their
+	connections. Requests in progress continue; the request service, which the host drains too, refuses new ones.
 	*/
 	drain(): void {
 		this.#isDraining = true;
@@ -215,7 +220,7 @@
 
 		const otherEntry = this.#listEntries().entries[0];
 		if (hasCode(error, codes.draining) && otherEntry !== undefined) {
-			response.writeHead(temporaryRedirect, {location: `${otherEntry.address}${request.url}`, connection: 'close'});
+			response.writeHead(temporaryRedirect, {location: `${otherEntry.address}${request.url}`});
 			response.end();
 			return;
 		}
