Keep a stopping host marked as draining when it opens a new session

What callers saw: none reported; found by reading, and shown by the test. A host that lost its session during a stop, or had none when the signal came, opened one that was not draining. Others then chose it as a standby and listed it for callers, until it was gone. Cause: the host marked the session that it had at the signal, once; the client of the control group opens new ones by itself. Change: the client knows that its host stops, and marks each session before it uses it.

--- a/packages/mulberrypitch-control/src/control-client.ts
+++ b/packages/mulberrypitch-control/src/control-client.ts
@@ -83,6 +83,8 @@
 	/** Log index of the latest transfer of a request to this host that a view has brought. */
 	#lastAssignment = 0;
 	#wasFresh = false;
+	/** Whether this host stops and each session that it opens is to be marked so. */
+	#isDraining = false;
 	/** Whether calls to the leader are given up. */
 	#isDisposed = false;
 
@@ -185,6 +187,17 @@
 		throw failure instanceof CodedError && failure.code !== codes.notLeader ? failure : new TimeoutError('The control group', callDeadlineMs);
 	}
 
+	/**
+	Marks the session, and each that this host opens from now on, as draining, so that no other host chooses this one as a
+	standby.
+	*/
+	async drain(): Promise<void> {
+		this.#isDraining = true;
+		if (this.#session !== undefined) {
+			await this.#drainSession(this.#session);
+		}
+	}
+
 	/** Stops renewing the session and ends it, so that its requests are transferred at once. */
 	async close(): Promise<void> {
 		await this.#resources.dispose();
@@ -306,11 +319,19 @@
 
 	async #openSession(): Promise<Session> {
 		const session = await this.propose({kind: 'openSession', ...this.#options.session});
+		if (this.#isDraining) {
+			await this.#drainSession(session);
+		}
+
 		this.#session = session;
 		this.#options.logger.log(events.sessionOpened, {epoch: session.epoch});
 		return session;
 	}
 
+	async #drainSession({node, epoch}: Session): Promise<void> {
+		await this.propose({kind: 'drainSession', node, epoch});
+	}
+
 	#applyView(view: View): void {
 		assertInvariant(view.term >= this.#term, `The view of term ${view.term} arrived after one of term ${this.#term}.`);
 		assertInvariant(view.revision >= this.#revision, `The configuration revision would decrease from ${this.#revision} to ${view.revision}.`);
--- a/packages/mulberrypitch-host/src/host.ts
+++ b/packages/mulberrypitch-host/src/host.ts
@@ -114,9 +114,12 @@
 		logger.log(events.hostDraining, {node: settings.name});
 		this.#server?.drain();
 		this.#requests?.drain();
-		const session = this.#control?.session;
-		if (session !== undefined) {
-			await this.#record('drainSession', this.#control!.propose({kind: 'drainSession', node: session.node, epoch: session.epoch}));
+		const hasSession = this.#control?.session !== undefined;
+		if (this.#control !== undefined) {
+			await this.#record('drainSession', this.#control.drain());
+		}
+
+		if (hasSession) {
 			await clock.sleep(settings.entriesTtlSeconds * 1000, this.#drainDelay.signal);
 		}
 
--- a/packages/mulberrypitch-requests/src/__tests__/planned-stop.test.ts
+++ b/packages/mulberrypitch-requests/src/__tests__/planned-stop.test.ts
@@ -7,6 +7,8 @@
 
 const holderName = 'host-1';
 const stoppingName = 'host-2';
+/** Time for one more step after a session was opened, in milliseconds. */
+const sessionStepMs = 1000;
 
 // Guards against a stop that goes on taking callers who read an answer by request id, and closes their connections in the middle.
 await t.test('a host that stops takes no reader of an answer, and readers that it had get the whole answer', async t => {
@@ -24,3 +26,20 @@
 	await cluster.until(() => received.outcome !== undefined);
 	t.ok(isWhole(received, 'report', 100));
 });
+
+// Guards against a host that stops and, after the loss of its session, is chosen again by callers and as a standby.
+await t.test('the session that a stopping host opens after the loss of its session is draining too', async t => {
+	const cluster = new RequestCluster();
+	t.teardown(async () => cluster.dispose());
+	await cluster.start();
+	const {control} = cluster.getHost(stoppingName);
+	await cluster.settle(control.drain());
+	const {epoch} = cluster.state.getSession(stoppingName)!;
+	const address = cluster.cut(stoppingName);
+	await cluster.until(() => cluster.state.getSession(stoppingName) === undefined);
+	cluster.heal(address);
+	await cluster.until(() => cluster.state.getSession(stoppingName) !== undefined);
+	await cluster.clock.runFor(sessionStepMs);
+	t.not(cluster.state.getSession(stoppingName)!.epoch, epoch);
+	t.ok(cluster.state.getSession(stoppingName)!.isDraining);
+});
