Let back ends state the version of their software

This commit brings what the product's own path needs to tell versions apart; it changes no choice of a back end yet. Change: an optional `version` in announcements, in the command that registers a back end and in the state; `status` shows it, and the stand-ins can state one. A leader of the build before refuses an announcement that states a version: update the control hosts first.

--- a/packages/mulberrypitch-control/src/commands.ts
+++ b/packages/mulberrypitch-control/src/commands.ts
@@ -66,6 +66,7 @@
 		machineClass: name,
 		services: z.array(name).min(1),
 		backendKind: z.enum(['engine', 'plain']),
+		version: name.optional(),
 		capabilities,
 	}),
 	z.strictObject({
--- a/packages/mulberrypitch-control/src/types.ts
+++ b/packages/mulberrypitch-control/src/types.ts
@@ -35,6 +35,8 @@
 	/** Names of the services whose requests it runs. */
 	readonly services: readonly string[];
 	readonly kind: BackendKind;
+	/** Version of its software; absent if it states none. Back ends that state none count as one version. */
+	readonly version?: string | undefined;
 	readonly capabilities: Capabilities;
 	/** Whether it announced that it will stop. */
 	readonly isLeaving: boolean;
--- a/packages/mulberrypitch-entry/src/types.ts
+++ b/packages/mulberrypitch-entry/src/types.ts
@@ -12,6 +12,8 @@
 	machineClass: nameSchema.default('standard'),
 	services: z.array(nameSchema).min(1).max(50),
 	kind: z.enum(['engine', 'plain']),
+	/** Version of the back end's software. Absent if the back end doesn't state one. */
+	version: nameSchema.optional(),
 	capabilities: z.strictObject({
 		slots: z.number().int().min(1).max(10_000),
 		checksFencing: z.boolean().default(false),
--- a/packages/mulberrypitch-fakes/src/announcer.ts
+++ b/packages/mulberrypitch-fakes/src/announcer.ts
@@ -15,6 +15,8 @@
 	readonly zone: string;
 	readonly services: readonly string[];
 	readonly kind: 'engine' | 'plain';
+	/** Version of the software that the back end states; absent if it states none. */
+	readonly version?: string;
 	/** Number of requests that the back end runs concurrently. */
 	readonly slots: number;
 	/** Base addresses of entry hosts; a failed announcement is retried with the next one. */
--- a/packages/mulberrypitch-fakes/src/main.ts
+++ b/packages/mulberrypitch-fakes/src/main.ts
@@ -14,6 +14,7 @@
 	readonly host: string;
 	readonly zone: string;
 	readonly service: string;
+	readonly softwareVersion?: string;
 	readonly entries: string;
 	readonly token: string;
 	readonly slots: number;
@@ -38,6 +39,7 @@
 		zone: options.zone,
 		services: [options.service],
 		kind,
+		...(options.softwareVersion !== undefined && {version: String(options.softwareVersion)}),
 		slots: options.slots,
 		entries: options.entries.split(','),
 		token: options.token,
@@ -59,6 +61,7 @@
 	.option('--host <ip>', 'Address to listen on', {default: '127.0.0.1'})
 	.option('--zone <zone>', 'Zone of the machine', {default: 'zone-1'})
 	.option('--service <service>', 'Service that it runs', {default: 'advice'})
+	.option('--software-version <version>', 'Version of its software that it states')
 	.option('--entries <list>', 'Base addresses of entry hosts, with commas')
 	.option('--token <token>', 'Token of back ends', {default: 'loopback'})
 	.option('--slots <count>', 'Requests run at once', {default: 16})
--- a/packages/mulberrypitch-requests/src/__tests__/request-cluster.ts
+++ b/packages/mulberrypitch-requests/src/__tests__/request-cluster.ts
@@ -188,10 +188,10 @@
 		this.#cut.delete(address);
 	}
 
-	/** Starts a back end and registers it with the control group. */
-	startBackend(id: string, kind: 'engine' | 'plain'): void {
+	/** Starts a back end and registers it with the control group, with the version of its software if it states one. */
+	startBackend(id: string, kind: 'engine' | 'plain', version?: string): void {
 		this.backends.start(id);
-		void this.#announce(id, kind);
+		void this.#announce(id, kind, version);
 	}
 
 	/** Announces the reclaim of a back end, and kills it when the notice has passed. */
@@ -269,7 +269,7 @@
 		});
 	}
 
-	async #announce(id: string, kind: 'engine' | 'plain'): Promise<void> {
+	async #announce(id: string, kind: 'engine' | 'plain', version?: string): Promise<void> {
 		while (!this.#disposal.signal.aborted && this.backends.isAlive(id) && this.state.getBackend(id) === undefined) {
 			const host = [...this.hosts.values()].find(({control}) => control.isFresh());
 			try {
@@ -282,6 +282,7 @@
 					machineClass: 'small',
 					services: [kind === 'engine' ? 'advice' : 'bookings'],
 					backendKind: kind,
+					version,
 					capabilities: {slots: 32, checksFencing: false, movesCache: this.movesCache},
 				});
 			} catch {
--- a/packages/mulberrypitch/src/commands/status.ts
+++ b/packages/mulberrypitch/src/commands/status.ts
@@ -39,6 +39,6 @@
 	writeLine(`leader: ${status.leader?.leader ?? 'not known'}, committed ${status.leader?.commitIndex ?? 0}`);
 	writeTable(['host', 'zone', 'address', 'state'], status.sessions.map(session =>
 		[session.node, session.zone, session.publicAddress, session.isDraining ? 'draining' : 'serving']));
-	writeTable(['back end', 'zone', 'services', 'slots', 'state'], status.backends.map(backend =>
-		[backend.id, backend.zone, backend.services.join(', '), backend.capabilities.slots, backend.isLeaving ? 'leaving' : 'serving']));
+	writeTable(['back end', 'zone', 'services', 'version', 'slots', 'state'], status.backends.map(backend =>
+		[backend.id, backend.zone, backend.services.join(', '), backend.version ?? '', backend.capabilities.slots, backend.isLeaving ? 'leaving' : 'serving']));
 }
