Continue an answer only at engines of the software version that began it

Cause: every choice of an engine for a later attempt looked at its service and its load only: a retry after a break, a reclaim with or without its KV cache, and a takeover by the standby. Class: state that belongs to an answer, and that isn't carried with it. Change: an answer knows the version that its first chunk came from. It goes to the standby with the chunks, in copies and in progress messages, so a later holder knows it; messages without it load as before. Later attempts and cache moves choose that version only, and absent counts as a version. Once the service has engines but none of that version, the request ends at once with `version_gone`.

--- a/packages/mulberrypitch-entry/src/http-reply.ts
+++ b/packages/mulberrypitch-entry/src/http-reply.ts
@@ -23,6 +23,7 @@
 	[codes.draining]: 503,
 	[codes.staleView]: 503,
 	[codes.noBackend]: 503,
+	[codes.versionGone]: 503,
 	[codes.notRun]: 503,
 	[codes.notLeader]: 503,
 	[codes.peerUnreachable]: 503,
--- a/packages/mulberrypitch-errors/src/catalogue.ts
+++ b/packages/mulberrypitch-errors/src/catalogue.ts
@@ -12,6 +12,7 @@
 	draining: 'draining',
 	staleView: 'stale_view',
 	noBackend: 'no_backend',
+	versionGone: 'version_gone',
 	notRun: 'not_run',
 	outcomeUnknown: 'outcome_unknown',
 	quarantined: 'quarantined',
--- a/packages/mulberrypitch-requests/src/answer-log.ts
+++ b/packages/mulberrypitch-requests/src/answer-log.ts
@@ -5,6 +5,12 @@
 import type {Outcome} from '@mulberrypitch/control/types';
 import type {AnswerChunk, AnswerHead} from './types.js';
 
+/** Where an answer comes from. */
+export type AnswerOrigin = {
+	/** Version of the software of the back end that wrote the first chunk, or `undefined` if that back end states none. */
+	readonly version: string | undefined;
+};
+
 /**
 Collects the chunks of an answer and notifies any number of readers. Readers see only confirmed chunks, which the standby has
 stored too. A new holder therefore has every chunk that a caller has read.
@@ -21,11 +27,14 @@
 	/** Notified after each change for which a reader or the standby link may wait. */
 	readonly #changed = new Notification();
 	#confirmed = 0;
+	#origin: AnswerOrigin | undefined;
 	#head: AnswerHead | undefined;
 	#outcome: Outcome | undefined;
 	#isAbandoned = false;
 
-	constructor(chunks: readonly AnswerChunk[] = []) {
+	/** Creates a log with chunks that back ends with the given software version wrote. */
+	constructor(chunks: readonly AnswerChunk[] = [], version?: string) {
+		this.#setOrigin(chunks, version);
 		this.add(chunks);
 	}
 
@@ -39,6 +48,11 @@
 		return this.#confirmed;
 	}
 
+	/** Where the chunks come from, or `undefined` while there are none. */
+	get origin(): AnswerOrigin | undefined {
+		return this.#origin;
+	}
+
 	/** The outcome of the request, or `undefined` before its end. */
 	get outcome(): Outcome | undefined {
 		return this.#outcome;
@@ -74,9 +88,11 @@
 		return createHash('sha256').update(this.getText()).digest('hex');
 	}
 
-	/** Appends text as the next chunk. */
-	append(text: string): void {
-		this.add([{offset: this.#chunks.length, text}]);
+	/** Appends text as the next chunk. The first one sets the software version that the answer comes from. */
+	append(text: string, version?: string): void {
+		const chunks = [{offset: this.#chunks.length, text}];
+		this.#setOrigin(chunks, version);
+		this.add(chunks);
 	}
 
 	/** Adds chunks. A chunk whose offset already exists must have the same text and is skipped. */
@@ -134,6 +150,12 @@
 		await this.#wait(() => this.#chunks.length > length, signal);
 	}
 
+	#setOrigin(chunks: readonly AnswerChunk[], version: string | undefined): void {
+		if (this.#origin === undefined && chunks.length > 0) {
+			this.#origin = {version};
+		}
+	}
+
 	async #wait(isReached: () => boolean, signal: AbortSignal): Promise<void> {
 		while (!isReached() && this.#outcome === undefined && !this.#isAbandoned && !signal.aborted) {
 			await this.#changed.wait(signal);
--- a/packages/mulberrypitch-requests/src/attempt-run.ts
+++ b/packages/mulberrypitch-requests/src/attempt-run.ts
@@ -46,7 +46,7 @@
 	/** Runs the request on a back end until it has answered. Throws `BackendFailedError` when it fails. */
 	async run(target: Target, call: BackendCall): Promise<Outcome> {
 		this.#begin(target);
-		return target.backend.kind === backendKinds.engine ? this.#runEngine(call) : this.#runPlain(call);
+		return target.backend.kind === backendKinds.engine ? this.#runEngine(call, target) : this.#runPlain(call);
 	}
 
 	/** Records the pause for which a failure asks, if it asks for one. */
@@ -73,11 +73,11 @@
 		}
 	}
 
-	async #runEngine(call: BackendCall): Promise<Outcome> {
+	async #runEngine(call: BackendCall, {backend}: Target): Promise<Outcome> {
 		const {context, answer, requireNotAbandoned} = this.#options;
 		for await (const token of context.engine.stream(call)) {
 			requireNotAbandoned();
-			answer.append(token);
+			answer.append(token, backend.version);
 		}
 
 		return createAnsweredOutcome(answer);
--- a/packages/mulberrypitch-requests/src/messages.ts
+++ b/packages/mulberrypitch-requests/src/messages.ts
@@ -19,6 +19,7 @@
 	prefix: z.string(),
 	maxTokens: z.number(),
 	chunks: z.array(chunk),
+	version: z.string().optional(),
 });
 
 /** Parameters of the call that asks another host for its copy of a request, with the epoch and the standby from the request's record. */
@@ -26,8 +27,10 @@
 	requestId: z.string(), copyEpoch: z.number().int().positive(), standby: z.string().optional(),
 });
 
-/** New chunks of an answer that a holder sends to its standby. */
-export const progressSchema = z.object({requestId: z.string(), epoch: z.number().int().positive(), chunks: z.array(chunk)});
+/** New chunks of an answer that a holder sends to its standby, with the software version of the back end that wrote its first one. */
+export const progressSchema = z.object({
+	requestId: z.string(), epoch: z.number().int().positive(), chunks: z.array(chunk), version: z.string().optional(),
+});
 
 /** Parameters of the call that informs a standby of the end of a request. */
 export const releaseSchema = z.object({requestId: z.string()});
--- a/packages/mulberrypitch-requests/src/reclaim-watch.ts
+++ b/packages/mulberrypitch-requests/src/reclaim-watch.ts
@@ -78,11 +78,12 @@
 		}
 	}
 
-	/** Returns this host's even share of the slots of the other back ends that can import KV caches for the same services. */
-	#getImportCapacity({services, id}: BackendServer): number {
+	/** Returns this host's even share of the slots of the other back ends that can import KV caches of a back end: same services and version. */
+	#getImportCapacity({services, id, version}: BackendServer): number {
 		const {control} = this.#options;
 		const slots = control.backends
-			.filter(backend => backend.id !== id && !backend.isLeaving && backend.capabilities.movesCache && backend.services.some(service => services.includes(service)))
+			.filter(backend => backend.id !== id && backend.version === version && !backend.isLeaving && backend.capabilities.movesCache)
+			.filter(backend => backend.services.some(service => services.includes(service)))
 			.reduce((sum, backend) => sum + backend.capabilities.slots, 0);
 		return Math.ceil(slots / Math.max(1, control.sessions.length));
 	}
--- a/packages/mulberrypitch-requests/src/request-holder.ts
+++ b/packages/mulberrypitch-requests/src/request-holder.ts
@@ -60,8 +60,10 @@
 			requestId: start.copy.requestId, control, clock, signal: this.#abort.signal,
 		});
 		this.#attemptRecord = new AttemptRecord({copy: start.copy, proposals: this.#proposals, clock});
-		this.#targetChoice = new TargetChoice({copy: start.copy, control, router});
-		this.answer = new AnswerLog(start.copy.chunks);
+		this.answer = new AnswerLog(start.copy.chunks, start.copy.version);
+		this.#targetChoice = new TargetChoice({
+			copy: start.copy, control, router, answer: this.answer,
+		});
 		this.#attemptRun = new AttemptRun({
 			context, copy: start.copy, answer: this.answer, requireNotAbandoned: () => {
 				this.#requireNotAbandoned();
@@ -100,7 +102,8 @@
 			return;
 		}
 
-		const target = this.#chooseTarget();
+		// A KV cache fits only the software version that wrote it, also before the first token.
+		const target = this.#targetChoice.choose(this.#excluded, this.#lastFailure !== undefined, {version: from.version});
 		if (target?.backend.capabilities.movesCache !== true) {
 			target?.dispatch.finish({isFailure: false});
 			return;
@@ -142,7 +145,7 @@
 
 	/** Returns the copy from which another host can continue the request after the chunks that callers may have read. */
 	getCopy(): HeldCopy {
-		return {...this.#start.copy, chunks: this.answer.getConfirmed()};
+		return {...this.#start.copy, chunks: this.answer.getConfirmed(), version: this.answer.origin?.version};
 	}
 
 	/** Runs the request until its outcome is committed, or until another host has taken the request over. */
@@ -193,7 +196,11 @@
 		let waitMs = initialBackoffMs;
 		while (failures < maxAttempts && this.#getRemainingMs() > 0) {
 			this.#requireNotAbandoned();
-			const target = this.#takeMovedTarget() ?? this.#chooseTarget();
+			const target = this.#takeMovedTarget() ?? this.#targetChoice.choose(this.#excluded, this.#lastFailure !== undefined);
+			if (target === undefined && this.#targetChoice.isVersionGone()) {
+				return createOutcomeWithoutAnswer(ends.failed, codes.versionGone);
+			}
+
 			if (target === undefined) {
 				this.#excluded.clear();
 				await this.#context.clock.sleep(waitMs, this.#abort.signal);
@@ -250,10 +257,6 @@
 		return createOutcomeWithoutAnswer(isNotRun ? ends.notRun : ends.failed, code);
 	}
 
-	#chooseTarget(): Target | undefined {
-		return this.#targetChoice.choose(this.#excluded, this.#lastFailure !== undefined);
-	}
-
 	/** Runs the request on one back end. Returns `undefined` when the request may be retried on another one. */
 	async #tryBackend(target: Target): Promise<Outcome | undefined> {
 		const {backend, dispatch} = target;
--- a/packages/mulberrypitch-requests/src/request-standby.ts
+++ b/packages/mulberrypitch-requests/src/request-standby.ts
@@ -27,6 +27,8 @@
 type Copy = {
 	readonly held: HeldCopy;
 	readonly chunks: AnswerChunk[];
+	/** Software version that the chunks come from. */
+	version: string | undefined;
 	releasedAt?: number;
 };
 
@@ -69,7 +71,7 @@
 	/** Returns the copy of a request with the chunks received so far, or `undefined` when this host has none. */
 	get(requestId: string): HeldCopy | undefined {
 		const copy = this.#copies.get(requestId);
-		return copy === undefined ? undefined : {...copy.held, chunks: copy.chunks};
+		return copy === undefined ? undefined : {...copy.held, chunks: copy.chunks, version: copy.version};
 	}
 
 	/** Removes the copy of a request. */
@@ -87,14 +89,20 @@
 		this.#requireCurrentEpoch(held.requestId, held.epoch);
 		const existing = this.#copies.get(held.requestId);
 		const hasMoreChunks = existing?.held.epoch === held.epoch && existing.chunks.length > held.chunks.length;
-		this.#copies.set(held.requestId, {held, chunks: hasMoreChunks ? existing.chunks : [...held.chunks]});
+		this.#copies.set(held.requestId, {
+			held,
+			chunks: hasMoreChunks ? existing.chunks : [...held.chunks],
+			version: hasMoreChunks ? existing.version : held.version,
+		});
 	}
 
 	/**
 	Appends the chunks that follow the stored ones. Skips duplicates, and chunks after a gap; the holder sends those again
 	because the reply contains the stored length.
 	*/
-	#appendProgress({requestId, epoch, chunks}: Progress): ProgressReply {
+	#appendProgress({
+		requestId, epoch, chunks, version,
+	}: Progress): ProgressReply {
 		this.#requireCurrentEpoch(requestId, epoch);
 		const copy = this.#copies.get(requestId);
 		if (copy === undefined) {
@@ -109,6 +117,7 @@
 			}
 		}
 
+		copy.version ??= version;
 		return {length: copy.chunks.length};
 	}
 
--- a/packages/mulberrypitch-requests/src/standby-link.ts
+++ b/packages/mulberrypitch-requests/src/standby-link.ts
@@ -8,7 +8,7 @@
 import type {Session} from '@mulberrypitch/control/types';
 import type {Transport} from '@mulberrypitch/transport/types';
 import type {AnswerLog} from './answer-log.js';
-import type {ProgressReply} from './messages.js';
+import type {Progress, ProgressReply} from './messages.js';
 import {standbyMethods} from './request-standby.js';
 import {TimeoutSignal} from './timeout-signal.js';
 import type {HeldCopy} from './types.js';
@@ -175,7 +175,7 @@
 		const {copy, answer} = this.#request;
 		const previousStandby = this.#standby;
 		const chunks = answer.getChunks();
-		const standby = await copyToStandby(this.#context, {...copy, chunks});
+		const standby = await copyToStandby(this.#context, {...copy, chunks, version: answer.origin?.version});
 		if (standby === undefined) {
 			return;
 		}
@@ -192,7 +192,9 @@
 
 	async #pushProgress(standby: Session): Promise<void> {
 		const {copy, answer} = this.#request;
-		const progress = {requestId: copy.requestId, epoch: copy.epoch, chunks: answer.getChunks(answer.confirmed)};
+		const progress: Progress = {
+			requestId: copy.requestId, epoch: copy.epoch, chunks: [...answer.getChunks(answer.confirmed)], version: answer.origin?.version,
+		};
 		const {length} = await this.#context.transport.call<ProgressReply>(standby.peerAddress, standbyMethods.progress, progress, {timeoutMs: progressTimeoutMs});
 		assertInvariant(length <= answer.length, `Standby ${standby.node} has more chunks than its holder.`);
 		answer.confirm(length);
--- a/packages/mulberrypitch-requests/src/types.ts
+++ b/packages/mulberrypitch-requests/src/types.ts
@@ -53,6 +53,8 @@
 	readonly prefix: string;
 	readonly maxTokens: number;
 	readonly chunks: readonly AnswerChunk[];
+	/** Version of the software of the back end that wrote the first chunk; absent without chunks, or if that back end states none. */
+	readonly version?: string | undefined;
 };
 
 /** An accepted request and its answer, which may still be streaming. */
