Leave out the earlier answer of a plain service that a new holder calls again

What callers saw: none reported; found while the answers' versions were traced. An idempotent call of a plain service was answered with the body twice, one after the other, with status 200. Cause: the standby had stored the body when the holder was lost before it could commit the end. The new holder began with that chunk, as for an engine, which continues after its tokens; a plain service runs the whole call again, and its body was appended. Change: a copy states the kind of its service, and a new holder of a call of a plain service begins without chunks. Copies without a kind are handled as before.

--- a/packages/mulberrypitch-requests/src/__tests__/request-failover.test.ts
+++ b/packages/mulberrypitch-requests/src/__tests__/request-failover.test.ts
@@ -124,6 +124,29 @@
 	});
 }
 
+// Guards against an answer that stands twice, since the standby had the answer of the first run when it ran the call again.
+await t.test('an idempotent call of a plain service that a standby runs again has its answer once', async t => {
+	const cluster = await startCluster(t);
+	const {address} = cluster.getHost(holderName).transport;
+	let isFinishing = false;
+	cluster.network.setPolicy((from, to) => ({isLost: isFinishing && from === address && to === 'control', delayMs: 1}));
+	cluster.setOnStep((host, step) => {
+		isFinishing ||= step.when === 'before' && step.names.includes('finishRequest');
+		if (step.when === 'after' && step.names.includes('request.progress')) {
+			cluster.kill(host);
+		}
+	});
+	const call = {...createBooking('filter', 'stock-1'), isIdempotent: true};
+	void cluster.getHost(holderName).requests.submit(call);
+	await cluster.clock.runFor(1000);
+	t.notOk(cluster.hosts.has(holderName), 'the holder crashed after its standby had stored the answer');
+	cluster.setOnStep(() => undefined);
+	const received = collectAnswer(await cluster.settle(cluster.getHost(otherHostName).requests.submit(call)));
+	await cluster.until(() => received.outcome !== undefined, endLimitMs);
+	t.equal(cluster.backends.calls.length, 2);
+	t.equal(received.text, JSON.stringify({booked: 'filter'}));
+});
+
 await t.test('a request ends as failed when its holder and its standby crash together', async t => {
 	const cluster = await startCluster(t);
 	const accepting = cluster.getHost(holderName).requests.submit(createDocument('question', 50));
--- a/packages/mulberrypitch-requests/src/answer-log.ts
+++ b/packages/mulberrypitch-requests/src/answer-log.ts
@@ -2,8 +2,8 @@
 import {createHash} from 'node:crypto';
 import {assertInvariant} from '@mulberrypitch/errors/catalogue';
 import {Notification} from '@mulberrypitch/lifecycle/background';
-import type {Outcome} from '@mulberrypitch/control/types';
-import type {AnswerChunk, AnswerHead} from './types.js';
+import {backendKinds, type Outcome} from '@mulberrypitch/control/types';
+import type {AnswerChunk, AnswerHead, HeldCopy} from './types.js';
 
 /** Where an answer comes from. */
 export type AnswerOrigin = {
@@ -11,6 +11,18 @@
 	readonly version: string | undefined;
 };
 
+/**
+Creates the answer with which a holder begins. A plain service runs the whole call again, so what it answered to an earlier holder is left out.
+
+@example
+```
+const answer = createAnswerLog(copy);
+```
+*/
+export function createAnswerLog({kind, chunks, version}: HeldCopy): AnswerLog {
+	return kind === backendKinds.plain ? new AnswerLog() : new AnswerLog(chunks, version);
+}
+
 /**
 Collects the chunks of an answer and notifies any number of readers. Readers see only confirmed chunks, which the standby has
 stored too. A new holder therefore has every chunk that a caller has read.
--- a/packages/mulberrypitch-requests/src/messages.ts
+++ b/packages/mulberrypitch-requests/src/messages.ts
@@ -11,6 +11,7 @@
 	epoch: z.number().int().positive(),
 	customer: z.string(),
 	service: z.string(),
+	kind: z.enum(['engine', 'plain']).optional(),
 	body: z.object({
 		method: z.enum(['GET', 'POST']), path: z.string(), contentType: z.string(), text: z.string(),
 	}),
--- a/packages/mulberrypitch-requests/src/request-holder.ts
+++ b/packages/mulberrypitch-requests/src/request-holder.ts
@@ -9,7 +9,7 @@
 import {
 	backendKinds, ends, type BackendServer, type Outcome,
 } from '@mulberrypitch/control/types';
-import {AnswerLog} from './answer-log.js';
+import {createAnswerLog, type AnswerLog} from './answer-log.js';
 import {AttemptRecord, findRefusal} from './attempt-record.js';
 import {AttemptRun} from './attempt-run.js';
 import {moveCache} from './cache-move.js';
@@ -60,7 +60,7 @@
 			requestId: start.copy.requestId, control, clock, signal: this.#abort.signal,
 		});
 		this.#attemptRecord = new AttemptRecord({copy: start.copy, proposals: this.#proposals, clock});
-		this.answer = new AnswerLog(start.copy.chunks, start.copy.version);
+		this.answer = createAnswerLog(start.copy);
 		this.#targetChoice = new TargetChoice({
 			copy: start.copy, control, router, answer: this.answer,
 		});
--- a/packages/mulberrypitch-requests/src/request-service.ts
+++ b/packages/mulberrypitch-requests/src/request-service.ts
@@ -363,6 +363,7 @@
 		epoch: 1,
 		customer: call.workspace.name,
 		service: call.service.name,
+		kind: call.service.kind,
 		body: call.body,
 		isIdempotent: call.isIdempotent,
 		deadlineAt: now + call.deadlineMs,
--- a/packages/mulberrypitch-requests/src/types.ts
+++ b/packages/mulberrypitch-requests/src/types.ts
@@ -1,6 +1,6 @@
 /** Public types of requests and their answers. */
 import type {CallBody} from '@mulberrypitch/backends/types';
-import type {Outcome} from '@mulberrypitch/control/types';
+import type {BackendKind, Outcome} from '@mulberrypitch/control/types';
 import type {ServiceConfiguration, Workspace} from '@mulberrypitch/config/types';
 
 /** A caller's request that has not been accepted yet. */
@@ -46,6 +46,8 @@
 	readonly epoch: number;
 	readonly customer: string;
 	readonly service: string;
+	/** Kind of the service; absent in a copy of a build that didn't state it. */
+	readonly kind?: BackendKind | undefined;
 	readonly body: CallBody;
 	readonly isIdempotent: boolean;
 	/** Wall-clock time in milliseconds at which the answer must be complete. */
