Hand over what a planned stop can't end within its timeout

A host took as long for its stop as its longest request, and had no setting for the grace time after which a supervisor kills it. Its requests then waited for the end of its session's lease (4 s) before another host went on with them. Change: the setting `stop-timeout-seconds`. Once a stop has taken that long, the host does what a second signal does, and logs 1010. Without the setting a stop takes as long as before. The part of the third test that reads until the connection is lost and reads on at another host is a function now, which the new test shares; its checks are the same.

--- a/packages/mulberrypitch-config/src/host-settings.ts
+++ b/packages/mulberrypitch-config/src/host-settings.ts
@@ -20,6 +20,7 @@
 	region: nameSchema.default(hostDefaults.region),
 	roles: z.string().default(hostDefaults.roles),
 	data: z.string().optional(),
+	'stop-timeout-seconds': z.coerce.number().int().min(1).max(3600).optional(),
 });
 const listenSchema = z.strictObject({
 	http: addressSchema.default(hostDefaults.http),
@@ -93,6 +94,7 @@
 		region: host.region,
 		roles,
 		...(host.data !== undefined && {dataFolder: path.resolve(folder, host.data)}),
+		...(host['stop-timeout-seconds'] !== undefined && {stopTimeoutSeconds: host['stop-timeout-seconds']}),
 		httpListen: listen.http,
 		peerListen: listen.peer,
 		publicAddress: listen.public ?? `http://${listen.http}`,
--- a/packages/mulberrypitch-config/src/types.ts
+++ b/packages/mulberrypitch-config/src/types.ts
@@ -27,6 +27,8 @@
 	readonly roles: readonly HostRole[];
 	/** Folder for all files that this host writes. Required for the control role. */
 	readonly dataFolder?: string;
+	/** Time in seconds after which a planned stop hands over what it can't end. Without it, a stop takes as long as its longest request. */
+	readonly stopTimeoutSeconds?: number;
 	/** `ip:port` on which the host listens for HTTP from callers, back ends and operators. */
 	readonly httpListen: string;
 	/** `ip:port` on which the host listens for other hosts. */
--- a/packages/mulberrypitch-host/src/host.ts
+++ b/packages/mulberrypitch-host/src/host.ts
@@ -65,6 +65,8 @@
 	#server: EntryServer | undefined;
 	/** Ends the delay of a drain early when aborted. */
 	readonly #drainDelay = new AbortController();
+	/** Aborted when a drain no longer waits for requests and answers. */
+	readonly #drainEnd = new AbortController();
 	#drainDone: Promise<void> | undefined;
 
 	constructor(options: HostOptions) {
@@ -91,15 +93,15 @@
 
 	/**
 	Stops gracefully: removes the host from the list of entry hosts, waits until cached lists have expired, finishes the requests and the
-	answers in progress, then closes the session. A second call ends the wait for cached lists and for answers, and transfers the
-	idempotent requests to their standbys.
+	answers in progress, then closes the session. A second call, or the timeout in the settings, ends the wait for cached lists and for
+	answers, and transfers the idempotent requests to their standbys.
 	*/
 	async drain(): Promise<void> {
 		if (this.#drainDone === undefined) {
 			this.#drainDone = this.#drain();
+			void this.#limitDrain();
 		} else {
-			this.#drainDelay.abort();
-			await this.#requests?.handOver();
+			await this.#shortenDrain();
 		}
 
 		return this.#drainDone;
@@ -124,6 +126,7 @@
 		}
 
 		await this.#waitIdle();
+		this.#drainEnd.abort();
 		if (this.#control !== undefined) {
 			await this.#record('closeSession', this.#control.close());
 		}
@@ -132,6 +135,25 @@
 		logger.log(events.hostStopped, {node: settings.name});
 	}
 
+	/** Shortens the stop once it has taken as long as the settings allow. */
+	async #limitDrain(): Promise<void> {
+		const {settings, clock, logger} = this.#options;
+		if (settings.stopTimeoutSeconds === undefined) {
+			return;
+		}
+
+		await clock.sleep(settings.stopTimeoutSeconds * 1000, this.#drainEnd.signal);
+		if (!this.#drainEnd.signal.aborted) {
+			logger.log(events.stopShortened, {running: this.#requests?.running, responses: this.#server?.openResponses});
+			await this.#shortenDrain();
+		}
+	}
+
+	async #shortenDrain(): Promise<void> {
+		this.#drainDelay.abort();
+		await this.#requests?.handOver();
+	}
+
 	/**
 	Waits until no request is in progress and callers have received their answers, or until the control group has been away for so long that
 	no request can end.
@@ -150,7 +172,7 @@
 	}
 
 	/**
-	Reports whether a request or an answer is in progress. After a second call of `drain` answers don't count: their callers read on by request
+	Reports whether a request or an answer is in progress. Answers don't count once the stop was shortened: their callers read on by request
 	id at another host.
 	*/
 	#isBusy(): boolean {
--- a/packages/mulberrypitch-logger/src/events.ts
+++ b/packages/mulberrypitch-logger/src/events.ts
@@ -19,6 +19,7 @@
 	settingsRead: {number: 1007, level: 'info', text: 'settings read again'},
 	settingsRefused: {number: 1008, level: 'warn', text: 'settings refused'},
 	stopUnrecorded: {number: 1009, level: 'warn', text: 'stop not recorded'},
+	stopShortened: {number: 1010, level: 'warn', text: 'stop shortened'},
 	callFailed: {number: 1006, level: 'warn', text: 'call failed'},
 	taskFailed: {number: 1004, level: 'error', text: 'background task failed'},
 	peerRefused: {number: 1101, level: 'warn', text: 'peer refused'},
--- a/packages/mulberrypitch/src/__tests__/host-processes.ts
+++ b/packages/mulberrypitch/src/__tests__/host-processes.ts
@@ -32,6 +32,8 @@
 */
 export class HostProcesses {
 	readonly hosts: HostProcess[] = [];
+	/** Setting of the hosts that are started from now on. */
+	stopTimeoutSeconds: number | undefined;
 	readonly #folder: string;
 	readonly #networkOctet: number;
 	readonly #children: ChildProcess[] = [];
@@ -144,6 +146,7 @@
 zone = ${zones[index % 3]}
 roles = ${isControl ? 'entry, control' : 'entry'}
 ${isControl ? `data = ${name}-data` : ''}
+${this.stopTimeoutSeconds === undefined ? '' : `stop-timeout-seconds = ${this.stopTimeoutSeconds}`}
 [listen]
 http = ${this.getIp(index)}:8080
 peer = ${this.getIp(index)}:7080
--- a/packages/mulberrypitch/src/__tests__/stops.test.ts
+++ b/packages/mulberrypitch/src/__tests__/stops.test.ts
@@ -18,9 +18,10 @@
 
 t.setTimeout(testTimeoutMs);
 
-async function startHosts(t: Test, networkOctet: number, tokenMs = 10): Promise<HostProcesses> {
+async function startHosts(t: Test, networkOctet: number, tokenMs = 10, stopTimeoutSeconds?: number): Promise<HostProcesses> {
 	const folder = t.testdir();
 	const processes = new HostProcesses(folder, networkOctet);
+	processes.stopTimeoutSeconds = stopTimeoutSeconds;
 	t.teardown(async () => processes.dispose());
 	await processes.start(hostCount);
 	const baseFile = path.join(folder, 'base.ini');
@@ -57,6 +58,28 @@
 	return request(String(response.headers.location), options);
 }
 
+/** Reads events until the connection is lost, and returns those that are whole. */
+async function readUntilCut(body: AsyncIterable<unknown>, onReceived: (events: string) => void): Promise<string> {
+	let events = '';
+	try {
+		for await (const chunk of body) {
+			events += String(chunk);
+			onReceived(events);
+		}
+	} catch {
+		// The connection is lost when the host is killed, or when it hands its requests over.
+	}
+
+	return events.slice(0, events.lastIndexOf('\n\n') + 2);
+}
+
+/** Reads the events that follow those received, from another host. */
+async function readRest(address: string, requestId: string, events: string): Promise<string> {
+	const lastId = [...events.matchAll(/^id: (?<id>\d+)$/gmv)].at(-1)!.groups!.id!;
+	const response = await request(`${address}/v1/requests/${requestId}`, {headers: {authorization, 'last-event-id': lastId}});
+	return response.body.text();
+}
+
 function getContent(events: string): string {
 	return [...events.matchAll(/"content":"(?<token>[^"]*)"/gv)].map(({groups}) => groups!.token).join('');
 }
@@ -127,22 +150,12 @@
 	const last = processes.hosts[3]!;
 	const response = await requestCompletion(last.address, 'maintenance plan');
 	const requestId = String(response.headers['x-request-id']);
-	let events = '';
-	try {
-		for await (const chunk of response.body) {
-			events += String(chunk);
-			if (getContent(events).length > 100) {
-				last.child.kill('SIGKILL');
-			}
+	const completeEvents = await readUntilCut(response.body, received => {
+		if (getContent(received).length > 100) {
+			last.child.kill('SIGKILL');
 		}
-	} catch {
-		// The connection is lost when the host is killed.
-	}
-
-	const completeEvents = events.slice(0, events.lastIndexOf('\n\n') + 2);
-	const lastId = [...completeEvents.matchAll(/^id: (?<id>\d+)$/gmv)].at(-1)!.groups!.id!;
-	const remainder = await request(`${first!.address}/v1/requests/${requestId}`, {headers: {authorization, 'last-event-id': lastId}});
-	const text = await remainder.body.text();
+	});
+	const text = await readRest(first!.address, requestId, completeEvents);
 	t.equal(getContent(completeEvents) + getContent(text), getExpectedContent('maintenance plan'));
 	t.ok(text.endsWith('data: [DONE]\n\n'));
 });
@@ -181,3 +194,19 @@
 	t.equal(getContent(await response.body.text()), getExpectedContent('plan of a suspended host'));
 	t.equal(await waitForExit(last.child), 0);
 });
+
+// Guards against a stop that takes longer than a supervisor allows, and is killed with the requests that it could have handed over.
+await t.test('a stop that reaches its timeout hands its request over, and the caller gets the rest from another host', async t => {
+	const processes = await startHosts(t, 46, slowTokenMs, 3);
+	const last = processes.hosts[3]!;
+	const response = await requestCompletion(last.address, 'plan of a slow stop');
+	const requestId = String(response.headers['x-request-id']);
+	last.child.kill('SIGTERM');
+	const received = await readUntilCut(response.body, () => undefined);
+	t.equal(await waitForExit(last.child), 0);
+	t.notOk(received.includes('[DONE]'));
+	t.match(processes.readLog(last.name), 'stop shortened');
+	const text = await readRest(processes.hosts[0]!.address, requestId, received);
+	t.equal(getContent(received) + getContent(text), getExpectedContent('plan of a slow stop'));
+	t.ok(text.endsWith('data: [DONE]\n\n'));
+});
