Move the leader's membership changes to a module of their own

Change: `VoterChanges` finds the change that is due; the leader appends it, in one place. No change of behaviour: a change is still looked for before it is queued and again when it is its turn, while the leader is active.

--- a/packages/mulberrypitch-control/src/replica-leader.ts
+++ b/packages/mulberrypitch-control/src/replica-leader.ts
@@ -1,11 +1,10 @@
 /** One term of a leader: proposals, one replication task per peer, the commit index and membership changes. */
 import {abortReason} from '@mulberrypitch/lifecycle/abort-reason';
-import {assertInvariant, NotLeaderError, TimeoutError} from '@mulberrypitch/errors/catalogue';
+import {NotLeaderError, TimeoutError} from '@mulberrypitch/errors/catalogue';
 import {BackgroundTask, Deferred, Notification} from '@mulberrypitch/lifecycle/background';
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
 import {events} from '@mulberrypitch/logger/events';
 import type {Logger} from '@mulberrypitch/logger/logger';
-import type {Members} from '@mulberrypitch/storage/types';
 import type {
 	AppendReply, AppendRequest, SnapshotReply, SnapshotRequest,
 } from './messages.js';
@@ -13,15 +12,9 @@
 import {ReplicaProgress} from './replica-progress.js';
 import {SnapshotSource} from './replica-snapshot.js';
 import {getLeaseMs, retryDelayMs, type ReplicaTiming} from './replica-timing.js';
+import {VoterChanges, type VoterChange} from './replica-voters.js';
 import type {CommandResult, Peer, ProposedCommand} from './types.js';
 
-/** Largest number of entries by which a replica may lag behind the commit index and still become a voter. */
-const maxVoterLagEntries = 64;
-/** Time without a reply after which a voter may be removed from a group with an even number of voters. */
-const voterTimeoutMs = 2000;
-/** Smallest number of voters in a group from which a voter may be removed. */
-const minVotersForRemoval = 4;
-
 /** Dependencies of a leader, provided by its replica. */
 export type LeaderOptions = {
 	readonly group: string;
@@ -57,6 +50,7 @@
 	readonly #appended = new Notification();
 	readonly #pendingResults = new Map<number, Deferred<CommandResult>>();
 	readonly #startedAt: number;
+	readonly #voters: VoterChanges;
 	readonly #contacted = new Notification();
 	readonly #tasks = new Map<string, BackgroundTask>();
 	#proposals: Proposal[] = [];
@@ -67,6 +61,10 @@
 	constructor(options: LeaderOptions) {
 		this.#options = options;
 		this.#startedAt = options.clock.now();
+		const {log, clock, getCommitIndex} = options;
+		this.#voters = new VoterChanges({
+			log, clock, progress: this.#progress, startedAt: this.#startedAt, getCommitIndex, getTermStartIndex: () => this.#termStartIndex,
+		});
 	}
 
 	/** Index of the first entry of this term, or infinity until that entry is appended. */
@@ -120,24 +118,11 @@
 		return isConfirmed;
 	}
 
-	/** Removes a voter that has not replied for `voterTimeoutMs` from a group with an even number of voters. */
+	/** Removes a voter that has stopped replying from a group with an even number of voters. */
 	removeSilentVoter(): void {
-		const {log, enqueue, logger, hasDynamicMembership} = this.#options;
-		if (!hasDynamicMembership || this.#getRemovableVoter() === undefined) {
-			return;
+		if (this.#options.hasDynamicMembership) {
+			this.#changeVoters(() => this.#voters.findRemoval());
 		}
-
-		enqueue(async () => {
-			const name = this.#getRemovableVoter();
-			if (name === undefined) {
-				return;
-			}
-
-			const members = getMembersWithout(log.members, name);
-			logger.log(events.membersChanged, {node: name, voters: Object.keys(members).join(' ')});
-			this.#proposals.push(createProposal({kind: 'changeMembers', members}));
-			await this.#appendProposals();
-		});
 	}
 
 	/** Stops leading. Entries that are already appended may still commit, so their proposals fail with a timeout. */
@@ -184,18 +169,6 @@
 		return Math.max(this.#startedAt, this.#getQuorumContact());
 	}
 
-	#getRemovableVoter(): string | undefined {
-		const {log, clock} = this.#options;
-		const voters = Object.entries(log.members);
-		if (voters.length % 2 === 1 || voters.length < minVotersForRemoval || !this.#isMembershipChangeAllowed()) {
-			return undefined;
-		}
-
-		const silentBefore = clock.now() - voterTimeoutMs;
-		const silent = voters.find(([, id]) => id !== log.hardState.replicaId && Math.max(this.#startedAt, this.#progress.getContact(id)) < silentBefore);
-		return silent?.[0];
-	}
-
 	async #abortAfter(controller: AbortController, delayMs: number): Promise<void> {
 		await this.#options.clock.sleep(delayMs, controller.signal);
 		controller.abort(abortReason);
@@ -265,7 +238,7 @@
 			next = reply.index + 1;
 			this.#progress.recordMatch(reply.replicaId, reply.index);
 			this.#advanceCommit();
-			this.#addCaughtUpVoter(peer, reply.replicaId);
+			this.#changeVoters(() => this.#voters.findAddition(peer.name, reply.replicaId));
 			if (next > log.lastIndex && sentAt >= this.#confirmationAskedAt) {
 				await this.#waitForEntries(signal);
 			}
@@ -353,52 +326,24 @@
 		}
 	}
 
-	/** Makes a replica that has caught up a voter. An older id under its name is removed first, in a separate membership change. */
-	#addCaughtUpVoter(peer: Peer, replicaId: string): void {
-		const {log, enqueue, logger} = this.#options;
-		if (!this.#isEligibleVoter(peer, replicaId)) {
+	/** Appends a membership change, if there still is one when the changes of the log queued before are done. */
+	#changeVoters(findChange: () => VoterChange | undefined): void {
+		const {enqueue, logger} = this.#options;
+		if (!this.#isActive || findChange() === undefined) {
 			return;
 		}
 
 		enqueue(async () => {
-			if (!this.#isEligibleVoter(peer, replicaId)) {
+			const change = this.#isActive ? findChange() : undefined;
+			if (change === undefined) {
 				return;
 			}
 
-			const members = getNextMembers(log.members, peer.name, replicaId);
-			logger.log(events.membersChanged, {node: peer.name, voters: Object.keys(members).join(' ')});
-			this.#proposals.push(createProposal({kind: 'changeMembers', members}));
+			logger.log(events.membersChanged, {node: change.node, voters: Object.keys(change.members).join(' ')});
+			this.#proposals.push(createProposal({kind: 'changeMembers', members: change.members}));
 			await this.#appendProposals();
 		});
 	}
-
-	#isEligibleVoter(peer: Peer, replicaId: string): boolean {
-		const {log, getCommitIndex} = this.#options;
-		return log.members[peer.name] !== replicaId
-			&& this.#isMembershipChangeAllowed()
-			&& this.#progress.getMatch(replicaId) + maxVoterLagEntries >= getCommitIndex();
-	}
-
-	/** Reports whether the voters may change: no other change is uncommitted, and an entry of this term is committed. */
-	#isMembershipChangeAllowed(): boolean {
-		const {log, getCommitIndex} = this.#options;
-		const commitIndex = getCommitIndex();
-		return this.#isActive && log.membersIndex <= commitIndex && this.#termStartIndex <= commitIndex;
-	}
-}
-
-function getNextMembers(members: Members, name: string, replicaId: string): Members {
-	if (members[name] === undefined) {
-		return {...members, [name]: replicaId};
-	}
-
-	return getMembersWithout(members, name);
-}
-
-function getMembersWithout(members: Members, name: string): Members {
-	const remaining = Object.fromEntries(Object.entries(members).filter(([member]) => member !== name));
-	assertInvariant(Object.keys(remaining).length > 0, 'The last voter can not be removed.');
-	return remaining;
 }
 
 function createProposal(command: ProposedCommand | MemberChange): Proposal {
