Move the calls of a replica, and the methods that others call on it, to modules of their own

Change: `ReplicaCalls` sends the calls to the other replicas with their types, and `registerReplicaMethods` registers the methods of a replica. No change of behaviour.

--- a/packages/mulberrypitch-control/src/replica.ts
+++ b/packages/mulberrypitch-control/src/replica.ts
@@ -8,44 +8,31 @@
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
 import {DisposableStore, type Resource} from '@mulberrypitch/lifecycle/disposable-store';
 import type {Random} from '@mulberrypitch/lifecycle/random';
-import {CodedError, getMessage} from '@mulberrypitch/errors/coded-error';
+import {getMessage} from '@mulberrypitch/errors/coded-error';
 import {
-	assertInvariant, NotLeaderError, ProtocolError, StorageError, TimeoutError,
+	assertInvariant, NotLeaderError, StorageError, TimeoutError,
 } from '@mulberrypitch/errors/catalogue';
 import {events} from '@mulberrypitch/logger/events';
 import type {Logger} from '@mulberrypitch/logger/logger';
 import type {LogStore} from '@mulberrypitch/storage/types';
 import type {Transport} from '@mulberrypitch/transport/types';
-import {
-	appendRequestSchema,
-	identityRequestSchema,
-	recordsRequestSchema,
-	snapshotRequestSchema,
-	voteRequestSchema,
-	type AppendReply,
-	type IdentityReply,
-	type RecordsReply,
-	type SnapshotReply,
-	type VoteReply,
-} from './messages.js';
 import {Applier} from './replica-applier.js';
+import {ReplicaCalls} from './replica-calls.js';
 import {Elections} from './replica-elections.js';
 import {Follower} from './replica-follower.js';
 import {learnFounders} from './replica-founding.js';
 import {Leader} from './replica-leader.js';
 import {ReplicaLog} from './replica-log.js';
+import {registerReplicaMethods} from './replica-methods.js';
 import {PeerDirectory} from './replica-peers.js';
 import type {RecordStore} from './replica-snapshot.js';
 import {SnapshotKeeper} from './replica-snapshot-keeper.js';
-import {
-	callTimeoutMs, defaultTiming, type ReplicaTiming,
-} from './replica-timing.js';
+import {defaultTiming, type ReplicaTiming} from './replica-timing.js';
 import {
 	roles, type Role, type CommandResult, type Peer, type ProposedCommand, type StateMachine,
 } from './types.js';
 
 const proposalTimeoutMs = 3000;
-const maxRecordsPerCall = 1000;
 const defaultSnapshotIntervalEntries = 4096;
 
 /** Dependencies and settings of a replica. */
@@ -79,6 +66,7 @@
 	readonly #log: ReplicaLog;
 	readonly #timing: ReplicaTiming;
 	readonly #peers: PeerDirectory;
+	readonly #calls: ReplicaCalls;
 	readonly #applier: Applier;
 	readonly #elections: Elections;
 	readonly #snapshots: SnapshotKeeper;
@@ -93,6 +81,7 @@
 		this.#options = options;
 		this.#timing = options.timing ?? defaultTiming;
 		this.#peers = new PeerDirectory(options);
+		this.#calls = new ReplicaCalls(options.group, options.transport);
 		this.#log = new ReplicaLog(options.store, options.clock, error => {
 			options.logger.log(events.storageFailed, {reason: getMessage(error)});
 			this.#stepDown(undefined);
@@ -145,7 +134,9 @@
 
 	/** Loads the stored log, registers the group's methods and starts the tasks of the replica. */
 	async start(): Promise<void> {
-		const {machine, transport, group} = this.#options;
+		const {
+			machine, transport, group, account, canFound = true,
+		} = this.#options;
 		await this.#log.load();
 		const {snapshot} = this.#log;
 		if (snapshot !== undefined) {
@@ -156,20 +147,9 @@
 		// This replica may have followed a leader just before it stopped, and that leader may still rely on its lease.
 		this.#elections.withholdVotes();
 
-		transport.handle(`${group}.identity`, identityRequestSchema, async request => this.#onIdentity(request.group));
-		transport.handle(`${group}.vote`, voteRequestSchema, async request => {
-			this.#checkGroup(request.group);
-			return this.#elections.vote(request);
-		});
-		transport.handle(`${group}.append`, appendRequestSchema, async request => {
-			this.#checkGroup(request.group);
-			return this.#follower.append(request);
-		});
-		transport.handle(`${group}.snapshot`, snapshotRequestSchema, async request => {
-			this.#checkGroup(request.group);
-			return this.#follower.receiveSnapshot(request);
+		registerReplicaMethods({
+			group, transport, log: this.#log, account, elections: this.#elections, follower: this.#follower, canFound,
 		});
-		transport.handle(`${group}.records`, recordsRequestSchema, async request => this.#onReadRecords(request.group, request.from));
 		this.#runTask(async signal => this.#runFounding(signal));
 		this.#runTask(async signal => this.#elections.run(signal));
 		this.#runTask(async signal => this.#applier.run(signal));
@@ -262,23 +242,15 @@
 		void run();
 	}
 
-	// Bootstrap.
-
-	async #onIdentity(group: string): Promise<IdentityReply> {
-		this.#checkGroup(group);
-		const {replicaId, founders} = this.#log.hardState;
-		return {replicaId, canFound: this.#options.canFound ?? true, ...(founders !== undefined && {founders})};
-	}
-
 	async #runFounding(signal: AbortSignal): Promise<void> {
-		const {clock, name, group, logger, canFound = true} = this.#options;
+		const {clock, name, logger, canFound = true} = this.#options;
 		const founders = await learnFounders({
 			self: name,
 			canFound,
 			log: this.#log,
 			clock,
 			getPeers: () => this.getPeers(),
-			ask: async peer => this.#callPeer<IdentityReply>(peer, 'identity', {group}),
+			ask: async peer => this.#calls.askIdentity(peer),
 			change: async run => this.#changes.add(run),
 		}, signal);
 		if (founders !== undefined) {
@@ -311,7 +283,7 @@
 			timing: this.#timing,
 			log: this.#log,
 			getPeers: () => this.getPeers(),
-			askForVote: async (peer, request) => this.#callPeer<VoteReply>(peer, 'vote', request),
+			askForVote: async (peer, request) => this.#calls.askForVote(peer, request),
 			change: async run => this.#changes.add(run),
 			isLeading: () => this.#leadership !== undefined,
 			onStepDown: () => {
@@ -334,7 +306,7 @@
 	}
 
 	#createSnapshotKeeper(): SnapshotKeeper {
-		const {machine, account, logger, group, snapshotIntervalEntries = defaultSnapshotIntervalEntries} = this.#options;
+		const {machine, account, logger, snapshotIntervalEntries = defaultSnapshotIntervalEntries} = this.#options;
 		return new SnapshotKeeper({
 			log: this.#log,
 			applier: this.#applier,
@@ -343,7 +315,7 @@
 			logger,
 			intervalEntries: snapshotIntervalEntries,
 			change: async run => this.#changes.add(run),
-			readRecords: async (leader, from) => this.#readRecordsFrom(leader, {group, from}),
+			readRecords: async (leader, from) => this.#calls.readRecords(this.getPeers().find(({name}) => name === leader), from),
 		});
 	}
 
@@ -402,8 +374,8 @@
 			enqueue: change => {
 				this.#enqueue(change);
 			},
-			appendTo: async (peer, request) => this.#callPeer<AppendReply>(peer, 'append', request),
-			sendSnapshotTo: async (peer, request) => this.#callPeer<SnapshotReply>(peer, 'snapshot', request),
+			appendTo: async (peer, request) => this.#calls.append(peer, request),
+			sendSnapshotTo: async (peer, request) => this.#calls.sendSnapshot(peer, request),
 			getCommitIndex: () => this.commitIndex,
 			onCommit: index => {
 				this.#applier.commit(index);
@@ -429,40 +401,4 @@
 		this.#elections.withholdVotes();
 		this.#options.logger.log(events.leaderStepped, {term: this.term});
 	}
-
-	// Records.
-
-	async #readRecordsFrom(leader: string, parameters: {readonly group: string; readonly from: number}): Promise<RecordsReply['records']> {
-		const peer = this.getPeers().find(({name}) => name === leader);
-		const reply = peer === undefined ? undefined : await this.#callPeer<RecordsReply>(peer, 'records', parameters);
-		if (reply === undefined) {
-			throw new TimeoutError('The leader', callTimeoutMs);
-		}
-
-		return reply.records;
-	}
-
-	async #onReadRecords(group: string, from: number): Promise<RecordsReply> {
-		this.#checkGroup(group);
-		return {records: this.#options.account.read(from, maxRecordsPerCall)};
-	}
-
-	#checkGroup(group: string): void {
-		if (group !== this.#options.group) {
-			throw new ProtocolError(`Group ${group} is not served here.`);
-		}
-	}
-
-	async #callPeer<Reply>(peer: Peer, method: string, parameters: unknown): Promise<Reply | undefined> {
-		const {transport, group} = this.#options;
-		try {
-			return await transport.call<Reply>(peer.address, `${group}.${method}`, parameters, {timeoutMs: callTimeoutMs});
-		} catch (error) {
-			if (error instanceof CodedError) {
-				return undefined;
-			}
-
-			throw error;
-		}
-	}
 }
