Don't keep responses whose caller has left before their request was accepted

What callers saw: nothing; a host that runs for long kept such responses in memory. Change: such a response isn't tracked.

--- a/packages/mulberrypitch-entry/src/__tests__/open-responses.test.ts
+++ b/packages/mulberrypitch-entry/src/__tests__/open-responses.test.ts
@@ -70,3 +70,17 @@
 	await closed;
 	t.equal(responses.countReceiving(), 0);
 });
+
+// Guards against responses that are kept in memory for ever, since their caller closed the connection before their request was accepted.
+await t.test('an answer whose caller has closed the connection before is not tracked', async t => {
+	const {responses, response, caller, clock} = await openResponse(t);
+	const closed = new Promise(resolve => {
+		response.once('close', resolve);
+	});
+	caller.destroy();
+	await closed;
+	t.equal(responses.size, 0);
+	responses.add(response);
+	await clock.runFor(minuteMs);
+	t.equal(responses.size, 0);
+});
--- a/packages/mulberrypitch-entry/src/open-responses.ts
+++ b/packages/mulberrypitch-entry/src/open-responses.ts
@@ -30,8 +30,17 @@
 		this.#clock = clock;
 	}
 
-	/** Tracks a response until it closes. */
+	/** Number of tracked responses, whether their callers receive or not. */
+	get size(): number {
+		return this.#responses.size;
+	}
+
+	/** Tracks a response until it closes, unless its connection has closed already. */
 	add(response: ServerResponse): void {
+		if (response.req.socket.destroyed) {
+			return;
+		}
+
 		this.#responses.set(response, {sentBytes: 0, progressAt: this.#clock.now()});
 		response.once('close', () => {
 			this.#responses.delete(response);
