--- a/packages/mulberrypitch-control/src/replica.ts
+++ b/packages/mulberrypitch-control/src/replica.ts
@@ -27,6 +27,7 @@
 import {PeerDirectory} from './replica-peers.js';
 import type {RecordStore} from './replica-snapshot.js';
 import {SnapshotKeeper} from './replica-snapshot-keeper.js';
+import type {ReplicaOptions} from './replica-options.js';
 import {defaultTiming, type ReplicaTiming} from './replica-timing.js';
 import {
 	roles, type Role, type CommandResult, type Peer, type ProposedCommand, type StateMachine,
@@ -35,29 +36,6 @@
 const proposalTimeoutMs = 3000;
 const defaultSnapshotIntervalEntries = 4096;
 
-/** Dependencies and settings of a replica. */
-export type ReplicaOptions = {
-	readonly group: string;
-	readonly name: string;
-	/** Replicas of the initial group, including this one if it is a member of it. */
-	readonly peers: readonly Peer[];
-	/** Returns the address of a voter that is not in `peers`. When set, the group adds and replaces voters at run time. */
-	readonly getAddress?: (name: string) => string;
-	/** Whether this replica may bootstrap the group. It may not after its first start. */
-	readonly canFound?: boolean;
-	readonly store: LogStore;
-	readonly transport: Transport;
-	readonly clock: Clock;
-	readonly random: Random;
-	readonly logger: Logger;
-	readonly machine: StateMachine;
-	/** Receives the audit records of each applied entry, in log order. */
-	readonly account: RecordStore;
-	readonly timing?: ReplicaTiming;
-	/** Number of entries applied between two snapshots. */
-	readonly snapshotIntervalEntries?: number;
-};
-
 /** Takes part in elections and replication, and applies committed commands in log order. */
 export class Replica implements Resource {
 	readonly #options: ReplicaOptions;
--- a/packages/mulberrypitch-coordinator/src/coordinator.ts
+++ b/packages/mulberrypitch-coordinator/src/coordinator.ts
@@ -22,7 +22,7 @@
 	AnnouncedBackend, BackendDeregistration, ConfigurationDecoder, ServingConfiguration,
 } from '@mulberrypitch/serving/types';
 import {
-	methods, type StoredConfiguration, type ViewReply, type ViewRequest,
+	methods, type ConfigurationRead, type StoredConfiguration, type ViewReply, type ViewRequest,
 } from '@mulberrypitch/serving/view-messages';
 import type {LogStore} from '@mulberrypitch/storage/types';
 import type {Schema, Transport} from '@mulberrypitch/transport/types';
@@ -32,6 +32,7 @@
 import {Gossip} from './gossip.js';
 import {ServingState} from './serving-state.js';
 import {gossipRequestSchema, viewRequestSchema} from './status-schema.js';
+import {unchecked} from './unchecked-schema.js';
 import {ViewService} from './view-service.js';
 
 /** Dependencies and settings of a coordinator. */
@@ -395,12 +396,3 @@
 		}));
 	}
 }
-
-type ConfigurationRead = {
-	readonly configuration?: StoredConfiguration;
-};
-
-/** Returns a schema that accepts any value, for messages that are not kept. */
-function unchecked<Parameters>(): Schema<Parameters> {
-	return {parse: value => assumeType<Parameters>(value)};
-}
--- a/packages/mulberrypitch-proxy/src/proxied-request.ts
+++ b/packages/mulberrypitch-proxy/src/proxied-request.ts
@@ -3,9 +3,8 @@
  * is safe.
  */
 import {Deferred} from '@mulberrypitch/lifecycle/background';
-import {codes, TimeoutError} from '@mulberrypitch/errors/catalogue';
+import {codes} from '@mulberrypitch/errors/catalogue';
 import {CodedError, hasCode} from '@mulberrypitch/errors/coded-error';
-import {withTimeout} from '@mulberrypitch/lifecycle/with-timeout';
 import {events} from '@mulberrypitch/logger/events';
 import {requestKinds} from '@mulberrypitch/serving/types';
 import {ResponseCollector} from './response-collector.js';
@@ -14,6 +13,7 @@
 } from './attempt-outcome.js';
 import type {BackendConnection, Exchange} from './backend-connection.js';
 import type {BackendPermit} from './backend-place.js';
+import {connectInTime} from './connect-in-time.js';
 import type {KnownBackend} from './known-backend.js';
 import type {ProxiedRequestOptions, RequestEnd} from './proxied-request-options.js';
 import {isGoodOutcome, recordResult} from './recorded-result.js';
@@ -270,7 +270,7 @@
 		this.#triedIds.add(backend.id);
 		let connection: BackendConnection;
 		try {
-			connection = await this.#connect(backend);
+			connection = await connectInTime(backend, this.#options);
 		} catch (error) {
 			if (!(error instanceof CodedError)) {
 				throw error;
@@ -292,22 +292,6 @@
 		return this.#exchange(permit, connection);
 	}
 
-	/** Connects to a back end. Throws `TimeoutError` at the deadline of the request, and closes a connection that comes later. */
-	async #connect(backend: KnownBackend): Promise<BackendConnection> {
-		const {clock, deadlineAt} = this.#options;
-		const leftMs = deadlineAt - clock.now();
-		const connecting = backend.connect();
-		try {
-			return await withTimeout(clock, connecting, leftMs, () => new TimeoutError(backend.id, leftMs));
-		} catch (error) {
-			if (hasCode(error, codes.timeout)) {
-				void destroyLate(connecting);
-			}
-
-			throw error;
-		}
-	}
-
 	async #exchange(permit: BackendPermit, connection: BackendConnection): Promise<AttemptOutcome> {
 		const {
 			caller, body, clock, deadlineAt, names, signal, workspace, dropsKey, relay, priority, binding,
@@ -389,13 +373,3 @@
 		}
 	}
 }
-
-/** Closes a connection that is no longer needed once it is open. */
-async function destroyLate(connecting: Promise<BackendConnection>): Promise<void> {
-	try {
-		const connection = await connecting;
-		connection.destroy();
-	} catch {
-		// The request has ended, and the back end was not reached: there is nothing to close.
-	}
-}
--- a/packages/mulberrypitch-serving/src/view-messages.ts
+++ b/packages/mulberrypitch-serving/src/view-messages.ts
@@ -158,6 +158,11 @@
 	readonly document: string;
 };
 
+/** The newest configuration, as the leader read it; absent before the first one. */
+export type ConfigurationRead = {
+	readonly configuration?: StoredConfiguration;
+};
+
 /** The changes since the versions in the request, and the current load. */
 export type ViewReply = {
 	/** Absent if the coordinator knows no newer version. */
