Let a stream without a known origin go on while its service has a single version

These callers send the last event's identifier without naming an attempt, as the users' pages had it before. Cause: the origin of a stream counted as unknown unless it was told, also where only one is possible. Change: an entry remembers which versions the rosters listed, with those that are gone; rosters state how long their coordinator has known them. If a service had one version for as long as a request lasts, that is the origin. An entry out of touch, one that has not seen all of that time, or one whose route has several services refuses as before.

--- a/packages/mulberrypitch-proxy/src/__tests__/stream-resumption.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/stream-resumption.test.ts
@@ -9,8 +9,11 @@
 import {StreamBinding} from '../stream-binding.js';
 import {StreamOrigins} from '../stream-origins.js';
 import {StreamResumption} from '../stream-resumption.js';
+import {VersionHistory} from '../version-history.js';
 
-const route = assumeType<Route>({kind: requestKinds.streaming, isResumable: true, targets: [{service: 's', weight: 1}, {service: 'former', weight: 0}]});
+const route = assumeType<Route>({
+	kind: requestKinds.streaming, isResumable: true, timeoutMs: 15_000, targets: [{service: 's', weight: 1}, {service: 'former', weight: 0}],
+});
 const leftMs = 3000;
 const position = {lastEventId: '3', attemptId: 'a-1'};
 
@@ -29,7 +32,7 @@
 	});
 	const origins = new StreamOrigins(clock);
 	const resumption = new StreamResumption({
-		origins, backends, metrics: new MetricsRegistry(), getViewAgeMs: () => 0,
+		origins, backends, versions: new VersionHistory(clock), metrics: new MetricsRegistry(), getViewAgeMs: () => 0,
 	});
 	return {
 		clock, backends, origins, resumption,
--- a/packages/mulberrypitch-proxy/src/entry.ts
+++ b/packages/mulberrypitch-proxy/src/entry.ts
@@ -26,6 +26,7 @@
 import {StreamOrigins} from './stream-origins.js';
 import type {HeaderNames} from './types.js';
 import {UsageCounter} from './usage-counter.js';
+import {VersionHistory} from './version-history.js';
 import {ViewClient} from './view-client.js';
 
 /** Dependencies and settings of an entry. */
@@ -86,6 +87,7 @@
 	readonly #backends: BackendView;
 	readonly #quarantine: ContentQuarantine;
 	readonly #origins: StreamOrigins;
+	readonly #versions: VersionHistory;
 	readonly #quotas: WorkspaceQuotas;
 	readonly #usage: UsageCounter;
 	readonly #view: ViewClient;
@@ -121,6 +123,7 @@
 		}));
 		this.#quarantine = new ContentQuarantine(clock);
 		this.#origins = new StreamOrigins(clock);
+		this.#versions = new VersionHistory(clock);
 		this.#quotas = new WorkspaceQuotas({
 			clock, getEntryCount: () => this.#entryCount, isInTouch: () => this.#isSpendingKnown(), tolerance: options.quotaTolerance,
 		});
@@ -145,6 +148,7 @@
 			backends: this.#backends,
 			quarantine: this.#quarantine,
 			origins: this.#origins,
+			versions: this.#versions,
 			quotas: this.#quotas,
 			retries: new WindowedRetryBudget({clock, ...retryBudget, getEntryCount: () => this.#entryCount}),
 			usage: this.#usage,
@@ -258,6 +262,7 @@
 		}
 
 		this.#backends.apply(roster);
+		this.#versions.apply(roster);
 		this.#origins.apply(origins, isInTouch);
 		this.#backends.setLoads(loads);
 		this.#backends.applyLimitShares(limits);
--- a/packages/mulberrypitch-proxy/src/proxy-server-options.ts
+++ b/packages/mulberrypitch-proxy/src/proxy-server-options.ts
@@ -7,6 +7,7 @@
 import type {BackendView} from './backend-view.js';
 import type {ContentQuarantine} from './content-quarantine.js';
 import type {StreamOrigins} from './stream-origins.js';
+import type {VersionHistory} from './version-history.js';
 import type {HeaderNames} from './types.js';
 import type {UsageCounter} from './usage-counter.js';
 import type {WindowedRetryBudget} from './windowed-retry-budget.js';
@@ -25,6 +26,7 @@
 	readonly backends: BackendView;
 	readonly quarantine: ContentQuarantine;
 	readonly origins: StreamOrigins;
+	readonly versions: VersionHistory;
 	readonly quotas: WorkspaceQuotas;
 	readonly retries: WindowedRetryBudget;
 	readonly usage: UsageCounter;
--- a/packages/mulberrypitch-proxy/src/stream-resumption.ts
+++ b/packages/mulberrypitch-proxy/src/stream-resumption.ts
@@ -7,6 +7,7 @@
 import {minRetryAfterSeconds, type LocalReply} from './local-replies.js';
 import {StreamBinding} from './stream-binding.js';
 import type {StreamOrigins} from './stream-origins.js';
+import type {VersionHistory} from './version-history.js';
 
 /** Longest wait in milliseconds for the coordinators to tell where a stream began, and the share of the request's time that it may take. */
 const maxOriginWaitMs = 400;
@@ -33,6 +34,7 @@
 export type StreamResumptionOptions = {
 	readonly origins: StreamOrigins;
 	readonly backends: BackendView;
+	readonly versions: VersionHistory;
 	readonly metrics: MetricsRegistry;
 	/** Returns the time in milliseconds since the last reply of a coordinator that is in contact with a leader. */
 	readonly getViewAgeMs: () => number;
@@ -57,7 +59,7 @@
 			return {kind: 'allowed'};
 		}
 
-		const origin = await this.#findOrigin(position, leftMs);
+		const origin = await this.#findOrigin(position, route, leftMs);
 		if (origin === undefined) {
 			return this.#refuse('unknown', 'origin of the stream unknown', {resumes: position.attemptId});
 		}
@@ -85,10 +87,24 @@
 		}
 	}
 
-	async #findOrigin({attemptId}: StreamPosition, leftMs: number): Promise<StreamOrigin | undefined> {
+	async #findOrigin({attemptId}: StreamPosition, route: Route, leftMs: number): Promise<StreamOrigin | undefined> {
 		const {origins, getViewAgeMs} = this.#options;
-		const canLearn = getViewAgeMs() < maxWaitingViewAgeMs;
-		return attemptId === undefined ? undefined : origins.waitForOrigin(attemptId, canLearn ? Math.min(maxOriginWaitMs, leftMs * maxOriginWaitShare) : 0);
+		const isInTouch = getViewAgeMs() < maxWaitingViewAgeMs;
+		const sole = isInTouch ? this.#findSoleOrigin(route) : undefined;
+		const canWait = isInTouch && sole === undefined;
+		const told = attemptId === undefined ? undefined : await origins.waitForOrigin(attemptId, canWait ? Math.min(maxOriginWaitMs, leftMs * maxOriginWaitShare) : 0);
+		return told ?? sole;
+	}
+
+	/** Returns the only origin that a stream of the route can have, if its service has had one version for as long as a request lasts. */
+	#findSoleOrigin({targets, timeoutMs}: Route): StreamOrigin | undefined {
+		const [target, ...others] = targets.filter(({weight}) => weight > 0);
+		if (target === undefined || others.length > 0) {
+			return undefined;
+		}
+
+		const version = this.#options.versions.getSole(target.service, timeoutMs);
+		return version === undefined ? undefined : {service: target.service, version};
 	}
 
 	#refuse(outcome: Outcome, reason: string, inputs: LocalReply['inputs']): Resumption {
--- a/packages/mulberrypitch-serving/src/backend-roster.ts
+++ b/packages/mulberrypitch-serving/src/backend-roster.ts
@@ -23,6 +23,8 @@
 	readonly isWhole: boolean;
 	/** Whether the coordinator has been running for long enough to have received an announcement of every back end. */
 	readonly isSettled: boolean;
+	/** Time in milliseconds since the coordinator of the roster started; absent from one of an earlier version. */
+	readonly ageMs?: number;
 	readonly entries: readonly RosterEntry[];
 };
 
@@ -183,6 +185,7 @@
 			version: this.#version,
 			isWhole,
 			isSettled: this.isSettled,
+			ageMs: this.#options.clock.now() - this.#startedAt,
 			entries: records.map(record => this.#toEntry(record)),
 		};
 	}
