End the processes of a test before its folder is removed

Seen once, in a run of all tests beside other load: 'a host without a configuration says so' failed in its teardown with ENOTEMPTY on its host's log folder, its host went on running, and the file ended by its timeout of 240 s. Cause: tap runs teardowns in the order in which they are added (shown by a test of two lines), and t.testdir adds one; the folder was removed while the hosts still wrote there, and if that failed the hosts were never ended. Change: the processes of a test add their teardown before they make the folder. The checks are as they were; host-lifecycle and path pass.

--- a/packages/mulberrypitch/src/__tests__/freeze.test.ts
+++ b/packages/mulberrypitch/src/__tests__/freeze.test.ts
@@ -16,9 +16,8 @@
 const bookingIntervalMs = 400;
 
 await t.test('a control leader that is suspended for 10 s and resumed runs no booking twice and does not fork the audit log', async t => {
-	const folder = t.testdir();
-	const processes = new HostProcesses(folder, networkOctet);
-	t.teardown(async () => processes.dispose());
+	const processes = new HostProcesses(t, networkOctet);
+	const {folder} = processes;
 	await startBookingCluster(processes, folder, hostCount);
 	const entry = processes.hosts.at(-1)!;
 	const suspendedLeader = await findLeader(processes, entry);
--- a/packages/mulberrypitch/src/__tests__/host-lifecycle.test.ts
+++ b/packages/mulberrypitch/src/__tests__/host-lifecycle.test.ts
@@ -21,8 +21,7 @@
 
 // Guards against a host that serves nobody but goes on as a voter, so that no supervisor starts it again.
 await t.test('a host whose port is taken ends with the exit code for settings', {timeout: testTimeoutMs}, async t => {
-	const processes = new HostProcesses(t.testdir(), 61);
-	t.teardown(async () => processes.dispose());
+	const processes = new HostProcesses(t, 61);
 	const blocker = net.createServer();
 	await new Promise<void>(resolve => {
 		blocker.listen(8080, processes.getIp(0), resolve);
@@ -36,8 +35,7 @@
 
 // Guards against the reader of a host's log, such as head, ending the host when it leaves.
 await t.test('a host goes on when the reader of its log has left', {timeout: testTimeoutMs}, async t => {
-	const processes = new HostProcesses(t.testdir(), 62);
-	t.teardown(async () => processes.dispose());
+	const processes = new HostProcesses(t, 62);
 	processes.startHost(1);
 	const {address, file} = processes.prepareHost(0);
 	const child = spawn(binary, ['serve', file], {stdio: ['ignore', 'pipe', 'pipe']});
@@ -62,8 +60,7 @@
 
 // Guards against a signal that is lost, or ends the process as a failure, since it came while the host was starting.
 await t.test('a host that is stopped while it starts ends in order', {timeout: testTimeoutMs}, async t => {
-	const processes = new HostProcesses(t.testdir(), 63);
-	t.teardown(async () => processes.dispose());
+	const processes = new HostProcesses(t, 63);
 	const {address, child} = processes.startHost(0);
 	await waitUntil('the host writes its first line', async () => processes.readLog('host-1').length > 0);
 	child.kill('SIGTERM');
@@ -72,9 +69,8 @@
 
 // Guards against the last hosts of a control group failing to stop since no quorum is left to record their stop.
 await t.test('hosts that are stopped one after the other end in order, the last one without a quorum, and the account is whole', {timeout: testTimeoutMs}, async t => {
-	const folder = t.testdir();
-	const processes = new HostProcesses(folder, 64);
-	t.teardown(async () => processes.dispose());
+	const processes = new HostProcesses(t, 64);
+	const {folder} = processes;
 	await startBookingCluster(processes, folder, hostCount);
 	for (let count = 0; count < 5; count += 1) {
 		const {status} = await book(processes.hosts[0]!.address, `stop-${count}`);
@@ -97,8 +93,7 @@
 
 // Guards against an operator who is told that a view of 0 ms is too old, where the configuration is missing.
 await t.test('a host without a configuration says so, and names the command that applies one', {timeout: testTimeoutMs}, async t => {
-	const processes = new HostProcesses(t.testdir(), 65);
-	t.teardown(async () => processes.dispose());
+	const processes = new HostProcesses(t, 65);
 	await processes.start(hostCount);
 	await processes.waitFor(processes.hosts[0]!, '/healthz');
 	const {statusCode, body} = await request(`${processes.hosts[0]!.address}/v1/completions`, {
--- a/packages/mulberrypitch/src/__tests__/host-processes.ts
+++ b/packages/mulberrypitch/src/__tests__/host-processes.ts
@@ -7,6 +7,7 @@
 import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
+import type {Test} from 'tap';
 import {request} from 'undici';
 
 const root = path.resolve(import.meta.dirname, '../../../..');
@@ -34,12 +35,15 @@
 	readonly hosts: HostProcess[] = [];
 	/** Setting of the hosts that are started from now on. */
 	stopTimeoutSeconds: number | undefined;
-	readonly #folder: string;
+	/** Folder of the test, in which the processes write. */
+	readonly folder: string;
 	readonly #networkOctet: number;
 	readonly #children: ChildProcess[] = [];
 
-	constructor(folder: string, networkOctet: number) {
-		this.#folder = folder;
+	constructor(t: Test, networkOctet: number) {
+		// Teardowns run in the order in which they are added, and the folder is removed by one. The processes must have ended before.
+		t.teardown(async () => this.dispose());
+		this.folder = t.testdir();
 		this.#networkOctet = networkOctet;
 	}
 
@@ -63,15 +67,15 @@
 	/** Writes the settings of the host with the given index, without starting it. */
 	prepareHost(index: number): Omit<HostProcess, 'child'> & {readonly file: string} {
 		const name = `host-${index + 1}`;
-		const file = path.join(this.#folder, `${name}.ini`);
-		mkdirSync(this.#folder, {recursive: true});
+		const file = path.join(this.folder, `${name}.ini`);
+		mkdirSync(this.folder, {recursive: true});
 		writeFileSync(file, this.#createSettings(name, index));
 		return {name, address: `http://${this.getIp(index)}:8080`, file};
 	}
 
 	/** Returns what a process has written so far. */
 	readLog(name: string): string {
-		return readFileSync(path.join(this.#folder, `${name}.log`), 'utf8');
+		return readFileSync(path.join(this.folder, `${name}.log`), 'utf8');
 	}
 
 	/** Returns the IP address of the host with the given index. */
@@ -130,7 +134,7 @@
 
 	/** Starts a process whose output is appended to a log file in the folder of the test. */
 	#spawn(name: string, command: string, args: string[]): ChildProcess {
-		const logFile = openSync(path.join(this.#folder, `${name}.log`), 'a');
+		const logFile = openSync(path.join(this.folder, `${name}.log`), 'a');
 		const child = spawn(command, args, {stdio: ['ignore', logFile, logFile]});
 		closeSync(logFile);
 		this.#children.push(child);
--- a/packages/mulberrypitch/src/__tests__/killed-leader.test.ts
+++ b/packages/mulberrypitch/src/__tests__/killed-leader.test.ts
@@ -10,9 +10,8 @@
 const bookingsBeforeKill = 10;
 
 await t.test('kill -9 of the control leader: each booking runs at most once and the audit log verifies', async t => {
-	const folder = t.testdir();
-	const processes = new HostProcesses(folder, networkOctet);
-	t.teardown(async () => processes.dispose());
+	const processes = new HostProcesses(t, networkOctet);
+	const {folder} = processes;
 	await startBookingCluster(processes, folder, hostCount);
 	const entry = processes.hosts.at(-1)!;
 	const leader = await findLeader(processes, entry);
--- a/packages/mulberrypitch/src/__tests__/path.test.ts
+++ b/packages/mulberrypitch/src/__tests__/path.test.ts
@@ -32,9 +32,8 @@
 }
 
 await t.test('serves completions and a booking through seven hosts, and stopping a host interrupts no request', async t => {
-	const folder = t.testdir();
-	const processes = new HostProcesses(folder, 31);
-	t.teardown(async () => processes.dispose());
+	const processes = new HostProcesses(t, 31);
+	const {folder} = processes;
 	await processes.start(7);
 	const [first] = processes.hosts;
 	const baseFile = path.join(folder, 'base.ini');
--- a/packages/mulberrypitch/src/__tests__/process-limits.test.ts
+++ b/packages/mulberrypitch/src/__tests__/process-limits.test.ts
@@ -33,9 +33,8 @@
 }
 
 await t.test('a host starts no child process, uses neither io_uring nor shared memory, and appears in the burn report', async t => {
-	const folder = t.testdir();
-	const processes = new HostProcesses(folder, networkOctet);
-	t.teardown(async () => processes.dispose());
+	const processes = new HostProcesses(t, networkOctet);
+	const {folder} = processes;
 	await startBookingCluster(processes, folder, hostCount);
 	for (const [index, host] of processes.hosts.entries()) {
 		const {status} = await book(host.address, `limit-${index}`);
--- a/packages/mulberrypitch/src/__tests__/stops.test.ts
+++ b/packages/mulberrypitch/src/__tests__/stops.test.ts
@@ -19,10 +19,9 @@
 t.setTimeout(testTimeoutMs);
 
 async function startHosts(t: Test, networkOctet: number, tokenMs = 10, stopTimeoutSeconds?: number): Promise<HostProcesses> {
-	const folder = t.testdir();
-	const processes = new HostProcesses(folder, networkOctet);
+	const processes = new HostProcesses(t, networkOctet);
 	processes.stopTimeoutSeconds = stopTimeoutSeconds;
-	t.teardown(async () => processes.dispose());
+	const {folder} = processes;
 	await processes.start(hostCount);
 	const baseFile = path.join(folder, 'base.ini');
 	writeFileSync(baseFile, demoConfiguration);
