--- a/packages/mulberrypitch-account/src/account-report.ts
+++ b/packages/mulberrypitch-account/src/account-report.ts
@@ -20,7 +20,7 @@
 	readonly finish?: RequestFinish;
 };
 
-/** How a request ended. */
+/** Kind of the end of a request. */
 export type RequestFinish = {
 	/** Sequence number of the record. */
 	readonly sequence: number;
--- a/packages/mulberrypitch-account/src/types.ts
+++ b/packages/mulberrypitch-account/src/types.ts
@@ -28,7 +28,7 @@
 	readonly backend?: string;
 	/** Number of the attempt, in a dispatched record. */
 	readonly attempt?: number;
-	/** How the request ended: `answered`, `notRun`, `unknown` or `failed`. */
+	/** End of the request: `answered`, `notRun`, `unknown` or `failed`. */
 	readonly end?: string;
 	/** SHA-256 of the request body, or of the response in a finished record. */
 	readonly digest?: string;
--- a/packages/mulberrypitch-control/src/control-service.ts
+++ b/packages/mulberrypitch-control/src/control-service.ts
@@ -43,7 +43,7 @@
 	readonly logger: Logger;
 };
 
-/** What a host reported by its last renewal. */
+/** Report of a host in its last renewal. */
 type NodeStatus = {
 	renewedAt: number;
 	revision: number;
--- a/packages/mulberrypitch-control/src/replica-options.ts
+++ b/packages/mulberrypitch-control/src/replica-options.ts
@@ -1,4 +1,4 @@
-/** What a replica of the log is made of. */
+/** Dependencies and settings of a replica of the log. */
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
 import type {Random} from '@mulberrypitch/lifecycle/random';
 import type {Logger} from '@mulberrypitch/logger/logger';
--- a/packages/mulberrypitch-control/src/types.ts
+++ b/packages/mulberrypitch-control/src/types.ts
@@ -63,7 +63,7 @@
 	readonly isDraining: boolean;
 };
 
-/** How a request ended. */
+/** Kind of the end of a request. */
 export const ends = {
 	/** The whole response was received from the back end. */
 	answered: 'answered',
--- a/packages/mulberrypitch-coordinator/src/crash-evidence.ts
+++ b/packages/mulberrypitch-coordinator/src/crash-evidence.ts
@@ -19,7 +19,7 @@
 	readonly onQuarantined: (fingerprint: string, backends: readonly string[]) => void;
 };
 
-/** What is known of one content. */
+/** Reports of all entries on one content. */
 type Content = {
 	/** Position among the fingerprints of its requests; a higher one is more specific. */
 	readonly rank: number;
--- a/packages/mulberrypitch-entry/src/open-responses.ts
+++ b/packages/mulberrypitch-entry/src/open-responses.ts
@@ -5,7 +5,7 @@
 /** Time in milliseconds after which a caller who receives none of the data that waits for it is no longer waited for. */
 const maxStallMs = 10_000;
 
-/** How much of a response the operating system has taken, and since when. */
+/** Progress of a response: the data that the operating system has taken, and since when. */
 type Progress = {
 	/** Number of bytes of the connection that the operating system has taken. */
 	readonly sentBytes: number;
--- a/packages/mulberrypitch-fakes/src/hostile-caller.ts
+++ b/packages/mulberrypitch-fakes/src/hostile-caller.ts
@@ -3,11 +3,11 @@
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import type {VirtualClock} from './virtual-clock.js';
 
-/** What the caller sends at once, and then at each step. */
+/** Bytes that the caller sends at once, and then at each step. */
 export type HostileRequest = {
 	readonly start: string;
 	readonly piece?: string;
-	/** How the caller ends the connection after the start; absent if it does not. */
+	/** Way in which the caller ends the connection after the start; absent if it does not. */
 	readonly end?: 'close' | 'reset';
 	/** Whether the HTTP server of Node.js ends the request, by timers of its own that virtual time does not advance. */
 	readonly isTimedByNode?: boolean;
@@ -79,7 +79,7 @@
 		});
 	}
 
-	/** What the server sent. */
+	/** Bytes that the server sent. */
 	get received(): string {
 		return this.#received;
 	}
--- a/packages/mulberrypitch-fakes/src/hostile-server.ts
+++ b/packages/mulberrypitch-fakes/src/hostile-server.ts
@@ -5,11 +5,11 @@
 import {assumeType} from '@mulberrypitch/errors/assume-type';
 import type {VirtualClock} from './virtual-clock.js';
 
-/** What the server sends once a request has begun, and then at each step. */
+/** Bytes that the server sends once a request has begun, and then at each step. */
 export type HostileResponse = {
 	readonly start: string;
 	readonly piece?: string;
-	/** How the server ends the connection after the start; absent if it does not. */
+	/** Way in which the server ends the connection after the start; absent if it does not. */
 	readonly end?: 'close' | 'reset';
 };
 
--- a/packages/mulberrypitch-lifecycle/src/read-text.ts
+++ b/packages/mulberrypitch-lifecycle/src/read-text.ts
@@ -2,7 +2,7 @@
 import {Buffer} from 'node:buffer';
 import {TooLargeError} from '@mulberrypitch/errors/catalogue';
 
-/** What may be read of a body. */
+/** Limits on the body that is read. */
 export type BodyLimit = {
 	readonly maxBytes: number;
 	/** Names the body in the error, as the subject of a sentence. */
--- a/packages/mulberrypitch-lifecycle/src/reject-malformed.ts
+++ b/packages/mulberrypitch-lifecycle/src/reject-malformed.ts
@@ -5,7 +5,7 @@
 /** Code of the error of a head that is longer than the server's limit. */
 const headOverflow = 'HPE_HEADER_OVERFLOW';
 
-/** What the HTTP server of Node.js keeps with a socket. */
+/** Fields that the HTTP server of Node.js keeps with a socket. */
 type ServerSocket = {
 	/** The response in progress, begun or not; absent if there is none. Node.js has no public name for it. */
 	readonly _httpMessage?: unknown;
--- a/packages/mulberrypitch-proxy/src/attempt-outcome.ts
+++ b/packages/mulberrypitch-proxy/src/attempt-outcome.ts
@@ -10,7 +10,7 @@
 	readonly body: Uint8Array;
 };
 
-/** How one attempt ended. */
+/** Outcome of one attempt. */
 export type AttemptOutcome
 	/** The caller has the complete response. */
 	= | {readonly kind: 'delivered'}
@@ -52,7 +52,7 @@
 	readonly takeRetry: () => boolean;
 };
 
-/** What to do after an attempt. */
+/** Next step after an attempt. */
 export type NextStep
 	= | {readonly kind: 'done'}
 		| {readonly kind: 'sendAgain'}
--- a/packages/mulberrypitch-proxy/src/backend-statement.ts
+++ b/packages/mulberrypitch-proxy/src/backend-statement.ts
@@ -1,4 +1,4 @@
-/** What a back end states about itself in the head of a response. */
+/** Statements of a back end about itself in the head of a response. */
 import type {ResponseHead} from './response-parser.js';
 
 /** The statements of one response. */
--- a/packages/mulberrypitch-proxy/src/content-fingerprints.ts
+++ b/packages/mulberrypitch-proxy/src/content-fingerprints.ts
@@ -1,7 +1,7 @@
 /** Identifies the contents of a request that may crash back ends. */
 import {createHash, type Hash} from 'node:crypto';
 
-/** What identifies a caller's request. */
+/** Parts that identify a caller's request. */
 export type IdentifyingParts = {
 	/** Absent when the configuration requires no keys. */
 	readonly workspace: string | undefined;
--- a/packages/mulberrypitch-proxy/src/proxied-request-options.ts
+++ b/packages/mulberrypitch-proxy/src/proxied-request-options.ts
@@ -1,4 +1,4 @@
-/** What a proxied request is made of, and how it ends. */
+/** Dependencies and settings of a proxied request, and its possible ends. */
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
 import type {Logger} from '@mulberrypitch/logger/logger';
 import type {Route} from '@mulberrypitch/serving/types';
@@ -70,7 +70,7 @@
 };
 
 /**
-How the request ended: `answered` with a response of a back end, `abandoned` by the caller, `refused` since no back end ran it,
+End of the request: `answered` with a response of a back end, `abandoned` by the caller, `refused` since no back end ran it,
 `replied` to with a local reply, or `cut` off after a part of the response.
 */
 export type RequestEnd
--- a/packages/mulberrypitch-proxy/src/request-completion.ts
+++ b/packages/mulberrypitch-proxy/src/request-completion.ts
@@ -12,7 +12,7 @@
 import type {ResponseTimes} from './response-timing.js';
 import type {HeaderNames} from './types.js';
 
-/** What is known of a request at its end. */
+/** Facts about a request at its end, for the log. */
 export type CompletionFields = {
 	/** Monotonic time in milliseconds at which the request arrived. */
 	readonly arrivedAt: number;
--- a/packages/mulberrypitch-proxy/src/requests-in-progress.ts
+++ b/packages/mulberrypitch-proxy/src/requests-in-progress.ts
@@ -2,7 +2,7 @@
 import type {ServerResponse} from 'node:http';
 import {breakOff} from '@mulberrypitch/lifecycle/break-off';
 
-/** What is known of a request from its arrival on. */
+/** A request that has arrived and has not ended. */
 export type RequestInProgress = {
 	/** Identifier that the caller gave the request; absent if it sent none. */
 	readonly attemptId: string | undefined;
--- a/packages/mulberrypitch-proxy/src/response-parser.ts
+++ b/packages/mulberrypitch-proxy/src/response-parser.ts
@@ -11,7 +11,7 @@
 	readonly value: string;
 };
 
-/** How the end of a response's body is found. */
+/** Marks of the end of a response's body. */
 export const framings = {
 	/** The response has no body. */
 	none: 'none',
@@ -55,7 +55,7 @@
 const decimal = /^\d{1,15}$/v;
 const chunkSizeLine = /^(?<size>[0-9A-Fa-f]{1,12})[ \t]*(?:;.*)?$/v;
 
-/** What the parser expects next. */
+/** Part of a response that the parser expects next. */
 const states = {
 	head: 'head',
 	/** Body with a `Content-Length`. */
--- a/packages/mulberrypitch-proxy/src/response-relay.ts
+++ b/packages/mulberrypitch-proxy/src/response-relay.ts
@@ -39,7 +39,7 @@
 	readonly getExtraHeaders: () => readonly Header[];
 };
 
-/** What is known of the body of the last back end that responded, for the log. */
+/** Facts about the body of the last back end that responded, for the log. */
 export type BodyFacts = {
 	/** Absent until a back end has responded. */
 	readonly framing?: Framing;
--- a/packages/mulberrypitch-proxy/src/stop-window.ts
+++ b/packages/mulberrypitch-proxy/src/stop-window.ts
@@ -24,7 +24,7 @@
 	readonly deadlineAt: number;
 };
 
-/** What decides whether a request is taken during a stop. Times are in milliseconds. */
+/** Inputs of the decision whether a request is taken during a stop. Times are in milliseconds. */
 export type StopEstimate = {
 	/** Time until the process ends. */
 	readonly leftMs: number;
--- a/packages/mulberrypitch-proxy/src/usual-duration.ts
+++ b/packages/mulberrypitch-proxy/src/usual-duration.ts
@@ -1,15 +1,15 @@
-/** How long the requests of a route usually take. */
+/** The usual duration of the requests of a route. */
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
 
-/** How long a request has lasted. */
-type Lasting = {
+/** Duration of a request so far. */
+type RequestDuration = {
 	readonly durationMs: number;
 	/** Whether its answer was complete; otherwise it would have taken longer than it lasted. */
 	readonly isWhole: boolean;
 };
 
 /** A request that has ended. */
-type EndedRequest = Lasting & {
+type EndedRequest = RequestDuration & {
 	/** Monotonic time in milliseconds of its end. */
 	readonly endedAt: number;
 };
@@ -55,7 +55,7 @@
 Returns the duration that the given share of requests does not exceed, by the product-limit (Kaplan-Meier) estimator: a request without a
 complete answer counts as running for as long as it has lasted, and not at all from then on. Returns `undefined` if that is longer than any answer took.
 */
-function estimateQuantile(requests: readonly Lasting[], share: number): number | undefined {
+function estimateQuantile(requests: readonly RequestDuration[], share: number): number | undefined {
 	const sorted = requests.toSorted((left, right) => left.durationMs - right.durationMs || Number(right.isWhole) - Number(left.isWhole));
 	let longerShare = 1;
 	for (const [index, {durationMs, isWhole}] of sorted.entries()) {
--- a/packages/mulberrypitch-serving/src/view-messages.ts
+++ b/packages/mulberrypitch-serving/src/view-messages.ts
@@ -36,7 +36,7 @@
 	readonly startedAt: number;
 };
 
-/** What one incarnation of a back end stated last of the requests that it accepts. */
+/** Last statement of one incarnation of a back end on the requests that it accepts. */
 export type StatedLimit = Incarnation & {
 	/** Requests a second from all entries together; absent if the back end stated no limit. */
 	readonly requestsPerSecond?: number;
@@ -67,7 +67,7 @@
 	readonly ageMs: number;
 };
 
-/** What one entry observed of contents that may crash back ends. */
+/** Observations of one entry on contents that may crash back ends. */
 export type CrashReport = {
 	readonly charges: readonly ContentCharge[];
 	/** Of the contents that the coordinators suspect, those that a back end answered. */
@@ -75,7 +75,7 @@
 	readonly quarantined: readonly QuarantinedContent[];
 };
 
-/** What the coordinators know of contents that may crash back ends. */
+/** Conclusions of the coordinators on contents that may crash back ends. */
 export type ContentVerdict = {
 	/** Contents of which the entries report whether they were answered. */
 	readonly suspects: readonly string[];
@@ -101,7 +101,7 @@
 	readonly position: number;
 };
 
-/** What an entry tells a coordinator of streams, and what it knows from it. */
+/** Origins of streams that an entry reports to a coordinator, and the ones that it has from it. */
 export type OriginReport = {
 	/** Positions at the coordinators that replied last, since the entry doesn't know which one it calls. */
 	readonly known: readonly OriginPosition[];
