--- a/packages/mulberrypitch-proxy/src/__tests__/unreachable-backend.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/unreachable-backend.test.ts
@@ -3,6 +3,7 @@
 import {assumeType} from '@mulberrypitch/errors/assume-type';
 import {PeerUnreachableError} from '@mulberrypitch/errors/catalogue';
 import {VirtualClock} from '@mulberrypitch/fakes/virtual-clock';
+import type {BackendPermit} from '../backend-place.js';
 import {ProxiedRequest} from '../proxied-request.js';
 import type {ProxiedRequestOptions} from '../proxied-request-options.js';
 
@@ -14,36 +15,27 @@
 	// The test observes connection attempts only.
 }
 
-// Guards against a request that tries to connect as fast as it can until its deadline while every back end is down.
-await t.test('a request tries a back end that refuses connections again only after a pause, until its deadline', async t => {
-	const clock = new VirtualClock();
-	const caller = new AbortController();
-	let attempts = 0;
-	const backend = {
-		id: 'engine-1',
-		announced: {startedAt: 1, isLeaving: false},
-		async connect() {
-			attempts += 1;
-			if (attempts > maxAttempts) {
-				caller.abort();
-			}
-
-			throw new PeerUnreachableError('engine-1');
+/** Returns a permit for a back end that is connected to as given. */
+function createPermit(connect: () => Promise<never>): BackendPermit {
+	return assumeType<BackendPermit>({
+		backend: {
+			id: 'engine-1', announced: {startedAt: 1, isLeaving: false}, connect, eject: ignore, recordResult: () => false,
 		},
-		eject: ignore,
-		recordResult: () => false,
-	};
-	const request = new ProxiedRequest(assumeType<ProxiedRequestOptions>({
+		release: ignore,
+	});
+}
+
+/** Returns a request of which only what the test observes is real. */
+function createRequest(options: Pick<ProxiedRequestOptions, 'clock' | 'place'> & Partial<Pick<ProxiedRequestOptions, 'signal'>>): ProxiedRequest {
+	return new ProxiedRequest(assumeType<ProxiedRequestOptions>({
 		route: {kind: 'idempotent', maxAttempts: 2},
 		service: 'desk',
 		prompt: {tokens: 0, sharedTokens: 0, sharedParts: []},
 		content: {getQuarantineMs: () => 0, recordBrokenOff: ignore, recordAnswered: ignore},
 		deadlineAt: deadlineMs,
 		relay: {hasStarted: false, getBodyFacts: () => ({})},
-		clock,
 		logger: {log: ignore},
-		signal: caller.signal,
-		place: async () => ({backend, release: ignore}),
+		signal: new AbortController().signal,
 		isTooLate: () => false,
 		getStatedWaitMs: () => 0,
 		onReleased: ignore,
@@ -51,7 +43,25 @@
 		getDecisionContext: () => ({configuration: 1, viewAgeMs: 0}),
 		onAttemptEnded: ignore,
 		onRunStarted: ignore,
+		...options,
 	}));
+}
+
+// Guards against a request that tries to connect as fast as it can until its deadline while every back end is down.
+await t.test('a request tries a back end that refuses connections again only after a pause, until its deadline', async t => {
+	const clock = new VirtualClock();
+	const caller = new AbortController();
+	let attempts = 0;
+	const connect = async () => {
+		attempts += 1;
+		if (attempts > maxAttempts) {
+			caller.abort();
+		}
+
+		throw new PeerUnreachableError('engine-1');
+	};
+
+	const request = createRequest({clock, signal: caller.signal, place: async () => createPermit(connect)});
 	const running = request.run();
 	await clock.runFor(deadlineMs);
 	t.match(await running, {kind: 'refused'});
@@ -63,38 +73,18 @@
 	const clock = new VirtualClock();
 	const connectTimeoutMs = 300;
 	const leftMs = 10;
-	const backend = {
-		id: 'engine-1',
-		announced: {startedAt: 1, isLeaving: false},
-		async connect() {
-			await clock.sleep(connectTimeoutMs);
-			throw new PeerUnreachableError('engine-1');
-		},
-		eject: ignore,
-		recordResult: () => false,
+	const connect = async () => {
+		await clock.sleep(connectTimeoutMs);
+		throw new PeerUnreachableError('engine-1');
 	};
-	const request = new ProxiedRequest(assumeType<ProxiedRequestOptions>({
-		route: {kind: 'idempotent', maxAttempts: 2},
-		service: 'desk',
-		prompt: {tokens: 0, sharedTokens: 0, sharedParts: []},
-		content: {getQuarantineMs: () => 0, recordBrokenOff: ignore, recordAnswered: ignore},
-		deadlineAt: deadlineMs,
-		relay: {hasStarted: false, getBodyFacts: () => ({})},
+
+	const request = createRequest({
 		clock,
-		logger: {log: ignore},
-		signal: new AbortController().signal,
 		async place() {
 			await clock.sleep(deadlineMs - leftMs);
-			return {backend, release: ignore};
+			return createPermit(connect);
 		},
-		isTooLate: () => false,
-		getStatedWaitMs: () => 0,
-		onReleased: ignore,
-		takeRetry: () => true,
-		getDecisionContext: () => ({configuration: 1, viewAgeMs: 0}),
-		onAttemptEnded: ignore,
-		onRunStarted: ignore,
-	}));
+	});
 	let endedAt = Number.POSITIVE_INFINITY;
 	void request.run().then(() => {
 		endedAt = clock.now();
