Log each acknowledged leave of a back end

Cause: lines 1401 to 1403 tell of changes of the roster only, so that a leave that was acknowledged and changed nothing left no line. Change: line 1408 at each acknowledgement, with whether the coordinator knew the incarnation. The tests of the event catalogue pass.

--- a/packages/mulberrypitch-coordinator/src/coordinator.ts
+++ b/packages/mulberrypitch-coordinator/src/coordinator.ts
@@ -238,22 +238,30 @@
 	*/
 	async announce(backend: AnnouncedBackend): Promise<void> {
 		const {id, service, address, isLeaving} = backend;
+		const wasListed = this.roster.isListed(backend);
 		if (this.roster.announce(backend)) {
 			this.#options.logger.log(isLeaving ? events.backendLeaving : events.backendRegistered, {backend: id, service, address});
 			await this.#propagate(id, isLeaving);
 		} else if (isLeaving && this.#unconfirmedDepartures.has(id)) {
 			await this.#propagate(id, true);
 		}
+
+		if (isLeaving) {
+			this.#options.logger.log(events.leaveAcknowledged, {backend: id, startedAt: backend.startedAt, wasListed});
+		}
 	}
 
 	/** Handles a notice that a back end is leaving, in the same way as an announcement that says so. */
 	async deregister(leave: BackendDeregistration): Promise<void> {
+		const wasListed = this.roster.isListed(leave);
 		if (this.roster.deregister(leave)) {
 			this.#options.logger.log(events.backendRemoved, {backend: leave.id});
 			await this.#propagate(leave.id, true);
 		} else if (this.#unconfirmedDepartures.has(leave.id)) {
 			await this.#propagate(leave.id, true);
 		}
+
+		this.#options.logger.log(events.leaveAcknowledged, {backend: leave.id, startedAt: leave.startedAt, wasListed});
 	}
 
 	async dispose(): Promise<void> {
--- a/packages/mulberrypitch-serving/src/backend-roster.ts
+++ b/packages/mulberrypitch-serving/src/backend-roster.ts
@@ -85,6 +85,12 @@
 		return this.merge({backend, isGone: false, ageMs: 0});
 	}
 
+	/** Reports whether an incarnation is listed; without a start, whether any incarnation of the back end is. */
+	isListed({id, startedAt}: BackendDeregistration): boolean {
+		const record = this.#records.get(id);
+		return record !== undefined && (startedAt === undefined || startedAt === record.backend.startedAt);
+	}
+
 	/**
 	Marks a back end as gone. Returns false if this incarnation is not listed or was already marked as gone; a back end that is
 	gone only because its announcements stopped can still be deregistered.
