Test that an acknowledged leave holds, whoever knew the back end (fails)

The three tests fail: the back end is serving again after its leave was acknowledged, in both orders of incarnations, and a notice that names no start is acknowledged by a coordinator that knows nothing of the back end.

--- /dev/null
+++ b/packages/mulberrypitch-coordinator/src/__tests__/departures.test.ts
@@ -0,0 +1,68 @@
+/** Tests that a back end whose leave is acknowledged gets no requests any more, whichever coordinator an entry asks. */
+import t from 'tap';
+import type {AnnouncedBackend} from '@mulberrypitch/serving/types';
+import {CoordinatorGroup} from './coordinator-group.js';
+
+const names = ['a', 'b', 'c'];
+
+function createBackend(changes: Partial<AnnouncedBackend> = {}): AnnouncedBackend {
+	return {
+		id: 'i-1', startedAt: 100, sequence: 1, service: 's', address: '10.0.0.1:80', zone: 'a', slots: 4, isLeaving: false, isSpot: false, ...changes,
+	};
+}
+
+async function startGroup(): Promise<CoordinatorGroup> {
+	const group = new CoordinatorGroup();
+	await group.startAll();
+	await group.put(1, names);
+	group.network.setPolicy(() => ({isLost: false, delayMs: 1}));
+	await group.clock.runFor(1000);
+	return group;
+}
+
+/** Loses all messages between some coordinators. */
+function cut(group: CoordinatorGroup, pairs: readonly string[]): void {
+	group.network.setPolicy((from, to) => ({isLost: pairs.includes([from, to].toSorted().join(' ')), delayMs: 1}));
+}
+
+function getServing(group: CoordinatorGroup): readonly string[] {
+	return names.flatMap(name => group.get(name).roster.getServing().map(({id, startedAt}) => `${name}: ${id} ${startedAt}`));
+}
+
+// Guards against requests to a back end that has left, since the coordinator that acknowledged the leave had not heard of it and forgot it.
+await t.test('a back end that registered only behind a cut does not return after its leave was acknowledged elsewhere', async t => {
+	const group = await startGroup();
+	cut(group, ['a c', 'b c']);
+	await group.clock.runFor(1500);
+	await group.settle(group.get('c').announce(createBackend()));
+	t.ok(await group.settle(group.get('b').deregister({id: 'i-1', startedAt: 100})), 'acknowledged');
+	await group.settle(group.get('a').announce(createBackend({sequence: 2})));
+	await group.settle(group.get('b').announce(createBackend({sequence: 3})));
+	t.same(getServing(group).filter(text => !text.startsWith('c')), [], 'behind the cut it is still listed');
+	cut(group, []);
+	await group.clock.runFor(1500);
+	t.same(getServing(group), [], 'after the cut');
+	await group.dispose();
+});
+
+// Guards against requests to a new start of a back end whose leave was acknowledged by a coordinator that knew only the start before.
+await t.test('a leave of an incarnation that its coordinator has not heard of holds for it, and not for a later one', async t => {
+	const group = await startGroup();
+	await group.settle(group.get('a').announce(createBackend({sequence: 7})));
+	t.ok(await group.settle(group.get('b').deregister({id: 'i-1', startedAt: 200})));
+	await group.settle(group.get('a').announce(createBackend({startedAt: 200, sequence: 1})));
+	t.same(getServing(group), []);
+	await group.settle(group.get('a').announce(createBackend({startedAt: 300, sequence: 1})));
+	t.equal(getServing(group).length, names.length);
+	await group.dispose();
+});
+
+// Guards against an acknowledgement that promises what nobody knows: a notice without a start may mean any incarnation.
+await t.test('a leave that names no start is not acknowledged by a coordinator that has not heard of the back end', async t => {
+	const group = await startGroup();
+	t.equal(await group.settle(group.get('b').deregister({id: 'i-1'})), undefined);
+	await group.settle(group.get('a').announce(createBackend()));
+	t.ok(await group.settle(group.get('b').deregister({id: 'i-1'})));
+	t.same(getServing(group), []);
+	await group.dispose();
+});
