Record the leave of a back end that the coordinator has not heard of

Cause: a back end that had announced itself only at a coordinator that was cut off sent its notice to another one. That one did not list it, changed nothing and acknowledged. The back end goes on announcing itself as ready until it ends, so that its next announcement registered it as serving for all entries. The same for a new start of a listed back end.

Change: an unknown incarnation is listed as gone, and the end of an incarnation holds against any announcement of it, whatever its sequence number. A notice that names no start and whose back end is unknown is not acknowledged.

--- a/packages/mulberrypitch-coordinator/src/coordinator.ts
+++ b/packages/mulberrypitch-coordinator/src/coordinator.ts
@@ -6,7 +6,7 @@
 import type {ReplicaTiming} from '@mulberrypitch/control/replica-timing';
 import type {CommandResult, Peer, ProposedCommand} from '@mulberrypitch/control/types';
 import {assumeType} from '@mulberrypitch/errors/assume-type';
-import {NotLeaderError} from '@mulberrypitch/errors/catalogue';
+import {NotFoundError, NotLeaderError} from '@mulberrypitch/errors/catalogue';
 import {CodedError, getMessage} from '@mulberrypitch/errors/coded-error';
 import {BackgroundTask, Notification} from '@mulberrypitch/lifecycle/background';
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
@@ -251,9 +251,16 @@
 		}
 	}
 
-	/** Handles a notice that a back end is leaving, in the same way as an announcement that says so. */
+	/**
+	Handles a notice that a back end is leaving, in the same way as an announcement that says so. Throws `NotFoundError` when the notice
+	names no start and this coordinator has not heard of the back end: it can't tell the others which incarnation leaves.
+	*/
 	async deregister(leave: BackendDeregistration): Promise<void> {
 		const wasListed = this.roster.isListed(leave);
+		if (!wasListed && leave.startedAt === undefined) {
+			throw new NotFoundError(`Back end ${leave.id} is not known here, and its notice names no start.`, 'Send the notice to another coordinator.');
+		}
+
 		if (this.roster.deregister(leave)) {
 			this.#options.logger.log(events.backendRemoved, {backend: leave.id});
 			await this.#propagate(leave.id, true);
--- a/packages/mulberrypitch-proxy/src/version-history.ts
+++ b/packages/mulberrypitch-proxy/src/version-history.ts
@@ -1,6 +1,6 @@
 /** Which software versions the back ends of each service had lately, by the rosters of the coordinators. */
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
-import type {RosterChanges} from '@mulberrypitch/serving/backend-roster';
+import {isUnannounced, type RosterChanges} from '@mulberrypitch/serving/backend-roster';
 import type {AnnouncedBackend} from '@mulberrypitch/serving/types';
 
 /** Time in milliseconds for which a back end that is gone is remembered. */
@@ -37,9 +37,11 @@
 		this.#knownSince = Math.min(isContinuous ? this.#knownSince : now, now - ageMs);
 		this.#appliedAt = now;
 		this.#isSettled = isSettled;
-		const listed = entries.map(entry => createListed(entry.backend, entry.isGone ? now - entry.ageMs : Number.POSITIVE_INFINITY));
+		// Of a back end that left unannounced to its coordinator, the version may be known from another one.
+		const announced = entries.filter(({backend}) => !isUnannounced(backend));
+		const listed = announced.map(entry => createListed(entry.backend, entry.isGone ? now - entry.ageMs : Number.POSITIVE_INFINITY));
 		const others = this.#backends.filter(known => !listed.some(backend => isSameIncarnation(backend, known)));
-		const replaced = new Set(listed.map(({id}) => id));
+		const replaced = new Set(entries.map(({backend}) => backend.id));
 		const kept = others.map(known => (isWhole && isSettled) || replaced.has(known.id) ? {...known, goneAt: Math.min(known.goneAt, now)} : known);
 		this.#backends = [...listed, ...kept].filter(({goneAt}) => goneAt >= now - retentionMs);
 	}
--- a/packages/mulberrypitch-serving/src/backend-roster.ts
+++ b/packages/mulberrypitch-serving/src/backend-roster.ts
@@ -92,17 +92,17 @@
 	}
 
 	/**
-	Marks a back end as gone. Returns false if this incarnation is not listed or was already marked as gone; a back end that is
-	gone only because its announcements stopped can still be deregistered.
+	Marks a back end as gone. An incarnation that this roster has not heard of is listed as gone, so that no announcement of it that comes
+	later puts it into use. Returns false if the incarnation was already marked as gone, or an earlier one than the listed one; a back end that is gone
+	only because its announcements stopped can still be deregistered.
 	*/
 	deregister({id, startedAt}: BackendDeregistration): boolean {
 		const record = this.#records.get(id);
-		if (record === undefined || (record.isGone && !record.isSilent) || (startedAt !== undefined && startedAt !== record.backend.startedAt)) {
-			return false;
+		if (startedAt !== undefined && startedAt > (record?.backend.startedAt ?? Number.NEGATIVE_INFINITY)) {
+			return this.merge({backend: createDeparted(id, startedAt), isGone: true, ageMs: 0});
 		}
 
-		this.#markGone(record, {isSilent: false});
-		return true;
+		return record !== undefined && (startedAt === undefined || startedAt === record.backend.startedAt) && this.#endIncarnation(record);
 	}
 
 	/** Marks a back end as leaving, as it stated in its responses. Returns whether this incarnation is listed and was not leaving. */
@@ -128,6 +128,10 @@
 			});
 		}
 
+		if (isGone && !isSilent && announced.startedAt === known.backend.startedAt) {
+			return this.#endIncarnation(known);
+		}
+
 		if (isOlder(announced, known.backend)) {
 			return false;
 		}
@@ -135,10 +139,6 @@
 		const isNewIncarnation = announced.startedAt > known.backend.startedAt;
 		const backend = isNewIncarnation ? announced : updateIncarnation(known.backend, announced);
 		if (known.isGone && !isNewIncarnation && !this.#canReturn(known, backend, isGone)) {
-			if (isGone && !isSilent && known.isSilent) {
-				this.#markGone(known, {isSilent: false});
-			}
-
 			return false;
 		}
 
@@ -217,6 +217,16 @@
 			&& this.#findOtherAtAddress(backend, other => other.backend.startedAt > backend.startedAt) === undefined;
 	}
 
+	/** Marks an incarnation as gone for good, whatever announcement of it came last. Returns whether it was not so already. */
+	#endIncarnation(record: RosterRecord): boolean {
+		if (record.isGone && !record.isSilent) {
+			return false;
+		}
+
+		this.#markGone(record, {isSilent: false});
+		return true;
+	}
+
 	#markGone(record: RosterRecord, {isSilent}: {readonly isSilent: boolean}): void {
 		record.isGone = true;
 		record.isSilent = isSilent;
@@ -225,8 +235,9 @@
 		this.#incrementVersion(record);
 	}
 
-	/** Adds a back end, and marks it as gone if a later one has the same address. Returns whether it is not gone. */
+	/** Adds a back end, and marks it as gone if a later one has the same address. Returns whether entries need to know of it. */
 	#add(record: RosterRecord): boolean {
+		const isDeparted = record.isGone && !record.isSilent;
 		const successor = this.#findOtherAtAddress(record.backend, other => other.backend.startedAt > record.backend.startedAt);
 		if (successor !== undefined) {
 			record.isGone = true;
@@ -238,7 +249,7 @@
 			this.#markPredecessorGone(record.backend);
 		}
 
-		return !record.isGone;
+		return isDeparted || !record.isGone;
 	}
 
 	/** Marks an earlier back end at the same address as gone, because an address belongs to the latest start there. */
@@ -268,6 +279,24 @@
 	}
 }
 
+/**
+Reports whether an incarnation left before any announcement of it arrived, so that only its identifier and start are known.
+
+@example
+```
+const announced = backends.filter(backend => !isUnannounced(backend));
+```
+*/
+export function isUnannounced({address}: AnnouncedBackend): boolean {
+	return address === '';
+}
+
+function createDeparted(id: string, startedAt: number): AnnouncedBackend {
+	return {
+		id, startedAt, sequence: 0, service: '', address: '', zone: '', slots: 0, isLeaving: true, isSpot: false,
+	};
+}
+
 function isOlder(backend: AnnouncedBackend, known: AnnouncedBackend): boolean {
 	return backend.startedAt < known.startedAt || (backend.startedAt === known.startedAt && backend.sequence < known.sequence);
 }
