Acknowledge a leave only when a quorum knows of it, also one that was known before

Cause: a leave that a coordinator had already learned from the status of an entry, or from another coordinator whose own try had failed, was acknowledged at once, without spreading, quorum or contact with a leader. Change: a coordinator acknowledges a leave after a round with a quorum of its own; the roster remembers that for the incarnation. The test failed before: a coordinator that nobody else hears acknowledged the leave.

--- a/packages/mulberrypitch-coordinator/src/__tests__/departures.test.ts
+++ b/packages/mulberrypitch-coordinator/src/__tests__/departures.test.ts
@@ -1,9 +1,11 @@
 /** Tests that a back end whose leave is acknowledged gets no requests any more, whichever coordinator an entry asks. */
 import t from 'tap';
 import type {AnnouncedBackend} from '@mulberrypitch/serving/types';
+import {methods, type ViewReply, type ViewRequest} from '@mulberrypitch/serving/view-messages';
 import {CoordinatorGroup} from './coordinator-group.js';
 
 const names = ['a', 'b', 'c'];
+const watchTimeoutMs = 400;
 
 function createBackend(changes: Partial<AnnouncedBackend> = {}): AnnouncedBackend {
 	return {
@@ -11,6 +13,35 @@
 	};
 }
 
+function createRequest(leaves: ViewRequest['status']['leaves'] = []): ViewRequest {
+	return {
+		status: {
+			name: 'front',
+			incarnation: 'x',
+			upMs: 10_000,
+			address: '10.0.0.9:80',
+			zone: 'z',
+			isReady: true,
+			loads: {},
+			pressure: {},
+			spent: {},
+			usage: [],
+			crashes: {charges: [], answered: [], quarantined: []},
+			leaves,
+		},
+		configurationVersion: 1,
+		rosterEpoch: '',
+		rosterVersion: 0,
+	};
+}
+
+/** Polls a coordinator as an entry does. Resolves with `undefined` if it does not reply. */
+async function poll(group: CoordinatorGroup, name: string, request = createRequest()): Promise<ViewReply | undefined> {
+	const transport = group.network.join('front');
+	const reply = await group.settle(transport.call<ViewReply>(name, methods.watch, request, {timeoutMs: watchTimeoutMs}));
+	return reply?.value;
+}
+
 async function startGroup(): Promise<CoordinatorGroup> {
 	const group = new CoordinatorGroup();
 	await group.startAll();
@@ -66,3 +97,18 @@
 	t.same(getServing(group), []);
 	await group.dispose();
 });
+
+// Guards against an acknowledgement at once by a coordinator that nobody else hears, since an entry had told it of the leave before.
+await t.test('a leave that the coordinator knew already is acknowledged only once a quorum knows it', async t => {
+	const group = await startGroup();
+	await group.settle(group.get('a').announce(createBackend()));
+	cut(group, ['a b', 'a c']);
+	await poll(group, 'a', createRequest([{backend: 'i-1', startedAt: 100}]));
+	t.equal(await group.settle(group.get('a').announce(createBackend({sequence: 2, isLeaving: true}))), undefined);
+	t.equal(await group.settle(group.get('a').announce(createBackend({sequence: 3, isLeaving: true}))), undefined, 'announced again');
+	cut(group, []);
+	await group.clock.runFor(1500);
+	t.ok(await group.settle(group.get('a').announce(createBackend({sequence: 4, isLeaving: true}))));
+	t.same(getServing(group), []);
+	await group.dispose();
+});
--- a/packages/mulberrypitch-coordinator/src/coordinator.ts
+++ b/packages/mulberrypitch-coordinator/src/coordinator.ts
@@ -2,11 +2,10 @@
 import {randomUUID} from 'node:crypto';
 import type {AccountStore} from '@mulberrypitch/account/account-store';
 import {Replica} from '@mulberrypitch/control/replica';
-import {getQuorum} from '@mulberrypitch/control/replica-elections';
 import type {ReplicaTiming} from '@mulberrypitch/control/replica-timing';
 import type {CommandResult, Peer, ProposedCommand} from '@mulberrypitch/control/types';
 import {assumeType} from '@mulberrypitch/errors/assume-type';
-import {NotFoundError, NotLeaderError} from '@mulberrypitch/errors/catalogue';
+import {NotLeaderError} from '@mulberrypitch/errors/catalogue';
 import {CodedError, getMessage} from '@mulberrypitch/errors/coded-error';
 import {BackgroundTask, Notification} from '@mulberrypitch/lifecycle/background';
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
@@ -26,6 +25,7 @@
 } from '@mulberrypitch/serving/view-messages';
 import type {LogStore} from '@mulberrypitch/storage/types';
 import type {Schema, Transport} from '@mulberrypitch/transport/types';
+import {BackendRegistration} from './backend-registration.js';
 import {createCommandSchema} from './command-schema.js';
 import {DutyRunner, type Duty} from './duty-runner.js';
 import {EntryDirectory} from './entry-directory.js';
@@ -104,9 +104,8 @@
 	readonly #state: ServingState;
 	readonly #replica: Replica;
 	readonly #gossip: Gossip;
+	readonly #registration: BackendRegistration;
 	readonly #duties: DutyRunner;
-	/** Identifiers of leaving back ends of which a quorum of coordinators may not know yet. */
-	readonly #unconfirmedDepartures = new Set<string>();
 	#configuration: ServingConfiguration | undefined;
 
 	constructor(options: CoordinatorOptions) {
@@ -153,6 +152,15 @@
 				this.#changes.notify();
 			},
 		});
+		this.#registration = new BackendRegistration({
+			roster: this.roster,
+			gossip: this.#gossip,
+			logger,
+			changes: this.#changes,
+			getOthers: () => this.#getOthers(),
+			isInTouch: () => this.isInTouch,
+			getLeader: () => this.#replica.leader,
+		});
 		this.#views = new ViewService({
 			clock,
 			logger,
@@ -231,44 +239,14 @@
 		return configuration;
 	}
 
-	/**
-	Handles an announcement of a back end. One that affects routing is sent to the other coordinators before this resolves.
-	Throws `NotLeaderError` when the back end is leaving and either no quorum of coordinators could be informed or this
-	coordinator has no contact with a leader.
-	*/
+	/** Handles an announcement of a back end, as `BackendRegistration.announce` does. */
 	async announce(backend: AnnouncedBackend): Promise<void> {
-		const {id, service, address, isLeaving} = backend;
-		const wasListed = this.roster.isListed(backend);
-		if (this.roster.announce(backend)) {
-			this.#options.logger.log(isLeaving ? events.backendLeaving : events.backendRegistered, {backend: id, service, address});
-			await this.#propagate(id, isLeaving);
-		} else if (isLeaving && this.#unconfirmedDepartures.has(id)) {
-			await this.#propagate(id, true);
-		}
-
-		if (isLeaving) {
-			this.#options.logger.log(events.leaveAcknowledged, {backend: id, startedAt: backend.startedAt, wasListed});
-		}
+		await this.#registration.announce(backend);
 	}
 
-	/**
-	Handles a notice that a back end is leaving, in the same way as an announcement that says so. Throws `NotFoundError` when the notice
-	names no start and this coordinator has not heard of the back end: it can't tell the others which incarnation leaves.
-	*/
+	/** Handles a notice that a back end is leaving, as `BackendRegistration.deregister` does. */
 	async deregister(leave: BackendDeregistration): Promise<void> {
-		const wasListed = this.roster.isListed(leave);
-		if (!wasListed && leave.startedAt === undefined) {
-			throw new NotFoundError(`Back end ${leave.id} is not known here, and its notice names no start.`, 'Send the notice to another coordinator.');
-		}
-
-		if (this.roster.deregister(leave)) {
-			this.#options.logger.log(events.backendRemoved, {backend: leave.id});
-			await this.#propagate(leave.id, true);
-		} else if (this.#unconfirmedDepartures.has(leave.id)) {
-			await this.#propagate(leave.id, true);
-		}
-
-		this.#options.logger.log(events.leaveAcknowledged, {backend: leave.id, startedAt: leave.startedAt, wasListed});
+		await this.#registration.deregister(leave);
 	}
 
 	async dispose(): Promise<void> {
@@ -297,24 +275,6 @@
 		metrics.gauge('mulberrypitch_coordinator_backends', 'Back ends that take requests.', () => this.roster.getServing().length);
 	}
 
-	/**
-	Sends a change of the roster to the other coordinators. A departure must reach a quorum, so that all entries with a recent
-	view stop sending requests, whichever coordinator they call.
-	*/
-	async #propagate(id: string, isDeparture: boolean): Promise<void> {
-		this.#changes.notify();
-		if (isDeparture) {
-			this.#unconfirmedDepartures.add(id);
-		}
-
-		const reachedCount = 1 + await this.#gossip.flush();
-		if (isDeparture && (reachedCount < getQuorum(this.#getOthers().length + 1) || !this.isInTouch)) {
-			throw new NotLeaderError(this.#replica.leader);
-		}
-
-		this.#unconfirmedDepartures.delete(id);
-	}
-
 	#getOthers(): readonly Peer[] {
 		return this.#replica.getPeers().filter(({name}) => name !== this.#options.name);
 	}
--- a/packages/mulberrypitch-serving/src/backend-roster.ts
+++ b/packages/mulberrypitch-serving/src/backend-roster.ts
@@ -39,6 +39,8 @@
 	updatedAt: number;
 	/** Version of the roster at the back end's last change that affects routing. */
 	version: number;
+	/** Start of the incarnation of whose leave a quorum of coordinators knows, as this coordinator has found; absent if there is none. */
+	confirmedLeave?: number;
 };
 
 /** Dependencies and settings of a roster. */
@@ -105,6 +107,20 @@
 		return record !== undefined && (startedAt === undefined || startedAt === record.backend.startedAt) && this.#endIncarnation(record);
 	}
 
+	/** Reports whether this coordinator has found that a quorum knows of the leave of an incarnation. */
+	isLeaveConfirmed({id, startedAt}: BackendDeregistration): boolean {
+		const record = this.#records.get(id);
+		return record?.confirmedLeave !== undefined && record.confirmedLeave === (startedAt ?? record.backend.startedAt);
+	}
+
+	/** Records that a quorum of coordinators knows of the leave of an incarnation. */
+	confirmLeave({id, startedAt}: BackendDeregistration): void {
+		const record = this.#records.get(id);
+		if (record !== undefined) {
+			record.confirmedLeave = startedAt ?? record.backend.startedAt;
+		}
+	}
+
 	/** Marks a back end as leaving, as it stated in its responses. Returns whether this incarnation is listed and was not leaving. */
 	markLeaving({backend, startedAt}: Incarnation): boolean {
 		const record = this.#records.get(backend);
