Let entries rely on a coordinator only while its roster is recent

Cause: entries took a coordinator that hears the leader of the log for current in all things, but leaves travel by gossip. One that gets the one and not the other went on serving an old roster as good, for as long as that lasts. Change: coordinators ask each other for the changes of their rosters with each round; a roster is recent if such exchanges with a quorum began within 600 ms. A leave is acknowledged by a quorum, and two quorums share a member, so a recent roster has each leave that was acknowledged longer ago, well below the bound of 2 s. An entry leaves a coordinator whose roster is not recent. Pushing alone can't show this: the one that misses the news does not know that there are any. The test failed before: the coordinator was relied on 1 s after the acknowledgement, and for good.

--- a/packages/mulberrypitch-coordinator/src/__tests__/departures.test.ts
+++ b/packages/mulberrypitch-coordinator/src/__tests__/departures.test.ts
@@ -5,6 +5,8 @@
 import {CoordinatorGroup} from './coordinator-group.js';
 
 const names = ['a', 'b', 'c'];
+/** Time in milliseconds after an acknowledged leave from which on no entry may use the back end. */
+const departureBoundMs = 2000;
 const watchTimeoutMs = 400;
 
 function createBackend(changes: Partial<AnnouncedBackend> = {}): AnnouncedBackend {
@@ -112,3 +114,27 @@
 	t.same(getServing(group), []);
 	await group.dispose();
 });
+
+// Guards against an old roster that passes for a new one, because its coordinator hears the leader but not what the others learn.
+await t.test('a coordinator that the others do not tell their rosters is not relied on by entries', async t => {
+	const group = await startGroup();
+	await group.settle(group.get('a').announce(createBackend()));
+	await group.clock.runFor(500);
+	group.network.setPolicy((from, to, method) => ({
+		isLost: method === methods.gossip && (from === 'c' || to === 'c'), delayMs: 1,
+	}));
+	t.ok(await group.settle(group.get('a').announce(createBackend({sequence: 2, isLeaving: true}))), 'acknowledged');
+	const acknowledgedAt = group.clock.now();
+	await group.clock.runFor(departureBoundMs / 2);
+	t.ok(group.get('c').isInTouch, 'it hears the leader');
+	const old = await poll(group, 'c');
+	t.equal(old?.isInTouch, false);
+	const recent = await poll(group, 'b');
+	t.equal(recent?.isInTouch, true, 'the others are still relied on');
+	t.ok(group.clock.now() - acknowledgedAt < departureBoundMs);
+	group.network.setPolicy(() => ({isLost: false, delayMs: 1}));
+	await group.clock.runFor(1000);
+	const later = await poll(group, 'c');
+	t.equal(later?.isInTouch, true, 'once it is told again');
+	await group.dispose();
+});
--- a/packages/mulberrypitch-coordinator/src/coordinator.ts
+++ b/packages/mulberrypitch-coordinator/src/coordinator.ts
@@ -171,7 +171,7 @@
 			changes: this.#changes,
 			getConfiguration: () => this.#state.configuration,
 			getCoordinators: () => this.#replica.getPeers().map(({address}) => address),
-			isInTouch: () => this.isInTouch,
+			isInTouch: () => this.isInTouch && this.#gossip.isRosterRecent,
 		});
 		this.#duties = new DutyRunner({
 			holder: options.holder,
@@ -266,6 +266,7 @@
 
 	#addGauges(): void {
 		const {metrics} = this.#options;
+		metrics.gauge('mulberrypitch_coordinator_roster_recent', 'One while the roster has all that a quorum of coordinators knew lately.', () => this.#gossip.isRosterRecent ? 1 : 0);
 		metrics.gauge('mulberrypitch_coordinator_in_touch', 'One while a leader is heard.', () => this.isInTouch ? 1 : 0);
 		metrics.gauge('mulberrypitch_coordinator_leads', 'One while this coordinator leads.', () => this.#replica.hasLease() ? 1 : 0);
 		metrics.gauge('mulberrypitch_coordinator_term', 'Term of the replicated log.', () => this.#replica.term);
--- a/packages/mulberrypitch-coordinator/src/gossip.ts
+++ b/packages/mulberrypitch-coordinator/src/gossip.ts
@@ -1,12 +1,16 @@
-/** Sends the other coordinators the statuses of entries, the announcements of back ends and the origins of streams that this coordinator received. */
+/**
+ * Sends the other coordinators the statuses of entries, the announcements of back ends and the origins of streams that this coordinator received,
+ * and asks for the changes of their rosters.
+ */
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
 import {BackgroundTask} from '@mulberrypitch/lifecycle/background';
 import {DisposableStore, type Resource} from '@mulberrypitch/lifecycle/disposable-store';
+import {getQuorum} from '@mulberrypitch/control/replica-elections';
 import type {Peer} from '@mulberrypitch/control/types';
 import {getMessage} from '@mulberrypitch/errors/coded-error';
 import {events} from '@mulberrypitch/logger/events';
 import type {Logger} from '@mulberrypitch/logger/logger';
-import type {BackendRoster} from '@mulberrypitch/serving/backend-roster';
+import type {BackendRoster, RosterPosition} from '@mulberrypitch/serving/backend-roster';
 import type {OriginTable} from '@mulberrypitch/serving/origin-table';
 import {methods, type GossipReply, type GossipRequest} from '@mulberrypitch/serving/view-messages';
 import type {Transport} from '@mulberrypitch/transport/types';
@@ -18,6 +22,19 @@
 const callTimeoutMs = 400;
 /** Changes from this time, in milliseconds, before the last successful call are sent again with the next one. */
 const overlapMs = 100;
+/**
+Age in milliseconds up to which an exchange with a quorum makes the roster of this coordinator recent. Since a leave is acknowledged by a quorum, a recent
+roster has each leave that was acknowledged longer ago than this.
+*/
+const maxExchangeAgeMs = 600;
+
+/** Last successful exchange with another coordinator. */
+type Exchange = {
+	/** Monotonic time in milliseconds before which the coordinator's roster was complete here. */
+	readonly at: number;
+	/** Position of its roster; absent from a coordinator of an earlier version. */
+	readonly position: RosterPosition | undefined;
+};
 
 /** Dependencies of the gossip between coordinators. */
 export type GossipOptions = {
@@ -44,6 +61,8 @@
 	readonly #lastSentAt = new Map<string, number>();
 	/** Position up to which each coordinator has the origins of streams. One that is not listed is sent all. */
 	readonly #originPositions = new Map<string, number>();
+	/** Last successful exchange with each coordinator. */
+	readonly #exchanges = new Map<string, Exchange>();
 	/** Names of coordinators with a call in progress. */
 	readonly #pendingCalls = new Set<string>();
 
@@ -51,6 +70,15 @@
 		this.#options = options;
 	}
 
+	/** Whether the roster of this coordinator has, from a recent exchange, all that a quorum knew. */
+	get isRosterRecent(): boolean {
+		const {clock, getOthers} = this.#options;
+		const others = getOthers();
+		const since = clock.now() - maxExchangeAgeMs;
+		const recent = others.filter(({name}) => (this.#exchanges.get(name)?.at ?? Number.NEGATIVE_INFINITY) >= since);
+		return 1 + recent.length >= getQuorum(others.length + 1);
+	}
+
 	/** Starts the calls in the background. */
 	start(): void {
 		this.#resources.add(new BackgroundTask(async signal => this.#run(signal), error => {
@@ -88,12 +116,14 @@
 		const startedAt = clock.now();
 		const lastSentAt = this.#lastSentAt.get(peer.name);
 		const shouldSendAll = lastSentAt === undefined;
+		const known = this.#exchanges.get(peer.name)?.position;
 		const request: GossipRequest = {
 			from: name,
 			entries: directory.getLocalStatuses(),
 			backends: shouldSendAll ? roster.getEntries() : roster.getEntries(lastSentAt - overlapMs),
 			origins: origins.getSince(this.#originPositions.get(peer.name) ?? 0),
 			wantsAll: shouldSendAll,
+			...(known !== undefined && {known}),
 		};
 		this.#pendingCalls.add(peer.name);
 		try {
@@ -106,6 +136,8 @@
 				onRoster();
 			}
 
+			this.#recordExchange(peer, {at: startedAt, position: reply.position});
+
 			return true;
 		} catch (error) {
 			this.#handleFailure(peer, error);
@@ -115,6 +147,13 @@
 		}
 	}
 
+	/** Records an exchange, unless a later one has ended before it. */
+	#recordExchange({name}: Peer, exchange: Exchange): void {
+		if (exchange.at >= (this.#exchanges.get(name)?.at ?? Number.NEGATIVE_INFINITY)) {
+			this.#exchanges.set(name, exchange);
+		}
+	}
+
 	/** Makes the next call send the whole roster and all origins, and logs the first failure after a success. */
 	#handleFailure(peer: Peer, error: unknown): void {
 		this.#originPositions.delete(peer.name);
--- a/packages/mulberrypitch-coordinator/src/status-schema.ts
+++ b/packages/mulberrypitch-coordinator/src/status-schema.ts
@@ -24,7 +24,7 @@
 /** Schema of what another coordinator tells. Malformed statuses in it are left out, so that they don't hide the others. */
 export const gossipRequestSchema: Schema<GossipRequest> = {
 	parse(value) {
-		if (!isObject(value) || !Array.isArray(value.entries) || !isListOf(isObject)(value.backends)) {
+		if (!isObject(value) || !Array.isArray(value.entries) || !isListOf(isObject)(value.backends) || !isPosition(value.known)) {
 			throw new ProtocolError('What another coordinator tells is malformed.');
 		}
 
@@ -74,6 +74,10 @@
 	return isObject(value) && isString(value.backend) && isNumber(value.startedAt);
 }
 
+function isPosition(value: unknown): boolean {
+	return value === undefined || (isObject(value) && isString(value.epoch) && isNumber(value.version));
+}
+
 function isObject(value: unknown): value is Fields {
 	return typeof value === 'object' && value !== null;
 }
--- a/packages/mulberrypitch-coordinator/src/view-service.ts
+++ b/packages/mulberrypitch-coordinator/src/view-service.ts
@@ -86,9 +86,9 @@
 		};
 	}
 
-	/** Merges what another coordinator sends, and replies with the whole roster and all origins if it asks for them. */
+	/** Merges what another coordinator sends, and replies with what changed in the roster, or with the whole roster and all origins if it asks for them. */
 	async mergeGossip({
-		entries, backends, origins: told = [], wantsAll,
+		entries, backends, origins: told = [], wantsAll, known,
 	}: GossipRequest): Promise<GossipReply> {
 		const {directory, roster, origins, changes} = this.#options;
 		origins.merge(told);
@@ -102,7 +102,8 @@
 			changes.notify();
 		}
 
-		return wantsAll ? {backends: roster.getEntries(), origins: origins.getSince(0)} : {backends: []};
+		const {epoch, version, entries: changed} = roster.getChanges(wantsAll ? '' : known?.epoch ?? '', known?.version ?? 0);
+		return {backends: changed, position: {epoch, version}, ...(wantsAll && {origins: origins.getSince(0)})};
 	}
 
 	/** Removes entries, back ends and charges that have not been heard of for too long. */
--- a/packages/mulberrypitch-fakes/src/memory-transport.ts
+++ b/packages/mulberrypitch-fakes/src/memory-transport.ts
@@ -19,8 +19,8 @@
 	readonly copyDelayMs?: number;
 };
 
-/** Decides how a message is delivered. It is called separately for each request and each reply. */
-export type DeliveryPolicy = (from: Address, to: Address) => Delivery;
+/** Decides how a message of a method's call is delivered. It is called separately for each request and each reply. */
+export type DeliveryPolicy = (from: Address, to: Address, method: string) => Delivery;
 
 /** A network of simulated processes, identified by address. */
 export class MemoryNetwork {
@@ -61,9 +61,9 @@
 		return this.#members.get(address);
 	}
 
-	/** Returns how the network delivers the next message between two processes. */
-	decideDelivery(from: Address, to: Address): Delivery {
-		return this.#policy(from, to);
+	/** Returns how the network delivers the next message of a method's call between two processes. */
+	decideDelivery(from: Address, to: Address, method: string): Delivery {
+		return this.#policy(from, to, method);
 	}
 }
 
@@ -101,7 +101,7 @@
 	Throws the peer's error when its method fails.
 	*/
 	async #exchange(address: Address, method: string, parameters: unknown): Promise<unknown> {
-		const {copyDelayMs} = await this.#deliver(this.address, address);
+		const {copyDelayMs} = await this.#deliver(this.address, address, method);
 		const member = this.#network.getMember(address);
 		if (member === undefined || this.#network.getMember(this.address) !== this) {
 			throw new PeerUnreachableError(address);
@@ -112,7 +112,7 @@
 		}
 
 		const reply = await member.#handleCall(method, cloneAsJson(parameters), this.address);
-		await this.#deliver(address, this.address);
+		await this.#deliver(address, this.address, method);
 		if (this.#network.getMember(address) !== member) {
 			throw new PeerUnreachableError(address);
 		}
@@ -133,8 +133,8 @@
 	}
 
 	/** Waits until the message has arrived and returns how it was delivered; never resolves for a lost message. */
-	async #deliver(from: Address, to: Address): Promise<Delivery> {
-		const delivery = this.#network.decideDelivery(from, to);
+	async #deliver(from: Address, to: Address, method: string): Promise<Delivery> {
+		const delivery = this.#network.decideDelivery(from, to, method);
 		const {isLost, delayMs} = delivery;
 		if (isLost) {
 			await new Promise(() => {
--- a/packages/mulberrypitch-serving/src/backend-roster.ts
+++ b/packages/mulberrypitch-serving/src/backend-roster.ts
@@ -14,11 +14,15 @@
 	readonly ageMs: number;
 };
 
-/** The changes of a roster since a version. */
-export type RosterChanges = {
+/** A version of a roster. */
+export type RosterPosition = {
 	/** Identifies the roster to which the version belongs. It changes when the coordinator restarts. */
 	readonly epoch: string;
 	readonly version: number;
+};
+
+/** The changes of a roster since a version. */
+export type RosterChanges = RosterPosition & {
 	/** Whether `entries` holds all back ends rather than only those that changed. */
 	readonly isWhole: boolean;
 	/** Whether the coordinator has been running for long enough to have received an announcement of every back end. */
--- a/packages/mulberrypitch-serving/src/view-messages.ts
+++ b/packages/mulberrypitch-serving/src/view-messages.ts
@@ -1,5 +1,5 @@
 /** Messages between entries and coordinators. All processes run the same version, so these types need no schema. */
-import type {RosterChanges, RosterEntry} from './backend-roster.js';
+import type {RosterChanges, RosterEntry, RosterPosition} from './backend-roster.js';
 import type {QuarantinedContent} from './quarantine-list.js';
 
 /** Demand for one service at one entry, from which the coordinators determine the size of the fleet. */
@@ -195,11 +195,15 @@
 	readonly origins?: readonly OriginGroup[];
 	/** Whether the reply should contain all back ends and origins. */
 	readonly wantsAll: boolean;
+	/** Up to where the sender has merged the roster of the called coordinator; absent if it never has, or from a coordinator of an earlier version. */
+	readonly known?: RosterPosition;
 };
 
-/** All back ends and origins that the called coordinator knows, if the request asked for them; otherwise none. */
+/** What the called coordinator knows beyond the position in the request. Origins are included only if the request asked for all. */
 export type GossipReply = {
 	readonly backends: readonly RosterEntry[];
+	/** Position of the roster with these back ends; absent from a coordinator of an earlier version. */
+	readonly position?: RosterPosition;
 	/** Absent from a coordinator of an earlier version. */
 	readonly origins?: readonly OriginGroup[];
 };
