Run a request that several back ends broke off at one back end at a time

Cause: three back ends that crash within 100 ms were an outage, whose crashes count for nothing, although each of them ran that one request; many callers send it at once. Crashes within 250 ms count as one besides. So all copies of a service ended round after round before three crashes were counted, and nothing kept the request from running at all of them meanwhile.

Change: crashes of an outage count as one if each back end ran the content (both paths; countCrashes is shared). A whole request that two back ends broke off is restricted: one entry runs it, one at a time, until it is answered or quarantined, by construction and whatever the verdict. Three back ends in two crashes then suffice for the verdict. Time and answers are remembered also where no charge is left, since entries repeat charges: before, a cleared request was suspected again after 0.5 s. The new test of the product's table failed before. Weighed: restricting after the first crash (each stream that a crash breaks off would wait for the one entry, though it must go on at once).

--- a/packages/mulberrypitch-control/src/__tests__/quarantine-table.test.ts
+++ b/packages/mulberrypitch-control/src/__tests__/quarantine-table.test.ts
@@ -64,3 +64,16 @@
 	crash(table, 'c', 2000);
 	t.equal(isQuarantined(table, 3000), false);
 });
+
+// Guards against a fatal part that many callers send at once, so that back ends crash together each time, which looks like outages.
+await t.test('a part under which several back ends crash together, again and again, is quarantined', async t => {
+	const table = createTable();
+	for (let round = 0; round < 3; round += 1) {
+		t.equal(isQuarantined(table, round * 1000), false);
+		for (const [index, backend] of ['a', 'b', 'c'].entries()) {
+			crash(table, `${backend}${round}`, (round * 1000) + (index * 10));
+		}
+	}
+
+	t.equal(isQuarantined(table, 3000), true);
+});
--- a/packages/mulberrypitch-control/src/quarantine-table.ts
+++ b/packages/mulberrypitch-control/src/quarantine-table.ts
@@ -1,12 +1,12 @@
 /**
  * Quarantine of requests whose content may crash back ends. A charge links the fingerprint of a request, and those of the parts that
  * it may share with others, to a back end that broke off the request. A charge is confirmed when its back end has crashed. Two
- * confirmed charges quarantine a whole request. A part needs three, not from an outage, since innocent parts are charged too.
+ * confirmed charges quarantine a whole request. A part needs three separate crashes, not from an outage, since innocent parts are charged too.
  */
 import {QuarantinedError} from '@mulberrypitch/errors/catalogue';
 import type {BackendTable} from './backend-table.js';
 import type {CommandOf} from './commands.js';
-import {findOutages} from './crash-outages.js';
+import {countCrashes} from './crash-outages.js';
 import type {BackendServer} from './types.js';
 
 /** Number of confirmed charges that quarantine a fingerprint. */
@@ -106,7 +106,7 @@
 		throwIfEnough(whole, whole.length >= quarantineThreshold, now);
 		for (const part of parts) {
 			const confirmed = this.#getConfirmed(part, now);
-			throwIfEnough(confirmed, confirmed.length >= partThreshold && this.#countOutsideOutages(confirmed) >= partThreshold, now);
+			throwIfEnough(confirmed, confirmed.length >= partThreshold && this.#countSeparate(confirmed) >= partThreshold, now);
 		}
 	}
 
@@ -131,14 +131,14 @@
 		return this.getCharges(content, now).filter(({isConfirmed}) => isConfirmed);
 	}
 
-	#countOutsideOutages(charges: readonly Charge[]): number {
+	/** Returns the number of separate crashes among the charges. */
+	#countSeparate(charges: readonly Charge[]): number {
 		const crashedAt = new Map<string, number>();
 		for (const {incarnation, at} of [...this.#charges.values()].flat()) {
 			crashedAt.set(incarnation, Math.min(crashedAt.get(incarnation) ?? at, at));
 		}
 
-		const outages = findOutages(crashedAt);
-		return charges.filter(({incarnation}) => !outages.has(incarnation)).length;
+		return countCrashes(new Map(charges.map(({incarnation}) => [incarnation, crashedAt.get(incarnation)!])), crashedAt);
 	}
 
 	#dropExpired(now: number): void {
--- a/packages/mulberrypitch-coordinator/src/crash-evidence.ts
+++ b/packages/mulberrypitch-coordinator/src/crash-evidence.ts
@@ -1,9 +1,10 @@
 /**
  * Finds the contents of requests that crash back ends, from what all entries report. A back end that crashes breaks off every
  * request that it runs, most of them innocent. What tells a fatal content from those is that back end after back end breaks it off
- * and none answers it.
+ * and none answers it. A whole request that was broken off by several back ends is suspect at once, and runs at one back end at a time
+ * until it is answered or quarantined: then a crash under it has no other cause, and callers who send it together end no more back ends than one.
  */
-import {findOutages} from '@mulberrypitch/control/crash-outages';
+import {countCrashes} from '@mulberrypitch/control/crash-outages';
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
 import type {QuarantineList} from '@mulberrypitch/serving/quarantine-list';
 import type {CrashReport} from '@mulberrypitch/serving/view-messages';
@@ -15,6 +16,8 @@
 	readonly quarantine: QuarantineList;
 	/** Called when a content becomes suspect, so that the entries report at once whether they had it answered. */
 	readonly onSuspect: () => void;
+	/** Called when a whole request is restricted, with the incarnations of the back ends that broke it off. */
+	readonly onRestricted: (fingerprint: string, backends: readonly string[]) => void;
 	/** Called when a content is quarantined, with the incarnations of the back ends that broke it off. */
 	readonly onQuarantined: (fingerprint: string, backends: readonly string[]) => void;
 };
@@ -23,6 +26,8 @@
 type Content = {
 	/** Position among the fingerprints of its requests; a higher one is more specific. */
 	readonly rank: number;
+	/** Whether the content is a whole request, and not a part that other requests share. */
+	readonly isWhole: boolean;
 	/** Monotonic time in milliseconds of the first charge by each incarnation of a back end since the last answer. */
 	readonly charges: Map<string, number>;
 	/** Monotonic time in milliseconds of the last known answer. */
@@ -31,12 +36,23 @@
 	suspectSince?: number;
 };
 
+/** What speaks against a content. */
+type Weight = {
+	/** Number of back ends that broke it off. */
+	readonly backends: number;
+	/** Number of separate crashes among them. */
+	readonly crashes: number;
+};
+
 /** Number of crashes that make a content suspect. */
 const suspectThreshold = 2;
 /** Number of crashes, with no answer in between, that quarantine a content. */
 const quarantineThreshold = 3;
-/** Crashes that are less than this time, in milliseconds, apart count as one: they may have one cause outside of the requests. */
-const sameCrashMs = 250;
+/** Numbers of back ends and of separate crashes that quarantine a whole request, which runs at one back end at a time after the first crashes. */
+const wholeBackends = 3;
+const wholeCrashes = 2;
+/** Time in milliseconds since the last crash for which a whole request that several back ends broke off is restricted. */
+const restrictionMs = 30_000;
 /**
 Time in milliseconds for which the entries may report, before a content is quarantined: what else a crash broke off, and whether a
 suspect content was answered.
@@ -60,6 +76,7 @@
 	/** Monotonic time in milliseconds at which each incarnation of a back end last broke off requests. */
 	readonly #crashedAt = new Map<string, number>();
 	#suspects: readonly string[] = [];
+	#restricted: readonly string[] = [];
 	#evaluatedAt = Number.NEGATIVE_INFINITY;
 
 	constructor(options: CrashEvidenceOptions) {
@@ -74,7 +91,7 @@
 		for (const {backend, ageMs, fingerprints} of charges) {
 			this.#recordCrash(backend, now - ageMs);
 			for (const [rank, fingerprint] of fingerprints.entries()) {
-				this.#charge(fingerprint, rank, {backend, at: now - ageMs});
+				this.#charge(fingerprint, {rank, isWhole: rank === fingerprints.length - 1}, {backend, at: now - ageMs});
 			}
 		}
 
@@ -86,6 +103,7 @@
 			this.#evaluatedAt = now;
 			this.#markSuspects();
 			this.#quarantineFatal();
+			this.#listRestricted();
 			this.#listSuspects();
 		}
 	}
@@ -95,6 +113,11 @@
 		return this.#suspects;
 	}
 
+	/** Returns the whole requests, as of the last evaluation, that run at one back end at a time. */
+	getRestricted(): readonly string[] {
+		return this.#restricted;
+	}
+
 	/** Forgets charges that no longer count. */
 	expire(): void {
 		const before = this.#options.clock.now() - chargeMs;
@@ -104,14 +127,15 @@
 			}
 		}
 
-		for (const [fingerprint, {charges}] of this.#contents) {
+		for (const [fingerprint, {charges, answeredAt}] of this.#contents) {
 			for (const [backend, at] of charges) {
 				if (at < before) {
 					charges.delete(backend);
 				}
 			}
 
-			if (charges.size === 0) {
+			// Entries repeat charges that an answer has cleared, so the time of the answer is kept.
+			if (charges.size === 0 && answeredAt < before) {
 				this.#contents.delete(fingerprint);
 			}
 		}
@@ -122,10 +146,26 @@
 		}
 	}
 
+	#listRestricted(): void {
+		const {clock, quarantine, onRestricted} = this.#options;
+		const since = clock.now() - restrictionMs;
+		const restricted = [...this.#contents]
+			.filter(([fingerprint, {isWhole, charges}]) => isWhole && charges.size >= suspectThreshold && !quarantine.has(fingerprint)
+				&& Math.max(...charges.values()) >= since)
+			.slice(-maxSuspects)
+			.map(([fingerprint]) => fingerprint);
+		const added = restricted.filter(fingerprint => !this.#restricted.includes(fingerprint));
+		this.#restricted = restricted;
+		for (const fingerprint of added) {
+			onRestricted(fingerprint, [...this.#contents.get(fingerprint)!.charges.keys()]);
+		}
+	}
+
 	#listSuspects(): void {
 		const {quarantine} = this.#options;
+		const restricted = new Set(this.#restricted);
 		this.#suspects = [...this.#contents]
-			.filter(([fingerprint, {suspectSince}]) => suspectSince !== undefined || quarantine.has(fingerprint))
+			.filter(([fingerprint, {suspectSince}]) => suspectSince !== undefined || restricted.has(fingerprint) || quarantine.has(fingerprint))
 			.slice(-maxSuspects)
 			.map(([fingerprint]) => fingerprint);
 	}
@@ -137,10 +177,10 @@
 		}
 	}
 
-	#charge(fingerprint: string, rank: number, {backend, at}: {readonly backend: string; readonly at: number}): void {
+	#charge(fingerprint: string, kind: Pick<Content, 'rank' | 'isWhole'>, {backend, at}: {readonly backend: string; readonly at: number}): void {
 		let content = this.#contents.get(fingerprint);
 		if (content === undefined) {
-			content = {rank, charges: new Map(), answeredAt: Number.NEGATIVE_INFINITY};
+			content = {...kind, charges: new Map(), answeredAt: Number.NEGATIVE_INFINITY};
 			this.#contents.set(fingerprint, content);
 		}
 
@@ -166,10 +206,10 @@
 
 	#markSuspects(): void {
 		const {clock, onSuspect} = this.#options;
-		const unrelated = this.#getUnrelated();
+		const explained = this.#getExplained();
 		let hasNew = false;
 		for (const content of this.#contents.values()) {
-			const isSuspect = content.charges.size >= suspectThreshold && countCrashes(content, unrelated, clock.now()) >= suspectThreshold;
+			const isSuspect = content.charges.size >= suspectThreshold && this.#weigh(content, explained, clock.now()).crashes >= suspectThreshold;
 			if (!isSuspect) {
 				delete content.suspectSince;
 			} else if (content.suspectSince === undefined) {
@@ -187,12 +227,12 @@
 	#quarantineFatal(): void {
 		const {clock, quarantine, onQuarantined} = this.#options;
 		for (;;) {
-			const unrelated = this.#getUnrelated();
+			const explained = this.#getExplained();
 			const [worst] = [...this.#contents]
 				.filter(([, content]) => content.suspectSince !== undefined && clock.now() - content.suspectSince >= reportWaitMs)
-				.map(([fingerprint, content]) => ({fingerprint, content, count: countCrashes(content, unrelated, clock.now() - reportWaitMs)}))
-				.filter(({count}) => count >= quarantineThreshold)
-				.toSorted((left, right) => right.count - left.count || right.content.rank - left.content.rank);
+				.map(([fingerprint, content]) => ({fingerprint, content, weight: this.#weigh(content, explained, clock.now() - reportWaitMs)}))
+				.filter(({content, weight}) => isFatal(content, weight))
+				.toSorted((left, right) => right.weight.crashes - left.weight.crashes || right.content.rank - left.content.rank);
 			if (worst === undefined) {
 				return;
 			}
@@ -202,28 +242,19 @@
 		}
 	}
 
-	/** Returns the back ends whose crash is no evidence against a content that is not quarantined: another one explains it, or an outage. */
-	#getUnrelated(): ReadonlySet<string> {
-		const {quarantine} = this.#options;
-		const explained = [...this.#contents].filter(([fingerprint]) => quarantine.has(fingerprint)).flatMap(([, {charges}]) => [...charges.keys()]);
-		return new Set([...explained, ...findOutages(this.#crashedAt)]);
+	/** Returns what speaks against a content up to a time, beside the crashes that a quarantined one explains. */
+	#weigh({charges}: Content, explained: ReadonlySet<string>, until: number): Weight {
+		const charged = new Map([...charges].filter(([backend, at]) => at <= until && !explained.has(backend)));
+		return {backends: charged.size, crashes: countCrashes(charged, this.#crashedAt)};
 	}
-}
 
-/** Returns the number of separate crashes up to a time that speak against a content. */
-function countCrashes({charges}: Content, unrelated: ReadonlySet<string>, until: number): number {
-	const times = [...charges]
-		.filter(([backend, at]) => at <= until && !unrelated.has(backend))
-		.map(([, at]) => at)
-		.toSorted((left, right) => left - right);
-	let count = 0;
-	let countedAt = Number.NEGATIVE_INFINITY;
-	for (const at of times) {
-		if (at - countedAt >= sameCrashMs) {
-			count += 1;
-			countedAt = at;
-		}
+	/** Returns the back ends whose crash a quarantined content explains. */
+	#getExplained(): ReadonlySet<string> {
+		const {quarantine} = this.#options;
+		return new Set([...this.#contents].filter(([fingerprint]) => quarantine.has(fingerprint)).flatMap(([, {charges}]) => [...charges.keys()]));
 	}
+}
 
-	return count;
+function isFatal({isWhole}: Content, {backends, crashes}: Weight): boolean {
+	return crashes >= quarantineThreshold || (isWhole && backends >= wholeBackends && crashes >= wholeCrashes);
 }
--- a/packages/mulberrypitch-coordinator/src/entry-directory.ts
+++ b/packages/mulberrypitch-coordinator/src/entry-directory.ts
@@ -1,5 +1,6 @@
 /** The entries that report to the coordinators: which accept callers, how loaded they are, and how much quota they use. */
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
+import {hashText, rankNodes} from '@mulberrypitch/routing/rendezvous';
 import type {BackendLoad, EntryStatus, LimitShare} from '@mulberrypitch/serving/view-messages';
 import {allocateLimit, getNewestLimits} from './limit-allocation.js';
 import type {EntryUsage} from './serving-state.js';
@@ -83,6 +84,12 @@
 		return getNewestLimits(limits).map(limit => allocateLimit(limit, entry, ready));
 	}
 
+	/** Returns the name of the entry that runs restricted requests. All coordinators that know the same ready entries name the same one. */
+	getRestrictedRunner(): string | undefined {
+		const ready = this.#getSeenWithin(entryTimeoutMs).filter(({status}) => status.isReady).map(({status}) => status.name);
+		return rankNodes(hashText('restricted requests'), ready, name => name)[0];
+	}
+
 	/** Returns the quota units by workspace that all entries but the named one have spent, as far as this coordinator knows. */
 	getOthersSpent(except: string): Readonly<globalThis.Record<string, number>> {
 		return this.#spending.getOthers(except);
--- a/packages/mulberrypitch-coordinator/src/view-service.ts
+++ b/packages/mulberrypitch-coordinator/src/view-service.ts
@@ -51,6 +51,10 @@
 			onSuspect() {
 				changes.notify();
 			},
+			onRestricted(fingerprint, backends) {
+				logger.log(events.contentRestricted, {fingerprint, backends: backends.join(' ')});
+				changes.notify();
+			},
 			onQuarantined(fingerprint, backends) {
 				logger.log(events.contentQuarantined, {fingerprint, backends: backends.join(' ')});
 				changes.notify();
@@ -77,7 +81,12 @@
 			roster: roster.getChanges(rosterEpoch, rosterVersion),
 			loads: directory.getLoads(status.name),
 			othersSpent: directory.getOthersSpent(status.name),
-			verdict: {suspects: this.#evidence.getSuspects(), quarantined: this.#quarantine.capture()},
+			verdict: {
+				suspects: this.#evidence.getSuspects(),
+				quarantined: this.#quarantine.capture(),
+				restricted: this.#evidence.getRestricted(),
+				mayRunRestricted: directory.getRestrictedRunner() === status.name,
+			},
 			limits: directory.getLimitShares(status.name),
 			origins: this.#getOriginChanges(report),
 			entryCount: Math.max(1, directory.count),
--- a/packages/mulberrypitch-logger/src/events.ts
+++ b/packages/mulberrypitch-logger/src/events.ts
@@ -56,6 +56,7 @@
 	statementUnreadable: {number: 1406, level: 'warn', text: 'statement of a back end unreadable'},
 	pauseStated: {number: 1407, level: 'info', text: 'back end asked for a pause'},
 	leaveAcknowledged: {number: 1408, level: 'info', text: 'leave acknowledged'},
+	contentRestricted: {number: 1409, level: 'warn', text: 'content restricted'},
 	requestAccepted: {number: 1501, level: 'info', text: 'request accepted'},
 	requestDispatched: {number: 1502, level: 'info', text: 'request dispatched'},
 	requestFinished: {number: 1503, level: 'info', text: 'request finished'},
--- a/packages/mulberrypitch-proxy/src/__tests__/unreachable-backend.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/unreachable-backend.test.ts
@@ -31,7 +31,9 @@
 		route: {kind: 'idempotent', maxAttempts: 2},
 		service: 'desk',
 		prompt: {tokens: 0, sharedTokens: 0, sharedParts: []},
-		content: {getQuarantineMs: () => 0, recordBrokenOff: ignore, recordAnswered: ignore},
+		content: {
+			findRefusal: ignore, beginRun: () => ignore, recordBrokenOff: ignore, recordAnswered: ignore,
+		},
 		deadlineAt: deadlineMs,
 		relay: {hasStarted: false, getBodyFacts: () => ({})},
 		logger: {log: ignore},
--- a/packages/mulberrypitch-proxy/src/content-quarantine.ts
+++ b/packages/mulberrypitch-proxy/src/content-quarantine.ts
@@ -5,19 +5,39 @@
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
 import {QuarantineList} from '@mulberrypitch/serving/quarantine-list';
 import type {ContentCharge, ContentVerdict, CrashReport} from '@mulberrypitch/serving/view-messages';
+import {RestrictedContents} from './restricted-contents.js';
+
+/** Why a request must not be sent to a back end now, because of its contents. */
+export type ContentRefusal = {
+	readonly reason: string;
+	/** Time in milliseconds after which the request may be tried again. */
+	readonly waitMs: number;
+};
 
 /** The contents of one request. */
 export type RequestContent = {
-	/** Time in milliseconds until the request may be sent to a back end; zero if it may be now. */
-	getQuarantineMs(): number;
+	/** Returns why the request must not be sent to a back end now, or `undefined` if it may be. Asked before each send. */
+	findRefusal(): ContentRefusal | undefined;
+	/** Records that the request is sent to a back end. Returns what to call at the end of the attempt, with whether the back end broke it off. */
+	beginRun(): (isBrokenOff: boolean) => void;
 	/** Records that a back end broke off the request and may have crashed because of it. */
 	recordBrokenOff(backend: string): void;
 	/** Records that the contents don't crash a back end: the request was answered, or has been running for long enough. */
 	recordAnswered(): void;
 };
 
+/** Reason of a refusal because of quarantined content. */
+export const quarantineReason = 'quarantined content';
+/** Reason of a refusal because the request runs at one back end at a time. */
+export const restrictionReason = 'content that several back ends broke off';
+
 /** Time in milliseconds for which a charge is reported, so that several reports to the coordinators carry it. */
 const reportMs = 5000;
+/** Time in milliseconds for which a charge is kept. */
+const retentionMs = 60_000;
+/** Number of back ends that have broken off a whole request from which on this entry restricts it by itself, and for how long, in milliseconds. */
+const restrictingBackends = 2;
+const restrictionMs = 30_000;
 /** Maximum number of charges in a report; the oldest ones are left out. */
 const maxCharges = 50;
 /** Number of contents whose last answer is remembered. */
@@ -34,6 +54,7 @@
 export class ContentQuarantine {
 	readonly #clock: Clock;
 	readonly #list: QuarantineList;
+	readonly #restricted: RestrictedContents;
 	/** Monotonic time in milliseconds of the last answer, by fingerprint, least recent first. */
 	readonly #answeredAt = new Map<string, number>();
 	#charges: readonly TimedCharge[] = [];
@@ -42,6 +63,7 @@
 	constructor(clock: Clock) {
 		this.#clock = clock;
 		this.#list = new QuarantineList(clock);
+		this.#restricted = new RestrictedContents(clock);
 	}
 
 	/** Number of contents that are quarantined now. */
@@ -49,10 +71,11 @@
 		return this.#list.count;
 	}
 
-	/** Returns the contents of a request, given their fingerprints. */
+	/** Returns the contents of a request, given their fingerprints, the last of which is that of the whole request. */
 	track(fingerprints: readonly string[]): RequestContent {
 		return {
-			getQuarantineMs: () => Math.max(...fingerprints.map(fingerprint => this.#list.getRemainingMs(fingerprint))),
+			findRefusal: () => this.#findRefusal(fingerprints),
+			beginRun: () => this.#beginRun(fingerprints),
 			recordBrokenOff: backend => {
 				this.#charges = [...this.#charges, {backend, at: this.#clock.now(), fingerprints}].slice(-maxCharges);
 			},
@@ -65,9 +88,10 @@
 	/** Returns what the coordinators need to know of this entry. */
 	createReport(): CrashReport {
 		const now = this.#clock.now();
-		this.#charges = this.#charges.filter(({at}) => now - at <= reportMs);
+		this.#charges = this.#charges.filter(({at}) => now - at <= retentionMs);
+		const reported = this.#charges.filter(({at}) => now - at <= reportMs);
 		return {
-			charges: this.#charges.map(({backend, at, fingerprints}): ContentCharge => ({backend, ageMs: now - at, fingerprints})),
+			charges: reported.map(({backend, at, fingerprints}): ContentCharge => ({backend, ageMs: now - at, fingerprints})),
 			answered: this.#suspects
 				.filter(fingerprint => this.#answeredAt.has(fingerprint))
 				.map(fingerprint => ({fingerprint, ageMs: now - this.#answeredAt.get(fingerprint)!})),
@@ -76,9 +100,43 @@
 	}
 
 	/** Applies what the coordinators know and have decided. */
-	apply({suspects, quarantined}: ContentVerdict): void {
-		this.#suspects = suspects;
-		this.#list.merge(quarantined);
+	apply(verdict: ContentVerdict): void {
+		this.#suspects = verdict.suspects;
+		this.#list.merge(verdict.quarantined);
+		this.#restricted.apply(verdict);
+	}
+
+	#findRefusal(fingerprints: readonly string[]): ContentRefusal | undefined {
+		const quarantineMs = Math.max(...fingerprints.map(fingerprint => this.#list.getRemainingMs(fingerprint)));
+		if (quarantineMs > 0) {
+			return {reason: quarantineReason, waitMs: quarantineMs};
+		}
+
+		const waitMs = this.#isRestricted(fingerprints.at(-1)!) ? this.#restricted.getWaitMs() : 0;
+		return waitMs > 0 ? {reason: restrictionReason, waitMs} : undefined;
+	}
+
+	#beginRun(fingerprints: readonly string[]): (isBrokenOff: boolean) => void {
+		if (!this.#isRestricted(fingerprints.at(-1)!)) {
+			return () => {
+				// Only the runs of restricted requests are counted.
+			};
+		}
+
+		this.#restricted.beginRun();
+		return isBrokenOff => {
+			this.#restricted.endRun(isBrokenOff);
+		};
+	}
+
+	#isRestricted(fingerprint: string): boolean {
+		return this.#restricted.has(fingerprint) || this.#countBackends(fingerprint) >= restrictingBackends;
+	}
+
+	/** Returns the number of back ends that have lately broken off a request of this entry, since it was last answered here. */
+	#countBackends(fingerprint: string): number {
+		const since = Math.max(this.#clock.now() - restrictionMs, this.#answeredAt.get(fingerprint) ?? Number.NEGATIVE_INFINITY);
+		return new Set(this.#charges.filter(({at, fingerprints}) => at > since && fingerprints.at(-1) === fingerprint).map(({backend}) => backend)).size;
 	}
 
 	#recordAnswered(fingerprints: readonly string[]): void {
--- a/packages/mulberrypitch-proxy/src/entry.ts
+++ b/packages/mulberrypitch-proxy/src/entry.ts
@@ -96,8 +96,8 @@
 	readonly #entryCounts: RecentMaximum;
 	/** Number of entries in the last reply. */
 	#reportedEntryCount = 0;
-	/** Roster epoch of the coordinator that last reported the other entries' spending. */
-	#spendingEpoch = '';
+	/** Roster epoch of the coordinator that replied last. */
+	#coordinatorEpoch = '';
 	#isDraining = false;
 
 	constructor(options: EntryOptions) {
@@ -266,8 +266,8 @@
 		this.#origins.apply(origins, isInTouch);
 		this.#backends.setLoads(loads);
 		this.#backends.applyLimitShares(limits);
-		if (roster.epoch !== this.#spendingEpoch) {
-			this.#spendingEpoch = roster.epoch;
+		if (roster.epoch !== this.#coordinatorEpoch) {
+			this.#coordinatorEpoch = roster.epoch;
 			this.#quotas.resetOthersSpent();
 		}
 
--- a/packages/mulberrypitch-proxy/src/proxied-request.ts
+++ b/packages/mulberrypitch-proxy/src/proxied-request.ts
@@ -35,8 +35,6 @@
 /** Time in milliseconds after which a run that still progresses shows that its content crashes no back end. Fatal content does so as the answer begins. */
 const harmlessRunMs = 500;
 
-/** Reason of a refusal because of quarantined content. */
-export const quarantineReason = 'quarantined content';
 /** Reason of a refusal since the process ends before the request might. */
 export const stoppingReason = 'stopping';
 
@@ -94,7 +92,7 @@
 
 			const isRepeated = this.#triedIds.has(permit.backend.id);
 			this.#logDispatch(permit.backend, clock.now() - queuedAt);
-			const outcome = this.#attachEarlierFailure(await this.#attempt(permit));
+			const outcome = this.#attachEarlierFailure(await this.#attemptRestricted(permit));
 			this.#release(permit);
 			this.#options.onAttemptEnded(outcome.kind);
 			this.#recordEvidence(permit.backend, outcome);
@@ -151,10 +149,10 @@
 	/** Returns how a request ends that must not be sent to a back end now. */
 	#findRefusal(): Refusal | undefined {
 		const {service, content, relay, isTooLate} = this.#options;
-		const quarantineMs = content.getQuarantineMs();
-		if (quarantineMs > 0) {
+		const refusal = content.findRefusal();
+		if (refusal !== undefined) {
 			return {
-				kind: 'refused', service, reason: quarantineReason, retryAfterSeconds: quarantineMs / 1000,
+				kind: 'refused', service, reason: refusal.reason, retryAfterSeconds: refusal.waitMs / 1000,
 			};
 		}
 
@@ -201,7 +199,7 @@
 		const {content} = this.#options;
 		if (outcome.kind === 'delivered') {
 			content.recordAnswered();
-		} else if ((outcome.kind === 'cut' || outcome.kind === 'unknown') && !backend.announced.isLeaving) {
+		} else if (isBrokenOff(outcome) && !backend.announced.isLeaving) {
 			content.recordBrokenOff(`${backend.id} ${backend.announced.startedAt}`);
 		}
 	}
@@ -264,6 +262,18 @@
 		}
 	}
 
+	/** Attempts the request while its content counts as running, which keeps another run of restricted content away. */
+	async #attemptRestricted(permit: BackendPermit): Promise<AttemptOutcome> {
+		const endRun = this.#options.content.beginRun();
+		let outcome: AttemptOutcome | undefined;
+		try {
+			outcome = await this.#attempt(permit);
+			return outcome;
+		} finally {
+			endRun(outcome !== undefined && isBrokenOff(outcome));
+		}
+	}
+
 	async #attempt(permit: BackendPermit): Promise<AttemptOutcome> {
 		const {signal} = this.#options;
 		const {backend} = permit;
@@ -373,3 +383,7 @@
 		}
 	}
 }
+
+function isBrokenOff({kind}: AttemptOutcome): boolean {
+	return kind === 'cut' || kind === 'unknown';
+}
--- a/packages/mulberrypitch-proxy/src/proxy-server.ts
+++ b/packages/mulberrypitch-proxy/src/proxy-server.ts
@@ -23,7 +23,7 @@
 import {getContentFingerprints, type IdentifyingParts} from './content-fingerprints.js';
 import type {RequestContent} from './content-quarantine.js';
 import {LocalReplies, minRetryAfterSeconds} from './local-replies.js';
-import {ProxiedRequest, quarantineReason, stoppingReason} from './proxied-request.js';
+import {ProxiedRequest, stoppingReason} from './proxied-request.js';
 import {RequestOrder} from './request-order.js';
 import {RequestsInProgress} from './requests-in-progress.js';
 import type {DecisionContext, RequestEnd} from './proxied-request-options.js';
@@ -225,9 +225,10 @@
 		const {body} = read;
 		const prompt = this.#readPrompt(request, route);
 		const content = this.#trackContent(request, body, {workspace: workspace?.name, sharedParts: prompt.sharedParts});
-		if (content.getQuarantineMs() > 0) {
+		const refusal = content.findRefusal();
+		if (refusal !== undefined) {
 			this.#replies.send(request, response, {
-				status: 503, reason: quarantineReason, retryAfterSeconds: content.getQuarantineMs() / 1000, inputs: {
+				status: 503, reason: refusal.reason, retryAfterSeconds: refusal.waitMs / 1000, inputs: {
 					workspace: workspace?.name, sharedParts: prompt.sharedParts.join(' '), route: route.name,
 				},
 			});
--- a/packages/mulberrypitch-serving/src/view-messages.ts
+++ b/packages/mulberrypitch-serving/src/view-messages.ts
@@ -80,6 +80,10 @@
 	/** Contents of which the entries report whether they were answered. */
 	readonly suspects: readonly string[];
 	readonly quarantined: readonly QuarantinedContent[];
+	/** Whole requests that run at one back end at a time; absent from a coordinator of an earlier version. */
+	readonly restricted?: readonly string[];
+	/** Whether the entry is the one that runs them; absent from a coordinator of an earlier version. */
+	readonly mayRunRestricted?: boolean;
 };
 
 /** The back ends at which a stream began. Only back ends of that service and that version of the software may go on with it. */
