Report charges again to a coordinator that may know of none

Cause: entries report what a crash broke off for 5 s, and coordinators keep it in memory. After a restart of all coordinators a request that had ended three back ends was unknown, and ended as many again. Change: entries keep charges for a minute and report all of them for 2 s whenever another coordinator, or a new start of it, replies.

--- a/packages/mulberrypitch-proxy/src/content-quarantine.ts
+++ b/packages/mulberrypitch-proxy/src/content-quarantine.ts
@@ -33,8 +33,10 @@
 
 /** Time in milliseconds for which a charge is reported, so that several reports to the coordinators carry it. */
 const reportMs = 5000;
-/** Time in milliseconds for which a charge is kept. */
+/** Time in milliseconds for which a charge is kept, to be reported to a coordinator that may know of none. */
 const retentionMs = 60_000;
+/** Time in milliseconds for which all of them are reported to such a coordinator. */
+const repeatMs = 2000;
 /** Number of back ends that have broken off a whole request from which on this entry restricts it by itself, and for how long, in milliseconds. */
 const restrictingBackends = 2;
 const restrictionMs = 30_000;
@@ -59,6 +61,8 @@
 	readonly #answeredAt = new Map<string, number>();
 	#charges: readonly TimedCharge[] = [];
 	#suspects: readonly string[] = [];
+	/** Monotonic time in milliseconds until which all charges are reported. */
+	#repeatUntil = Number.NEGATIVE_INFINITY;
 
 	constructor(clock: Clock) {
 		this.#clock = clock;
@@ -89,7 +93,7 @@
 	createReport(): CrashReport {
 		const now = this.#clock.now();
 		this.#charges = this.#charges.filter(({at}) => now - at <= retentionMs);
-		const reported = this.#charges.filter(({at}) => now - at <= reportMs);
+		const reported = this.#charges.filter(({at}) => now <= this.#repeatUntil || now - at <= reportMs);
 		return {
 			charges: reported.map(({backend, at, fingerprints}): ContentCharge => ({backend, ageMs: now - at, fingerprints})),
 			answered: this.#suspects
@@ -106,6 +110,11 @@
 		this.#restricted.apply(verdict);
 	}
 
+	/** Reports all charges of the last minute for a while, since the coordinator that replies now may know of none. */
+	repeatReports(): void {
+		this.#repeatUntil = this.#clock.now() + repeatMs;
+	}
+
 	#findRefusal(fingerprints: readonly string[]): ContentRefusal | undefined {
 		const quarantineMs = Math.max(...fingerprints.map(fingerprint => this.#list.getRemainingMs(fingerprint)));
 		if (quarantineMs > 0) {
--- a/packages/mulberrypitch-proxy/src/entry.ts
+++ b/packages/mulberrypitch-proxy/src/entry.ts
@@ -269,6 +269,7 @@
 		if (roster.epoch !== this.#coordinatorEpoch) {
 			this.#coordinatorEpoch = roster.epoch;
 			this.#quotas.resetOthersSpent();
+			this.#quarantine.repeatReports();
 		}
 
 		this.#quotas.updateOthersSpent(othersSpent);
