--- a/packages/mulberrypitch-proxy/src/proxy-server.ts
+++ b/packages/mulberrypitch-proxy/src/proxy-server.ts
@@ -6,24 +6,19 @@
 import {listenOn, splitAddress} from '@mulberrypitch/lifecycle/listen';
 import {getMessage} from '@mulberrypitch/errors/coded-error';
 import {events} from '@mulberrypitch/logger/events';
-import type {RouteTable} from '@mulberrypitch/serving/route-table';
-import {
-	type CallerLimits, type Route, type Workspace,
-} from '@mulberrypitch/serving/types';
+import type {CallerLimits} from '@mulberrypitch/serving/types';
 import type {ServicePressure} from '@mulberrypitch/serving/view-messages';
 import {RequestCompletion} from './request-completion.js';
 import type {Header} from './response-parser.js';
-import {admitRequest} from './admission.js';
 import type {BackendFilter} from './backend-view.js';
 import {ResponseRelay} from './response-relay.js';
 import {ResponseTiming} from './response-timing.js';
 import {
-	getDeadlineAt, getHeader, getHeaders, getQuotaUnits, readBody, readPrompt, readStreamPosition, type Prompt, type StreamPosition,
+	getHeader, getHeaders, getQuotaUnits, readStreamPosition, type StreamPosition,
 } from './caller-request.js';
-import {getContentFingerprints, type IdentifyingParts} from './content-fingerprints.js';
-import type {RequestContent} from './content-quarantine.js';
-import {LocalReplies, minRetryAfterSeconds} from './local-replies.js';
-import {ProxiedRequest, stoppingReason} from './proxied-request.js';
+import {LocalReplies} from './local-replies.js';
+import {ProxiedRequest} from './proxied-request.js';
+import {RequestPreparation, type PreparedRequest} from './request-preparation.js';
 import {RequestOrder} from './request-order.js';
 import {RequestsInProgress} from './requests-in-progress.js';
 import type {DecisionContext, RequestEnd} from './proxied-request-options.js';
@@ -59,6 +54,7 @@
 	readonly #order = new RequestOrder();
 	readonly #stopWindow: StopWindow;
 	readonly #resumption: StreamResumption;
+	readonly #preparation: RequestPreparation;
 	#isDraining = false;
 
 	constructor(options: ProxyServerOptions) {
@@ -70,6 +66,7 @@
 			const now = options.clock.now();
 			return this.#requests.listArrivals(route).map(arrivedAt => now - arrivedAt);
 		});
+		this.#preparation = new RequestPreparation({...options, startup: this.#startup, stopWindow: this.#stopWindow});
 		this.#resumption = new StreamResumption(options);
 		this.#replies = new LocalReplies({
 			attemptHeader: names.attemptId,
@@ -191,52 +188,17 @@
 	}
 
 	async #serve(request: IncomingMessage, response: ServerResponse, arrivedAt: number): Promise<void> {
-		const {quotas, clock} = this.#options;
-		const table = await this.#startup.waitForTable();
-		if (table === undefined) {
-			this.#replies.send(request, response, {status: 503, reason: 'no configuration yet', retryAfterSeconds: minRetryAfterSeconds});
-			return;
-		}
-
-		const admission = admitRequest(request, table);
-		if (admission.kind === 'rejected') {
-			this.#replies.send(request, response, admission.reply);
-			return;
-		}
-
-		const {workspace, route} = admission;
-		const deadlineAt = getDeadlineAt(request, this.#options.names.deadline, {arrivedAt, timeoutMs: route.timeoutMs});
-		const late = this.#stopWindow.judge({attemptId: this.#getAttemptId(request), route, deadlineAt});
-		if (late !== undefined) {
-			this.#replies.send(request, response, {
-				status: 503, reason: stoppingReason, retryAfterSeconds: minRetryAfterSeconds, inputs: {route: route.name, ...late},
-			});
-			return;
-		}
-
-		const read = await readBody(request, {
-			clock, maxBytes: table.configuration.limits.maxBodyBytes, maxWaitMs: deadlineAt - clock.now(),
-		});
-		if (read.kind !== 'whole') {
-			this.#replies.send(request, response, read.kind === 'late' ? {status: 408, reason: 'body late'} : {status: 413, reason: 'body too large'});
-			return;
-		}
-
-		const {body} = read;
-		const prompt = this.#readPrompt(request, route);
-		const content = this.#trackContent(request, body, {workspace: workspace?.name, sharedParts: prompt.sharedParts});
-		const refusal = content.findRefusal();
-		if (refusal !== undefined) {
-			this.#replies.send(request, response, {
-				status: 503, reason: refusal.reason, retryAfterSeconds: refusal.waitMs / 1000, inputs: {
-					workspace: workspace?.name, sharedParts: prompt.sharedParts.join(' '), route: route.name,
-				},
-			});
+		const {quotas} = this.#options;
+		const preparation = await this.#preparation.prepare(request, arrivedAt);
+		if (preparation.kind === 'rejected') {
+			this.#replies.send(request, response, preparation.reply);
 			return;
 		}
 
+		const {prepared} = preparation;
+		const {workspace, route, deadlineAt} = prepared;
 		const position = readStreamPosition(request, this.#options.names);
-		const resumption = await this.#resumption.resolve(position, route, deadlineAt - clock.now());
+		const resumption = await this.#resumption.resolve(position, route, deadlineAt - this.#options.clock.now());
 		if (resumption.kind === 'refused') {
 			this.#replies.send(request, response, resumption.reply);
 			return;
@@ -269,7 +231,7 @@
 			getExtraHeaders: () => this.#getConnectionHeaders(response),
 		});
 		const end = await this.#run(request, response, {
-			body, arrivedAt, deadlineAt, route, service, position, workspace, table, relay, binding, prompt, content,
+			...prepared, arrivedAt, service, position, relay, binding,
 		});
 		if (end.kind === 'refused' && workspace !== undefined) {
 			quotas.refund(workspace, units);
@@ -280,30 +242,12 @@
 		});
 	}
 
-	#readPrompt(request: IncomingMessage, {hasSharedPrompts}: Route): Prompt {
-		const {tokenCount, promptParts} = this.#options.names;
-		return readPrompt(getHeader(request, tokenCount), hasSharedPrompts ? getHeader(request, promptParts) : undefined);
-	}
-
-	#trackContent({method, url}: IncomingMessage, body: Uint8Array, parts: Pick<IdentifyingParts, 'workspace' | 'sharedParts'>): RequestContent {
-		return this.#options.quarantine.track(getContentFingerprints({
-			...parts, method: method!, path: url!, body,
-		}));
-	}
-
-	async #run(request: IncomingMessage, response: ServerResponse, admitted: {
-		readonly body: Uint8Array;
+	async #run(request: IncomingMessage, response: ServerResponse, admitted: PreparedRequest & {
 		readonly arrivedAt: number;
-		readonly deadlineAt: number;
-		readonly route: Route;
 		readonly service: string;
 		readonly position: StreamPosition | undefined;
-		readonly workspace: Workspace | undefined;
-		readonly table: RouteTable;
 		readonly relay: ResponseRelay;
 		readonly binding: StreamBinding;
-		readonly prompt: Prompt;
-		readonly content: RequestContent;
 	}): Promise<RequestEnd> {
 		const {
 			names, clock, logger, retries, usage, metrics, backends,
