Don't take a back end that answers later for crashed

Cause: any answer that broke off counted as a crash of its back end. Change: an entry reports back ends that answer a request sent after they broke one off; what they broke off speaks against nothing any more. The entries have 300 ms to report before a request is restricted. An entry restricts nothing by itself, since it doesn't know what others had answered. A stream that goes on after an event is not restricted.

--- a/packages/mulberrypitch-coordinator/src/crash-evidence.ts
+++ b/packages/mulberrypitch-coordinator/src/crash-evidence.ts
@@ -32,6 +32,8 @@
 	readonly charges: Map<string, number>;
 	/** Monotonic time in milliseconds of the last known answer. */
 	answeredAt: number;
+	/** Monotonic time in milliseconds since which several back ends have broken the content off; absent if they have not. */
+	brokenOffSince?: number;
 	/** Monotonic time in milliseconds since which the content has been suspect; absent if it is not. */
 	suspectSince?: number;
 };
@@ -51,6 +53,10 @@
 /** Numbers of back ends and of separate crashes that quarantine a whole request, which runs at one back end at a time after the first crashes. */
 const wholeBackends = 3;
 const wholeCrashes = 2;
+/** Time in milliseconds for which the entries may report, before a whole request is restricted, whether it was answered or its back ends answer others. */
+const restrictionWaitMs = 300;
+/** Difference in milliseconds above which a sign of a back end is a new one, and not the same one after a delay. */
+const sameSurvivalMs = 500;
 /** Time in milliseconds since the last crash for which a whole request that several back ends broke off is restricted. */
 const restrictionMs = 30_000;
 /**
@@ -75,8 +81,12 @@
 	readonly #contents = new Map<string, Content>();
 	/** Monotonic time in milliseconds at which each incarnation of a back end last broke off requests. */
 	readonly #crashedAt = new Map<string, number>();
+	/** Monotonic time in milliseconds of the last sign that an incarnation has not crashed. */
+	readonly #survivedAt = new Map<string, number>();
 	#suspects: readonly string[] = [];
 	#restricted: readonly string[] = [];
+	/** Whole requests that several back ends have lately broken off. */
+	#brokenOff: ReadonlySet<string> = new Set();
 	#evaluatedAt = Number.NEGATIVE_INFINITY;
 
 	constructor(options: CrashEvidenceOptions) {
@@ -84,11 +94,15 @@
 	}
 
 	/** Adds the report of an entry, which may repeat what is known, and quarantines what the evidence then suffices for. */
-	merge({charges, answered, quarantined}: CrashReport): void {
+	merge({charges, answered, quarantined, survived = []}: CrashReport): void {
 		const {clock, quarantine} = this.#options;
 		const now = clock.now();
 		quarantine.merge(quarantined);
-		for (const {backend, ageMs, fingerprints} of charges) {
+		for (const {backend, ageMs} of survived) {
+			this.#recordSurvival(backend, now - ageMs);
+		}
+
+		for (const {backend, ageMs, fingerprints} of charges.filter(charge => now - charge.ageMs > (this.#survivedAt.get(charge.backend) ?? Number.NEGATIVE_INFINITY))) {
 			this.#recordCrash(backend, now - ageMs);
 			for (const [rank, fingerprint] of fingerprints.entries()) {
 				this.#charge(fingerprint, {rank, isWhole: rank === fingerprints.length - 1}, {backend, at: now - ageMs});
@@ -127,6 +141,12 @@
 			}
 		}
 
+		for (const [backend, survivedAt] of this.#survivedAt) {
+			if (survivedAt < before) {
+				this.#survivedAt.delete(backend);
+			}
+		}
+
 		for (const [fingerprint, {charges, answeredAt}] of this.#contents) {
 			for (const [backend, at] of charges) {
 				if (at < before) {
@@ -147,29 +167,62 @@
 	}
 
 	#listRestricted(): void {
-		const {clock, quarantine, onRestricted} = this.#options;
-		const since = clock.now() - restrictionMs;
-		const restricted = [...this.#contents]
-			.filter(([fingerprint, {isWhole, charges}]) => isWhole && charges.size >= suspectThreshold && !quarantine.has(fingerprint)
-				&& Math.max(...charges.values()) >= since)
-			.slice(-maxSuspects)
-			.map(([fingerprint]) => fingerprint);
+		const {clock, onSuspect, onRestricted} = this.#options;
+		const now = clock.now();
+		const wasAsked = new Set(this.#suspects);
+		const brokenOff = [...this.#contents].filter(([fingerprint, content]) => this.#isBrokenOffBySeveral(fingerprint, content));
+		const restricted = brokenOff.filter(([, {brokenOffSince}]) => now - brokenOffSince! >= restrictionWaitMs).slice(-maxSuspects).map(([fingerprint]) => fingerprint);
 		const added = restricted.filter(fingerprint => !this.#restricted.includes(fingerprint));
 		this.#restricted = restricted;
+		this.#brokenOff = new Set(brokenOff.map(([fingerprint]) => fingerprint));
+		if ([...this.#brokenOff].some(fingerprint => !wasAsked.has(fingerprint))) {
+			onSuspect();
+		}
+
 		for (const fingerprint of added) {
 			onRestricted(fingerprint, [...this.#contents.get(fingerprint)!.charges.keys()]);
 		}
 	}
 
+	/** Reports whether several back ends have lately broken off a whole request, and records since when. */
+	#isBrokenOffBySeveral(fingerprint: string, content: Content): boolean {
+		const {clock, quarantine} = this.#options;
+		const {isWhole, charges} = content;
+		if (!isWhole || charges.size < suspectThreshold || quarantine.has(fingerprint) || Math.max(...charges.values()) < clock.now() - restrictionMs) {
+			delete content.brokenOffSince;
+			return false;
+		}
+
+		content.brokenOffSince ??= clock.now();
+		return true;
+	}
+
 	#listSuspects(): void {
 		const {quarantine} = this.#options;
-		const restricted = new Set(this.#restricted);
 		this.#suspects = [...this.#contents]
-			.filter(([fingerprint, {suspectSince}]) => suspectSince !== undefined || restricted.has(fingerprint) || quarantine.has(fingerprint))
+			.filter(([fingerprint, {suspectSince}]) => suspectSince !== undefined || this.#brokenOff.has(fingerprint) || quarantine.has(fingerprint))
 			.slice(-maxSuspects)
 			.map(([fingerprint]) => fingerprint);
 	}
 
+	/** Removes what speaks for a crash of a back end that has answered a later request. */
+	#recordSurvival(backend: string, survivedAt: number): void {
+		if (survivedAt <= (this.#survivedAt.get(backend) ?? Number.NEGATIVE_INFINITY) + sameSurvivalMs) {
+			return;
+		}
+
+		this.#survivedAt.set(backend, survivedAt);
+		if ((this.#crashedAt.get(backend) ?? survivedAt) < survivedAt) {
+			this.#crashedAt.delete(backend);
+		}
+
+		for (const {charges} of this.#contents.values()) {
+			if ((charges.get(backend) ?? survivedAt) < survivedAt) {
+				charges.delete(backend);
+			}
+		}
+	}
+
 	#recordCrash(backend: string, at: number): void {
 		const knownAt = this.#crashedAt.get(backend);
 		if (knownAt === undefined || at > knownAt + sameReportMs) {
--- a/packages/mulberrypitch-coordinator/src/status-schema.ts
+++ b/packages/mulberrypitch-coordinator/src/status-schema.ts
@@ -55,13 +55,17 @@
 }
 
 function isCrashReport(value: unknown): boolean {
-	return isObject(value) && isListOf(isCharge)(value.charges) && isListOf(isContent)(value.answered) && isListOf(isContent)(value.quarantined);
+	return isObject(value) && isListOf(isCharge)(value.charges) && isListOf(isContent)(value.answered) && isListOf(isContent)(value.quarantined) && isListOf(isSurvival)(value.survived ?? []);
 }
 
 function isCharge(value: unknown): boolean {
 	return isObject(value) && isString(value.backend) && isNumber(value.ageMs) && isListOf(isString)(value.fingerprints);
 }
 
+function isSurvival(value: unknown): boolean {
+	return isObject(value) && isString(value.backend) && isNumber(value.ageMs);
+}
+
 function isContent(value: unknown): boolean {
 	return isObject(value) && isString(value.fingerprint) && isNumber(value.ageMs);
 }
--- a/packages/mulberrypitch-proxy/src/content-quarantine.ts
+++ b/packages/mulberrypitch-proxy/src/content-quarantine.ts
@@ -4,7 +4,9 @@
  */
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
 import {QuarantineList} from '@mulberrypitch/serving/quarantine-list';
-import type {ContentCharge, ContentVerdict, CrashReport} from '@mulberrypitch/serving/view-messages';
+import type {
+	BackendSurvival, ContentCharge, ContentVerdict, CrashReport,
+} from '@mulberrypitch/serving/view-messages';
 import {RestrictedContents} from './restricted-contents.js';
 
 /** Why a request must not be sent to a back end now, because of its contents. */
@@ -16,8 +18,11 @@
 
 /** The contents of one request. */
 export type RequestContent = {
-	/** Returns why the request must not be sent to a back end now, or `undefined` if it may be. Asked before each send. */
-	findRefusal(): ContentRefusal | undefined;
+	/**
+	Returns why the request must not be sent to a back end now, or `undefined` if it may be. Asked before each send. A stream that goes on after an
+	event is not restricted, since content that crashes back ends does so before its first event.
+	*/
+	findRefusal(goesOn: boolean): ContentRefusal | undefined;
 	/** Records that the request is sent to a back end. Returns what to call at the end of the attempt, with whether the back end broke it off. */
 	beginRun(): (isBrokenOff: boolean) => void;
 	/** Records that a back end broke off the request and may have crashed because of it. */
@@ -37,9 +42,6 @@
 const retentionMs = 60_000;
 /** Time in milliseconds for which all of them are reported to such a coordinator. */
 const repeatMs = 2000;
-/** Number of back ends that have broken off a whole request from which on this entry restricts it by itself, and for how long, in milliseconds. */
-const restrictingBackends = 2;
-const restrictionMs = 30_000;
 /** Maximum number of charges in a report; the oldest ones are left out. */
 const maxCharges = 50;
 /** Number of contents whose last answer is remembered. */
@@ -60,6 +62,8 @@
 	/** Monotonic time in milliseconds of the last answer, by fingerprint, least recent first. */
 	readonly #answeredAt = new Map<string, number>();
 	#charges: readonly TimedCharge[] = [];
+	/** Monotonic time in milliseconds of the last request that a back end answered after it had broken off another one. */
+	readonly #survivedAt = new Map<string, number>();
 	#suspects: readonly string[] = [];
 	/** Monotonic time in milliseconds until which all charges are reported. */
 	#repeatUntil = Number.NEGATIVE_INFINITY;
@@ -78,7 +82,7 @@
 	/** Returns the contents of a request, given their fingerprints, the last of which is that of the whole request. */
 	track(fingerprints: readonly string[]): RequestContent {
 		return {
-			findRefusal: () => this.#findRefusal(fingerprints),
+			findRefusal: goesOn => this.#findRefusal(fingerprints, goesOn),
 			beginRun: () => this.#beginRun(fingerprints),
 			recordBrokenOff: backend => {
 				this.#charges = [...this.#charges, {backend, at: this.#clock.now(), fingerprints}].slice(-maxCharges);
@@ -100,9 +104,18 @@
 				.filter(fingerprint => this.#answeredAt.has(fingerprint))
 				.map(fingerprint => ({fingerprint, ageMs: now - this.#answeredAt.get(fingerprint)!})),
 			quarantined: this.#list.capture(),
+			survived: this.#listSurvived(),
 		};
 	}
 
+	/** Records that a back end answered a request which was sent at the given monotonic time in milliseconds: it had not crashed before. */
+	recordResponse(backend: string, sentAt: number): void {
+		if (this.#charges.some(charge => charge.backend === backend && charge.at < sentAt)) {
+			this.#charges = this.#charges.filter(charge => charge.backend !== backend || charge.at >= sentAt);
+			this.#survivedAt.set(backend, sentAt);
+		}
+	}
+
 	/** Applies what the coordinators know and have decided. */
 	apply(verdict: ContentVerdict): void {
 		this.#suspects = verdict.suspects;
@@ -115,18 +128,29 @@
 		this.#repeatUntil = this.#clock.now() + repeatMs;
 	}
 
-	#findRefusal(fingerprints: readonly string[]): ContentRefusal | undefined {
+	#listSurvived(): readonly BackendSurvival[] {
+		const now = this.#clock.now();
+		for (const [backend, at] of this.#survivedAt) {
+			if (now - at > reportMs) {
+				this.#survivedAt.delete(backend);
+			}
+		}
+
+		return [...this.#survivedAt].map(([backend, at]) => ({backend, ageMs: now - at}));
+	}
+
+	#findRefusal(fingerprints: readonly string[], goesOn: boolean): ContentRefusal | undefined {
 		const quarantineMs = Math.max(...fingerprints.map(fingerprint => this.#list.getRemainingMs(fingerprint)));
 		if (quarantineMs > 0) {
 			return {reason: quarantineReason, waitMs: quarantineMs};
 		}
 
-		const waitMs = this.#isRestricted(fingerprints.at(-1)!) ? this.#restricted.getWaitMs() : 0;
+		const waitMs = !goesOn && this.#restricted.has(fingerprints.at(-1)!) ? this.#restricted.getWaitMs() : 0;
 		return waitMs > 0 ? {reason: restrictionReason, waitMs} : undefined;
 	}
 
 	#beginRun(fingerprints: readonly string[]): (isBrokenOff: boolean) => void {
-		if (!this.#isRestricted(fingerprints.at(-1)!)) {
+		if (!this.#restricted.has(fingerprints.at(-1)!)) {
 			return () => {
 				// Only the runs of restricted requests are counted.
 			};
@@ -138,16 +162,6 @@
 		};
 	}
 
-	#isRestricted(fingerprint: string): boolean {
-		return this.#restricted.has(fingerprint) || this.#countBackends(fingerprint) >= restrictingBackends;
-	}
-
-	/** Returns the number of back ends that have lately broken off a request of this entry, since it was last answered here. */
-	#countBackends(fingerprint: string): number {
-		const since = Math.max(this.#clock.now() - restrictionMs, this.#answeredAt.get(fingerprint) ?? Number.NEGATIVE_INFINITY);
-		return new Set(this.#charges.filter(({at, fingerprints}) => at > since && fingerprints.at(-1) === fingerprint).map(({backend}) => backend)).size;
-	}
-
 	#recordAnswered(fingerprints: readonly string[]): void {
 		const now = this.#clock.now();
 		for (const fingerprint of fingerprints) {
@@ -165,3 +179,15 @@
 		}
 	}
 }
+
+/**
+Returns the key of an incarnation of a back end in charges.
+
+@example
+```
+content.recordBrokenOff(getIncarnationKey('i-1', startedAt));
+```
+*/
+export function getIncarnationKey(id: string, startedAt: number): string {
+	return `${id} ${startedAt}`;
+}
--- a/packages/mulberrypitch-proxy/src/entry.ts
+++ b/packages/mulberrypitch-proxy/src/entry.ts
@@ -17,7 +17,7 @@
 import type {Transport} from '@mulberrypitch/transport/types';
 import type {StatementDecoder} from './backend-statement.js';
 import {BackendView} from './backend-view.js';
-import {ContentQuarantine} from './content-quarantine.js';
+import {ContentQuarantine, getIncarnationKey} from './content-quarantine.js';
 import {ProxyServer} from './proxy-server.js';
 import type {QuotaTolerance} from './quota-bucket.js';
 import {WorkspaceQuotas} from './workspace-quotas.js';
@@ -108,7 +108,7 @@
 		this.#startedAt = clock.now();
 		this.#entryCounts = new RecentMaximum(clock, entryCountWindowMs);
 		this.#usage = new UsageCounter(clock, options.usageWindowMs);
-		this.#backends = new BackendView(({service}) => ({
+		this.#backends = new BackendView(({service, id, startedAt}) => ({
 			clock,
 			random,
 			logger,
@@ -117,6 +117,9 @@
 			onUnreadable() {
 				options.metrics.count('mulberrypitch_unreadable_statements_total', 'Statements of back ends about themselves that could not be read.', {service});
 			},
+			onResponse: sentAt => {
+				this.#quarantine.recordResponse(getIncarnationKey(id, startedAt), sentAt);
+			},
 			attemptHeader: names.attemptId,
 			connectTimeoutMs,
 			getMaxConnections: () => this.#getMaxConnections(service),
--- a/packages/mulberrypitch-proxy/src/known-backend.ts
+++ b/packages/mulberrypitch-proxy/src/known-backend.ts
@@ -20,6 +20,8 @@
 	readonly decodeStatement: StatementDecoder;
 	/** Called when the back end states something that can't be read. */
 	readonly onUnreadable: () => void;
+	/** Called at each response of the back end, with the monotonic time in milliseconds at which its request was sent. */
+	readonly onResponse: (sentAt: number) => void;
 	/** Name of the header that identifies an attempt, in lower case. */
 	readonly attemptHeader: string;
 	readonly connectTimeoutMs: number;
@@ -295,12 +297,14 @@
 	}
 
 	#recordStatement(head: ResponseHead, sentAt: number): void {
-		const {logger, decodeStatement, onUnreadable} = this.#options;
+		const {logger, decodeStatement, onUnreadable, onResponse} = this.#options;
 		if (head.status === misdirectedStatus) {
 			// Another process responds at the address.
 			return;
 		}
 
+		onResponse(sentAt);
+
 		const statement = decodeStatement(head);
 		if (statement.isLeaving && this.isServing) {
 			logger.log(events.backendLeaving, {backend: this.id, service: this.#announced.service, isStated: true});
--- a/packages/mulberrypitch-proxy/src/proxied-request.ts
+++ b/packages/mulberrypitch-proxy/src/proxied-request.ts
@@ -14,6 +14,7 @@
 import type {BackendConnection, Exchange} from './backend-connection.js';
 import type {BackendPermit} from './backend-place.js';
 import {connectInTime} from './connect-in-time.js';
+import {getIncarnationKey} from './content-quarantine.js';
 import type {KnownBackend} from './known-backend.js';
 import type {ProxiedRequestOptions, RequestEnd} from './proxied-request-options.js';
 import {isGoodOutcome, recordResult} from './recorded-result.js';
@@ -148,8 +149,8 @@
 
 	/** Returns how a request ends that must not be sent to a back end now. */
 	#findRefusal(): Refusal | undefined {
-		const {service, content, relay, isTooLate} = this.#options;
-		const refusal = content.findRefusal();
+		const {service, content, relay, position, isTooLate} = this.#options;
+		const refusal = content.findRefusal(position !== undefined || relay.lastEventId !== undefined);
 		if (refusal !== undefined) {
 			return {
 				kind: 'refused', service, reason: refusal.reason, retryAfterSeconds: refusal.waitMs / 1000,
@@ -200,7 +201,7 @@
 		if (outcome.kind === 'delivered') {
 			content.recordAnswered();
 		} else if (isBrokenOff(outcome) && !backend.announced.isLeaving) {
-			content.recordBrokenOff(`${backend.id} ${backend.announced.startedAt}`);
+			content.recordBrokenOff(getIncarnationKey(backend.id, backend.announced.startedAt));
 		}
 	}
 
--- a/packages/mulberrypitch-proxy/src/proxy-server.ts
+++ b/packages/mulberrypitch-proxy/src/proxy-server.ts
@@ -13,9 +13,7 @@
 import type {BackendFilter} from './backend-view.js';
 import {ResponseRelay} from './response-relay.js';
 import {ResponseTiming} from './response-timing.js';
-import {
-	getHeader, getHeaders, getQuotaUnits, readStreamPosition, type StreamPosition,
-} from './caller-request.js';
+import {getHeader, getHeaders, getQuotaUnits} from './caller-request.js';
 import {LocalReplies} from './local-replies.js';
 import {ProxiedRequest} from './proxied-request.js';
 import {RequestPreparation, type PreparedRequest} from './request-preparation.js';
@@ -196,8 +194,7 @@
 		}
 
 		const {prepared} = preparation;
-		const {workspace, route, deadlineAt} = prepared;
-		const position = readStreamPosition(request, this.#options.names);
+		const {workspace, route, deadlineAt, position} = prepared;
 		const resumption = await this.#resumption.resolve(position, route, deadlineAt - this.#options.clock.now());
 		if (resumption.kind === 'refused') {
 			this.#replies.send(request, response, resumption.reply);
@@ -231,7 +228,7 @@
 			getExtraHeaders: () => this.#getConnectionHeaders(response),
 		});
 		const end = await this.#run(request, response, {
-			...prepared, arrivedAt, service, position, relay, binding,
+			...prepared, arrivedAt, service, relay, binding,
 		});
 		if (end.kind === 'refused' && workspace !== undefined) {
 			quotas.refund(workspace, units);
@@ -245,7 +242,6 @@
 	async #run(request: IncomingMessage, response: ServerResponse, admitted: PreparedRequest & {
 		readonly arrivedAt: number;
 		readonly service: string;
-		readonly position: StreamPosition | undefined;
 		readonly relay: ResponseRelay;
 		readonly binding: StreamBinding;
 	}): Promise<RequestEnd> {
--- a/packages/mulberrypitch-proxy/src/request-preparation.ts
+++ b/packages/mulberrypitch-proxy/src/request-preparation.ts
@@ -4,7 +4,7 @@
 import type {Route, Workspace} from '@mulberrypitch/serving/types';
 import {admitRequest} from './admission.js';
 import {
-	getDeadlineAt, getHeader, readBody, readPrompt, type Prompt,
+	getDeadlineAt, getHeader, readBody, readPrompt, readStreamPosition, type Prompt, type StreamPosition,
 } from './caller-request.js';
 import {getContentFingerprints, type IdentifyingParts} from './content-fingerprints.js';
 import type {RequestContent} from './content-quarantine.js';
@@ -24,6 +24,8 @@
 	readonly body: Uint8Array;
 	readonly prompt: Prompt;
 	readonly content: RequestContent;
+	/** Where the caller takes a stream up again; absent if it begins one. */
+	readonly position: StreamPosition | undefined;
 };
 
 /** The prepared request, or the reply to one that is not sent. */
@@ -77,7 +79,8 @@
 		const {body} = read;
 		const prompt = this.#readPrompt(request, route);
 		const content = this.#trackContent(request, body, {workspace: workspace?.name, sharedParts: prompt.sharedParts});
-		const refusal = content.findRefusal();
+		const position = readStreamPosition(request, names);
+		const refusal = content.findRefusal(position !== undefined);
 		if (refusal !== undefined) {
 			return reject({
 				status: 503, reason: refusal.reason, retryAfterSeconds: refusal.waitMs / 1000, inputs: {
@@ -88,7 +91,7 @@
 
 		return {
 			kind: 'prepared', prepared: {
-				table, route, workspace, deadlineAt, body, prompt, content,
+				table, route, workspace, deadlineAt, body, prompt, content, position,
 			},
 		};
 	}
--- a/packages/mulberrypitch-serving/src/view-messages.ts
+++ b/packages/mulberrypitch-serving/src/view-messages.ts
@@ -73,6 +73,16 @@
 	/** Of the contents that the coordinators suspect, those that a back end answered. */
 	readonly answered: readonly AnsweredContent[];
 	readonly quarantined: readonly QuarantinedContent[];
+	/** Back ends that broke off a request and answered a later one, so that they have not crashed; absent from an entry of an earlier version. */
+	readonly survived?: readonly BackendSurvival[];
+};
+
+/** A sign that a back end has not crashed. */
+export type BackendSurvival = {
+	/** Incarnation of the back end. */
+	readonly backend: string;
+	/** Time in milliseconds since a request was sent that it answered. */
+	readonly ageMs: number;
 };
 
 /** Conclusions of the coordinators on contents that may crash back ends. */
