Pass requests on to an entry that reaches back ends

Cause: an entry had no way but its own connections to back ends, and no notion that it reaches none. It tried until the deadline, or waited on connections that hang.

Change: an entry observes by its connections whether it reaches any back end. Entries report the port that they listen on, not the one that was asked for. Tried and dropped: passing on after two failed connections of one request, which sends the requests of a service that is down round all entries; asking by arrived bytes alone, which misses connections that live on while new ones are refused.

--- a/packages/mulberrypitch-coordinator/src/entry-directory.ts
+++ b/packages/mulberrypitch-coordinator/src/entry-directory.ts
@@ -58,6 +58,17 @@
 		return [...sameZone, ...otherZones].slice(0, limit).map(({status}) => status.address);
 	}
 
+	/**
+	Returns up to `limit` addresses of other ready entries that reach back ends. Each entry is told others, so that those that are cut off together
+	don't all pass their requests on to the same ones.
+	*/
+	getPeers(entry: string, limit: number): readonly string[] {
+		const others = this.#getSeenWithin(entryTimeoutMs)
+			.map(({status}) => status)
+			.filter(({name, isReady, reachesBackends = true}) => name !== entry && isReady && reachesBackends);
+		return rankNodes(hashText(entry), others, ({name}) => name).slice(0, limit).map(({address}) => address);
+	}
+
 	/** Returns the load of each back end, summed over all live entries except the named one. */
 	getLoads(except?: string): Readonly<globalThis.Record<string, BackendLoad>> {
 		const loads: globalThis.Record<string, BackendLoad> = {};
--- a/packages/mulberrypitch-coordinator/src/view-service.ts
+++ b/packages/mulberrypitch-coordinator/src/view-service.ts
@@ -32,6 +32,8 @@
 	readonly isInTouch: () => boolean;
 };
 
+/** Maximum number of other entries that an entry is told of. */
+const maxPeers = 8;
 /** Maximum time in milliseconds for which a call of an entry waits for changes. */
 const watchTimeoutMs = 100;
 
@@ -91,6 +93,7 @@
 			origins: this.#getOriginChanges(report),
 			entryCount: Math.max(1, directory.count),
 			coordinators: getCoordinators(),
+			peers: directory.getPeers(status.name, maxPeers),
 			isInTouch: isInTouch(),
 		};
 	}
--- a/packages/mulberrypitch-proxy/src/__tests__/unreachable-backend.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/unreachable-backend.test.ts
@@ -40,6 +40,7 @@
 		signal: new AbortController().signal,
 		isTooLate: () => false,
 		getStatedWaitMs: () => 0,
+		isCutOff: () => false,
 		onReleased: ignore,
 		takeRetry: () => true,
 		getDecisionContext: () => ({configuration: 1, viewAgeMs: 0}),
--- a/packages/mulberrypitch-proxy/src/attempt-outcome.ts
+++ b/packages/mulberrypitch-proxy/src/attempt-outcome.ts
@@ -66,6 +66,18 @@
 /** Limit of `sendCount`. Unlike `runCount`, it also includes requests that were sent but provably did not run. */
 const maxSends = 4;
 
+/**
+Reports whether the back end broke off the request, so that it may have run and no complete response arrived.
+
+@example
+```
+const mayHaveCrashed = isBrokenOff(outcome);
+```
+*/
+export function isBrokenOff({kind}: AttemptOutcome): boolean {
+	return kind === 'cut' || kind === 'unknown';
+}
+
 /**
 Returns what to do after an attempt has ended. Takes a retry from the budget when it is needed for the next attempt.
 
--- a/packages/mulberrypitch-proxy/src/backend-connection.ts
+++ b/packages/mulberrypitch-proxy/src/backend-connection.ts
@@ -33,6 +33,8 @@
 	readonly onIdle: (connection: BackendConnection) => void;
 	/** Called with the head of each response to a request on this connection, and the monotonic time in milliseconds at which the request was sent. */
 	readonly onHead: (head: ResponseHead, sentAt: number) => void;
+	/** Called when bytes arrive; absent if nobody observes that. */
+	readonly onData?: () => void;
 	/** Returns the monotonic time in milliseconds. */
 	readonly now: () => number;
 };
@@ -174,6 +176,7 @@
 
 	/** Parses received bytes. Returns whether to continue reading at once. */
 	#onData(data: Uint8Array): boolean {
+		this.#options.onData?.();
 		try {
 			this.#parser.push(data);
 		} catch (error) {
--- a/packages/mulberrypitch-proxy/src/backend-view.ts
+++ b/packages/mulberrypitch-proxy/src/backend-view.ts
@@ -136,6 +136,21 @@
 		return waits.length === 0 ? 0 : Math.min(...waits);
 	}
 
+	/** Whether any back end owes this entry a response. */
+	get hasRequests(): boolean {
+		return [...this.#backends.values()].some(({inFlight}) => inFlight > 0);
+	}
+
+	/** Returns the serving back ends. */
+	listServing(): readonly AnnouncedBackend[] {
+		return [...this.#backends.values()].filter(({isServing}) => isServing).map(({announced}) => announced);
+	}
+
+	/** Opens a connection to a back end and keeps it for a request. Does nothing if the back end is no longer known; rejects if it can't be reached. */
+	async probe(id: string): Promise<void> {
+		await this.#backends.get(id)?.probe();
+	}
+
 	/** Closes connections that have exceeded their idle time. */
 	closeIdle(): void {
 		for (const backend of this.#backends.values()) {
--- a/packages/mulberrypitch-proxy/src/entry.ts
+++ b/packages/mulberrypitch-proxy/src/entry.ts
@@ -8,6 +8,7 @@
 import {DisposableStore, type Resource} from '@mulberrypitch/lifecycle/disposable-store';
 import type {Random} from '@mulberrypitch/lifecycle/random';
 import {getMessage} from '@mulberrypitch/errors/coded-error';
+import {splitAddress} from '@mulberrypitch/lifecycle/listen';
 import {events} from '@mulberrypitch/logger/events';
 import type {Logger} from '@mulberrypitch/logger/logger';
 import type {MetricsRegistry} from '@mulberrypitch/metrics/registry';
@@ -16,8 +17,10 @@
 import type {StoredConfiguration, ViewReply, ViewRequest} from '@mulberrypitch/serving/view-messages';
 import type {Transport} from '@mulberrypitch/transport/types';
 import type {StatementDecoder} from './backend-statement.js';
+import {BackendReachability} from './backend-reachability.js';
 import {BackendView} from './backend-view.js';
 import {ContentQuarantine, getIncarnationKey} from './content-quarantine.js';
+import {PeerEntries} from './peer-entries.js';
 import {ProxyServer} from './proxy-server.js';
 import type {QuotaTolerance} from './quota-bucket.js';
 import {WorkspaceQuotas} from './workspace-quotas.js';
@@ -64,6 +67,8 @@
 const minConnections = 2;
 /** Interval in milliseconds at which idle connections to back ends are closed. */
 const maintenanceMs = 500;
+/** Interval in milliseconds at which it is checked whether back ends can be reached. */
+const reachabilityCheckMs = 100;
 /** Share of the entries that must report to a coordinator before the coordinator's count of their spending is used. */
 const minReportedShare = 0.7;
 /** Age of the last reply, in milliseconds, from which the other entries' spending counts as unknown. */
@@ -86,6 +91,8 @@
 	readonly #startedAt: number;
 	readonly #backends: BackendView;
 	readonly #quarantine: ContentQuarantine;
+	readonly #reachability: BackendReachability;
+	readonly #peers: PeerEntries;
 	readonly #origins: StreamOrigins;
 	readonly #versions: VersionHistory;
 	readonly #quotas: WorkspaceQuotas;
@@ -99,6 +106,8 @@
 	/** Roster epoch of the coordinator that replied last. */
 	#coordinatorEpoch = '';
 	#isDraining = false;
+	/** Address for callers, with the port in use. */
+	#address: string;
 
 	constructor(options: EntryOptions) {
 		const {
@@ -106,6 +115,7 @@
 		} = options;
 		this.#options = options;
 		this.#startedAt = clock.now();
+		this.#address = listen;
 		this.#entryCounts = new RecentMaximum(clock, entryCountWindowMs);
 		this.#usage = new UsageCounter(clock, options.usageWindowMs);
 		this.#backends = new BackendView(({service, id, startedAt}) => ({
@@ -120,10 +130,27 @@
 			onResponse: sentAt => {
 				this.#quarantine.recordResponse(getIncarnationKey(id, startedAt), sentAt);
 			},
+			onData: () => {
+				this.#reachability.recordData();
+			},
+			onConnected: () => {
+				this.#reachability.recordConnection();
+			},
+			onUnreachable: () => {
+				this.#reachability.recordFailure(id);
+			},
 			attemptHeader: names.attemptId,
 			connectTimeoutMs,
 			getMaxConnections: () => this.#getMaxConnections(service),
 		}));
+		this.#reachability = new BackendReachability({
+			clock,
+			logger,
+			getServing: () => this.#backends.listServing(),
+			isWaiting: () => this.#backends.hasRequests,
+			probe: async id => this.#backends.probe(id),
+		});
+		this.#peers = new PeerEntries({clock, random, attemptHeader: names.attemptId});
 		this.#quarantine = new ContentQuarantine(clock);
 		this.#origins = new StreamOrigins(clock);
 		this.#versions = new VersionHistory(clock);
@@ -150,6 +177,8 @@
 			logger,
 			backends: this.#backends,
 			quarantine: this.#quarantine,
+			reachability: this.#reachability,
+			peers: this.#peers,
 			origins: this.#origins,
 			versions: this.#versions,
 			quotas: this.#quotas,
@@ -179,8 +208,13 @@
 	async start(): Promise<number> {
 		this.#resources.add(this.#server);
 		const port = await this.#server.listen();
+		this.#address = `${splitAddress(this.#options.listen).host}:${port}`;
 		this.#resources.add(this.#view);
 		this.#view.start();
+		this.#resources.add(this.#peers);
+		this.#resources.add(new BackgroundTask(async signal => this.#observeReachability(signal), error => {
+			this.#options.logger.log(events.taskFailed, {task: 'reachability', reason: getMessage(error)});
+		}));
 		this.#resources.add(new BackgroundTask(async signal => this.#maintain(signal), error => {
 			this.#options.logger.log(events.taskFailed, {task: 'maintenance', reason: getMessage(error)});
 		}));
@@ -226,19 +260,20 @@
 		metrics.gauge('mulberrypitch_entry_backends_limited', 'Back ends that state a limit on requests.', () => this.#backends.getCounts().limited);
 		metrics.gauge('mulberrypitch_entry_backends_paused', 'Back ends that asked this entry for a pause.', () => this.#backends.getCounts().paused);
 		metrics.gauge('mulberrypitch_entry_backend_connections', 'Connections to back ends.', () => this.#backends.getCounts().connections);
+		metrics.gauge('mulberrypitch_entry_cut_off', 'One while the entry reaches no back end.', () => this.#reachability.isCutOff ? 1 : 0);
 		metrics.gauge('mulberrypitch_entry_quarantined_contents', 'Contents that are kept from back ends since they crash them.', () => this.#quarantine.count);
 		metrics.gauge('mulberrypitch_entry_stream_origins', 'Streams of which the entry was told where they began.', () => this.#origins.count);
 		metrics.gauge('mulberrypitch_entries', 'Entries in touch, as the coordinators said.', () => this.#entryCount);
 	}
 
 	#createViewRequest(): ViewRequest {
-		const {name, listen, zone} = this.#options;
+		const {name, zone} = this.#options;
 		return {
 			status: {
 				name,
 				incarnation: this.#incarnation,
 				upMs: Math.round(this.#options.clock.now() - this.#startedAt),
-				address: listen,
+				address: this.#address,
 				zone,
 				isReady: this.isReady,
 				loads: this.#backends.getLoads(),
@@ -248,6 +283,7 @@
 				crashes: this.#quarantine.createReport(),
 				limits: this.#backends.getStatedLimits(),
 				leaves: this.#backends.getLeaves(),
+				reachesBackends: !this.#reachability.isCutOff,
 			},
 			configurationVersion: this.#table?.configuration.version ?? 0,
 			rosterEpoch: this.#backends.epoch,
@@ -257,8 +293,9 @@
 	}
 
 	#applyView({
-		configuration, roster, loads, othersSpent, entryCount, verdict, limits = [], origins, isInTouch,
+		configuration, roster, loads, othersSpent, entryCount, verdict, limits = [], origins, peers = [], isInTouch,
 	}: ViewReply): void {
+		this.#peers.setAddresses(peers);
 		this.#quarantine.apply(verdict);
 		if (configuration !== undefined) {
 			this.#applyConfiguration(configuration);
@@ -306,6 +343,14 @@
 		while (!signal.aborted) {
 			await this.#options.clock.sleep(maintenanceMs, signal);
 			this.#backends.closeIdle();
+			this.#peers.closeIdle();
+		}
+	}
+
+	async #observeReachability(signal: AbortSignal): Promise<void> {
+		while (!signal.aborted) {
+			await this.#options.clock.sleep(reachabilityCheckMs, signal);
+			this.#reachability.check();
 		}
 	}
 }
--- /dev/null
+++ b/packages/mulberrypitch-proxy/src/forwarded-request.ts
@@ -0,0 +1,210 @@
+/**
+ * Passes one request on to another entry, which handles it as if the caller had sent it there: its quota, its retries, its account and the choice of
+ * a back end are that entry's. It passes the request on no further, so a request takes one hop at the most.
+ */
+import {Deferred} from '@mulberrypitch/lifecycle/background';
+import type {Clock} from '@mulberrypitch/lifecycle/clock';
+import {CodedError} from '@mulberrypitch/errors/coded-error';
+import {events} from '@mulberrypitch/logger/events';
+import type {Logger} from '@mulberrypitch/logger/logger';
+import type {AttemptOutcome, BufferedResponse} from './attempt-outcome.js';
+import {findHeader, type BackendConnection} from './backend-connection.js';
+import type {PeerEntries} from './peer-entries.js';
+import type {RequestEnd} from './proxied-request-options.js';
+import {createForwardedHead, type CallerHead} from './request-head.js';
+import {ResponseCollector} from './response-collector.js';
+import type {ResponseRelay} from './response-relay.js';
+import type {HeaderNames} from './types.js';
+
+/** A request to pass on, and the dependencies with which it is handled. */
+export type ForwardedRequestOptions = {
+	readonly attemptId: string | undefined;
+	readonly caller: CallerHead;
+	readonly body: Uint8Array;
+	readonly isStream: boolean;
+	readonly service: string;
+	/** Monotonic time in milliseconds by which the caller gets its final response. */
+	readonly deadlineAt: number;
+	readonly relay: ResponseRelay;
+	readonly peers: PeerEntries;
+	readonly names: HeaderNames;
+	readonly clock: Clock;
+	readonly logger: Logger;
+	/** Aborts when the caller disconnects. */
+	readonly signal: AbortSignal;
+};
+
+/** Number of entries that are tried. */
+const maxTries = 3;
+/** An entry is tried only if more than this time, in milliseconds, is left before the deadline. */
+const minTryMs = 60;
+/** Status with which an entry refuses a request that no back end has run. */
+const refusedStatus = 503;
+
+/** Handles one request until it is answered, refused, cut off or abandoned. */
+export class ForwardedRequest {
+	readonly #options: ForwardedRequestOptions;
+	readonly #tried = new Set<string>();
+	/** The last refusal of another entry. */
+	#refusal: BufferedResponse | undefined;
+
+	constructor(options: ForwardedRequestOptions) {
+		this.#options = options;
+	}
+
+	/** Passes the request on until an entry accepts it, and returns how it ended. An entry that refuses it promises that no back end has run it. */
+	async run(): Promise<RequestEnd> {
+		const {clock, deadlineAt, peers} = this.#options;
+		while (this.#tried.size < maxTries && deadlineAt - clock.now() > minTryMs) {
+			const address = peers.choose(this.#tried);
+			if (address === undefined) {
+				break;
+			}
+
+			this.#tried.add(address);
+			const outcome = await this.#attempt(address);
+			this.#log(address, outcome);
+			const end = this.#decide(outcome);
+			if (end !== undefined) {
+				return end;
+			}
+		}
+
+		return this.#endWithoutEntry();
+	}
+
+	/** Returns how the request ends after an outcome, or `undefined` if another entry may be tried. */
+	#decide(outcome: AttemptOutcome): RequestEnd | undefined {
+		const {relay} = this.#options;
+		switch (outcome.kind) {
+			case 'delivered': {
+				return {kind: 'answered'};
+			}
+
+			case 'abandoned': {
+				return {kind: 'abandoned'};
+			}
+
+			case 'notRun': {
+				return undefined;
+			}
+
+			case 'failed': {
+				if (this.#isRefusal(outcome.answer)) {
+					this.#refusal = outcome.answer;
+					return undefined;
+				}
+
+				relay.deliver(outcome.answer.head, outcome.answer.body);
+				return {kind: 'answered'};
+			}
+
+			case 'unknown': {
+				return {kind: 'replied', status: 502, reason: outcome.reason};
+			}
+
+			case 'cut': {
+				relay.cut();
+				return {kind: 'cut', reason: outcome.reason};
+			}
+
+			case 'timeout': {
+				if (!outcome.hasStarted) {
+					return {kind: 'replied', status: 504, reason: 'timeout'};
+				}
+
+				relay.cut();
+				return {kind: 'cut', reason: 'timeout'};
+			}
+		}
+	}
+
+	#endWithoutEntry(): RequestEnd {
+		const {relay, service} = this.#options;
+		if (this.#refusal === undefined) {
+			return {kind: 'refused', service, reason: 'no back end and no other entry can be reached'};
+		}
+
+		relay.deliver(this.#refusal.head, this.#refusal.body);
+		return {kind: 'answered'};
+	}
+
+	/** Reports whether an entry refused the request by itself. A response of a back end has a signature. */
+	#isRefusal({head}: BufferedResponse): boolean {
+		return head.status === refusedStatus && findHeader(head, this.#options.names.signature) === undefined;
+	}
+
+	async #attempt(address: string): Promise<AttemptOutcome> {
+		const {peers, signal} = this.#options;
+		let connection: BackendConnection;
+		try {
+			connection = await peers.connect(address);
+		} catch (error) {
+			if (!(error instanceof CodedError)) {
+				throw error;
+			}
+
+			return {kind: 'notRun', reason: error.message, wasSent: false};
+		}
+
+		if (signal.aborted) {
+			connection.destroy();
+			return {kind: 'abandoned'};
+		}
+
+		return this.#exchange(connection);
+	}
+
+	async #exchange(connection: BackendConnection): Promise<AttemptOutcome> {
+		const {attemptId, caller, body, isStream, deadlineAt, relay, names, clock, signal} = this.#options;
+		const done = new Deferred<AttemptOutcome>();
+		const timerAbort = new AbortController();
+		const abandon = () => {
+			done.resolve({kind: 'abandoned'});
+		};
+
+		signal.addEventListener('abort', abandon, {once: true});
+		void this.#enforceDeadline(done, timerAbort.signal);
+		const ignore = () => {
+			// The other entry counts and observes the run.
+		};
+
+		connection.send(createForwardedHead(caller, {deadlineMs: deadlineAt - clock.now(), bodyLength: body.length}, names), body, new ResponseCollector({
+			attemptId,
+			isHead: caller.method === 'HEAD',
+			isStream,
+			relay,
+			connection,
+			notRunHeader: names.notRun,
+			onBodyBytes: ignore,
+			onRunning: ignore,
+			onOutcome(outcome) {
+				done.resolve(outcome);
+			},
+		}));
+		const outcome = await done.promise;
+		timerAbort.abort();
+		signal.removeEventListener('abort', abandon);
+		if (outcome.kind !== 'delivered' && outcome.kind !== 'failed' && outcome.kind !== 'notRun') {
+			// Its caller is gone then, so the other entry ends the request.
+			connection.destroy();
+		}
+
+		return outcome;
+	}
+
+	async #enforceDeadline(done: Deferred<AttemptOutcome>, signal: AbortSignal): Promise<void> {
+		const {clock, deadlineAt, relay} = this.#options;
+		await clock.sleep(deadlineAt - clock.now(), signal);
+		if (!signal.aborted) {
+			done.resolve({kind: 'timeout', hasStarted: relay.hasStarted});
+		}
+	}
+
+	#log(address: string, outcome: AttemptOutcome): void {
+		const {logger, attemptId, service} = this.#options;
+		logger.log(events.requestForwarded, {
+			request: attemptId, service, entry: address, outcome: outcome.kind, reason: 'reason' in outcome ? outcome.reason : undefined,
+		});
+	}
+}
--- a/packages/mulberrypitch-proxy/src/known-backend.ts
+++ b/packages/mulberrypitch-proxy/src/known-backend.ts
@@ -22,6 +22,12 @@
 	readonly onUnreadable: () => void;
 	/** Called at each response of the back end, with the monotonic time in milliseconds at which its request was sent. */
 	readonly onResponse: (sentAt: number) => void;
+	/** Called when bytes arrive from the back end. */
+	readonly onData: () => void;
+	/** Called when a connection to the back end is opened. */
+	readonly onConnected: () => void;
+	/** Called when a connection to the back end can't be opened. */
+	readonly onUnreachable: () => void;
 	/** Name of the header that identifies an attempt, in lower case. */
 	readonly attemptHeader: string;
 	readonly connectTimeoutMs: number;
@@ -245,6 +251,13 @@
 		}
 	}
 
+	/** Opens a connection and keeps it for a request. Throws `PeerUnreachableError` when it can't be opened. */
+	async probe(): Promise<void> {
+		const connection = await this.#openConnection();
+		this.#connections.add(connection);
+		this.#idle.push(connection);
+	}
+
 	/** Records whether a request succeeded. Returns whether the back end was ejected because of this result. */
 	recordResult(isGood: boolean): boolean {
 		this.#results = [...this.#results, isGood].slice(-maxResults);
@@ -326,12 +339,13 @@
 	}
 
 	async #openConnection(): Promise<BackendConnection> {
-		const {clock, attemptHeader, connectTimeoutMs} = this.#options;
-		return BackendConnection.open({
+		const {clock, attemptHeader, connectTimeoutMs, onData, onConnected, onUnreachable} = this.#options;
+		const opening = BackendConnection.open({
 			address: this.#announced.address,
 			connectTimeoutMs,
 			attemptHeader,
 			now: () => clock.now(),
+			onData,
 			onHead: (head, sentAt) => {
 				this.#recordStatement(head, sentAt);
 			},
@@ -350,5 +364,13 @@
 				}
 			},
 		});
+		try {
+			const connection = await opening;
+			onConnected();
+			return connection;
+		} catch (error) {
+			onUnreachable();
+			throw error;
+		}
 	}
 }
--- a/packages/mulberrypitch-proxy/src/proxied-request-options.ts
+++ b/packages/mulberrypitch-proxy/src/proxied-request-options.ts
@@ -49,6 +49,8 @@
 	readonly getStatedWaitMs: () => number;
 	/** Reports whether the process is being stopped and may end before the request, if it is sent now. */
 	readonly isTooLate: () => boolean;
+	/** Reports, given the number of back ends that were tried in vain, whether another entry should be asked, since this one can connect to none. */
+	readonly isCutOff: (triedCount: number) => boolean;
 	/** Called after the permit for a back end was released. */
 	readonly onReleased: () => void;
 	/** Takes one retry from the service's retry budget. Returns whether one was left. */
@@ -76,6 +78,7 @@
 export type RequestEnd
 	= | {readonly kind: 'answered'}
 		| {readonly kind: 'abandoned'}
-		| {readonly kind: 'refused'; readonly service: string; readonly reason: string; readonly retryAfterSeconds?: number}
+	/** `isUnreachable` if this entry can connect to no back end, so that another entry may be asked. */
+		| {readonly kind: 'refused'; readonly isUnreachable?: boolean; readonly service: string; readonly reason: string; readonly retryAfterSeconds?: number}
 		| {readonly kind: 'replied'; readonly status: number; readonly reason: string}
 		| {readonly kind: 'cut'; readonly reason: string};
--- a/packages/mulberrypitch-proxy/src/proxied-request.ts
+++ b/packages/mulberrypitch-proxy/src/proxied-request.ts
@@ -9,7 +9,7 @@
 import {requestKinds} from '@mulberrypitch/serving/types';
 import {ResponseCollector} from './response-collector.js';
 import {
-	decideNextStep, type AttemptOutcome, type BufferedResponse, type NextStep,
+	decideNextStep, isBrokenOff, type AttemptOutcome, type BufferedResponse, type NextStep,
 } from './attempt-outcome.js';
 import type {BackendConnection, Exchange} from './backend-connection.js';
 import type {BackendPermit} from './backend-place.js';
@@ -38,6 +38,8 @@
 
 /** Reason of a refusal since the process ends before the request might. */
 export const stoppingReason = 'stopping';
+/** Reason of a refusal since this entry can connect to no back end. */
+export const unreachableReason = 'no back end can be reached';
 
 type Refusal = Extract<RequestEnd, {kind: 'refused'}>;
 
@@ -103,12 +105,24 @@
 				return this.#finish(step, outcome);
 			}
 
+			if (outcome.kind === 'notRun' && !outcome.wasSent && this.#canPassOn()) {
+				return {
+					kind: 'refused', service: this.#options.service, reason: unreachableReason, isUnreachable: true,
+				};
+			}
+
 			if (isRepeated && outcome.kind === 'notRun' && !outcome.wasSent) {
 				await clock.sleep(unreachableRetryMs, this.#options.signal);
 			}
 		}
 	}
 
+	/** Reports whether another entry should be asked, which only a request that has not run here may be. */
+	#canPassOn(): boolean {
+		const {isCutOff, relay} = this.#options;
+		return isCutOff(this.#triedIds.size) && this.#runCount === 0 && !relay.hasStarted;
+	}
+
 	#logDispatch(backend: KnownBackend, waitedMs: number): void {
 		const {
 			logger, attemptId, service, clock, deadlineAt, relay, getDecisionContext, prompt, position,
@@ -384,7 +398,3 @@
 		}
 	}
 }
-
-function isBrokenOff({kind}: AttemptOutcome): boolean {
-	return kind === 'cut' || kind === 'unknown';
-}
--- a/packages/mulberrypitch-proxy/src/proxy-server-options.ts
+++ b/packages/mulberrypitch-proxy/src/proxy-server-options.ts
@@ -4,8 +4,10 @@
 import type {Logger} from '@mulberrypitch/logger/logger';
 import type {MetricsRegistry} from '@mulberrypitch/metrics/registry';
 import type {RouteTable} from '@mulberrypitch/serving/route-table';
+import type {BackendReachability} from './backend-reachability.js';
 import type {BackendView} from './backend-view.js';
 import type {ContentQuarantine} from './content-quarantine.js';
+import type {PeerEntries} from './peer-entries.js';
 import type {StreamOrigins} from './stream-origins.js';
 import type {VersionHistory} from './version-history.js';
 import type {HeaderNames} from './types.js';
@@ -25,6 +27,9 @@
 	readonly logger: Logger;
 	readonly backends: BackendView;
 	readonly quarantine: ContentQuarantine;
+	readonly reachability: BackendReachability;
+	/** Other entries. */
+	readonly peers: PeerEntries;
 	readonly origins: StreamOrigins;
 	readonly versions: VersionHistory;
 	readonly quotas: WorkspaceQuotas;
--- a/packages/mulberrypitch-proxy/src/proxy-server.ts
+++ b/packages/mulberrypitch-proxy/src/proxy-server.ts
@@ -17,6 +17,7 @@
 import {LocalReplies} from './local-replies.js';
 import {ProxiedRequest} from './proxied-request.js';
 import {RequestPreparation, type PreparedRequest} from './request-preparation.js';
+import {RequestForwarding} from './request-forwarding.js';
 import {RequestOrder} from './request-order.js';
 import {RequestsInProgress} from './requests-in-progress.js';
 import type {DecisionContext, RequestEnd} from './proxied-request-options.js';
@@ -53,6 +54,7 @@
 	readonly #stopWindow: StopWindow;
 	readonly #resumption: StreamResumption;
 	readonly #preparation: RequestPreparation;
+	readonly #forwarding: RequestForwarding;
 	#isDraining = false;
 
 	constructor(options: ProxyServerOptions) {
@@ -65,6 +67,7 @@
 			return this.#requests.listArrivals(route).map(arrivedAt => now - arrivedAt);
 		});
 		this.#preparation = new RequestPreparation({...options, startup: this.#startup, stopWindow: this.#stopWindow});
+		this.#forwarding = new RequestForwarding(options);
 		this.#resumption = new StreamResumption(options);
 		this.#replies = new LocalReplies({
 			attemptHeader: names.attemptId,
@@ -172,7 +175,7 @@
 		this.#requests.add(response, {attemptId: this.#getAttemptId(request), arrivedAt});
 		try {
 			if (await this.#order.waitForTurn(response)) {
-				await this.#serve(request, response, arrivedAt);
+				await (this.#forwarding.isTaken(request) ? this.#serveTaken(request, response, arrivedAt) : this.#serve(request, response, arrivedAt));
 			}
 		} catch (error) {
 			logger.log(events.requestFailed, {request: this.#getAttemptId(request), reason: getMessage(error)});
@@ -185,6 +188,21 @@
 		}
 	}
 
+	/** Serves a request that another entry has passed on. */
+	async #serveTaken(request: IncomingMessage, response: ServerResponse, arrivedAt: number): Promise<void> {
+		const refusal = this.#forwarding.take();
+		if (refusal !== undefined) {
+			this.#replies.send(request, response, refusal);
+			return;
+		}
+
+		try {
+			await this.#serve(request, response, arrivedAt);
+		} finally {
+			this.#forwarding.release();
+		}
+	}
+
 	async #serve(request: IncomingMessage, response: ServerResponse, arrivedAt: number): Promise<void> {
 		const {quotas} = this.#options;
 		const preparation = await this.#preparation.prepare(request, arrivedAt);
@@ -195,6 +213,18 @@
 
 		const {prepared} = preparation;
 		const {workspace, route, deadlineAt, position} = prepared;
+		const timing = new ResponseTiming(this.#options.clock, arrivedAt);
+		const facts = {arrivedAt, route: route.name, workspace: workspace?.name};
+		const signal = watchCaller(response);
+		this.#requests.setRoute(response, route.name);
+		if (this.#forwarding.isCutOff) {
+			const end = await this.#passOn(request, response, {
+				prepared, timing, signal, service: chooseService(route, this.#options.random),
+			});
+			this.#completion.complete(request, response, end, {...facts, ...timing.read()});
+			return;
+		}
+
 		const resumption = await this.#resumption.resolve(position, route, deadlineAt - this.#options.clock.now());
 		if (resumption.kind === 'refused') {
 			this.#replies.send(request, response, resumption.reply);
@@ -212,7 +242,6 @@
 			return;
 		}
 
-		const timing = new ResponseTiming(this.#options.clock, arrivedAt);
 		const {origin} = resumption;
 		const service = origin?.service ?? chooseService(route, this.#options.random);
 		const binding = new StreamBinding(origin?.version);
@@ -227,15 +256,43 @@
 			},
 			getExtraHeaders: () => this.#getConnectionHeaders(response),
 		});
-		const end = await this.#run(request, response, {
-			...prepared, arrivedAt, service, relay, binding,
+		const ownEnd = await this.#run(request, response, {
+			...prepared, arrivedAt, service, relay, binding, signal,
 		});
-		if (end.kind === 'refused' && workspace !== undefined) {
+		if (ownEnd.kind === 'refused' && workspace !== undefined) {
 			quotas.refund(workspace, units);
 		}
 
-		this.#completion.complete(request, response, end, {
-			arrivedAt, route: route.name, workspace: workspace?.name, ...timing.read(), ...relay.getBodyFacts(),
+		const isPassedOn = ownEnd.kind === 'refused' && ownEnd.isUnreachable === true && !this.#forwarding.isTaken(request);
+		if (isPassedOn) {
+			this.#options.retries.withdraw(service);
+		}
+
+		const end = isPassedOn
+			? await this.#passOn(request, response, {
+				prepared, timing, signal, service,
+			})
+			: ownEnd;
+		this.#completion.complete(request, response, end, {...facts, ...timing.read(), ...relay.getBodyFacts()});
+	}
+
+	/** Passes a request on to another entry, which counts it and records where its stream begins. */
+	async #passOn(request: IncomingMessage, response: ServerResponse, {prepared, timing, signal, service}: {
+		readonly prepared: PreparedRequest;
+		readonly timing: ResponseTiming;
+		readonly signal: AbortSignal;
+		readonly service: string;
+	}): Promise<RequestEnd> {
+		const relay = new ResponseRelay(response, {
+			isResumable: prepared.route.isResumable,
+			timing,
+			onStarted() {
+				// The other entry records it.
+			},
+			getExtraHeaders: () => this.#getConnectionHeaders(response),
+		});
+		return this.#forwarding.passOn({
+			request, prepared, service, relay, signal,
 		});
 	}
 
@@ -244,26 +301,20 @@
 		readonly service: string;
 		readonly relay: ResponseRelay;
 		readonly binding: StreamBinding;
+		readonly signal: AbortSignal;
 	}): Promise<RequestEnd> {
 		const {
 			names, clock, logger, retries, usage, metrics, backends,
 		} = this.#options;
 		const {
-			body, arrivedAt, deadlineAt, route, service, position, workspace, table, relay, binding, prompt, content,
+			body, arrivedAt, deadlineAt, route, service, position, workspace, table, relay, binding, prompt, content, signal,
 		} = admitted;
 		const isMatching: BackendFilter = backend => binding.isMatching(backend);
 		const traffic = this.#services.get(service);
-		const caller = new AbortController();
-		response.once('close', () => {
-			if (!response.writableFinished) {
-				caller.abort();
-			}
-		});
 		if (response.destroyed) {
 			return {kind: 'abandoned'};
 		}
 
-		this.#requests.setRoute(response, route.name);
 		const priority = workspace?.priority ?? route.priority;
 		retries.add(service);
 		traffic.add(prompt);
@@ -285,7 +336,7 @@
 			names,
 			clock,
 			logger,
-			signal: caller.signal,
+			signal,
 			place: async excludedIds => traffic.place({
 				service: table.getService(service),
 				prompt,
@@ -293,12 +344,13 @@
 				excludedIds,
 				isMatching,
 				maxWaitMs: Math.min(route.targetLatencyMs * maxQueueShare, deadlineAt - clock.now()),
-				signal: caller.signal,
+				signal,
 			}),
 			isTooLate: () => this.#stopWindow.findLate(route, deadlineAt) !== undefined,
 			hasCandidates: () => backends.getCandidates(service, isMatching).length > 0,
 			getStatedWaitMs: () => backends.getStatedWaitMs(service, isMatching),
 			getDecisionContext: () => ({...this.#getDecisionContext(), configuration: table.configuration.version}),
+			isCutOff: triedCount => this.#forwarding.shouldGiveUp(request, triedCount),
 			onReleased() {
 				traffic.grantPermits();
 			},
@@ -333,3 +385,14 @@
 		return getHeader(request, this.#options.names.attemptId);
 	}
 }
+
+/** Returns a signal that aborts when the caller leaves before the end of the response. */
+function watchCaller(response: ServerResponse): AbortSignal {
+	const caller = new AbortController();
+	response.once('close', () => {
+		if (!response.writableFinished) {
+			caller.abort();
+		}
+	});
+	return caller.signal;
+}
--- a/packages/mulberrypitch-proxy/src/request-head.ts
+++ b/packages/mulberrypitch-proxy/src/request-head.ts
@@ -36,7 +36,7 @@
 ```
 */
 export function createRequestHead({method, path, headers}: CallerHead, fields: ForwardedFields, names: HeaderNames): string {
-	const replaced = new Set([...names.reserved, names.deadline, names.expectedBackend, names.workspace, names.backendPriority, 'content-length', 'expect']);
+	const replaced = new Set([...names.reserved, names.hop, names.deadline, names.expectedBackend, names.workspace, names.backendPriority, 'content-length', 'expect']);
 	if (fields.dropsKey) {
 		replaced.add('authorization');
 	}
@@ -49,7 +49,7 @@
 		.filter(({name}) => !replaced.has(name.toLowerCase()))
 		.map(({name, value}) => `${name}: ${value}`);
 	lines.push(
-		`${names.deadline}: ${Math.max(1, Math.floor(fields.deadlineMs))}`,
+		`${names.deadline}: ${formatDeadline(fields.deadlineMs)}`,
 		`${names.expectedBackend}: ${fields.backendId}`,
 		`${names.backendPriority}: ${fields.backendPriority}`,
 	);
@@ -61,9 +61,33 @@
 		lines.push(`${names.lastEventId}: ${fields.lastEventId}`);
 	}
 
-	if (fields.bodyLength > 0 || (method !== 'GET' && method !== 'HEAD')) {
-		lines.push(`content-length: ${fields.bodyLength}`);
-	}
+	return formatHead({method, path}, lines, fields.bodyLength);
+}
+
+/**
+Returns the text of the head of a request that is passed on to another entry. It has the caller's headers, except hop-by-hop ones, with the time that is
+left.
+
+@example
+```
+connection.send(createForwardedHead(caller, {deadlineMs: 800, bodyLength: body.length}, names), body, exchange);
+```
+*/
+export function createForwardedHead({method, path, headers}: CallerHead, {deadlineMs, bodyLength}: Pick<ForwardedFields, 'deadlineMs' | 'bodyLength'>, names: HeaderNames): string {
+	const replaced = new Set([names.hop, names.deadline, 'content-length', 'expect']);
+	const lines = getEndToEndHeaders(headers)
+		.filter(({name}) => !replaced.has(name.toLowerCase()))
+		.map(({name, value}) => `${name}: ${value}`);
+	lines.push(`${names.deadline}: ${formatDeadline(deadlineMs)}`, `${names.hop}: 1`);
+	return formatHead({method, path}, lines, bodyLength);
+}
+
+function formatDeadline(deadlineMs: number): number {
+	return Math.max(1, Math.floor(deadlineMs));
+}
 
-	return `${method} ${path} HTTP/1.1\r\n${lines.join('\r\n')}\r\n\r\n`;
+function formatHead({method, path}: Pick<CallerHead, 'method' | 'path'>, lines: readonly string[], bodyLength: number): string {
+	const hasLength = bodyLength > 0 || (method !== 'GET' && method !== 'HEAD');
+	const all = hasLength ? [...lines, `content-length: ${bodyLength}`] : lines;
+	return `${method} ${path} HTTP/1.1\r\n${all.join('\r\n')}\r\n\r\n`;
 }
--- a/packages/mulberrypitch-proxy/src/types.ts
+++ b/packages/mulberrypitch-proxy/src/types.ts
@@ -24,6 +24,8 @@
 	readonly promptParts: string;
 	/** Priority of the request at the back end; zero is the most urgent. */
 	readonly backendPriority: string;
+	/** Present in a request that another entry passes on, which takes no further hop. */
+	readonly hop: string;
 	/** Headers that only the proxy may set; a caller's headers with these names are dropped. */
 	readonly reserved: readonly string[];
 };
--- a/packages/mulberrypitch-proxy/src/windowed-retry-budget.ts
+++ b/packages/mulberrypitch-proxy/src/windowed-retry-budget.ts
@@ -36,6 +36,11 @@
 		this.#get(service).requests.push(this.#options.clock.now());
 	}
 
+	/** Takes back the last request that was counted for a service, since another entry counts it. */
+	withdraw(service: string): void {
+		this.#get(service).requests.pop();
+	}
+
 	/** Takes one retry from the budget of a service. Returns whether one was left; one retry per window is always allowed. */
 	take(service: string): boolean {
 		const {ratio, slack, getEntryCount, clock} = this.#options;
--- a/packages/mulberrypitch-serving/src/view-messages.ts
+++ b/packages/mulberrypitch-serving/src/view-messages.ts
@@ -152,6 +152,8 @@
 	readonly limits?: readonly StatedLimit[];
 	/** Back ends that leave, as this entry knows from their responses or from the coordinators; absent from an entry of an earlier version. */
 	readonly leaves?: readonly Incarnation[];
+	/** Whether the entry reaches any back end; absent from an entry of an earlier version. */
+	readonly reachesBackends?: boolean;
 };
 
 /** A long-polling request for changes. The reply comes at once when there are any, otherwise after a timeout. */
@@ -195,6 +197,8 @@
 	readonly entryCount: number;
 	/** Addresses of the coordinators for calls between processes. */
 	readonly coordinators: readonly string[];
+	/** Addresses for callers of other entries that reach back ends; absent from a coordinator of an earlier version. */
+	readonly peers?: readonly string[];
 	/** Whether the coordinator is in contact with a leader. */
 	readonly isInTouch: boolean;
 };
