Keep the rejections of back ends rare that state how many they bear

Cause: the statement was decoded nowhere, and entries learn that a back end is full by being rejected, each for itself and again after 60 ms. Change: while a back end states it, each entry uses its part of the slots, and waits for seconds after a rejection. A connection that a probe opens to a back end that has been retired meanwhile is closed.

--- a/packages/mulberrypitch-proxy/src/backend-statement.ts
+++ b/packages/mulberrypitch-proxy/src/backend-statement.ts
@@ -9,6 +9,8 @@
 	readonly requestsPerSecond?: number;
 	/** Text of a limit that can't be read; absent otherwise. It changes nothing: what the back end stated before still holds. */
 	readonly unreadableLimit?: string;
+	/** Rejections a second for want of room, of all entries together, that the back end bears; absent if it states none, or something unreadable. */
+	readonly rejectionsPerSecond?: number;
 	/** Time in milliseconds for which the back end, which turned the request away, asks this entry to send nothing; absent if it asks for no pause. */
 	readonly pauseMs?: number;
 	/** Text of a pause that can't be read; absent otherwise. It changes nothing. */
--- a/packages/mulberrypitch-proxy/src/known-backend.ts
+++ b/packages/mulberrypitch-proxy/src/known-backend.ts
@@ -8,6 +8,7 @@
 import {BackendConnection} from './backend-connection.js';
 import {BackendPermit} from './backend-place.js';
 import type {StatementDecoder} from './backend-statement.js';
+import {BrittleRoom} from './brittle-room.js';
 import type {ResponseHead} from './response-parser.js';
 import {StatedConditions} from './stated-conditions.js';
 import {misdirectedStatus} from './types.js';
@@ -76,6 +77,7 @@
 	#ejectionMs = firstEjectionMs;
 	#fullUntil = Number.NEGATIVE_INFINITY;
 	readonly #conditions: StatedConditions;
+	readonly #brittleRoom: BrittleRoom;
 	/** Monotonic times in milliseconds of the latest permits, oldest first. */
 	#permitTimes: number[] = [];
 	/** Monotonic time in milliseconds at which the incarnation was retired. */
@@ -85,6 +87,7 @@
 		this.#announced = announced;
 		this.#options = options;
 		this.#conditions = new StatedConditions(options);
+		this.#brittleRoom = new BrittleRoom(options);
 	}
 
 	/** Identifier of the back end. */
@@ -188,7 +191,8 @@
 
 	/** Whether a connection is available for another request, and the back end accepts one by what it has reported. */
 	get isAvailable(): boolean {
-		return this.statedWaitMs === 0 && this.#options.clock.now() >= this.#fullUntil && this.#hasConnection;
+		const hasRoom = this.#conditions.rejectionsPerSecond === undefined || this.#brittleRoom.hasRoom(this);
+		return this.statedWaitMs === 0 && this.#options.clock.now() >= this.#fullUntil && hasRoom && this.#hasConnection;
 	}
 
 	get #isRetired(): boolean {
@@ -255,7 +259,11 @@
 	async probe(): Promise<void> {
 		const connection = await this.#openConnection();
 		this.#connections.add(connection);
-		this.#idle.push(connection);
+		if (this.#isRetired) {
+			connection.destroy();
+		} else {
+			this.#idle.push(connection);
+		}
 	}
 
 	/** Records whether a request succeeded. Returns whether the back end was ejected because of this result. */
@@ -279,7 +287,9 @@
 
 	/** Records that the back end rejected a request because it is full. */
 	markFull(): void {
-		this.#fullUntil = this.#options.clock.now() + fullBackoffMs;
+		const {rejectionsPerSecond} = this.#conditions;
+		const backoffMs = rejectionsPerSecond === undefined ? fullBackoffMs : this.#brittleRoom.getBackoffMs(rejectionsPerSecond);
+		this.#fullUntil = this.#options.clock.now() + backoffMs;
 	}
 
 	/** Ejects the back end because another process replies at its address. */
--- a/packages/mulberrypitch-proxy/src/stated-conditions.ts
+++ b/packages/mulberrypitch-proxy/src/stated-conditions.ts
@@ -40,6 +40,8 @@
 	#sharedLimit: LimitStatement | undefined;
 	/** This entry's part of the limit, as last reported by the coordinators. */
 	#part: number | undefined;
+	/** The newest statement of how many rejections the back end bears; absent if it states none now. */
+	#bearable: {readonly rejectionsPerSecond: number; readonly statedAt: number} | undefined;
 	#isLeaving = false;
 	/** Monotonic time in milliseconds at which the pause that the back end asked for ends. */
 	#pausedUntil = Number.NEGATIVE_INFINITY;
@@ -64,6 +66,11 @@
 		return getNewer(this.#ownLimit, this.#sharedLimit)?.requestsPerSecond;
 	}
 
+	/** Rejections a second, of all entries together, that the back end bears; absent if it states none now. */
+	get rejectionsPerSecond(): number | undefined {
+		return this.#bearable?.rejectionsPerSecond;
+	}
+
 	/** Time in milliseconds until the pause that the back end asked for ends; zero if there is none. */
 	get pauseMs(): number {
 		return Math.max(0, this.#pausedUntil - this.#options.clock.now());
@@ -80,8 +87,14 @@
 	}
 
 	/** Records the statements of a response to a request that was sent at `sentAt`. Returns whether they change the limit. */
-	record({isLeaving, pauseMs, requestsPerSecond, unreadableLimit}: BackendStatement, sentAt: number): boolean {
+	record({isLeaving, pauseMs, requestsPerSecond, rejectionsPerSecond, unreadableLimit}: BackendStatement, sentAt: number): boolean {
 		this.#isLeaving ||= isLeaving;
+		if (rejectionsPerSecond !== undefined) {
+			this.#bearable = {rejectionsPerSecond, statedAt: this.#options.clock.now()};
+		} else if (this.#bearable !== undefined && sentAt > this.#bearable.statedAt) {
+			this.#bearable = undefined;
+		}
+
 		if (pauseMs !== undefined) {
 			this.#pause(pauseMs);
 		}
