Remember the version of a back end that comes back with another one

Two more hold on the code as it was: known origins, and unknown ones after the other version left. One failed: a back end comes back under its own identifier with a newer version, the roster forgets the start before, and an entry that starts then takes the new version for the only one there was, so that a stream of the old one without a known origin would go on at the new one. Change: rosters keep replaced incarnations for a minute and tell them with a whole roster.

--- a/packages/mulberrypitch-proxy/src/__tests__/sole-version.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/sole-version.test.ts
@@ -3,7 +3,7 @@
 import {assumeType} from '@mulberrypitch/errors/assume-type';
 import {VirtualClock} from '@mulberrypitch/fakes/virtual-clock';
 import {MetricsRegistry} from '@mulberrypitch/metrics/registry';
-import type {RosterChanges} from '@mulberrypitch/serving/backend-roster';
+import {BackendRoster, type RosterChanges} from '@mulberrypitch/serving/backend-roster';
 import {requestKinds, type Route} from '@mulberrypitch/serving/types';
 import {BackendView} from '../backend-view.js';
 import type {KnownBackendOptions} from '../known-backend.js';
@@ -103,3 +103,30 @@
 	apply({id: 'a', version: 'v1'});
 	t.equal(await resume(), 'refused', 'the entry was out of touch, and its coordinator has just started');
 });
+
+// Guards against an entry that starts after a back end has come back under its identifier with another version: nobody tells it of the one before.
+await t.test('a stream without a named origin is refused by a new entry while a back end lately had another version under the same identifier', async t => {
+	const clock = new VirtualClock();
+	const roster = new BackendRoster({epoch: 'e', clock, announceIntervalMs: pollMs});
+	const announce = (startedAt: number, version: string) => {
+		roster.announce({
+			id: 'a', startedAt, sequence: 1, service, address: '10.0.0.1:80', zone: 'z', version, slots: 4, isLeaving: false, isSpot: false,
+		});
+	};
+
+	const getSoleOfNewEntry = () => {
+		const versions = new VersionHistory(clock);
+		versions.apply(roster.getChanges('', 0));
+		return versions.getSole(service, timeoutMs);
+	};
+
+	announce(100, 'v1');
+	await clock.runFor(2 * timeoutMs);
+	t.equal(getSoleOfNewEntry(), 'v1');
+	announce(200, 'v2');
+	await clock.runFor(pollMs);
+	t.equal(getSoleOfNewEntry(), undefined, 'a stream of v1 may come');
+	await clock.runFor(2 * timeoutMs);
+	announce(300, 'v2');
+	t.equal(getSoleOfNewEntry(), 'v2', 'no stream of v1 lasts that long');
+});
--- a/packages/mulberrypitch-proxy/src/version-history.ts
+++ b/packages/mulberrypitch-proxy/src/version-history.ts
@@ -31,14 +31,14 @@
 	}
 
 	/** Applies the changes of a roster. */
-	apply({entries, isWhole, isSettled, ageMs = 0}: RosterChanges): void {
+	apply({entries, isWhole, isSettled, ageMs = 0, replaced: earlier = []}: RosterChanges): void {
 		const now = this.#clock.now();
 		const isContinuous = this.#isSettled && now - this.#appliedAt <= maxGapMs;
 		this.#knownSince = Math.min(isContinuous ? this.#knownSince : now, now - ageMs);
 		this.#appliedAt = now;
 		this.#isSettled = isSettled;
 		// Of a back end that left unannounced to its coordinator, the version may be known from another one.
-		const announced = entries.filter(({backend}) => !isUnannounced(backend));
+		const announced = [...earlier, ...entries].filter(({backend}) => !isUnannounced(backend));
 		const listed = announced.map(entry => createListed(entry.backend, entry.isGone ? now - entry.ageMs : Number.POSITIVE_INFINITY));
 		const others = this.#backends.filter(known => !listed.some(backend => isSameIncarnation(backend, known)));
 		const replaced = new Set(entries.map(({backend}) => backend.id));
--- a/packages/mulberrypitch-serving/src/backend-roster.ts
+++ b/packages/mulberrypitch-serving/src/backend-roster.ts
@@ -29,6 +29,8 @@
 	readonly isSettled: boolean;
 	/** Time in milliseconds since the coordinator of the roster started; absent from one of an earlier version. */
 	readonly ageMs?: number;
+	/** All earlier incarnations of listed back ends that ended lately; absent from a coordinator of an earlier version. */
+	readonly replaced?: readonly RosterEntry[];
 	readonly entries: readonly RosterEntry[];
 };
 
@@ -68,6 +70,8 @@
 	readonly #options: RosterOptions;
 	readonly #startedAt: number;
 	readonly #records = new Map<string, RosterRecord>();
+	/** Incarnations that a later one under the same identifier has replaced, least recent first. */
+	#replaced: readonly RosterRecord[] = [];
 	#version = 0;
 
 	constructor(options: RosterOptions) {
@@ -164,6 +168,10 @@
 
 		const isNewer = isNewIncarnation || backend.sequence > known.backend.sequence || isGone !== known.isGone;
 		const isChanged = isNewIncarnation || isGone !== known.isGone || !isSameForRouting(backend, known.backend);
+		if (isNewIncarnation) {
+			this.#replaced = [...this.#replaced, {...known, isGone: true, lastSeenAt: this.#options.clock.now()}];
+		}
+
 		known.backend = backend;
 		known.isGone = isGone;
 		known.isSilent = isSilent;
@@ -183,6 +191,7 @@
 	*/
 	expire(): boolean {
 		const {clock, announceIntervalMs} = this.#options;
+		this.#replaced = this.#replaced.filter(({lastSeenAt}) => clock.now() - lastSeenAt <= goneRetentionMs);
 		let isChanged = false;
 		for (const [id, record] of this.#records) {
 			const ageMs = clock.now() - record.lastSeenAt;
@@ -213,6 +222,7 @@
 			isSettled: this.isSettled,
 			ageMs: this.#options.clock.now() - this.#startedAt,
 			entries: records.map(record => this.#toEntry(record)),
+			...(isWhole && {replaced: this.#replaced.map(record => this.#toEntry(record))}),
 		};
 	}
 
