--- a/packages/mulberrypitch-proxy/src/forwarded-request.ts
+++ b/packages/mulberrypitch-proxy/src/forwarded-request.ts
@@ -7,6 +7,7 @@
 import {CodedError} from '@mulberrypitch/errors/coded-error';
 import {events} from '@mulberrypitch/logger/events';
 import type {Logger} from '@mulberrypitch/logger/logger';
+import {enforceDeadline} from './attempt-deadline.js';
 import type {AttemptOutcome, BufferedResponse} from './attempt-outcome.js';
 import {findHeader, type BackendConnection} from './backend-connection.js';
 import type {PeerEntries} from './peer-entries.js';
@@ -164,7 +165,7 @@
 		};
 
 		signal.addEventListener('abort', abandon, {once: true});
-		void this.#enforceDeadline(done, timerAbort.signal);
+		void enforceDeadline(done, this.#options, timerAbort.signal);
 		const ignore = () => {
 			// The other entry counts and observes the run.
 		};
@@ -193,14 +194,6 @@
 		return outcome;
 	}
 
-	async #enforceDeadline(done: Deferred<AttemptOutcome>, signal: AbortSignal): Promise<void> {
-		const {clock, deadlineAt, relay} = this.#options;
-		await clock.sleep(deadlineAt - clock.now(), signal);
-		if (!signal.aborted) {
-			done.resolve({kind: 'timeout', hasStarted: relay.hasStarted});
-		}
-	}
-
 	#log(address: string, outcome: AttemptOutcome): void {
 		const {logger, attemptId, service} = this.#options;
 		logger.log(events.requestForwarded, {
--- a/packages/mulberrypitch-proxy/src/proxied-request.ts
+++ b/packages/mulberrypitch-proxy/src/proxied-request.ts
@@ -8,6 +8,7 @@
 import {events} from '@mulberrypitch/logger/events';
 import {requestKinds} from '@mulberrypitch/serving/types';
 import {ResponseCollector} from './response-collector.js';
+import {enforceDeadline} from './attempt-deadline.js';
 import {
 	decideNextStep, isBrokenOff, type AttemptOutcome, type BufferedResponse, type NextStep,
 } from './attempt-outcome.js';
@@ -338,7 +339,7 @@
 		};
 
 		signal.addEventListener('abort', abandon, {once: true});
-		void this.#enforceDeadline(done, timerAbort.signal);
+		void enforceDeadline(done, this.#options, timerAbort.signal);
 		binding.recordSend(permit.backend);
 		this.#sendCount += 1;
 		this.#runCount += 1;
@@ -357,14 +358,6 @@
 		return outcome;
 	}
 
-	async #enforceDeadline(done: Deferred<AttemptOutcome>, signal: AbortSignal): Promise<void> {
-		const {clock, deadlineAt, relay} = this.#options;
-		await clock.sleep(deadlineAt - clock.now(), signal);
-		if (!signal.aborted) {
-			done.resolve({kind: 'timeout', hasStarted: relay.hasStarted});
-		}
-	}
-
 	#createExchange({place: permit, connection, done}: ExchangeParts): Exchange {
 		const {attemptId, caller, route, relay, names, clock, content} = this.#options;
 		let runningSince: number | undefined;
