--- a/packages/mulberrypitch-proxy/src/proxy-server.ts
+++ b/packages/mulberrypitch-proxy/src/proxy-server.ts
@@ -214,7 +214,9 @@
 		const {prepared} = preparation;
 		const {workspace, route, deadlineAt, position} = prepared;
 		const timing = new ResponseTiming(this.#options.clock, arrivedAt);
-		const facts = {arrivedAt, route: route.name, workspace: workspace?.name};
+		const facts = {
+			arrivedAt, route: route.name, workspace: workspace?.name, resumes: position?.attemptId,
+		};
 		const signal = watchCaller(response);
 		this.#requests.setRoute(response, route.name);
 		if (this.#forwarding.isCutOff) {
@@ -236,7 +238,7 @@
 		if (waitSeconds > 0) {
 			this.#replies.send(request, response, {
 				status: 429, reason: 'quota used up', retryAfterSeconds: waitSeconds, inputs: {
-					workspace: workspace?.name, units, quotaLevel: quotas.getLevel(workspace!), route: route.name,
+					workspace: workspace?.name, units, quotaLevel: quotas.getLevel(workspace!), ...quotas.getFacts(workspace!), route: route.name, resumes: position?.attemptId,
 				},
 			});
 			return;
--- a/packages/mulberrypitch-proxy/src/quota-bucket.ts
+++ b/packages/mulberrypitch-proxy/src/quota-bucket.ts
@@ -21,6 +21,20 @@
 	readonly isUrgent: boolean;
 };
 
+/** What a bucket knows of the other entries, for the log. */
+export type QuotaFacts = {
+	/** Units that this entry has spent since it started. */
+	readonly spent: number;
+	/** Units that the others had spent by the last report; absent after a change of coordinator. */
+	readonly othersReported?: number;
+	/** Units that the others are taken to have spent since that report. */
+	readonly othersEstimated: number;
+	/** Units a second that the others are expected to spend. */
+	readonly othersRate: number;
+	/** Time in milliseconds since that report. */
+	readonly reportAgeMs: number;
+};
+
 /** State of the entry at the time of a claim. */
 export type QuotaContext = {
 	/** Monotonic time in milliseconds. */
@@ -92,6 +106,17 @@
 		return this.#spent;
 	}
 
+	/** Returns what the level rests on at a monotonic time in milliseconds. */
+	getFacts(now: number): QuotaFacts {
+		return {
+			spent: Math.round(this.#spent),
+			...(this.#othersSpent !== undefined && {othersReported: Math.round(this.#othersSpent)}),
+			othersEstimated: Math.round(this.#estimatedOthersSpent),
+			othersRate: Math.round(this.#othersRate),
+			reportAgeMs: Math.round(now - this.#reportedAt),
+		};
+	}
+
 	/** Takes units and returns zero. If too few are left, takes none and returns the seconds after which to retry. */
 	take(workspace: Workspace, {units, isUrgent}: QuotaClaim, context: QuotaContext): number {
 		this.#fill(workspace, context);
--- a/packages/mulberrypitch-proxy/src/request-completion.ts
+++ b/packages/mulberrypitch-proxy/src/request-completion.ts
@@ -18,6 +18,8 @@
 	readonly arrivedAt: number;
 	readonly route: string;
 	readonly workspace: string | undefined;
+	/** Identifier of the first attempt of a stream that the caller takes up again; absent if it begins one. */
+	readonly resumes: string | undefined;
 } & ResponseTimes & BodyFacts;
 
 /** Dependencies of the completion. */
@@ -73,7 +75,9 @@
 
 			case 'refused': {
 				onRefused(end.service);
-				replies.send(request, response, {status: 503, reason: end.reason, retryAfterSeconds: end.retryAfterSeconds ?? minRetryAfterSeconds});
+				replies.send(request, response, {
+					status: 503, reason: end.reason, retryAfterSeconds: end.retryAfterSeconds ?? minRetryAfterSeconds, inputs: {resumes: named.resumes},
+				});
 				return;
 			}
 
--- a/packages/mulberrypitch-proxy/src/workspace-quotas.ts
+++ b/packages/mulberrypitch-proxy/src/workspace-quotas.ts
@@ -2,7 +2,7 @@
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
 import type {Workspace} from '@mulberrypitch/serving/types';
 import {
-	QuotaBucket, type QuotaClaim, type QuotaContext, type QuotaTolerance,
+	QuotaBucket, type QuotaClaim, type QuotaContext, type QuotaFacts, type QuotaTolerance,
 } from './quota-bucket.js';
 
 /** Dependencies and settings of the quotas. */
@@ -51,6 +51,11 @@
 		return Math.round(this.#buckets.get(name)?.level ?? 0);
 	}
 
+	/** Returns what the estimate rests on, for the log. */
+	getFacts({name}: Workspace): Partial<QuotaFacts> {
+		return this.#buckets.get(name)?.getFacts(this.#options.clock.now()) ?? {};
+	}
+
 	/** Returns the units that this entry has spent of each quota since it started, by workspace. */
 	getSpent(): Readonly<Record<string, number>> {
 		return Object.fromEntries([...this.#buckets].map(([name, {spent}]) => [name, Math.round(spent)]));
