Count crashes of the product's path that follow each other as before

Change: the time is a parameter; only crashes of several back ends together count as one in both paths. The test failed before and passes now, and so do those of the platform's evidence.

--- a/packages/mulberrypitch-control/src/quarantine-table.ts
+++ b/packages/mulberrypitch-control/src/quarantine-table.ts
@@ -138,7 +138,7 @@
 			crashedAt.set(incarnation, Math.min(crashedAt.get(incarnation) ?? at, at));
 		}
 
-		return countCrashes(new Map(charges.map(({incarnation}) => [incarnation, crashedAt.get(incarnation)!])), crashedAt);
+		return countCrashes({charged: new Map(charges.map(({incarnation}) => [incarnation, crashedAt.get(incarnation)!])), crashedAt, sameCrashMs: 0});
 	}
 
 	#dropExpired(now: number): void {
--- a/packages/mulberrypitch-coordinator/src/crash-evidence.ts
+++ b/packages/mulberrypitch-coordinator/src/crash-evidence.ts
@@ -50,6 +50,8 @@
 const suspectThreshold = 2;
 /** Number of crashes, with no answer in between, that quarantine a content. */
 const quarantineThreshold = 3;
+/** Crashes that are less than this time, in milliseconds, apart count as one: they may have one cause outside of the requests. */
+const sameCrashMs = 250;
 /** Numbers of back ends and of separate crashes that quarantine a whole request, which runs at one back end at a time after the first crashes. */
 const wholeBackends = 3;
 const wholeCrashes = 2;
@@ -298,7 +300,7 @@
 	/** Returns what speaks against a content up to a time, beside the crashes that a quarantined one explains. */
 	#weigh({charges}: Content, explained: ReadonlySet<string>, until: number): Weight {
 		const charged = new Map([...charges].filter(([backend, at]) => at <= until && !explained.has(backend)));
-		return {backends: charged.size, crashes: countCrashes(charged, this.#crashedAt)};
+		return {backends: charged.size, crashes: countCrashes({charged, crashedAt: this.#crashedAt, sameCrashMs})};
 	}
 
 	/** Returns the back ends whose crash a quarantined content explains. */
