Count others' spending once in a quota that an entry seldom uses

Cause: between reports an entry expects the others to spend on at their rate, and takes that back with the next report. The bucket was filled, and the expectation subtracted, only at a claim. An entry that had not used a quota for some seconds so subtracted all that the others had reported in that time a second time, until the next report: the fewer claims an entry has, the more of them were refused. Change: each report fills the bucket first, so that the expectation covers the time since the last report only.

--- a/packages/mulberrypitch-proxy/src/quota-bucket.ts
+++ b/packages/mulberrypitch-proxy/src/quota-bucket.ts
@@ -134,8 +134,13 @@
 		this.#spend(-units);
 	}
 
-	/** Applies the other entries' total spending, as reported by one coordinator. */
-	updateOthersSpent(total: number, {now, entryCount}: QuotaContext): void {
+	/**
+	Applies the other entries' total spending, as reported by one coordinator. The bucket is filled up to now before: what was assumed of the others counts
+	only for the time since the report before, since this report replaces it.
+	*/
+	updateOthersSpent(workspace: Workspace, total: number, context: QuotaContext): void {
+		const {now, entryCount} = context;
+		this.#fill(workspace, context);
 		const elapsedMs = Math.max(1, now - this.#reportedAt);
 		const isComparable = this.#othersSpent !== undefined && total >= this.#othersSpent;
 		// Totals of different coordinators can't be compared. The other entries are then assumed to have spent at their average rate.
--- a/packages/mulberrypitch-proxy/src/workspace-quotas.ts
+++ b/packages/mulberrypitch-proxy/src/workspace-quotas.ts
@@ -16,10 +16,16 @@
 	readonly tolerance: QuotaTolerance;
 };
 
+/** A bucket and the workspace as it was last configured. */
+type BucketOfWorkspace = {
+	readonly bucket: QuotaBucket;
+	readonly workspace: Workspace;
+};
+
 /** Holds one bucket per workspace. */
 export class WorkspaceQuotas {
 	readonly #options: WorkspaceQuotasOptions;
-	readonly #buckets = new Map<string, QuotaBucket>();
+	readonly #buckets = new Map<string, BucketOfWorkspace>();
 	#othersSpent: Readonly<Record<string, number>> = {};
 
 	constructor(options: WorkspaceQuotasOptions) {
@@ -42,48 +48,48 @@
 	/** Returns units to the quota that were taken for a request that did not run. */
 	refund({name, ratePerSecond}: Workspace, units: number): void {
 		if (ratePerSecond > 0) {
-			this.#buckets.get(name)?.refund(units);
+			this.#buckets.get(name)?.bucket.refund(units);
 		}
 	}
 
 	/** Returns the estimated number of units that all entries together may still spend. */
 	getLevel({name}: Workspace): number {
-		return Math.round(this.#buckets.get(name)?.level ?? 0);
+		return Math.round(this.#buckets.get(name)?.bucket.level ?? 0);
 	}
 
 	/** Returns what the estimate rests on, for the log. */
 	getFacts({name}: Workspace): Partial<QuotaFacts> {
-		return this.#buckets.get(name)?.getFacts(this.#options.clock.now()) ?? {};
+		return this.#buckets.get(name)?.bucket.getFacts(this.#options.clock.now()) ?? {};
 	}
 
 	/** Returns the units that this entry has spent of each quota since it started, by workspace. */
 	getSpent(): Readonly<Record<string, number>> {
-		return Object.fromEntries([...this.#buckets].map(([name, {spent}]) => [name, Math.round(spent)]));
+		return Object.fromEntries([...this.#buckets].map(([name, {bucket}]) => [name, Math.round(bucket.spent)]));
 	}
 
 	/** Applies the other entries' spending, as reported by one coordinator. */
 	updateOthersSpent(spent: Readonly<Record<string, number>>): void {
 		this.#othersSpent = spent;
 		const context = this.#getContext();
-		for (const [name, bucket] of this.#buckets) {
-			bucket.updateOthersSpent(spent[name] ?? 0, context);
+		for (const [name, {bucket, workspace}] of this.#buckets) {
+			bucket.updateOthersSpent(workspace, spent[name] ?? 0, context);
 		}
 	}
 
 	/** Forgets the reported totals after a change of coordinator, since coordinators count from different starting points. */
 	resetOthersSpent(): void {
-		for (const bucket of this.#buckets.values()) {
+		for (const {bucket} of this.#buckets.values()) {
 			bucket.resetOthersSpent();
 		}
 	}
 
 	#getBucket(workspace: Workspace): QuotaBucket {
 		const {clock, isInTouch, tolerance} = this.#options;
-		let bucket = this.#buckets.get(workspace.name);
-		if (bucket === undefined) {
-			const isUnspent = isInTouch() && (this.#othersSpent[workspace.name] ?? 0) === 0;
-			bucket = new QuotaBucket(workspace, tolerance, {now: clock.now(), isUnspent});
-			this.#buckets.set(workspace.name, bucket);
+		const known = this.#buckets.get(workspace.name);
+		const isUnspent = isInTouch() && (this.#othersSpent[workspace.name] ?? 0) === 0;
+		const bucket = known?.bucket ?? new QuotaBucket(workspace, tolerance, {now: clock.now(), isUnspent});
+		if (known?.workspace !== workspace) {
+			this.#buckets.set(workspace.name, {bucket, workspace});
 		}
 
 		return bucket;
