Hold the back ends that running requests require for a while

Cause: of the two measures of the need, the work is held for 7 s after it has gone down, and the slots that requests hold were not. When all entries die nothing runs, so a fleet that only its slots kept up may be ordered down to one back end a zone, a second before all streams come back. Change: the highest need by slots of the last 7 s counts. The test failed before.

--- a/packages/mulberrypitch-coordinator/src/__tests__/capacity-estimator.test.ts
+++ b/packages/mulberrypitch-coordinator/src/__tests__/capacity-estimator.test.ts
@@ -74,3 +74,21 @@
 	t.equal(after.least, before.least);
 	t.equal(after.comfortable, before.comfortable);
 });
+
+// Guards against a fleet that shrinks at the moment at which all entries have died: nothing runs then, and their streams come back in a second.
+await t.test('holds what running requests require for a while after all entries are gone', async t => {
+	const clock = new VirtualClock();
+	const estimator = new CapacityEstimator(clock);
+	const load = {
+		pressures: [{refused: 0, tokensPerSecond: 0, msPerToken}], running: 400, slots: 64, serving: 12,
+	};
+	const before = estimator.update(load)!;
+	await clock.runFor(stepMs);
+	const silent = estimator.update({...load, pressures: [], running: 0})!;
+	t.equal(silent.least, before.least);
+	t.equal(silent.comfortable, before.comfortable);
+	await clock.runFor(3000);
+	t.equal(estimator.update({...load, running: 40})!.least, before.least, 'while they come back');
+	await clock.runFor(9000);
+	t.ok(estimator.update({...load, running: 40})!.least < before.least / 2, 'not for good');
+});
--- a/packages/mulberrypitch-coordinator/src/capacity-estimator.ts
+++ b/packages/mulberrypitch-coordinator/src/capacity-estimator.ts
@@ -44,6 +44,8 @@
 	readonly at: number;
 	/** Averaged work, in fully busy back ends. */
 	readonly work: number;
+	/** Back ends that the running requests require by their slots. */
+	readonly bySlots: number;
 };
 
 /** Estimates the required back ends of one service from successive samples of its load. */
@@ -83,12 +85,13 @@
 		const now = this.#clock.now();
 		this.#knownSince = Math.min(this.#knownSince, now);
 		this.#average = this.#average === undefined ? work : this.#average + (smoothingFactor * (work - this.#average));
-		this.#samples = [...this.#samples.filter(({at}) => now - at < holdMs), {at: now, work: this.#average}];
+		const bySlots = load.slots > 0 ? Math.min(load.running / (load.slots * targetSlotUtilization), maxWork) : 0;
+		this.#samples = [...this.#samples.filter(({at}) => now - at < holdMs), {at: now, work: this.#average, bySlots}];
 		const peakWork = Math.max(...this.#samples.map(sample => sample.work));
-		const bySlots = load.slots > 0 ? load.running / (load.slots * targetSlotUtilization) : 0;
+		const peakBySlots = Math.max(...this.#samples.map(sample => sample.bySlots));
 		return {
-			least: Math.max(least.spareBackends + (peakWork / least.utilization), Math.min(bySlots, maxWork)),
-			comfortable: Math.max(comfortable.spareBackends + (peakWork / comfortable.utilization), Math.min(bySlots, maxWork)),
+			least: Math.max(least.spareBackends + (peakWork / least.utilization), peakBySlots),
+			comfortable: Math.max(comfortable.spareBackends + (peakWork / comfortable.utilization), peakBySlots),
 		};
 	}
 
