Give up a passed-on request where it finds the entry cut off

Cause: whether a request came from another entry was asked before its body was read, and whether this entry is cut off after it. One that was found cut off meanwhile passed the request on once more, so that a request could take two hops or more. Change: what another entry has passed on is never passed on.

--- a/packages/mulberrypitch-proxy/src/proxy-server.ts
+++ b/packages/mulberrypitch-proxy/src/proxy-server.ts
@@ -14,6 +14,7 @@
 import {ResponseRelay} from './response-relay.js';
 import {ResponseTiming} from './response-timing.js';
 import {getHeader, getHeaders, getQuotaUnits} from './caller-request.js';
+import {watchCaller} from './caller-watch.js';
 import {LocalReplies} from './local-replies.js';
 import {ProxiedRequest} from './proxied-request.js';
 import {RequestPreparation, type PreparedRequest} from './request-preparation.js';
@@ -217,9 +218,10 @@
 		const facts = {
 			arrivedAt, route: route.name, workspace: workspace?.name, resumes: position?.attemptId,
 		};
+		const isTaken = this.#forwarding.isTaken(request);
 		const signal = watchCaller(response);
 		this.#requests.setRoute(response, route.name);
-		if (this.#forwarding.isCutOff) {
+		if (this.#forwarding.isCutOff && !isTaken) {
 			const end = await this.#passOn(request, response, {
 				prepared, timing, signal, service: chooseService(route, this.#options.random),
 			});
@@ -265,7 +267,7 @@
 			quotas.refund(workspace, units);
 		}
 
-		const isPassedOn = ownEnd.kind === 'refused' && ownEnd.isUnreachable === true && !this.#forwarding.isTaken(request);
+		const isPassedOn = ownEnd.kind === 'refused' && ownEnd.isUnreachable === true && !isTaken;
 		if (isPassedOn) {
 			this.#options.retries.withdraw(service);
 		}
@@ -387,14 +389,3 @@
 		return getHeader(request, this.#options.names.attemptId);
 	}
 }
-
-/** Returns a signal that aborts when the caller leaves before the end of the response. */
-function watchCaller(response: ServerResponse): AbortSignal {
-	const caller = new AbortController();
-	response.once('close', () => {
-		if (!response.writableFinished) {
-			caller.abort();
-		}
-	});
-	return caller.signal;
-}
