Move the claim of a request's units to a module of its own

ProxyServer's method for one request had become too complex for the linter. No change of behaviour; the tests of the package and of cuts, stops and statements pass.

--- a/packages/mulberrypitch-proxy/src/proxy-server.ts
+++ b/packages/mulberrypitch-proxy/src/proxy-server.ts
@@ -13,11 +13,12 @@
 import type {BackendFilter} from './backend-view.js';
 import {ResponseRelay} from './response-relay.js';
 import {ResponseTiming} from './response-timing.js';
-import {getHeader, getHeaders, getQuotaUnits} from './caller-request.js';
+import {getHeader, getHeaders} from './caller-request.js';
 import {watchCaller} from './caller-watch.js';
 import {LocalReplies} from './local-replies.js';
 import {ProxiedRequest} from './proxied-request.js';
 import {RequestPreparation, type PreparedRequest} from './request-preparation.js';
+import {takeQuota} from './quota-claim.js';
 import {RequestForwarding} from './request-forwarding.js';
 import {RequestOrder} from './request-order.js';
 import {RequestsInProgress} from './requests-in-progress.js';
@@ -205,7 +206,6 @@
 	}
 
 	async #serve(request: IncomingMessage, response: ServerResponse, arrivedAt: number): Promise<void> {
-		const {quotas} = this.#options;
 		const preparation = await this.#preparation.prepare(request, arrivedAt);
 		if (preparation.kind === 'rejected') {
 			this.#replies.send(request, response, preparation.reply);
@@ -235,14 +235,9 @@
 			return;
 		}
 
-		const units = workspace === undefined ? 0 : getQuotaUnits(workspace, getHeader(request, this.#options.names.tokenCount));
-		const waitSeconds = workspace === undefined ? 0 : quotas.take(workspace, {units, isUrgent: route.priority === 0});
-		if (waitSeconds > 0) {
-			this.#replies.send(request, response, {
-				status: 429, reason: 'quota used up', retryAfterSeconds: waitSeconds, inputs: {
-					workspace: workspace?.name, units, quotaLevel: quotas.getLevel(workspace!), ...quotas.getFacts(workspace!), route: route.name, resumes: position?.attemptId,
-				},
-			});
+		const claim = takeQuota(request, prepared, this.#options);
+		if (claim.refusal !== undefined) {
+			this.#replies.send(request, response, claim.refusal);
 			return;
 		}
 
@@ -264,7 +259,7 @@
 			...prepared, arrivedAt, service, relay, binding, signal,
 		});
 		if (ownEnd.kind === 'refused' && workspace !== undefined) {
-			quotas.refund(workspace, units);
+			this.#options.quotas.refund(workspace, claim.units);
 		}
 
 		const isPassedOn = ownEnd.kind === 'refused' && ownEnd.isUnreachable === true && !isTaken;
