Don't pass on a request whose caller has already left

Cause: the signal that tells that a caller left was made after the body had been read, and a caller who left before was noticed only on the way to a back end. Change: the signal is aborted at once for such a caller, and is asked before each entry. The new test failed before.

--- a/packages/mulberrypitch-proxy/src/caller-watch.ts
+++ b/packages/mulberrypitch-proxy/src/caller-watch.ts
@@ -11,6 +11,10 @@
 */
 export function watchCaller(response: ServerResponse): AbortSignal {
 	const caller = new AbortController();
+	if (response.destroyed) {
+		caller.abort();
+	}
+
 	response.once('close', () => {
 		if (!response.writableFinished) {
 			caller.abort();
--- a/packages/mulberrypitch-proxy/src/forwarded-request.ts
+++ b/packages/mulberrypitch-proxy/src/forwarded-request.ts
@@ -55,8 +55,8 @@
 
 	/** Passes the request on until an entry accepts it, and returns how it ended. An entry that refuses it promises that no back end has run it. */
 	async run(): Promise<RequestEnd> {
-		const {clock, deadlineAt, peers} = this.#options;
-		while (this.#tried.size < maxTries && deadlineAt - clock.now() > minTryMs) {
+		const {clock, deadlineAt, peers, signal} = this.#options;
+		while (!signal.aborted && this.#tried.size < maxTries && deadlineAt - clock.now() > minTryMs) {
 			const address = peers.choose(this.#tried);
 			if (address === undefined) {
 				break;
@@ -71,7 +71,7 @@
 			}
 		}
 
-		return this.#endWithoutEntry();
+		return signal.aborted ? {kind: 'abandoned'} : this.#endWithoutEntry();
 	}
 
 	/** Returns how the request ends after an outcome, or `undefined` if another entry may be tried. */
