Take a refusal for an answer only where it surely answers this send

A refusal without an identifier was taken for that of whichever request waited. Change: a request is sent again only on a connection that has not carried it. A refusal that does not name its request counts as a broken answer.

--- a/packages/mulberrypitch-proxy/src/__tests__/relay-response.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/relay-response.ts
@@ -56,6 +56,7 @@
 			isStream,
 			relay,
 			connection,
+			attemptHeader: 'attempt',
 			notRunHeader: 'not-run',
 			onBodyBytes() {
 				// The tests have no permits.
--- a/packages/mulberrypitch-proxy/src/connect-in-time.ts
+++ b/packages/mulberrypitch-proxy/src/connect-in-time.ts
@@ -6,18 +6,27 @@
 import type {BackendConnection} from './backend-connection.js';
 import type {KnownBackend} from './known-backend.js';
 
+/** What a request needs of its connection. */
+export type ConnectionNeeds = {
+	readonly clock: Clock;
+	/** Monotonic time in milliseconds. */
+	readonly deadlineAt: number;
+	/** Connections that have carried the request before. */
+	readonly used: ReadonlySet<BackendConnection>;
+};
+
 /**
-Resolves with a connection to a back end. Throws `TimeoutError` at the deadline, given as monotonic time in milliseconds, and closes a
-connection that comes later.
+Resolves with a connection to a back end that has not carried the request before: what is left there of an earlier response can't be told from
+the next one. Throws `TimeoutError` at the deadline, and closes a connection that comes later.
 
 @example
 ```
-const connection = await connectInTime(backend, {clock, deadlineAt});
+const connection = await connectInTime(backend, {clock, deadlineAt, used});
 ```
 */
-export async function connectInTime(backend: KnownBackend, {clock, deadlineAt}: {readonly clock: Clock; readonly deadlineAt: number}): Promise<BackendConnection> {
+export async function connectInTime(backend: KnownBackend, {clock, deadlineAt, used}: ConnectionNeeds): Promise<BackendConnection> {
 	const leftMs = deadlineAt - clock.now();
-	const connecting = backend.connect();
+	const connecting = backend.connect(used);
 	try {
 		return await withTimeout(clock, connecting, leftMs, () => new TimeoutError(backend.id, leftMs));
 	} catch (error) {
--- a/packages/mulberrypitch-proxy/src/forwarded-request.ts
+++ b/packages/mulberrypitch-proxy/src/forwarded-request.ts
@@ -176,6 +176,7 @@
 			isStream,
 			relay,
 			connection,
+			attemptHeader: names.attemptId,
 			notRunHeader: names.notRun,
 			onBodyBytes: ignore,
 			onRunning: ignore,
--- a/packages/mulberrypitch-proxy/src/known-backend.ts
+++ b/packages/mulberrypitch-proxy/src/known-backend.ts
@@ -235,14 +235,19 @@
 		});
 	}
 
-	/** Returns an idle connection or opens one. Throws `PeerUnreachableError` when it can't be opened. */
-	async connect(): Promise<BackendConnection> {
-		for (let idle = this.#idle.pop(); idle !== undefined; idle = this.#idle.pop()) {
-			if (idle.isReusable) {
-				return idle;
-			}
-
-			idle.destroy();
+	/**
+	Returns an idle connection that is not among the used ones, or opens one. Throws `PeerUnreachableError` when it can't be opened. When all
+	connections that may be open are used ones, one of them is closed.
+	*/
+	async connect(used: ReadonlySet<BackendConnection> = new Set()): Promise<BackendConnection> {
+		this.closeIdle();
+		const unused = this.#idle.findLastIndex(idle => !used.has(idle));
+		if (unused !== -1) {
+			return this.#idle.splice(unused, 1)[0]!;
+		}
+
+		if (this.#connections.size + this.#opening >= this.#options.getMaxConnections()) {
+			this.#idle.at(-1)?.destroy();
 		}
 
 		this.#opening += 1;
--- a/packages/mulberrypitch-proxy/src/proxied-request.ts
+++ b/packages/mulberrypitch-proxy/src/proxied-request.ts
@@ -52,6 +52,8 @@
 	readonly #options: ProxiedRequestOptions;
 	/** Back ends that were chosen for an attempt. */
 	readonly #triedIds = new Set<string>();
+	/** Connections on which the request was sent. */
+	readonly #usedConnections = new Set<BackendConnection>();
 	/** Number of attempts that may have run the request. */
 	#runCount = 0;
 	/** Number of times that the request was sent. */
@@ -296,7 +298,7 @@
 		this.#triedIds.add(backend.id);
 		let connection: BackendConnection;
 		try {
-			connection = await connectInTime(backend, this.#options);
+			connection = await connectInTime(backend, {...this.#options, used: this.#usedConnections});
 		} catch (error) {
 			if (!(error instanceof CodedError)) {
 				throw error;
@@ -341,6 +343,7 @@
 		signal.addEventListener('abort', abandon, {once: true});
 		void enforceDeadline(done, this.#options, timerAbort.signal);
 		binding.recordSend(permit.backend);
+		this.#usedConnections.add(connection);
 		this.#sendCount += 1;
 		this.#runCount += 1;
 		connection.send(head, body, exchange);
@@ -367,6 +370,7 @@
 			isStream: route.kind === requestKinds.streaming,
 			relay,
 			connection,
+			attemptHeader: names.attemptId,
 			notRunHeader: names.notRun,
 			onBodyBytes() {
 				permit.markPrefilled();
--- a/packages/mulberrypitch-proxy/src/response-collector.ts
+++ b/packages/mulberrypitch-proxy/src/response-collector.ts
@@ -16,6 +16,8 @@
 	readonly isStream: boolean;
 	readonly relay: ResponseRelay;
 	readonly connection: BackendConnection;
+	/** Name, in lower case, of the header in which back ends repeat the attempt identifier of the request. */
+	readonly attemptHeader: string;
 	/** Name of the header which states that the request did not run. */
 	readonly notRunHeader: string;
 	/** Called for each received part of the body. */
@@ -56,9 +58,14 @@
 
 	/** Receives the head. Begins to relay a successful response at once if the route streams. */
 	onHead(head: ResponseHead): void {
-		const {isStream, onRunning} = this.#options;
+		const {isStream, onRunning, connection} = this.#options;
 		this.#head = head;
 		if (this.#isNotRun(head)) {
+			if (!this.#namesRequest(head)) {
+				connection.destroy();
+				this.onFailed('the back end refused a request that it does not name');
+			}
+
 			return;
 		}
 
@@ -180,6 +187,11 @@
 		return findHeader(head, this.#options.notRunHeader) !== undefined || head.status === misdirectedStatus;
 	}
 
+	/** Reports whether a refusal is surely that of this request: one without its identifier may be left of an earlier request. */
+	#namesRequest(head: ResponseHead): boolean {
+		return this.attemptId === undefined || findHeader(head, this.#options.attemptHeader) === this.attemptId;
+	}
+
 	#beginRelay(): void {
 		this.#isRelaying = true;
 		this.#options.relay.beginStream(this.#head!);
