Don't go on with a stream by a response of another media type

Cause: reports of other operators: a stream had begun and broke off, and the next back end answered with an error. Here an error with status 200 went into the stream, whatever its type, and its end ended the stream as complete; so did a 204. Failures with status 400 or above were told apart before. Change: once a part of a stream is written, only a success of the same media type goes on with it; anything else counts as a failed attempt.

--- a/packages/mulberrypitch-proxy/src/response-collector.ts
+++ b/packages/mulberrypitch-proxy/src/response-collector.ts
@@ -58,7 +58,7 @@
 
 	/** Receives the head. Begins to relay a successful response at once if the route streams. */
 	onHead(head: ResponseHead): void {
-		const {isStream, onRunning, connection} = this.#options;
+		const {isStream, onRunning, connection, relay} = this.#options;
 		this.#head = head;
 		if (this.#isNotRun(head)) {
 			if (!this.#namesRequest(head)) {
@@ -69,7 +69,7 @@
 			return;
 		}
 
-		if (isStream && isSuccess(head)) {
+		if (isStream && isSuccess(head) && relay.canBegin(head)) {
 			this.#beginRelay();
 		} else {
 			onRunning();
--- a/packages/mulberrypitch-proxy/src/response-relay.ts
+++ b/packages/mulberrypitch-proxy/src/response-relay.ts
@@ -6,6 +6,7 @@
 import type {ServerResponse} from 'node:http';
 import {assertInvariant} from '@mulberrypitch/errors/catalogue';
 import {breakOff} from '@mulberrypitch/lifecycle/break-off';
+import {findHeader} from './backend-connection.js';
 import type {Framing, ResponseHead, Header} from './response-parser.js';
 import type {ResponseTiming} from './response-timing.js';
 import {EventBoundary} from './event-boundary.js';
@@ -86,6 +87,11 @@
 		return this.#boundary !== undefined && this.#boundary.openBytes > 0;
 	}
 
+	/** Reports whether a successful response may follow what has been written: only one of the same media type goes on with a stream. */
+	canBegin(head: ResponseHead): boolean {
+		return !this.#hasStarted || getMediaType(head) === getMediaType(this.#head!);
+	}
+
 	/** Begins the stream of one back end. If several streams follow each other, the caller gets only the head of the first one. */
 	beginStream(head: ResponseHead): void {
 		this.#head ??= head;
@@ -171,3 +177,8 @@
 		this.#response.writeHead(status, reason, shown.flatMap(({name, value}) => [name, value]));
 	}
 }
+
+/** Returns the media type without its parameters, in lower case. */
+function getMediaType(head: ResponseHead): string | undefined {
+	return findHeader(head, 'content-type')?.split(';')[0]!.trim().toLowerCase();
+}
