Give callers the head of the back end whose bytes they get, without the length of its part

The caller of a resumed stream got the length that the first back end had stated for its own part, so the rest lay beyond the end of the response; and the head, signature included, of a back end that broke off before its first event, with the events of the next one. Change: the head is that of the first back end of which something is written, and a resumable stream states no length.

--- a/packages/mulberrypitch-proxy/src/response-relay.ts
+++ b/packages/mulberrypitch-proxy/src/response-relay.ts
@@ -92,9 +92,12 @@
 		return !this.#hasStarted || getMediaType(head) === getMediaType(this.#head!);
 	}
 
-	/** Begins the stream of one back end. If several streams follow each other, the caller gets only the head of the first one. */
+	/** Begins the stream of one back end. If several streams follow each other, the caller gets only the head of the first one of which something is written. */
 	beginStream(head: ResponseHead): void {
-		this.#head ??= head;
+		if (!this.#hasStarted) {
+			this.#head = this.#isResumable ? withoutLength(head) : head;
+		}
+
 		this.#framing = head.framing;
 		this.#boundary = new EventBoundary();
 		this.#splitter = new EventSplitter(this.#boundary);
@@ -182,3 +185,8 @@
 function getMediaType(head: ResponseHead): string | undefined {
 	return findHeader(head, 'content-type')?.split(';')[0]!.trim().toLowerCase();
 }
+
+/** Returns a head without the length of its body, which is that of one back end's part of the stream only. */
+function withoutLength(head: ResponseHead): ResponseHead {
+	return {...head, headers: head.headers.filter(({name}) => name.toLowerCase() !== 'content-length')};
+}
