Pass only new statuses of entries on to other coordinators

Cause: each coordinator sent the last statuses of all its entries, whole, to each other one ten times a second, also those that had come before the last call. Change: as with the roster, what came since the last successful call is sent. A status is sent again after a failed call.

--- a/packages/mulberrypitch-coordinator/src/gossip.ts
+++ b/packages/mulberrypitch-coordinator/src/gossip.ts
@@ -116,11 +116,12 @@
 		const startedAt = clock.now();
 		const lastSentAt = this.#lastSentAt.get(peer.name);
 		const shouldSendAll = lastSentAt === undefined;
+		const since = shouldSendAll ? Number.NEGATIVE_INFINITY : lastSentAt - overlapMs;
 		const known = this.#exchanges.get(peer.name)?.position;
 		const request: GossipRequest = {
 			from: name,
-			entries: directory.getLocalStatuses(),
-			backends: shouldSendAll ? roster.getEntries() : roster.getEntries(lastSentAt - overlapMs),
+			entries: directory.getLocalStatuses(since),
+			backends: roster.getEntries(since),
 			origins: origins.getSince(this.#originPositions.get(peer.name) ?? 0),
 			wantsAll: shouldSendAll,
 			...(known !== undefined && {known}),
