Offer permits at intervals while requests wait

Cause: the queue of an entry offered permits only when a request ended or a coordinator replied. A back end becomes available by time alone, too: after a rejection for 60 ms, after a pause or an ejection. Change: while requests wait, permits are offered each 40 ms. Measured: a test of a permit that becomes free by time alone; on the code before it is never granted.

--- a/packages/mulberrypitch-proxy/src/__tests__/permit-queue.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/permit-queue.test.ts
@@ -60,3 +60,20 @@
 	t.equal(queue.length, 0);
 	t.equal(await acquire(1, 0), 'a');
 });
+
+// Guards against a request that waits until its limit for a back end whose pause has ended, since nothing else happens at its entry.
+await t.test('a permit that becomes free by time alone is granted soon', async t => {
+	const clock = new VirtualClock();
+	const queue = new PermitQueue<string>(clock);
+	const freeAt = clock.now() + 60;
+	const granted = queue.acquire({
+		priority: 0, maxWaitMs: 500, signal: new AbortController().signal, tryAcquire: () => clock.now() >= freeAt ? 'permit' : undefined,
+	});
+	let grantedAt = Number.POSITIVE_INFINITY;
+	void granted.then(() => {
+		grantedAt = clock.now();
+	});
+	await clock.runFor(1000);
+	t.equal(await granted, 'permit');
+	t.ok(grantedAt - freeAt <= 50, `after ${grantedAt - freeAt} ms`);
+});
--- a/packages/mulberrypitch-proxy/src/permit-queue.ts
+++ b/packages/mulberrypitch-proxy/src/permit-queue.ts
@@ -23,10 +23,14 @@
 	readonly place: Deferred<Permit | undefined>;
 };
 
+/** Interval in milliseconds at which permits are offered while requests wait. Back ends become available by time alone, too, as a pause or an ejection ends. */
+const offerIntervalMs = 40;
+
 /** Priority queue that is first in, first out within a priority, except that a request is passed over while its `tryAcquire` fails. */
 export class PermitQueue<Permit> {
 	readonly #clock: Clock;
 	#waiters: Array<Waiter<Permit>> = [];
+	#isOffering = false;
 
 	constructor(clock: Clock) {
 		this.#clock = clock;
@@ -61,6 +65,7 @@
 		this.#insert(waiter);
 		const timerAbort = new AbortController();
 		void this.#removeAfterWait(waiter, timerAbort);
+		void this.#offerWhileWaiting();
 		const permit = await waiter.place.promise;
 		timerAbort.abort();
 		return permit;
@@ -90,6 +95,21 @@
 		this.#waiters.splice(position === -1 ? this.#waiters.length : position, 0, waiter);
 	}
 
+	/** Offers permits at intervals until no request waits. */
+	async #offerWhileWaiting(): Promise<void> {
+		if (this.#isOffering) {
+			return;
+		}
+
+		this.#isOffering = true;
+		while (this.#waiters.length > 0) {
+			await this.#clock.sleep(offerIntervalMs);
+			this.grantPermits();
+		}
+
+		this.#isOffering = false;
+	}
+
 	/** Removes a waiter when its wait has ended by a grant, by the timeout or by its signal. */
 	async #removeAfterWait(waiter: Waiter<Permit>, timerAbort: AbortController): Promise<void> {
 		const {signal, maxWaitMs} = waiter.request;
