Let entries poll a coordinator of their own zone

Cause: an entry drew the coordinator that it polls at random and stayed there until a poll failed. Change: coordinators tell each other their zone, and entries which coordinators of their zone have exchanged with the others lately. An entry moves there within some polls, leaves when a poll fails and returns after 15 s. Measured: a test on virtual time.

--- a/packages/mulberrypitch-coordinator/src/__tests__/coordinator-group.ts
+++ b/packages/mulberrypitch-coordinator/src/__tests__/coordinator-group.ts
@@ -107,6 +107,7 @@
 		this.#logs.set(name, store);
 		const coordinator = new Coordinator({
 			name,
+			zone: `zone of ${name}`,
 			holder: `core-${name}`,
 			seeds: this.#seeds,
 			getSeeds: () => this.#seeds,
--- a/packages/mulberrypitch-coordinator/src/__tests__/malformed-replies.test.ts
+++ b/packages/mulberrypitch-coordinator/src/__tests__/malformed-replies.test.ts
@@ -28,6 +28,7 @@
 	});
 	let calls = 0;
 	const gossip = new Gossip({
+		zone: 'z',
 		name: 'a',
 		clock,
 		logger: new SilentLogger(),
--- a/packages/mulberrypitch-coordinator/src/coordinator.ts
+++ b/packages/mulberrypitch-coordinator/src/coordinator.ts
@@ -39,6 +39,8 @@
 export type CoordinatorOptions = {
 	/** Address of the coordinator without the port; unique in the deployment. */
 	readonly name: string;
+	/** Availability zone of the coordinator. */
+	readonly zone: string;
 	/** Name of the coordinator as a holder of the duties. */
 	readonly holder: string;
 	/** Names of the initial coordinators of the deployment, or of those known to be running. */
@@ -141,6 +143,7 @@
 		});
 		this.#gossip = new Gossip({
 			name,
+			zone: options.zone,
 			clock,
 			logger,
 			transport,
@@ -170,6 +173,8 @@
 			epoch,
 			changes: this.#changes,
 			getConfiguration: () => this.#state.configuration,
+			own: {name, address: options.getAddress(name), zone: options.zone},
+			getRecentPeers: () => this.#gossip.recentPeers,
 			getCoordinators: () => this.#replica.getPeers().map(({address}) => address),
 			isInTouch: () => this.isInTouch && this.#gossip.isRosterRecent,
 		});
--- a/packages/mulberrypitch-coordinator/src/gossip.ts
+++ b/packages/mulberrypitch-coordinator/src/gossip.ts
@@ -40,6 +40,8 @@
 export type GossipOptions = {
 	/** Name of this coordinator. */
 	readonly name: string;
+	/** Availability zone of this coordinator. */
+	readonly zone: string;
 	readonly clock: Clock;
 	readonly logger: Logger;
 	readonly transport: Transport;
@@ -72,11 +74,13 @@
 
 	/** Whether the roster of this coordinator has, from a recent exchange, all that a quorum knew. */
 	get isRosterRecent(): boolean {
-		const {clock, getOthers} = this.#options;
-		const others = getOthers();
-		const since = clock.now() - maxExchangeAgeMs;
-		const recent = others.filter(({name}) => (this.#exchanges.get(name)?.at ?? Number.NEGATIVE_INFINITY) >= since);
-		return 1 + recent.length >= getQuorum(others.length + 1);
+		return 1 + this.recentPeers.length >= getQuorum(this.#options.getOthers().length + 1);
+	}
+
+	/** Coordinators with which this one has exchanged lately. */
+	get recentPeers(): readonly Peer[] {
+		const since = this.#options.clock.now() - maxExchangeAgeMs;
+		return this.#options.getOthers().filter(({name}) => (this.#exchanges.get(name)?.at ?? Number.NEGATIVE_INFINITY) >= since);
 	}
 
 	/** Starts the calls in the background. */
@@ -111,7 +115,7 @@
 
 	/** Exchanges entries and back ends with one coordinator; resolves with whether the call succeeded. */
 	async #sendTo(peer: Peer): Promise<boolean> {
-		const {name, clock, transport, roster, origins, directory, onRoster} = this.#options;
+		const {name, zone, clock, transport, roster, origins, directory, onRoster} = this.#options;
 		const {position} = origins;
 		const startedAt = clock.now();
 		const lastSentAt = this.#lastSentAt.get(peer.name);
@@ -120,6 +124,7 @@
 		const known = this.#exchanges.get(peer.name)?.position;
 		const request: GossipRequest = {
 			from: name,
+			zone,
 			entries: directory.getLocalStatuses(since),
 			backends: roster.getEntries(since),
 			origins: origins.getSince(this.#originPositions.get(peer.name) ?? 0),
--- a/packages/mulberrypitch-coordinator/src/view-service.ts
+++ b/packages/mulberrypitch-coordinator/src/view-service.ts
@@ -1,5 +1,6 @@
 /** Takes the statuses of entries, directly or from other coordinators, and tells the entries what has changed. */
 import type {Notification} from '@mulberrypitch/lifecycle/background';
+import type {Peer} from '@mulberrypitch/control/types';
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
 import {events} from '@mulberrypitch/logger/events';
 import type {Logger} from '@mulberrypitch/logger/logger';
@@ -26,6 +27,10 @@
 	readonly changes: Notification;
 	/** Returns the configuration in force, or `undefined` before the first one. */
 	readonly getConfiguration: () => StoredConfiguration | undefined;
+	/** This coordinator, with its address for calls between processes. */
+	readonly own: Peer & {readonly zone: string};
+	/** Returns the coordinators with which this one has exchanged lately. */
+	readonly getRecentPeers: () => readonly Peer[];
 	/** Returns the addresses of all coordinators for calls between processes. */
 	readonly getCoordinators: () => readonly string[];
 	/** Reports whether the coordinator is in contact with a leader. */
@@ -42,6 +47,8 @@
 	readonly #options: ViewServiceOptions;
 	readonly #quarantine: QuarantineList;
 	readonly #evidence: CrashEvidence;
+	/** Availability zones of the other coordinators, by name. */
+	readonly #zones = new Map<string, string>();
 
 	constructor(options: ViewServiceOptions) {
 		const {clock, logger, changes} = options;
@@ -94,6 +101,7 @@
 			origins: this.#getOriginChanges(report),
 			entryCount: Math.max(1, directory.count),
 			coordinators: getCoordinators(),
+			nearby: this.#getNearby(status.zone),
 			peers: directory.getPeers(status.name, maxPeers),
 			isInTouch: isInTouch(),
 		};
@@ -101,9 +109,10 @@
 
 	/** Merges what another coordinator sends, and replies with what changed in the roster, or with the whole roster and all origins if it asks for them. */
 	async mergeGossip({
-		entries, backends, origins: told = [], wantsAll, known,
+		from, zone, entries, backends, origins: told = [], wantsAll, known,
 	}: GossipRequest): Promise<GossipReply> {
 		const {directory, roster, origins, changes} = this.#options;
+		this.#zones.set(from, zone ?? '');
 		origins.merge(told);
 		for (const status of entries) {
 			directory.merge(status);
@@ -135,6 +144,13 @@
 		return {epoch, position: origins.position, groups: origins.getSince(known?.position ?? 0)};
 	}
 
+	/** Returns the addresses of the coordinators in a zone that this one hears, itself included. */
+	#getNearby(zone: string): readonly string[] {
+		const {own, getRecentPeers} = this.#options;
+		const others = getRecentPeers().filter(({name}) => this.#zones.get(name) === zone).map(({address}) => address);
+		return own.zone === zone ? [own.address, ...others] : others;
+	}
+
 	/** Takes over what an entry observed of back ends. */
 	#mergeObservations({crashes, leaves = []}: EntryStatus): void {
 		const {roster, changes, logger} = this.#options;
--- a/packages/mulberrypitch-proxy/src/__tests__/view-client.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/view-client.test.ts
@@ -1,6 +1,7 @@
 /** Tests that an entry goes on after a reply of a coordinator that it can't use. */
 import t from 'tap';
 import {assumeType} from '@mulberrypitch/errors/assume-type';
+import {PeerUnreachableError} from '@mulberrypitch/errors/catalogue';
 import {VirtualClock} from '@mulberrypitch/fakes/virtual-clock';
 import {SeededRandom} from '@mulberrypitch/lifecycle/random';
 import type {CataloguedEvent} from '@mulberrypitch/logger/events';
@@ -86,3 +87,46 @@
 	await clock.runFor(1000);
 	await disposed;
 });
+
+// Guards against entries that crowd at few coordinators after an outage, and that ask across zones, which costs time and money.
+await t.test('an entry moves to the coordinator of its zone, leaves it when it fails, and returns later', async t => {
+	const clock = new VirtualClock();
+	const polled: string[] = [];
+	const state = {hasFailed: false};
+	const client = new ViewClient({
+		getSeeds: () => ['a', 'b', 'c'],
+		transport: assumeType<Transport>({
+			async call(address: string) {
+				polled.push(address);
+				await clock.sleep(100);
+				if (address === 'b' && state.hasFailed) {
+					throw new PeerUnreachableError(address);
+				}
+
+				return {coordinators: ['a', 'b', 'c'], nearby: ['b'], isInTouch: true};
+			},
+		}),
+		clock,
+		random: new SeededRandom(1),
+		logger: new SilentLogger(),
+		createRequest: () => assumeType<ViewRequest>({}),
+		onReply() {
+			// The test reads where the polls go.
+		},
+	});
+	client.start();
+	await clock.runFor(5000);
+	t.strictSame(new Set(polled.slice(-10)), new Set(['b']), 'in its zone');
+	state.hasFailed = true;
+	await clock.runFor(1000);
+	state.hasFailed = false;
+	polled.length = 0;
+	await clock.runFor(10_000);
+	t.notOk(polled.includes('b'), 'not where a poll has failed');
+	t.ok(client.ageMs < 300);
+	await clock.runFor(15_000);
+	t.strictSame(new Set(polled.slice(-10)), new Set(['b']), 'in its zone again');
+	const disposed = client.dispose();
+	await clock.runFor(1000);
+	await disposed;
+});
--- a/packages/mulberrypitch-proxy/src/view-client.ts
+++ b/packages/mulberrypitch-proxy/src/view-client.ts
@@ -33,6 +33,10 @@
 const maxTimeoutDoublings = 2;
 /** Time in milliseconds for which a coordinator that did not reply is asked only after all others. */
 const unresponsiveMs = 3000;
+/** Time in milliseconds for which an entry does not return to a coordinator of its zone whose poll has failed. */
+const returnAfterMs = 15_000;
+/** Part of the entries that move to a coordinator of their zone at each poll, so that they don't all do so at once. */
+const moveShare = 0.25;
 /** Shortest time in milliseconds between the starts of two polls of which the second one is in a hurry. */
 const minPollGapMs = 40;
 /** Pause in milliseconds before the next coordinator is asked. */
@@ -45,6 +49,8 @@
 	readonly #options: ViewClientOptions;
 	readonly #resources = new DisposableStore();
 	#addresses: readonly string[];
+	/** Addresses of the coordinators in the zone of the entry, as last told. */
+	#nearby: readonly string[] = [];
 	/** Address of the coordinator whose last poll succeeded; absent after a failed poll. */
 	#current: string | undefined;
 	/** Monotonic time in milliseconds of the last reply of a coordinator that was in contact with a leader. */
@@ -52,6 +58,8 @@
 	#repliedAt = Number.NEGATIVE_INFINITY;
 	readonly #unresponsiveUntil = new Map<string, number>();
 	readonly #hurry = new Notification();
+	/** Monotonic time in milliseconds of the last failed poll, by the address of the coordinator. */
+	readonly #failedAt = new Map<string, number>();
 	/** Number of polls so far. Only what the last one brings is used. */
 	#polls = 0;
 
@@ -94,11 +102,12 @@
 			const address = this.#current ?? this.#chooseNext(failures);
 			const outcome = await this.#poll(address, watchTimeoutMs * (2 ** Math.min(maxTimeoutDoublings, Math.floor(failures / this.#addresses.length))));
 			if (outcome !== 'failed') {
-				this.#current = outcome === 'replied' ? address : this.#current;
+				this.#current = outcome === 'replied' ? this.#chooseNearby(address) : this.#current;
 				failures = 0;
 				continue;
 			}
 
+			this.#failedAt.set(address, clock.now());
 			this.#current = undefined;
 			this.#addresses = [...new Set([...this.#addresses, ...this.#options.getSeeds()])];
 			failures += 1;
@@ -134,6 +143,18 @@
 		return choices[position]!;
 	}
 
+	/** Returns the coordinator to poll after one that has replied: one of the entry's zone if there is any, so that most polls stay in it. */
+	#chooseNearby(address: string): string {
+		const {random, clock} = this.#options;
+		const before = clock.now() - returnAfterMs;
+		const choices = this.#nearby.filter(other => (this.#failedAt.get(other) ?? Number.NEGATIVE_INFINITY) <= before);
+		if (choices.length === 0 || choices.includes(address) || random.next() >= moveShare) {
+			return address;
+		}
+
+		return choices[Math.floor(random.next() * choices.length)]!;
+	}
+
 	/** Polls a coordinator once. Fails unless its reply was applied and it is in contact with a leader. */
 	async #watch(address: string, timeoutMs: number, poll: number): Promise<'replied' | 'failed'> {
 		const {transport, createRequest, onReply, logger, clock, getSeeds} = this.#options;
@@ -148,6 +169,7 @@
 			this.#unresponsiveUntil.delete(address);
 			onReply(reply);
 			this.#addresses = [...new Set([...reply.coordinators, ...getSeeds()])];
+			this.#nearby = reply.nearby ?? [];
 
 			if (reply.isInTouch) {
 				this.#logRegained(address);
--- a/packages/mulberrypitch-serving/src/view-messages.ts
+++ b/packages/mulberrypitch-serving/src/view-messages.ts
@@ -202,6 +202,8 @@
 	readonly entryCount: number;
 	/** Addresses of the coordinators for calls between processes. */
 	readonly coordinators: readonly string[];
+	/** Addresses, for calls between processes, of the coordinators in the zone of the entry that were heard lately; absent from a coordinator of an earlier version. */
+	readonly nearby?: readonly string[];
 	/** Addresses for callers of other entries that reach back ends; absent from a coordinator of an earlier version. */
 	readonly peers?: readonly string[];
 	/** Whether the coordinator is in contact with a leader. */
@@ -212,6 +214,8 @@
 export type GossipRequest = {
 	/** Name of the coordinator that sends the request. */
 	readonly from: string;
+	/** Availability zone of that coordinator; absent from a coordinator of an earlier version. */
+	readonly zone?: string;
 	readonly entries: readonly EntryStatus[];
 	readonly backends: readonly RosterEntry[];
 	/** Origins of streams that the called coordinator may not know; absent from a coordinator of an earlier version. */
