Plan only as many spot back ends as hold the need without any one zone

Cause: the plan gave each zone the need divided by the other zones, rounded up, so a need of 4.2 in five zones got ten back ends where seven hold it without any one zone. Change: the fewest back ends with which the sum without the largest zone meets the need, the additional ones in the cheapest zones. The earlier tests of the plan hold unchanged; a new one states the numbers.

--- a/packages/mulberrypitch-coordinator/src/__tests__/fleet-policy.test.ts
+++ b/packages/mulberrypitch-coordinator/src/__tests__/fleet-policy.test.ts
@@ -105,3 +105,22 @@
 	});
 	t.equal(count(plan, 'onDemand'), 22 - 9);
 });
+
+// Guards against a spare back end in each zone where a few of them hold the need without any one zone.
+await t.test('spot back ends are as few as hold the need without any one zone, the additional ones in the cheapest zones', async t => {
+	const many = {
+		...policy, max: 30, zonePrices: {
+			a: 0.9, b: 1.2, c: 1, d: 1.1, e: 0.8,
+		},
+	};
+	const zones = ['a', 'b', 'c', 'd', 'e'].map(zone => ({...createZones()[0]!, zone}));
+	for (const [need, expected] of [[4.17, [2, 1, 1, 1, 2]], [3.9, [1, 1, 1, 1, 1]], [5.2, [2, 1, 2, 1, 2]], [36, [9, 9, 9, 9, 9]], [36.5, [10, 9, 9, 9, 10]]] as const) {
+		const plan = planZones({
+			policy: many, zones, need: createNeed(need), isSettled: true,
+		});
+		t.same(plan.map(({spot}) => spot), expected, `need ${need}`);
+		for (const lost of plan) {
+			t.ok(count(plan, 'spot') - lost.spot >= need, `need ${need} without zone ${lost.zone}`);
+		}
+	}
+});
--- a/packages/mulberrypitch-coordinator/src/fleet-policy.ts
+++ b/packages/mulberrypitch-coordinator/src/fleet-policy.ts
@@ -50,18 +50,43 @@
 */
 export function planZones(situation: FleetSituation): readonly ZonePlan[] {
 	const {policy, zones, need, isSettled} = situation;
-	// Any one zone may be reclaimed, so the other zones must meet the need without it.
-	const spotPerZone = need === undefined ? undefined : Math.ceil(need.comfortable / Math.max(1, zones.length - 1));
+	const planned = need === undefined ? undefined : distributeSpot(need.comfortable, zones, policy);
 	const hasUnavailableSpot = zones.some(({isSpotUnavailable}) => isSpotUnavailable);
 	const onDemand = distributeOnDemand(countMissing(situation), zones, policy);
 	return zones.map(({zone, spot, largestSize}) => ({
 		zone,
 		// Spot back ends released while none are available can't be replaced, and a new duty holder knows too little of the load.
-		spot: clamp(Math.max(spotPerZone ?? largestSize, hasUnavailableSpot || !isSettled ? spot : 0), Math.max(1, policy.min), policy.max),
+		spot: clamp(Math.max(planned?.get(zone) ?? largestSize, hasUnavailableSpot || !isSettled ? spot : 0), Math.max(1, policy.min), policy.max),
 		onDemand: onDemand.get(zone) ?? 0,
 	}));
 }
 
+/**
+Returns the fewest spot back ends by zone with which all zones but any one meet the need, as evenly as that allows and in the cheapest zones.
+A zone holds no more than the policy allows, even if the need is not met then.
+*/
+function distributeSpot(need: number, zones: readonly ZoneFleet[], {max, zonePrices}: ScalingPolicy): ReadonlyMap<string, number> {
+	const byPrice = zones.toSorted((left, right) => getZonePrice(left, zonePrices) - getZonePrice(right, zonePrices));
+	const counts = new Map(zones.map(({zone}) => [zone, 0]));
+	for (let level = 1; level <= max; level += 1) {
+		for (const {zone} of byPrice) {
+			if (isMetWithoutLargest(need, [...counts.values()])) {
+				return counts;
+			}
+
+			counts.set(zone, level);
+		}
+	}
+
+	return counts;
+}
+
+/** Reports whether the need is met when the zone with the most back ends is lost. The only zone is not taken for lost, since nothing would be left. */
+function isMetWithoutLargest(need: number, counts: readonly number[]): boolean {
+	const lost = counts.length > 1 ? Math.max(...counts) : 0;
+	return sum(counts) - lost >= need;
+}
+
 /**
 Returns how many on-demand back ends are needed: the shortfall of the spot back ends, assuming that more zones are reclaimed
 if no new spot back ends are available.
@@ -76,7 +101,7 @@
 
 /** Assigns on-demand back ends to zones: first to those that already run some, then to the cheapest. */
 function distributeOnDemand(count: number, zones: readonly ZoneFleet[], {max, zonePrices}: ScalingPolicy): ReadonlyMap<string, number> {
-	const byPrice = zones.toSorted((left, right) => (zonePrices[left.zone] ?? 1) - (zonePrices[right.zone] ?? 1));
+	const byPrice = zones.toSorted((left, right) => getZonePrice(left, zonePrices) - getZonePrice(right, zonePrices));
 	const result = new Map<string, number>();
 	let remaining = count;
 	for (const {zone, onDemand} of byPrice) {
@@ -95,6 +120,10 @@
 	return result;
 }
 
+function getZonePrice({zone}: ZoneFleet, zonePrices: ScalingPolicy['zonePrices']): number {
+	return zonePrices[zone] ?? 1;
+}
+
 function sum(values: readonly number[]): number {
 	return values.reduce((total, value) => total + value, 0);
 }
