Cover the loss of one further zone in full, and of two in part, where zones are many

Cause: while a zone has no spot back ends, on-demand back ends, which cost five to seven times as much, were ordered as if two further zones were lost at once, whatever the number of zones: with five zones of nine back ends and a need of 33, fifteen are ordered at the first loss, 51 in all. Change: with five zones or more the need is met in full after one more loss and to six tenths after two, until further back ends have booted: six in that case. Deployments of fewer zones are planned as before, by the same tests. Measured: a test of that case; 15 on the code before.

--- a/packages/mulberrypitch-coordinator/src/__tests__/fleet-policy.test.ts
+++ b/packages/mulberrypitch-coordinator/src/__tests__/fleet-policy.test.ts
@@ -124,3 +124,17 @@
 		}
 	}
 });
+
+// Guards against on-demand back ends for nearly half of the need each time that one of many zones is reclaimed.
+await t.test('one of five zones is reclaimed: on-demand back ends meet the need after the next loss, and most of it after one more', async t => {
+	const least = 33;
+	const fleets = [{isSpotUnavailable: true}, {spot: 9}, {spot: 9}, {spot: 9}, {spot: 9}];
+	const zones = ['a', 'b', 'c', 'd', 'e'].map((zone, index) => ({...createZones()[0]!, zone, ...fleets[index]}));
+	const plan = planZones({
+		policy: {...policy, max: 30}, zones, need: {least, comfortable: 36}, isSettled: true,
+	});
+	const onDemand = count(plan, 'onDemand');
+	t.ok(27 + onDemand >= Math.floor(least), 'after the next loss');
+	t.ok(18 + onDemand >= 0.6 * least, 'after one more');
+	t.ok(onDemand <= 6, `${onDemand} on-demand back ends`);
+});
--- a/packages/mulberrypitch-coordinator/src/fleet-policy.ts
+++ b/packages/mulberrypitch-coordinator/src/fleet-policy.ts
@@ -37,6 +37,10 @@
 
 /** Number of zones whose spot back ends the plan assumes may be reclaimed while no new ones are available. */
 const assumedZoneLosses = 2;
+/** Number of zones from which on each zone holds so little that the need is met in full only for the next loss. */
+const manyZones = 5;
+/** Part of the need that is met in such a deployment after one more loss, until further back ends have booted. */
+const secondLossShare = 0.6;
 /** Fraction of a back end that may be missing before another one is ordered. */
 const toleratedShortfall = 0.3;
 
@@ -92,11 +96,27 @@
 if no new spot back ends are available.
 */
 function countMissing({zones, need}: FleetSituation): number {
-	const hasUnavailableSpot = zones.some(({isSpotUnavailable}) => isSpotUnavailable);
+	const least = need?.least ?? 0;
+	if (!zones.some(({isSpotUnavailable}) => isSpotUnavailable)) {
+		// While spot back ends are available, the spread over the other zones compensates for the loss of one zone.
+		return countShortfall(least, sum(zones.map(({spot}) => spot)));
+	}
+
+	if (zones.length < manyZones) {
+		return countShortfall(least, sumAfterLosses(zones, assumedZoneLosses));
+	}
+
+	return Math.max(countShortfall(least, sumAfterLosses(zones, 1)), countShortfall(secondLossShare * least, sumAfterLosses(zones, assumedZoneLosses)));
+}
+
+function countShortfall(need: number, spots: number): number {
+	return Math.max(0, Math.ceil(need - toleratedShortfall) - spots);
+}
+
+/** Returns the number of spot back ends that are left when the zones with most of them are reclaimed. */
+function sumAfterLosses(zones: readonly ZoneFleet[], losses: number): number {
 	const spots = zones.map(({spot}) => spot).toSorted((left, right) => left - right);
-	// While spot back ends are available, the spread over the other zones compensates for the loss of one zone.
-	const reliableSpots = hasUnavailableSpot ? spots.slice(0, Math.max(0, zones.length - assumedZoneLosses)) : spots;
-	return Math.max(0, Math.ceil((need?.least ?? 0) - toleratedShortfall) - sum(reliableSpots));
+	return sum(spots.slice(0, Math.max(0, zones.length - losses)));
 }
 
 /** Assigns on-demand back ends to zones: first to those that already run some, then to the cheapest. */
