Test that a time of day that jumps and jumps back reports each usage window once

Every use of the time of day was gone through: besides log lines and times that are stored as data, only the usage windows of entries and of the duty rest on it on the users' platform; leases, views, retries and Retry-After use the steady clock. Measured: jumps of 2 and 4 s forward and back, with a return and for good, on virtual time: each window once, with all its counts.

--- a/packages/mulberrypitch-coordinator/src/__tests__/usage-duty.test.ts
+++ b/packages/mulberrypitch-coordinator/src/__tests__/usage-duty.test.ts
@@ -67,3 +67,53 @@
 	await after.duty.step(context);
 	t.same(reports.filter(report => report.window === window), [{window, counts: {w: 45, v: 1}}]);
 });
+
+/** A clock whose time of day a test sets forward or back. */
+class SteppedClock extends VirtualClock {
+	stepMs = 0;
+
+	override wallTime(): number {
+		return super.wallTime() + this.stepMs;
+	}
+}
+
+for (const stepMs of [-4000, -2000, 2000, 4000]) {
+	// Guards against windows that are reported twice, or never, since the time of day of the holder jumps by seconds and jumps back.
+	await t.test(`each window is reported once, with all its counts, while the time of day jumps by ${stepMs} ms and back`, async t => {
+		const clock = new SteppedClock();
+		const reports: UsageCount[] = [];
+		let index = 0;
+		const state = new ServingState({
+			onConfiguration() {
+				// The test sets no configuration.
+			},
+			onDuties() {
+				// The test passes the duties on itself.
+			},
+		});
+		const context: DutyContext = {
+			async propose(command) {
+				index += 1;
+				return state.apply({
+					index, term: 1, time: 0, command,
+				}).result;
+			},
+			confirm: async () => ({holder: 'h', token: 1}),
+		};
+		const {directory, duty} = createHolder(clock, state, reports);
+		const getWindow = () => Math.floor((clock.wallTime() - clock.stepMs) / windowMs);
+		const first = getWindow();
+		const counts = new Map<number, number>();
+		for (let second = 0; second < 60; second += 1) {
+			clock.stepMs = (second >= 13 && second < 22) || second >= 31 ? stepMs : 0;
+			counts.set(getWindow(), (counts.get(getWindow()) ?? 0) + 1);
+			directory.update(createStatus('e', 'first', [...counts].slice(-6).map(([window, count]) => ({window, counts: {w: count}}))));
+			await duty.step(context);
+			await clock.runFor(1000);
+		}
+
+		const ended = Array.from({length: 9}, (_, offset) => first + offset);
+		t.strictSame(reports.map(({window}) => window).filter(window => ended.includes(window)), ended, 'each once');
+		t.ok(reports.every(({window, counts: {w}}) => w === counts.get(window)), 'all counts');
+	});
+}
