--- a/packages/mulberrypitch-coordinator/src/__tests__/capacity-estimator.test.ts
+++ b/packages/mulberrypitch-coordinator/src/__tests__/capacity-estimator.test.ts
@@ -1,16 +1,16 @@
 /** Tests the estimate of the back ends that a load requires. */
 import t from 'tap';
 import {VirtualClock} from '@mulberrypitch/fakes/virtual-clock';
-import {CapacityEstimator, type CapacityNeed} from '../capacity-estimator.js';
+import {CapacityEstimator, type CapacityEstimate} from '../capacity-estimator.js';
 
 const stepMs = 300;
 const msPerToken = 0.01;
 
 /** Returns the last estimate for a steady load that keeps `work` back ends fully busy. */
-async function estimateSteadyLoad(work: number, {running = 0, slots = 64, cost = msPerToken} = {}): Promise<CapacityNeed> {
+async function estimateSteadyLoad(work: number, {running = 0, slots = 64, cost = msPerToken} = {}): Promise<CapacityEstimate> {
 	const clock = new VirtualClock();
 	const estimator = new CapacityEstimator(clock);
-	let last: CapacityNeed | undefined;
+	let last: CapacityEstimate | undefined;
 	for (let step = 0; step < 40; step += 1) {
 		last = estimator.update({
 			pressures: [{refused: 0, tokensPerSecond: work * 1000 / msPerToken, msPerToken: step < 5 ? msPerToken : cost}], running, slots, serving: 50,
@@ -92,3 +92,12 @@
 	await clock.runFor(9000);
 	t.ok(estimator.update({...load, running: 40})!.least < before.least / 2, 'not for good');
 });
+
+// Guards against a fleet whose size nobody can explain from the log.
+await t.test('tells the work and the slots from which the need follows', async t => {
+	const byWork = await estimateSteadyLoad(20);
+	t.ok(Math.abs(byWork.work - 20) < 0.1 && byWork.bySlots === 0 && byWork.least > byWork.work);
+	t.equal(byWork.msPerToken, msPerToken);
+	const bySlots = await estimateSteadyLoad(2, {running: 340, slots: 12});
+	t.equal(bySlots.least, bySlots.bySlots);
+});
--- a/packages/mulberrypitch-coordinator/src/capacity-estimator.ts
+++ b/packages/mulberrypitch-coordinator/src/capacity-estimator.ts
@@ -22,6 +22,16 @@
 	readonly comfortable: number;
 };
 
+/** A need, and what it follows from. */
+export type CapacityEstimate = CapacityNeed & {
+	/** Largest work of the last seconds, in fully busy back ends. */
+	readonly work: number;
+	/** Largest number of back ends of the last seconds that the running requests required by their slots. */
+	readonly bySlots: number;
+	/** Engine time in milliseconds that a prompt token takes; absent while unknown. */
+	readonly msPerToken?: number;
+};
+
 /**
 Target utilization of an engine by prompts, and a constant number of spare back ends, because a small fleet needs
 proportionally more headroom.
@@ -74,7 +84,7 @@
 	Adds a sample and returns the required back ends, or `undefined` while the cost of prompts is unknown and no requests are
 	refused.
 	*/
-	update(load: ServiceLoad): CapacityNeed | undefined {
+	update(load: ServiceLoad): CapacityEstimate | undefined {
 		const estimated = this.#estimateWork(load);
 		const maxWork = 1 + (maxWorkPerBackend * load.serving);
 		if (estimated === undefined && !this.#hasNewRefusals(load.pressures)) {
@@ -92,6 +102,9 @@
 		return {
 			least: Math.max(least.spareBackends + (peakWork / least.utilization), peakBySlots),
 			comfortable: Math.max(comfortable.spareBackends + (peakWork / comfortable.utilization), peakBySlots),
+			work: peakWork,
+			bySlots: peakBySlots,
+			...(this.#msPerToken !== undefined && {msPerToken: this.#msPerToken}),
 		};
 	}
 
--- a/packages/mulberrypitch-coordinator/src/fleet-duty.ts
+++ b/packages/mulberrypitch-coordinator/src/fleet-duty.ts
@@ -7,7 +7,7 @@
 import type {ServicePressure} from '@mulberrypitch/serving/view-messages';
 import type {Duty, DutyContext, FencingStamp} from './duty-runner.js';
 import type {EntryDirectory} from './entry-directory.js';
-import {CapacityEstimator, type CapacityNeed, type ServiceLoad} from './capacity-estimator.js';
+import {CapacityEstimator, type CapacityEstimate, type ServiceLoad} from './capacity-estimator.js';
 import {planZones, type ZoneFleet} from './fleet-policy.js';
 import {getOrderKey, type FleetOrder, type ServingState} from './serving-state.js';
 
@@ -69,7 +69,9 @@
 type OrderInputs = {
 	readonly serving: number;
 	/** Only logged with the order. */
-	readonly need: CapacityNeed | undefined;
+	readonly need: CapacityEstimate | undefined;
+	/** Number of zones without spot back ends to be had; only logged with the order. */
+	readonly dryZones: number;
 	readonly policy: ScalingPolicy;
 };
 
@@ -114,6 +116,7 @@
 		const plan = planZones({
 			policy, zones, need, isSettled: this.#getEstimator(service).isSettled,
 		});
+		const dryZones = zones.filter(({isSpotUnavailable}) => isSpotUnavailable).length;
 		for (const [index, {zone, spot, onDemand}] of plan.entries()) {
 			const fleet = zones[index]!;
 			// Number of on-demand back ends that are only released with a delay: one per zone while the roster is stable, the service has
@@ -124,10 +127,14 @@
 			const isReplaced = need !== undefined || zones.every((other, position) => other.spot >= plan[position]!.spot);
 			await this.#orderIfDue({
 				service, zone, isSpot: true, desired: spot,
-			}, {serving: fleet.spot, need, policy}, context);
+			}, {
+				serving: fleet.spot, need, dryZones, policy,
+			}, context);
 			await this.#orderIfDue({
 				service, zone, isSpot: false, desired: this.#delayScaleDown(getOrderKey({service, zone, isSpot: false}), {wanted: onDemand, kept, isReplaced}),
-			}, {serving: fleet.onDemand, need, policy}, context);
+			}, {
+				serving: fleet.onDemand, need, dryZones, policy,
+			}, context);
 		}
 	}
 
@@ -204,7 +211,7 @@
 	*/
 	async #orderIfDue(order: FleetOrder, inputs: OrderInputs, context: DutyContext): Promise<void> {
 		const {clock, state, logger} = this.#options;
-		const {serving, need} = inputs;
+		const {serving, need, dryZones} = inputs;
 		const key = getOrderKey(order);
 		const lastOrder = this.#sentOrders.get(key);
 		const hasLostBackends = lastOrder !== undefined && serving < lastOrder.serving;
@@ -226,7 +233,16 @@
 			desired: order.desired, sentAt: clock.now(), result, serving,
 		});
 		logger.log(result === orderResults.accepted ? events.fleetOrdered : events.fleetOrderRefused, {
-			...order, serving, need: need?.least.toFixed(2), comfortable: need?.comfortable.toFixed(2), result, token: stamp.token,
+			...order,
+			serving,
+			need: need?.least.toFixed(2),
+			comfortable: need?.comfortable.toFixed(2),
+			work: need?.work.toFixed(2),
+			bySlots: need?.bySlots.toFixed(2),
+			msPerToken: need?.msPerToken?.toFixed(4),
+			dryZones,
+			result,
+			token: stamp.token,
 		});
 	}
 
