--- a/packages/mulberrypitch-coordinator/src/__tests__/fleet-policy.test.ts
+++ b/packages/mulberrypitch-coordinator/src/__tests__/fleet-policy.test.ts
@@ -105,3 +105,36 @@
 	});
 	t.equal(count(plan, 'onDemand'), 22 - 9);
 });
+
+// Guards against a spare back end in each zone where a few of them hold the need without any one zone.
+await t.test('spot back ends are as few as hold the need without any one zone, the additional ones in the cheapest zones', async t => {
+	const many = {
+		...policy, max: 30, zonePrices: {
+			a: 0.9, b: 1.2, c: 1, d: 1.1, e: 0.8,
+		},
+	};
+	const zones = ['a', 'b', 'c', 'd', 'e'].map(zone => ({...createZones()[0]!, zone}));
+	for (const [need, expected] of [[4.17, [2, 1, 1, 1, 2]], [3.9, [1, 1, 1, 1, 1]], [5.2, [2, 1, 2, 1, 2]], [36, [9, 9, 9, 9, 9]], [36.5, [10, 9, 9, 9, 10]]] as const) {
+		const plan = planZones({
+			policy: many, zones, need: createNeed(need), isSettled: true,
+		});
+		t.same(plan.map(({spot}) => spot), expected, `need ${need}`);
+		for (const lost of plan) {
+			t.ok(count(plan, 'spot') - lost.spot >= need, `need ${need} without zone ${lost.zone}`);
+		}
+	}
+});
+
+// Guards against on-demand back ends for nearly half of the need each time that one of many zones is reclaimed.
+await t.test('one of five zones is reclaimed: on-demand back ends meet the need after the next loss, and most of it after one more', async t => {
+	const least = 33;
+	const fleets = [{isSpotUnavailable: true}, {spot: 9}, {spot: 9}, {spot: 9}, {spot: 9}];
+	const zones = ['a', 'b', 'c', 'd', 'e'].map((zone, index) => ({...createZones()[0]!, zone, ...fleets[index]}));
+	const plan = planZones({
+		policy: {...policy, max: 30}, zones, need: {least, comfortable: 36}, isSettled: true,
+	});
+	const onDemand = count(plan, 'onDemand');
+	t.ok(27 + onDemand >= Math.floor(least), 'after the next loss');
+	t.ok(18 + onDemand >= 0.6 * least, 'after one more');
+	t.ok(onDemand <= 6, `${onDemand} on-demand back ends`);
+});
--- a/packages/mulberrypitch-coordinator/src/view-service.ts
+++ b/packages/mulberrypitch-coordinator/src/view-service.ts
@@ -1,13 +1,14 @@
 /** Takes the statuses of entries, directly or from other coordinators, and tells the entries what has changed. */
 import type {Notification} from '@mulberrypitch/lifecycle/background';
+import type {Peer} from '@mulberrypitch/control/types';
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
 import {events} from '@mulberrypitch/logger/events';
 import type {Logger} from '@mulberrypitch/logger/logger';
 import type {BackendRoster} from '@mulberrypitch/serving/backend-roster';
 import type {OriginTable} from '@mulberrypitch/serving/origin-table';
 import {QuarantineList} from '@mulberrypitch/serving/quarantine-list';
-import type {
-	EntryStatus, GossipReply, GossipRequest, OriginChanges, OriginReport, StoredConfiguration, ViewReply, ViewRequest,
+import {
+	defaultWaitMs, type EntryStatus, type GossipReply, type GossipRequest, type OriginChanges, type OriginReport, type StoredConfiguration, type ViewReply, type ViewRequest,
 } from '@mulberrypitch/serving/view-messages';
 import {CrashEvidence} from './crash-evidence.js';
 import type {EntryDirectory} from './entry-directory.js';
@@ -26,6 +27,10 @@
 	readonly changes: Notification;
 	/** Returns the configuration in force, or `undefined` before the first one. */
 	readonly getConfiguration: () => StoredConfiguration | undefined;
+	/** This coordinator, with its address for calls between processes. */
+	readonly own: Peer & {readonly zone: string};
+	/** Returns the coordinators with which this one has exchanged lately. */
+	readonly getRecentPeers: () => readonly Peer[];
 	/** Returns the addresses of all coordinators for calls between processes. */
 	readonly getCoordinators: () => readonly string[];
 	/** Reports whether the coordinator is in contact with a leader. */
@@ -34,14 +39,16 @@
 
 /** Maximum number of other entries that an entry is told of. */
 const maxPeers = 8;
-/** Maximum time in milliseconds for which a call of an entry waits for changes. */
-const watchTimeoutMs = 100;
+/** Maximum time in milliseconds for which a call of an entry waits for changes, whatever it asks for. */
+const maxWaitMs = 1000;
 
 /** Serves the views of the entries, and decides with what they report which contents are quarantined. */
 export class ViewService {
 	readonly #options: ViewServiceOptions;
 	readonly #quarantine: QuarantineList;
 	readonly #evidence: CrashEvidence;
+	/** Availability zones of the other coordinators, by name. */
+	readonly #zones = new Map<string, string>();
 
 	constructor(options: ViewServiceOptions) {
 		const {clock, logger, changes} = options;
@@ -66,7 +73,7 @@
 
 	/** Stores the status of an entry and replies with the changes since its versions, for which it waits up to the timeout. */
 	async watch({
-		status, configurationVersion, rosterEpoch, rosterVersion, origins: report,
+		status, configurationVersion, rosterEpoch, rosterVersion, origins: report, waitMs = defaultWaitMs,
 	}: ViewRequest): Promise<ViewReply> {
 		const {directory, roster, origins, getConfiguration, getCoordinators, isInTouch} = this.#options;
 		directory.update(status);
@@ -74,7 +81,7 @@
 		origins.merge(report?.begun ?? []);
 		const hasChanges = (getConfiguration()?.version ?? 0) > configurationVersion || roster.hasChanges(rosterEpoch, rosterVersion);
 		if (!hasChanges) {
-			await this.#waitForChanges();
+			await this.#waitForChanges(Math.min(waitMs, maxWaitMs));
 		}
 
 		const stored = getConfiguration();
@@ -94,6 +101,7 @@
 			origins: this.#getOriginChanges(report),
 			entryCount: Math.max(1, directory.count),
 			coordinators: getCoordinators(),
+			nearby: this.#getNearby(status.zone),
 			peers: directory.getPeers(status.name, maxPeers),
 			isInTouch: isInTouch(),
 		};
@@ -101,9 +109,10 @@
 
 	/** Merges what another coordinator sends, and replies with what changed in the roster, or with the whole roster and all origins if it asks for them. */
 	async mergeGossip({
-		entries, backends, origins: told = [], wantsAll, known,
+		from, zone, entries, backends, origins: told = [], wantsAll, known,
 	}: GossipRequest): Promise<GossipReply> {
 		const {directory, roster, origins, changes} = this.#options;
+		this.#zones.set(from, zone ?? '');
 		origins.merge(told);
 		for (const status of entries) {
 			directory.merge(status);
@@ -135,6 +144,13 @@
 		return {epoch, position: origins.position, groups: origins.getSince(known?.position ?? 0)};
 	}
 
+	/** Returns the addresses of the coordinators in a zone that this one hears, itself included. */
+	#getNearby(zone: string): readonly string[] {
+		const {own, getRecentPeers} = this.#options;
+		const others = getRecentPeers().filter(({name}) => this.#zones.get(name) === zone).map(({address}) => address);
+		return own.zone === zone ? [own.address, ...others] : others;
+	}
+
 	/** Takes over what an entry observed of back ends. */
 	#mergeObservations({crashes, leaves = []}: EntryStatus): void {
 		const {roster, changes, logger} = this.#options;
@@ -147,11 +163,11 @@
 		}
 	}
 
-	async #waitForChanges(): Promise<void> {
+	async #waitForChanges(waitMs: number): Promise<void> {
 		const {clock, changes} = this.#options;
 		const timeout = new AbortController();
 		const abortAfterTimeout = async () => {
-			await clock.sleep(watchTimeoutMs, timeout.signal);
+			await clock.sleep(waitMs, timeout.signal);
 			timeout.abort();
 		};
 
--- a/packages/mulberrypitch-proxy/src/__tests__/view-client.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/view-client.test.ts
@@ -1,9 +1,11 @@
 /** Tests that an entry goes on after a reply of a coordinator that it can't use. */
 import t from 'tap';
 import {assumeType} from '@mulberrypitch/errors/assume-type';
+import {PeerUnreachableError} from '@mulberrypitch/errors/catalogue';
 import {VirtualClock} from '@mulberrypitch/fakes/virtual-clock';
 import {SeededRandom} from '@mulberrypitch/lifecycle/random';
 import type {CataloguedEvent} from '@mulberrypitch/logger/events';
+import {SilentLogger} from '@mulberrypitch/logger/logger';
 import type {ViewReply, ViewRequest} from '@mulberrypitch/serving/view-messages';
 import type {Transport} from '@mulberrypitch/transport/types';
 import {ViewClient} from '../view-client.js';
@@ -49,3 +51,82 @@
 	await clock.runFor(1000);
 	await disposed;
 });
+
+// Guards against a stream whose caller comes again elsewhere before any coordinator knows where it began, since the poll in progress waits for changes.
+await t.test('a poll in a hurry does not wait for the reply to the one before, which is not used any more', async t => {
+	const clock = new VirtualClock();
+	const waitMs = 250;
+	const startedAt: number[] = [];
+	const applied: number[] = [];
+	const client = new ViewClient({
+		getSeeds: () => ['a'],
+		transport: assumeType<Transport>({
+			async call() {
+				startedAt.push(clock.now());
+				const poll = startedAt.length;
+				await clock.sleep(waitMs);
+				return {coordinators: ['a'], isInTouch: true, poll};
+			},
+		}),
+		clock,
+		random: new SeededRandom(1),
+		logger: new SilentLogger(),
+		createRequest: () => assumeType<ViewRequest>({waitMs}),
+		onReply(reply) {
+			applied.push(assumeType<{poll: number}>(reply).poll);
+		},
+	});
+	client.start();
+	await clock.runFor(waitMs + 10);
+	client.hurry();
+	await clock.runFor(waitMs + 100);
+	t.strictSame(startedAt.slice(0, 2), [0, waitMs]);
+	t.ok(startedAt[2]! - startedAt[1]! <= 50, `${startedAt[2]! - startedAt[1]!} ms after the poll before`);
+	t.strictSame(applied, [1, 3]);
+	const disposed = client.dispose();
+	await clock.runFor(1000);
+	await disposed;
+});
+
+// Guards against entries that crowd at few coordinators after an outage, and that ask across zones, which costs time and money.
+await t.test('an entry moves to the coordinator of its zone, leaves it when it fails, and returns later', async t => {
+	const clock = new VirtualClock();
+	const polled: string[] = [];
+	const state = {hasFailed: false};
+	const client = new ViewClient({
+		getSeeds: () => ['a', 'b', 'c'],
+		transport: assumeType<Transport>({
+			async call(address: string) {
+				polled.push(address);
+				await clock.sleep(100);
+				if (address === 'b' && state.hasFailed) {
+					throw new PeerUnreachableError(address);
+				}
+
+				return {coordinators: ['a', 'b', 'c'], nearby: ['b'], isInTouch: true};
+			},
+		}),
+		clock,
+		random: new SeededRandom(1),
+		logger: new SilentLogger(),
+		createRequest: () => assumeType<ViewRequest>({}),
+		onReply() {
+			// The test reads where the polls go.
+		},
+	});
+	client.start();
+	await clock.runFor(5000);
+	t.strictSame(new Set(polled.slice(-10)), new Set(['b']), 'in its zone');
+	state.hasFailed = true;
+	await clock.runFor(1000);
+	state.hasFailed = false;
+	polled.length = 0;
+	await clock.runFor(10_000);
+	t.notOk(polled.includes('b'), 'not where a poll has failed');
+	t.ok(client.ageMs < 300);
+	await clock.runFor(15_000);
+	t.strictSame(new Set(polled.slice(-10)), new Set(['b']), 'in its zone again');
+	const disposed = client.dispose();
+	await clock.runFor(1000);
+	await disposed;
+});
--- a/packages/mulberrypitch-proxy/src/content-quarantine.ts
+++ b/packages/mulberrypitch-proxy/src/content-quarantine.ts
@@ -57,6 +57,7 @@
 /** Knows the quarantined contents, and what this entry observed of others. */
 export class ContentQuarantine {
 	readonly #clock: Clock;
+	readonly #onCharge: () => void;
 	readonly #list: QuarantineList;
 	readonly #restricted: RestrictedContents;
 	/** Monotonic time in milliseconds of the last answer, by fingerprint, least recent first. */
@@ -68,8 +69,10 @@
 	/** Monotonic time in milliseconds until which all charges are reported. */
 	#repeatUntil = Number.NEGATIVE_INFINITY;
 
-	constructor(clock: Clock) {
+	/** `onCharge` is called when the coordinators should be told of a charge without delay. */
+	constructor(clock: Clock, onCharge: () => void) {
 		this.#clock = clock;
+		this.#onCharge = onCharge;
 		this.#list = new QuarantineList(clock);
 		this.#restricted = new RestrictedContents(clock);
 	}
@@ -79,6 +82,11 @@
 		return this.#list.count;
 	}
 
+	/** Whether any content may crash back ends, as this entry or the coordinators have seen. */
+	get isActive(): boolean {
+		return this.#charges.length > 0 || this.#suspects.length > 0;
+	}
+
 	/** Returns the contents of a request, given their fingerprints, the last of which is that of the whole request. */
 	track(fingerprints: readonly string[]): RequestContent {
 		return {
@@ -86,6 +94,7 @@
 			beginRun: () => this.#beginRun(fingerprints),
 			recordBrokenOff: backend => {
 				this.#charges = [...this.#charges, {backend, at: this.#clock.now(), fingerprints}].slice(-maxCharges);
+				this.#onCharge();
 			},
 			recordAnswered: () => {
 				this.#recordAnswered(fingerprints);
