--- a/packages/mulberrypitch-coordinator/src/__tests__/usage-duty.test.ts
+++ b/packages/mulberrypitch-coordinator/src/__tests__/usage-duty.test.ts
@@ -34,16 +34,17 @@
 	return {directory, duty};
 }
 
-await t.test('usage counted before a power loss of all processes is reported once after it', async t => {
-	const clock = new VirtualClock();
+/** Creates the replicated state, and the context in which a holder of the duties proposes to it. */
+function createReplicatedState() {
+	let index = 0;
 	const state = new ServingState({
 		onConfiguration() {
-		// The test sets no configuration.
-		}, onDuties() {
-		// The test passes the duties on itself.
+			// The tests set no configuration.
+		},
+		onDuties() {
+			// The tests pass the duties on themselves.
 		},
 	});
-	let index = 0;
 	const context: DutyContext = {
 		async propose(command) {
 			index += 1;
@@ -53,6 +54,12 @@
 		},
 		confirm: async () => ({holder: 'h', token: 1}),
 	};
+	return {state, context};
+}
+
+await t.test('usage counted before a power loss of all processes is reported once after it', async t => {
+	const clock = new VirtualClock();
+	const {state, context} = createReplicatedState();
 	const reports: UsageCount[] = [];
 	const window = Math.floor(clock.wallTime() / windowMs);
 	const before = createHolder(clock, state, reports);
@@ -82,24 +89,7 @@
 	await t.test(`each window is reported once, with all its counts, while the time of day jumps by ${stepMs} ms and back`, async t => {
 		const clock = new SteppedClock();
 		const reports: UsageCount[] = [];
-		let index = 0;
-		const state = new ServingState({
-			onConfiguration() {
-				// The test sets no configuration.
-			},
-			onDuties() {
-				// The test passes the duties on itself.
-			},
-		});
-		const context: DutyContext = {
-			async propose(command) {
-				index += 1;
-				return state.apply({
-					index, term: 1, time: 0, command,
-				}).result;
-			},
-			confirm: async () => ({holder: 'h', token: 1}),
-		};
+		const {state, context} = createReplicatedState();
 		const {directory, duty} = createHolder(clock, state, reports);
 		const getWindow = () => Math.floor((clock.wallTime() - clock.stepMs) / windowMs);
 		const first = getWindow();
