--- a/packages/mulberrypitch-proxy/src/content-quarantine.ts
+++ b/packages/mulberrypitch-proxy/src/content-quarantine.ts
@@ -57,7 +57,6 @@
 /** Knows the quarantined contents, and what this entry observed of others. */
 export class ContentQuarantine {
 	readonly #clock: Clock;
-	readonly #onCharge: () => void;
 	readonly #list: QuarantineList;
 	readonly #restricted: RestrictedContents;
 	/** Monotonic time in milliseconds of the last answer, by fingerprint, least recent first. */
@@ -69,10 +68,8 @@
 	/** Monotonic time in milliseconds until which all charges are reported. */
 	#repeatUntil = Number.NEGATIVE_INFINITY;
 
-	/** `onCharge` is called when the coordinators should be told of a charge without delay. */
-	constructor(clock: Clock, onCharge: () => void) {
+	constructor(clock: Clock) {
 		this.#clock = clock;
-		this.#onCharge = onCharge;
 		this.#list = new QuarantineList(clock);
 		this.#restricted = new RestrictedContents(clock);
 	}
@@ -94,7 +91,6 @@
 			beginRun: () => this.#beginRun(fingerprints),
 			recordBrokenOff: backend => {
 				this.#charges = [...this.#charges, {backend, at: this.#clock.now(), fingerprints}].slice(-maxCharges);
-				this.#onCharge();
 			},
 			recordAnswered: () => {
 				this.#recordAnswered(fingerprints);
--- a/packages/mulberrypitch-proxy/src/entry.ts
+++ b/packages/mulberrypitch-proxy/src/entry.ts
@@ -155,9 +155,7 @@
 			probe: async id => this.#backends.probe(id),
 		});
 		this.#peers = new PeerEntries({clock, random, attemptHeader: names.attemptId});
-		this.#quarantine = new ContentQuarantine(clock, () => {
-			this.#view.hurry();
-		});
+		this.#quarantine = new ContentQuarantine(clock);
 		this.#origins = new StreamOrigins(clock, () => {
 			this.#view.hurry();
 		});
