--- a/packages/mulberrypitch-proxy/src/content-quarantine.ts
+++ b/packages/mulberrypitch-proxy/src/content-quarantine.ts
@@ -79,9 +79,9 @@
 		return this.#list.count;
 	}
 
-	/** Whether the coordinators want to know which contents were answered. */
-	get hasSuspects(): boolean {
-		return this.#suspects.length > 0;
+	/** Whether any content may crash back ends, as this entry or the coordinators have seen. */
+	get isActive(): boolean {
+		return this.#charges.length > 0 || this.#suspects.length > 0;
 	}
 
 	/** Returns the contents of a request, given their fingerprints, the last of which is that of the whole request. */
--- a/packages/mulberrypitch-proxy/src/entry.ts
+++ b/packages/mulberrypitch-proxy/src/entry.ts
@@ -196,7 +196,7 @@
 		});
 		this.#pace = new PollPace({
 			clock,
-			isPressed: () => this.#origins.isAwaited || this.#quarantine.hasSuspects || this.#quotas.isAnyTight || this.#backends.isAnyBusy(busyShare),
+			isPressed: () => this.#origins.isAwaited || this.#quarantine.isActive || this.#quotas.isAnyTight || this.#backends.isAnyBusy(busyShare),
 			getRefused: () => Object.values(this.#server.getPressure()).reduce((sum, {refused}) => sum + refused, 0),
 		});
 		this.#addGauges();
