Leave a silent coordinator although polls are in a hurry

Change: a poll that follows one given up is not given up in turn. Tried and taken back: using the replies of polls that were overtaken, with a limit on the time without any reply.

--- a/packages/mulberrypitch-proxy/src/__tests__/view-client.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/view-client.test.ts
@@ -1,7 +1,7 @@
 /** Tests that an entry goes on after a reply of a coordinator that it can't use. */
 import t from 'tap';
 import {assumeType} from '@mulberrypitch/errors/assume-type';
-import {PeerUnreachableError} from '@mulberrypitch/errors/catalogue';
+import {PeerUnreachableError, TimeoutError} from '@mulberrypitch/errors/catalogue';
 import {VirtualClock} from '@mulberrypitch/fakes/virtual-clock';
 import {SeededRandom} from '@mulberrypitch/lifecycle/random';
 import type {CataloguedEvent} from '@mulberrypitch/logger/events';
@@ -130,3 +130,59 @@
 	await clock.runFor(1000);
 	await disposed;
 });
+
+/** Returns the greatest age in milliseconds of the view of an entry while each of its coordinators is silent in turn. */
+async function measureOldestView(hurryMs: number | undefined): Promise<number> {
+	const clock = new VirtualClock();
+	const state = {silent: ''};
+	const client = new ViewClient({
+		getSeeds: () => ['a', 'b'],
+		transport: assumeType<Transport>({
+			async call(address: string, _method: string, _request: unknown, {timeoutMs}: {timeoutMs: number}) {
+				const isSilent = address === state.silent;
+				await clock.sleep(isSilent ? timeoutMs : 20);
+				if (isSilent) {
+					throw new TimeoutError('watch', timeoutMs);
+				}
+
+				return {coordinators: ['a', 'b'], isInTouch: true};
+			},
+		}),
+		clock,
+		random: new SeededRandom(1),
+		logger: new SilentLogger(),
+		createRequest: () => assumeType<ViewRequest>({waitMs: 250}),
+		onReply() {
+			// The test reads the age of the view.
+		},
+	});
+	client.start();
+	await clock.runFor(1000);
+	let oldestMs = 0;
+	const stepMs = hurryMs ?? 50;
+	for (const silent of ['a', 'b']) {
+		state.silent = silent;
+		for (let passedMs = 0; passedMs < 4000; passedMs += stepMs) {
+			if (hurryMs !== undefined) {
+				client.hurry();
+			}
+
+			await clock.runFor(stepMs);
+			oldestMs = Math.max(oldestMs, client.ageMs);
+		}
+	}
+
+	const disposed = client.dispose();
+	await clock.runFor(1000);
+	await disposed;
+	return oldestMs;
+}
+
+// Guards against a silent coordinator that an entry never leaves, since each poll in a hurry ends the wait for the reply to the one before.
+await t.test('an entry that is always in a hurry leaves a silent coordinator as soon as any other', async t => {
+	const calmMs = await measureOldestView(undefined);
+	for (const hurryMs of [10, 50, 300]) {
+		const oldestMs = await measureOldestView(hurryMs);
+		t.ok(oldestMs <= calmMs + 100, `${oldestMs} ms with a hurry each ${hurryMs} ms, ${calmMs} ms without`);
+	}
+});
--- a/packages/mulberrypitch-proxy/src/view-client.ts
+++ b/packages/mulberrypitch-proxy/src/view-client.ts
@@ -62,6 +62,8 @@
 	readonly #failedAt = new Map<string, number>();
 	/** Number of polls so far. Only what the last one brings is used. */
 	#polls = 0;
+	/** Whether the last poll was given up for the one in progress, which is then not given up in turn: a silent coordinator would never be left. */
+	#hasHurried = false;
 
 	constructor(options: ViewClientOptions) {
 		this.#options = options;
@@ -126,8 +128,10 @@
 			return 'hurried' as const;
 		};
 
-		const outcome = await Promise.race([this.#watch(address, timeoutMs, this.#polls), ...(this.#current === undefined ? [] : [waitForHurry()])]);
+		const canHurry = this.#current !== undefined && !this.#hasHurried;
+		const outcome = await Promise.race([this.#watch(address, timeoutMs, this.#polls), ...(canHurry ? [waitForHurry()] : [])]);
 		ended.abort();
+		this.#hasHurried = outcome === 'hurried';
 		if (outcome === 'hurried') {
 			await clock.sleep(minPollGapMs - (clock.now() - startedAt));
 		}
