--- a/packages/mulberrypitch-proxy/src/entry.ts
+++ b/packages/mulberrypitch-proxy/src/entry.ts
@@ -155,9 +155,7 @@
 			probe: async id => this.#backends.probe(id),
 		});
 		this.#peers = new PeerEntries({clock, random, attemptHeader: names.attemptId});
-		this.#quarantine = new ContentQuarantine(clock, () => {
-			this.#view.hurry();
-		});
+		this.#quarantine = new ContentQuarantine(clock);
 		this.#origins = new StreamOrigins(clock, () => {
 			this.#view.hurry();
 		});
@@ -198,7 +196,7 @@
 		});
 		this.#pace = new PollPace({
 			clock,
-			isPressed: () => this.#origins.isAwaited || this.#quarantine.hasSuspects || this.#quotas.isAnyTight || this.#backends.isAnyBusy(busyShare),
+			isPressed: () => this.#origins.isAwaited || this.#quarantine.isActive || this.#quotas.isAnyTight || this.#backends.isAnyBusy(busyShare),
 			getRefused: () => Object.values(this.#server.getPressure()).reduce((sum, {refused}) => sum + refused, 0),
 		});
 		this.#addGauges();
