--- a/review/harness/deployment.mjs
+++ b/review/harness/deployment.mjs
@@ -3,6 +3,7 @@
 import net from 'node:net';
 import os from 'node:os';
 import path from 'node:path';
+import process from 'node:process';
 import {call, putConfiguration} from './calls.mjs';
 import {Machine} from './machine.mjs';
 import {pick, wait} from './time.mjs';
@@ -40,6 +41,11 @@
 		this.zones = zones;
 		this.cores = [];
 		this.fronts = [];
+		process.once('exit', () => {
+			for (const machine of [...this.cores, ...this.fronts]) {
+				machine.kill();
+			}
+		});
 	}
 
 	/** Starts all machines. */
--- a/review/harness/record.mjs
+++ b/review/harness/record.mjs
@@ -46,6 +46,11 @@
 
 /** Plays a case, which resolves with whether the rule was broken; cleans up; and exits with 1 if it was, 0 if it held, 2 if the case could not run. */
 export async function runCase({play, cleanUp, record}) {
+	process.once('uncaughtException', error => {
+		record(`a stand-in failed: ${error.stack}`);
+
+		process.exit(results.failed);
+	});
 	const result = await judge(play, record);
 	record(`result: ${Object.keys(results).find(key => results[key] === result)}`);
 	await cleanUp();
