--- a/review/harness/record.mjs
+++ b/review/harness/record.mjs
@@ -46,11 +46,17 @@
 
 /** Plays a case, which resolves with whether the rule was broken; cleans up; and exits with 1 if it was, 0 if it held, 2 if the case could not run. */
 export async function runCase({play, cleanUp, record}) {
-	process.once('uncaughtException', error => {
-		record(`a stand-in failed: ${error.stack}`);
-
+	const abort = reason => {
+		record(`the case could not run: ${reason}`);
+		// eslint-disable-next-line unicorn/no-process-exit -- The state of the stand-ins is unknown.
 		process.exit(results.failed);
+	};
+
+	process.once('uncaughtException', error => {
+		abort(error.stack);
 	});
+	process.once('SIGTERM', abort);
+	process.once('SIGINT', abort);
 	const result = await judge(play, record);
 	record(`result: ${Object.keys(results).find(key => results[key] === result)}`);
 	await cleanUp();
