--- a/packages/mulberrypitch-proxy/src/attempt-outcome.ts
+++ b/packages/mulberrypitch-proxy/src/attempt-outcome.ts
@@ -2,7 +2,7 @@
  * The outcomes of an attempt, which sends a request to one back end, and the decision about the next step. Every local reply
  * (a response that the proxy generates itself) that follows an attempt is decided here.
  */
-import type {ResponseHead} from './response-parser.js';
+import type {ResponseHead} from './response-head.js';
 
 /** A complete response that was not written to the caller. */
 export type BufferedResponse = {
--- a/packages/mulberrypitch-proxy/src/backend-connection.ts
+++ b/packages/mulberrypitch-proxy/src/backend-connection.ts
@@ -4,7 +4,8 @@
 import {PeerUnreachableError, ProtocolError} from '@mulberrypitch/errors/catalogue';
 import {getMessage} from '@mulberrypitch/errors/coded-error';
 import {splitAddress} from '@mulberrypitch/lifecycle/listen';
-import {ResponseParser, type ResponseHead} from './response-parser.js';
+import {findHeader, type ResponseHead} from './response-head.js';
+import {ResponseParser} from './response-parser.js';
 
 /**
 Receives the response to one request. Either `onEnd` or `onFailed` is called in the end, and nothing after it. When the connection
@@ -264,15 +265,3 @@
 		this.#options.onClosed(this);
 	}
 }
-
-/**
-Returns the value of the first header with the given lower-case name, or `undefined`.
-
-@example
-```
-const id = findHeader(head, 'x-request-id');
-```
-*/
-export function findHeader({headers}: ResponseHead, name: string): string | undefined {
-	return headers.find(header => header.name.toLowerCase() === name)?.value;
-}
--- a/packages/mulberrypitch-proxy/src/backend-statement.ts
+++ b/packages/mulberrypitch-proxy/src/backend-statement.ts
@@ -1,5 +1,5 @@
 /** Statements of a back end about itself in the head of a response. */
-import type {ResponseHead} from './response-parser.js';
+import type {ResponseHead} from './response-head.js';
 
 /** The statements of one response. */
 export type BackendStatement = {
--- a/packages/mulberrypitch-proxy/src/caller-request.ts
+++ b/packages/mulberrypitch-proxy/src/caller-request.ts
@@ -7,7 +7,7 @@
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
 import {withTimeout} from '@mulberrypitch/lifecycle/with-timeout';
 import type {Route, Workspace} from '@mulberrypitch/serving/types';
-import type {Header} from './response-parser.js';
+import type {Header} from './response-head.js';
 import type {HeaderNames} from './types.js';
 
 /** Number of tokens that no prompt has; sums of larger counts would not be exact. */
--- a/packages/mulberrypitch-proxy/src/known-backend.ts
+++ b/packages/mulberrypitch-proxy/src/known-backend.ts
@@ -9,7 +9,7 @@
 import {BackendPermit} from './backend-place.js';
 import type {StatementDecoder} from './backend-statement.js';
 import {BrittleRoom} from './brittle-room.js';
-import type {ResponseHead} from './response-parser.js';
+import type {ResponseHead} from './response-head.js';
 import {StatedConditions} from './stated-conditions.js';
 import {misdirectedStatus} from './types.js';
 
--- a/packages/mulberrypitch-proxy/src/local-replies.ts
+++ b/packages/mulberrypitch-proxy/src/local-replies.ts
@@ -8,7 +8,7 @@
 import {breakOff} from '@mulberrypitch/lifecycle/break-off';
 import {rejectMalformed} from '@mulberrypitch/lifecycle/reject-malformed';
 import type {Random} from '@mulberrypitch/lifecycle/random';
-import type {Header} from './response-parser.js';
+import type {Header} from './response-head.js';
 import {getHeader} from './caller-request.js';
 import type {DecisionContext} from './proxied-request-options.js';
 
--- a/packages/mulberrypitch-proxy/src/proxy-server.ts
+++ b/packages/mulberrypitch-proxy/src/proxy-server.ts
@@ -9,7 +9,7 @@
 import type {CallerLimits} from '@mulberrypitch/serving/types';
 import type {ServicePressure} from '@mulberrypitch/serving/view-messages';
 import {RequestCompletion} from './request-completion.js';
-import type {Header} from './response-parser.js';
+import type {Header} from './response-head.js';
 import type {BackendFilter} from './backend-view.js';
 import {ResponseRelay} from './response-relay.js';
 import {ResponseTiming} from './response-timing.js';
--- a/packages/mulberrypitch-proxy/src/request-completion.ts
+++ b/packages/mulberrypitch-proxy/src/request-completion.ts
@@ -7,7 +7,7 @@
 import {getHeader} from './caller-request.js';
 import {minRetryAfterSeconds, type LocalReplies} from './local-replies.js';
 import type {RequestEnd} from './proxied-request-options.js';
-import {framings} from './response-parser.js';
+import {framings} from './response-head.js';
 import type {BodyFacts} from './response-relay.js';
 import type {ResponseTimes} from './response-timing.js';
 import type {HeaderNames} from './types.js';
--- a/packages/mulberrypitch-proxy/src/request-head.ts
+++ b/packages/mulberrypitch-proxy/src/request-head.ts
@@ -1,5 +1,5 @@
 /** Builds the head of a request as it is sent to a back end. */
-import type {Header} from './response-parser.js';
+import type {Header} from './response-head.js';
 import {getEndToEndHeaders} from './response-relay.js';
 import type {HeaderNames} from './types.js';
 
--- a/packages/mulberrypitch-proxy/src/response-collector.ts
+++ b/packages/mulberrypitch-proxy/src/response-collector.ts
@@ -1,10 +1,10 @@
 /** Receives one response of a back end: relays a stream as it arrives, buffers any other response, and reports how it ended. */
 import {Buffer} from 'node:buffer';
-import {framings, type ResponseHead} from './response-parser.js';
+import {findHeader, framings, type ResponseHead} from './response-head.js';
 import type {ResponseRelay} from './response-relay.js';
 import type {AttemptOutcome, BufferedResponse} from './attempt-outcome.js';
 import {EventBoundary} from './event-boundary.js';
-import {findHeader, type BackendConnection, type Exchange} from './backend-connection.js';
+import type {BackendConnection, Exchange} from './backend-connection.js';
 import {misdirectedStatus} from './types.js';
 
 /** Dependencies and settings of a response collector. */
--- /dev/null
+++ b/packages/mulberrypitch-proxy/src/response-head.ts
@@ -0,0 +1,126 @@
+/** Status line and headers of HTTP/1.1 responses. */
+import {ProtocolError} from '@mulberrypitch/errors/catalogue';
+
+/** One header, with the name in its original case. */
+export type Header = {
+	readonly name: string;
+	readonly value: string;
+};
+
+/** Marks of the end of a response's body. */
+export const framings = {
+	/** The response has no body. */
+	none: 'none',
+	/** The body has the length in bytes that `Content-Length` states. */
+	counted: 'counted',
+	chunked: 'chunked',
+	/** The body ends with the connection. */
+	untilClose: 'untilClose',
+} as const;
+
+/** One of `framings`. */
+export type Framing = typeof framings[keyof typeof framings];
+
+/** Status line and headers of a response. */
+export type ResponseHead = {
+	readonly status: number;
+	readonly reason: string;
+	readonly headers: readonly Header[];
+	readonly framing: Framing;
+	/** Whether the connection may carry another response after this one. */
+	readonly isPersistent: boolean;
+};
+
+/** The framing of a body and its length in bytes, which is zero unless the framing is `counted`. */
+export type BodyFraming = {
+	readonly framing: Framing;
+	readonly lengthBytes: number;
+};
+
+/** The framing of a response without a body. */
+export const noBody: BodyFraming = {framing: framings.none, lengthBytes: 0};
+
+const statusLine = /^HTTP\/1\.(?<minor>[01]) (?<status>\d{3})(?: (?<reason>.*))?$/v;
+const headerLine = /^(?<name>[!#$%\u0026'*+\-.^_`\|~0-9A-Za-z]+):[ \t]*(?<value>.*?)[ \t]*$/v;
+const decimal = /^\d{1,15}$/v;
+
+/**
+Parses the status line and the headers of a response, without the blank line after them. Throws `ProtocolError` when they are malformed.
+
+@example
+```
+const {status} = parseHead('HTTP/1.1 200 OK\r\nContent-Length: 0');
+```
+*/
+export function parseHead(text: string): Omit<ResponseHead, 'framing'> {
+	const [first, ...lines] = text.split('\r\n');
+	const match = statusLine.exec(first!);
+	if (match === null) {
+		throw new ProtocolError('The received bytes are not an HTTP response.');
+	}
+
+	const headers = lines.map(line => parseHeader(line));
+	const {minor, status, reason = ''} = match.groups!;
+	const connectionOptions = new Set(getHeaderValues(headers, 'connection').flatMap(value => value.toLowerCase().split(',').map(option => option.trim())));
+	const isPersistent = minor === '1' ? !connectionOptions.has('close') : connectionOptions.has('keep-alive');
+	return {
+		status: Number(status), reason, headers, isPersistent,
+	};
+}
+
+/**
+Returns how the end of the body is found. Throws `ProtocolError` when the headers contradict each other.
+
+@example
+```
+const {framing, lengthBytes} = findBodyFraming(headers);
+```
+*/
+export function findBodyFraming(headers: readonly Header[]): BodyFraming {
+	const codings = getHeaderValues(headers, 'transfer-encoding');
+	const lengths = new Set(getHeaderValues(headers, 'content-length').flatMap(value => value.split(',').map(length => length.trim())));
+	if (codings.length > 0) {
+		if (lengths.size > 0 || codings.length > 1 || codings[0]!.toLowerCase() !== 'chunked') {
+			throw new ProtocolError('The response has an ambiguous or unsupported transfer coding.');
+		}
+
+		return {framing: framings.chunked, lengthBytes: 0};
+	}
+
+	if (lengths.size === 0) {
+		return {framing: framings.untilClose, lengthBytes: 0};
+	}
+
+	const [length] = lengths;
+	if (lengths.size > 1 || !decimal.test(length!)) {
+		throw new ProtocolError('The response has an ambiguous or invalid content length.');
+	}
+
+	const lengthBytes = Number(length);
+	return lengthBytes === 0 ? noBody : {framing: framings.counted, lengthBytes};
+}
+
+/**
+Returns the value of the first header with the given lower-case name, or `undefined`.
+
+@example
+```
+const id = findHeader(head, 'x-request-id');
+```
+*/
+export function findHeader({headers}: ResponseHead, name: string): string | undefined {
+	return headers.find(header => header.name.toLowerCase() === name)?.value;
+}
+
+function parseHeader(line: string): Header {
+	const match = headerLine.exec(line);
+	if (match === null) {
+		throw new ProtocolError('The response has a malformed header.');
+	}
+
+	return {name: match.groups!.name!, value: match.groups!.value!};
+}
+
+function getHeaderValues(headers: readonly Header[], name: string): string[] {
+	return headers.filter(header => header.name.toLowerCase() === name).map(({value}) => value);
+}
--- a/packages/mulberrypitch-proxy/src/response-parser.ts
+++ b/packages/mulberrypitch-proxy/src/response-parser.ts
@@ -1,40 +1,13 @@
 /** Parses HTTP/1.1 responses from the bytes of one connection. */
 import {Buffer} from 'node:buffer';
 import {ProtocolError} from '@mulberrypitch/errors/catalogue';
+import {
+	findBodyFraming, framings, noBody, parseHead, type Framing, type ResponseHead,
+} from './response-head.js';
 
 /** The type of a Node.js `Buffer`, which unlike a plain `Uint8Array` can be searched and decoded. */
 export type NodeBuffer = ReturnType<typeof Buffer.concat>;
 
-/** One header, with the name in its original case. */
-export type Header = {
-	readonly name: string;
-	readonly value: string;
-};
-
-/** Marks of the end of a response's body. */
-export const framings = {
-	/** The response has no body. */
-	none: 'none',
-	/** The body has the length in bytes that `Content-Length` states. */
-	counted: 'counted',
-	chunked: 'chunked',
-	/** The body ends with the connection. */
-	untilClose: 'untilClose',
-} as const;
-
-/** One of `framings`. */
-export type Framing = typeof framings[keyof typeof framings];
-
-/** Status line and headers of a response. */
-export type ResponseHead = {
-	readonly status: number;
-	readonly reason: string;
-	readonly headers: readonly Header[];
-	readonly framing: Framing;
-	/** Whether the connection may carry another response after this one. */
-	readonly isPersistent: boolean;
-};
-
 /** Receives the parts of responses in order. Interim responses (status 1xx) are left out. */
 export type ResponseListener = {
 	onHead(head: ResponseHead): void;
@@ -50,9 +23,6 @@
 const maxSizeLineBytes = 1024;
 const headEnd = Buffer.from('\r\n\r\n');
 const lineEnd = Buffer.from('\r\n');
-const statusLine = /^HTTP\/1\.(?<minor>[01]) (?<status>\d{3})(?: (?<reason>.*))?$/v;
-const headerLine = /^(?<name>[!#$%\u0026'*+\-.^_`\|~0-9A-Za-z]+):[ \t]*(?<value>.*?)[ \t]*$/v;
-const decimal = /^\d{1,15}$/v;
 const chunkSizeLine = /^(?<size>[0-9A-Fa-f]{1,12})[ \t]*(?:;.*)?$/v;
 
 /** Part of a response that the parser expects next. */
@@ -282,65 +252,3 @@
 		throw new ProtocolError('The received bytes are not an HTTP response.');
 	}
 }
-
-function parseHead(text: string): Omit<ResponseHead, 'framing'> {
-	const [first, ...lines] = text.split('\r\n');
-	const match = statusLine.exec(first!);
-	if (match === null) {
-		throw new ProtocolError('The received bytes are not an HTTP response.');
-	}
-
-	const headers = lines.map(line => parseHeader(line));
-	const {minor, status, reason = ''} = match.groups!;
-	const connectionOptions = new Set(getHeaderValues(headers, 'connection').flatMap(value => value.toLowerCase().split(',').map(option => option.trim())));
-	const isPersistent = minor === '1' ? !connectionOptions.has('close') : connectionOptions.has('keep-alive');
-	return {
-		status: Number(status), reason, headers, isPersistent,
-	};
-}
-
-function parseHeader(line: string): Header {
-	const match = headerLine.exec(line);
-	if (match === null) {
-		throw new ProtocolError('The response has a malformed header.');
-	}
-
-	return {name: match.groups!.name!, value: match.groups!.value!};
-}
-
-/** The framing of a body and its length in bytes, which is zero unless the framing is `counted`. */
-type BodyFraming = {
-	readonly framing: Framing;
-	readonly lengthBytes: number;
-};
-
-const noBody: BodyFraming = {framing: framings.none, lengthBytes: 0};
-
-/** Returns how the end of the body is found. Throws `ProtocolError` when the headers contradict each other. */
-function findBodyFraming(headers: readonly Header[]): BodyFraming {
-	const codings = getHeaderValues(headers, 'transfer-encoding');
-	const lengths = new Set(getHeaderValues(headers, 'content-length').flatMap(value => value.split(',').map(length => length.trim())));
-	if (codings.length > 0) {
-		if (lengths.size > 0 || codings.length > 1 || codings[0]!.toLowerCase() !== 'chunked') {
-			throw new ProtocolError('The response has an ambiguous or unsupported transfer coding.');
-		}
-
-		return {framing: framings.chunked, lengthBytes: 0};
-	}
-
-	if (lengths.size === 0) {
-		return {framing: framings.untilClose, lengthBytes: 0};
-	}
-
-	const [length] = lengths;
-	if (lengths.size > 1 || !decimal.test(length!)) {
-		throw new ProtocolError('The response has an ambiguous or invalid content length.');
-	}
-
-	const lengthBytes = Number(length);
-	return lengthBytes === 0 ? noBody : {framing: framings.counted, lengthBytes};
-}
-
-function getHeaderValues(headers: readonly Header[], name: string): string[] {
-	return headers.filter(header => header.name.toLowerCase() === name).map(({value}) => value);
-}
--- a/packages/mulberrypitch-proxy/src/response-relay.ts
+++ b/packages/mulberrypitch-proxy/src/response-relay.ts
@@ -6,8 +6,9 @@
 import type {ServerResponse} from 'node:http';
 import {assertInvariant} from '@mulberrypitch/errors/catalogue';
 import {breakOff} from '@mulberrypitch/lifecycle/break-off';
-import {findHeader} from './backend-connection.js';
-import type {Framing, ResponseHead, Header} from './response-parser.js';
+import {
+	findHeader, type Framing, type ResponseHead, type Header,
+} from './response-head.js';
 import type {ResponseTiming} from './response-timing.js';
 import {EventBoundary} from './event-boundary.js';
 import {EventSplitter} from './event-splitter.js';
