Refuse heads of responses that Node.js would not write

Cause: the parser let any byte but line ends pass in the value of a header and in the reason of the status line, and any status of three digits. ServerResponse.writeHead throws for control characters and for statuses below 100, out of the callback of the back end's socket, so the process ended. Found by writing each accepted head with a ServerResponse: of all single bytes at all places of a head, these were the ones that threw. Change: such a head is a ProtocolError of its own exchange. A length that is stated twice is refused even if it is the same, since callers' parsers refuse it.

--- a/packages/mulberrypitch-proxy/src/response-head.ts
+++ b/packages/mulberrypitch-proxy/src/response-head.ts
@@ -40,8 +40,10 @@
 /** The framing of a response without a body. */
 export const noBody: BodyFraming = {framing: framings.none, lengthBytes: 0};
 
-const statusLine = /^HTTP\/1\.(?<minor>[01]) (?<status>\d{3})(?: (?<reason>.*))?$/v;
-const headerLine = /^(?<name>[!#$%\u0026'*+\-.^_`\|~0-9A-Za-z]+):[ \t]*(?<value>.*?)[ \t]*$/v;
+const statusLine = /^HTTP\/1\.(?<minor>[01]) (?<status>[1-9]\d{2})(?: (?<reason>.*))?$/v;
+const headerName = /^[!#$%\u0026'*+\-.^_`\|~0-9A-Za-z]+$/v;
+/** A control character, which Node.js refuses to write in the value of a header or in the reason of a status line. */
+const controlCharacter = /[^\t\u0020-\u007E\u0080-\u00FF]/v;
 const decimal = /^\d{1,15}$/v;
 
 /**
@@ -61,6 +63,10 @@
 
 	const headers = lines.map(line => parseHeader(line));
 	const {minor, status, reason = ''} = match.groups!;
+	if (controlCharacter.test(reason)) {
+		throw new ProtocolError('The status line of the response has a control character.');
+	}
+
 	const connectionOptions = new Set(getHeaderValues(headers, 'connection').flatMap(value => value.toLowerCase().split(',').map(option => option.trim())));
 	const isPersistent = minor === '1' ? !connectionOptions.has('close') : connectionOptions.has('keep-alive');
 	return {
@@ -78,21 +84,21 @@
 */
 export function findBodyFraming(headers: readonly Header[]): BodyFraming {
 	const codings = getHeaderValues(headers, 'transfer-encoding');
-	const lengths = new Set(getHeaderValues(headers, 'content-length').flatMap(value => value.split(',').map(length => length.trim())));
+	const [length, ...otherLengths] = getHeaderValues(headers, 'content-length');
 	if (codings.length > 0) {
-		if (lengths.size > 0 || codings.length > 1 || codings[0]!.toLowerCase() !== 'chunked') {
+		if (length !== undefined || codings.length > 1 || codings[0]!.toLowerCase() !== 'chunked') {
 			throw new ProtocolError('The response has an ambiguous or unsupported transfer coding.');
 		}
 
 		return {framing: framings.chunked, lengthBytes: 0};
 	}
 
-	if (lengths.size === 0) {
+	if (length === undefined) {
 		return {framing: framings.untilClose, lengthBytes: 0};
 	}
 
-	const [length] = lengths;
-	if (lengths.size > 1 || !decimal.test(length!)) {
+	// Callers refuse a length that is stated twice, even if it is the same.
+	if (otherLengths.length > 0 || !decimal.test(length)) {
 		throw new ProtocolError('The response has an ambiguous or invalid content length.');
 	}
 
@@ -113,12 +119,33 @@
 }
 
 function parseHeader(line: string): Header {
-	const match = headerLine.exec(line);
-	if (match === null) {
+	const colon = line.indexOf(':');
+	const name = line.slice(0, Math.max(0, colon));
+	const value = trimBlanks(line.slice(colon + 1));
+	if (!headerName.test(name) || controlCharacter.test(value)) {
 		throw new ProtocolError('The response has a malformed header.');
 	}
 
-	return {name: match.groups!.name!, value: match.groups!.value!};
+	return {name, value};
+}
+
+/** Removes blanks and tabs at both ends. A regular expression would take time that grows with the square of their number. */
+function trimBlanks(text: string): string {
+	let start = 0;
+	let end = text.length;
+	while (start < end && isBlank(text[start]!)) {
+		start += 1;
+	}
+
+	while (end > start && isBlank(text[end - 1]!)) {
+		end -= 1;
+	}
+
+	return text.slice(start, end);
+}
+
+function isBlank(character: string): boolean {
+	return character === ' ' || character === '\t';
 }
 
 function getHeaderValues(headers: readonly Header[], name: string): string[] {
