Pass the chunks of one read on together

A back end that writes a stream in chunks of one byte held an entry up for 620 ms at a time (1 MB of such chunks, one process, no other requests): each chunk was written to the caller by itself, and each added a listener for 'drain'. The test failed before (10,000 calls for 10,000 chunks, now 1).

--- a/packages/mulberrypitch-proxy/src/__tests__/response-parser.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/response-parser.test.ts
@@ -35,6 +35,7 @@
 	return {statuses, bodies, ends};
 }
 
+const smallChunks = 10_000;
 const chunked = 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n1;x=y\r\n!\r\n0\r\nTrailer: t\r\n\r\n';
 const counted = 'HTTP/1.1 503 Full\r\nContent-Length: 4\r\n\r\nnope';
 
@@ -47,6 +48,27 @@
 	t.pass();
 });
 
+// Guards against an entry that answers nobody for half a second while it relays many small chunks of one read, each with a write of its own.
+await t.test('the chunks of one read are passed on together', async t => {
+	let calls = 0;
+	let bytes = 0;
+	const parser = new ResponseParser({
+		onHead() {
+			// Only the body matters here.
+		},
+		onBody(data) {
+			calls += 1;
+			bytes += data.length;
+		},
+		onEnd() {
+			// Only the body matters here.
+		},
+	}, () => false);
+	parser.push(Buffer.from(`HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n${'1\r\na\r\n'.repeat(smallChunks)}`));
+	t.equal(calls, 1);
+	t.equal(bytes, smallChunks);
+});
+
 await t.test('a response without a body ends with its head', async t => {
 	t.match(readPieces('HTTP/1.1 204 None\r\n\r\n'), {ends: 1});
 	t.match(readPieces('HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n', [], true), {ends: 1});
--- a/packages/mulberrypitch-proxy/src/response-parser.ts
+++ b/packages/mulberrypitch-proxy/src/response-parser.ts
@@ -11,7 +11,7 @@
 /** Receives the parts of responses in order. Interim responses (status 1xx) are left out. */
 export type ResponseListener = {
 	onHead(head: ResponseHead): void;
-	/** Called for each received part of the body. */
+	/** Called once for all parts of the body that arrived together, however many chunks they came in. */
 	onBody(data: Uint8Array): void;
 	/** Called when the response is complete. */
 	onEnd(): void;
@@ -52,6 +52,8 @@
 	#remainingBytes = 0;
 	/** Bytes of the interim responses before the current head, or of the current response's trailers. */
 	#headBytes = 0;
+	/** Parts of the body that the listener has not received yet. */
+	#bodyParts: Uint8Array[] = [];
 
 	constructor(listener: ResponseListener, isBodiless: () => boolean) {
 		this.#listener = listener;
@@ -65,16 +67,10 @@
 
 	/** Parses received bytes and calls the listener. Keeps an incomplete part until the next call. */
 	push(data: Uint8Array): void {
-		let rest = Buffer.concat([this.#buffered, data]);
-		this.#buffered = Buffer.alloc(0);
-		while (rest.length > 0) {
-			const next = this.#consume(rest);
-			if (next === undefined) {
-				this.#buffered = Buffer.from(rest);
-				return;
-			}
-
-			rest = next;
+		try {
+			this.#consumeAll(Buffer.concat([this.#buffered, data]));
+		} finally {
+			this.#passBodyOn();
 		}
 	}
 
@@ -88,6 +84,20 @@
 		return true;
 	}
 
+	#consumeAll(data: NodeBuffer): void {
+		let rest = data;
+		this.#buffered = Buffer.alloc(0);
+		while (rest.length > 0) {
+			const next = this.#consume(rest);
+			if (next === undefined) {
+				this.#buffered = Buffer.from(rest);
+				return;
+			}
+
+			rest = next;
+		}
+	}
+
 	/** Parses a part of the data and returns the rest, or `undefined` when more bytes are needed. */
 	#consume(data: NodeBuffer): NodeBuffer | undefined {
 		switch (this.#state) {
@@ -101,7 +111,7 @@
 			}
 
 			case states.untilClose: {
-				this.#listener.onBody(data);
+				this.#bodyParts.push(data);
 				return data.subarray(data.length);
 			}
 
@@ -173,7 +183,7 @@
 	#consumeBody(data: NodeBuffer): NodeBuffer {
 		const part = data.subarray(0, this.#remainingBytes);
 		this.#remainingBytes -= part.length;
-		this.#listener.onBody(part);
+		this.#bodyParts.push(part);
 		if (this.#remainingBytes === 0) {
 			if (this.#state === states.counted) {
 				this.#end();
@@ -230,7 +240,16 @@
 		return data.subarray(end + lineEnd.length);
 	}
 
+	#passBodyOn(): void {
+		const parts = this.#bodyParts;
+		if (parts.length > 0) {
+			this.#bodyParts = [];
+			this.#listener.onBody(parts.length === 1 ? parts[0]! : Buffer.concat(parts));
+		}
+	}
+
 	#end(): void {
+		this.#passBodyOn();
 		this.#state = states.head;
 		this.#headBytes = 0;
 		this.#listener.onEnd();
