Close a connection on which bytes arrive while no request waits

Cause: the parser kept the beginning of a response that came after a complete one, at once or while the connection was idle, and the connection was used again. The next response was appended to it: its status line became the end of a broken-off header. Only a whole needless head closed the connection. Shown by a back end that sends every beginning of a second answer: after each of them the connection counted as reusable.

--- /dev/null
+++ b/packages/mulberrypitch-proxy/src/__tests__/needless-bytes.test.ts
@@ -0,0 +1,177 @@
+/**
+ * Tests that bytes which belong to no request never become a part of the response to one: back ends that answer twice, the second time late and
+ * cut short at any byte, before or after the next request was sent on the connection.
+ */
+import {Buffer} from 'node:buffer';
+import net from 'node:net';
+import {setImmediate as nextTurn} from 'node:timers/promises';
+import t, {type Test} from 'tap';
+import {assumeType} from '@mulberrypitch/errors/assume-type';
+import {BackendConnection, type Exchange} from '../backend-connection.js';
+
+/** How an exchange ended, and what its listener received. */
+type Result = {
+	readonly end: 'whole' | 'broken' | 'silent';
+	readonly status?: number;
+	readonly body: string;
+};
+
+/** A response in one of the framings of a body. */
+type Framed = {
+	readonly name: string;
+	readonly create: (status: string, attemptId: string, body: string) => string;
+	/** Whether the back end closes the connection after it. */
+	readonly isLast?: boolean;
+};
+
+/** Number of turns of the event loop after which a response is taken to be missing; loopback needs a few. */
+const maxTurns = 2000;
+const firstId = '9c41d07be2a35f68';
+const request = 'POST /a/ HTTP/1.1\r\n\r\n';
+const success = '200 OK';
+const bodiless = 'without a body';
+const framedResponses: readonly Framed[] = [
+	{
+		name: 'with a length',
+		create: (status, id, body) => `${createHead(status, id)}Content-Length: ${body.length}\r\n\r\n${body}`,
+	},
+	{
+		name: 'in chunks',
+		create: (status, id, body) => `${createHead(status, id)}Transfer-Encoding: chunked\r\n\r\n${createChunk(body.slice(0, 3))}${createChunk(body.slice(3))}0\r\nTrailer: t\r\n\r\n`,
+	},
+	{
+		name: bodiless,
+		create: (status, id) => `${createHead(status, id)}Content-Length: 0\r\n\r\n`,
+	},
+	{
+		name: 'up to the end of the connection',
+		create: (status, id, body) => `${createHead(status, id)}\r\n${body}`,
+		isLast: true,
+	},
+];
+
+function createChunk(text: string): string {
+	return `${text.length.toString(16)};a=b\r\n${text}\r\n`;
+}
+
+function createHead(status: string, id: string): string {
+	return `HTTP/1.1 ${status}\r\nContent-Type: application/json\r\nDate: Sat, 05 Dec 2026 10:00:00 GMT\r\nAttempt: ${id}\r\nSignature: s.${id}\r\n`;
+}
+
+/** Starts a back end that calls `respond` with the number of each request on a connection, from one, and returns its address. */
+async function startBackend(t: Test, respond: (socket: net.Socket, count: number) => Promise<void>): Promise<string> {
+	const server = net.createServer(socket => {
+		let count = 0;
+		socket.setNoDelay(true);
+		socket.on('error', () => {
+			// The connection is closed on needless bytes.
+		});
+		socket.on('data', () => {
+			count += 1;
+			void respond(socket, count);
+		});
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	t.teardown(() => {
+		server.close();
+	});
+	return `127.0.0.1:${assumeType<net.AddressInfo>(server.address()).port}`;
+}
+
+async function open(address: string): Promise<BackendConnection> {
+	return BackendConnection.open({
+		address,
+		connectTimeoutMs: 1000,
+		attemptHeader: 'attempt',
+		onClosed() {
+			// The tests use no connection pool.
+		},
+		onHead() {
+			// The tests read no statements of back ends.
+		},
+		onIdle() {
+			// The tests use no connection pool.
+		},
+		now: () => 0,
+	});
+}
+
+/** Sends a request, and resolves when its response has ended or does not come. */
+async function exchange(connection: BackendConnection, attemptId: string): Promise<Result> {
+	const answered = new Promise<Result>(resolve => {
+		let status: number | undefined;
+		let body = '';
+		const listener: Exchange = {
+			attemptId,
+			isHead: false,
+			onHead(head) {
+				status = head.status;
+			},
+			onBody(data) {
+				body += Buffer.from(data).toString('latin1');
+			},
+			onEnd() {
+				resolve({end: 'whole', status, body});
+			},
+			onFailed() {
+				resolve({end: 'broken', body});
+			},
+		};
+		connection.send(request, undefined, listener);
+	});
+	const answer = new AbortController();
+	const result = await Promise.race([answered, waitInVain(answer.signal)]);
+	answer.abort();
+	return result;
+}
+
+async function waitInVain(signal: AbortSignal): Promise<Result> {
+	for (let turn = 0; turn < maxTurns && !signal.aborted; turn += 1) {
+		await nextTurn();
+	}
+
+	return {end: 'silent', body: ''};
+}
+
+async function passTurns(count: number): Promise<void> {
+	for (let turn = 0; turn < count; turn += 1) {
+		await nextTurn();
+	}
+}
+
+for (const framed of framedResponses.filter(({isLast}) => isLast !== true)) {
+	for (const delay of ['at once', 'while it is idle']) {
+		// Guards against a connection that keeps the beginning of a needless answer for the next request, or carries one after it.
+		await t.test(`a connection on which anything follows a whole answer ${framed.name} is not used again, ${delay}`, async t => {
+			const first = framed.create(success, firstId, '{"stock":12}');
+			let cut = 1;
+			const address = await startBackend(t, async socket => {
+				if (delay === 'at once') {
+					socket.write(first + first.slice(0, cut));
+					return;
+				}
+
+				socket.write(first);
+				await passTurns(3);
+				socket.write(first.slice(0, cut));
+			});
+			for (cut = 1; cut <= first.length; cut += 1) {
+				const connection = await open(address);
+				const {end, status} = await exchange(connection, firstId);
+				for (let turn = 0; turn < maxTurns && connection.isReusable; turn += 1) {
+					await nextTurn();
+				}
+
+				if (end !== 'whole' || status !== 200 || connection.isReusable) {
+					t.fail(`${JSON.stringify(first.slice(0, cut))}: ${end} ${status}, reusable: ${connection.isReusable}`);
+				}
+
+				connection.destroy();
+			}
+
+			t.pass();
+		});
+	}
+}
--- a/packages/mulberrypitch-proxy/src/backend-connection.ts
+++ b/packages/mulberrypitch-proxy/src/backend-connection.ts
@@ -36,10 +36,21 @@
 	readonly onHead: (head: ResponseHead, sentAt: number) => void;
 	/** Called when bytes arrive; absent if nobody observes that. */
 	readonly onData?: () => void;
+	/** Called when bytes arrive that belong to no request; absent if nobody observes that. */
+	readonly onNeedlessBytes?: (kind: NeedlessBytes) => void;
 	/** Returns the monotonic time in milliseconds. */
 	readonly now: () => number;
 };
 
+/** When bytes that belong to no request arrive. */
+export const needlessBytes = {
+	/** While no request waits for a response. */
+	idle: 'idle',
+} as const;
+
+/** One of `needlessBytes`. */
+export type NeedlessBytes = typeof needlessBytes[keyof typeof needlessBytes];
+
 /** Size in bytes of the buffer into which sockets read. */
 const readBufferBytes = 64 * 1024;
 /** Shared by all connections: the bytes of one read are consumed before the next read. */
@@ -188,6 +199,10 @@
 			this.#fail(error.message);
 		}
 
+		if (this.#exchange === undefined && this.#parser.isInsideResponse) {
+			this.#closeForNeedlessBytes();
+		}
+
 		return !this.#parser.lastsUntilClose || this.#resumeLater();
 	}
 
@@ -241,6 +256,14 @@
 		}
 	}
 
+	/** Closes a connection on which bytes have arrived while no request waits for a response. */
+	#closeForNeedlessBytes(): void {
+		if (!this.#isClosed) {
+			this.#options.onNeedlessBytes?.(needlessBytes.idle);
+			this.#close();
+		}
+	}
+
 	#readKeepAlive(head: ResponseHead): void {
 		const seconds = /timeout=(?<seconds>\d+)/v.exec(findHeader(head, 'keep-alive') ?? '')?.groups?.seconds;
 		if (seconds !== undefined) {
--- a/packages/mulberrypitch-proxy/src/known-backend.ts
+++ b/packages/mulberrypitch-proxy/src/known-backend.ts
@@ -354,13 +354,16 @@
 	}
 
 	async #openConnection(): Promise<BackendConnection> {
-		const {clock, attemptHeader, connectTimeoutMs, onData, onConnected, onUnreachable} = this.#options;
+		const {clock, logger, attemptHeader, connectTimeoutMs, onData, onConnected, onUnreachable} = this.#options;
 		const opening = BackendConnection.open({
 			address: this.#announced.address,
 			connectTimeoutMs,
 			attemptHeader,
 			now: () => clock.now(),
 			onData,
+			onNeedlessBytes: when => {
+				logger.log(events.needlessBytes, {backend: this.id, when});
+			},
 			onHead: (head, sentAt) => {
 				this.#recordStatement(head, sentAt);
 			},
--- a/packages/mulberrypitch-proxy/src/response-parser.ts
+++ b/packages/mulberrypitch-proxy/src/response-parser.ts
@@ -65,6 +65,11 @@
 		return this.#state === states.untilClose;
 	}
 
+	/** Whether the bytes so far end inside a response, or an interim one. */
+	get isInsideResponse(): boolean {
+		return this.#state !== states.head || this.#headBytes > 0 || this.#buffered.length > 0;
+	}
+
 	/** Parses received bytes and calls the listener. Keeps an incomplete part until the next call. */
 	push(data: Uint8Array): void {
 		try {
