Refuse a response that begins inside another one

Cause: a late answer that breaks off in its head, its trailers or a chunk-size line swallowed the status line of the next answer; one that breaks off in its body swallowed that answer whole, so that its caller waited until the deadline. These bytes come after the request was sent, so closing a connection on needless bytes while it is idle doesn't end this. The next answer is whole, so its status line always stands inside the text of the late one. Change: a status line inside a head, trailer or chunk-size line is a ProtocolError, trailers are parsed as headers, and so is a late body that has a status line and the identifier of the current request. A response that names several requests, or none on a connection that has carried others, is refused. A connection that has brought a late answer is closed after the current one. A whole late answer is skipped as before.

--- a/packages/mulberrypitch-proxy/src/__tests__/needless-bytes.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/needless-bytes.test.ts
@@ -27,8 +27,11 @@
 /** Number of turns of the event loop after which a response is taken to be missing; loopback needs a few. */
 const maxTurns = 2000;
 const firstId = '9c41d07be2a35f68';
+const nextId = '60b08184d9c017fa';
 const request = 'POST /a/ HTTP/1.1\r\n\r\n';
 const success = '200 OK';
+const failure = '500 Internal Server Error';
+const error = '{"error":"out of order"}';
 const bodiless = 'without a body';
 const framedResponses: readonly Framed[] = [
 	{
@@ -141,6 +144,53 @@
 	}
 }
 
+for (const late of framedResponses.filter(({isLast}) => isLast !== true)) {
+	for (const next of framedResponses) {
+		for (const writes of ['one write', 'two writes']) {
+			// Guards against a failure that reaches its caller as a success, or never, since the head or the body of a late second answer went before it.
+			await t.test(`a second answer ${late.name} that is cut short anywhere does not change the next one ${next.name}, ${writes}`, async t => {
+				const first = late.create(success, firstId, '{"stock":12}');
+				const second = next.create(failure, nextId, error);
+				let cut = 0;
+				const address = await startBackend(t, async (socket, count) => {
+					if (count === 1) {
+						socket.write(first);
+						return;
+					}
+
+					if (writes === 'one write') {
+						socket.write(first.slice(0, cut) + second);
+					} else {
+						socket.write(first.slice(0, cut));
+						await passTurns(2);
+						socket.write(second);
+					}
+
+					if (next.isLast === true) {
+						socket.end();
+					}
+				});
+				const expectedBody = next.name === bodiless ? '' : error;
+				const wrong: string[] = [];
+				for (cut = 0; cut <= first.length; cut += 1) {
+					const connection = await open(address);
+					await exchange(connection, firstId);
+					const {end, status, body} = await exchange(connection, nextId);
+					const isOwn = end === 'whole' && status === 500 && body === expectedBody;
+					const mustBeOwn = cut === 0 || cut === first.length;
+					if (!isOwn && (mustBeOwn || end !== 'broken')) {
+						wrong.push(`${JSON.stringify(first.slice(Math.max(0, cut - 20), cut))}: ${end} ${status} ${JSON.stringify(body)}`);
+					}
+
+					connection.destroy();
+				}
+
+				t.same(wrong, []);
+			});
+		}
+	}
+}
+
 for (const framed of framedResponses.filter(({isLast}) => isLast !== true)) {
 	for (const delay of ['at once', 'while it is idle']) {
 		// Guards against a connection that keeps the beginning of a needless answer for the next request, or carries one after it.
--- a/packages/mulberrypitch-proxy/src/backend-connection.ts
+++ b/packages/mulberrypitch-proxy/src/backend-connection.ts
@@ -4,7 +4,8 @@
 import {PeerUnreachableError, ProtocolError} from '@mulberrypitch/errors/catalogue';
 import {getMessage} from '@mulberrypitch/errors/coded-error';
 import {splitAddress} from '@mulberrypitch/lifecycle/listen';
-import {findHeader, type ResponseHead} from './response-head.js';
+import {LateResponse} from './late-response.js';
+import {findHeader, getHeaderValues, type ResponseHead} from './response-head.js';
 import {ResponseParser} from './response-parser.js';
 
 /**
@@ -46,6 +47,8 @@
 export const needlessBytes = {
 	/** While no request waits for a response. */
 	idle: 'idle',
+	/** Instead of the response to the next request, as a response to an earlier one. */
+	late: 'late',
 } as const;
 
 /** One of `needlessBytes`. */
@@ -101,8 +104,12 @@
 	readonly #socket: net.Socket;
 	readonly #parser: ResponseParser;
 	#exchange: Exchange | undefined;
-	/** Whether the current response replies to an earlier request and is ignored. */
-	#isSkipping = false;
+	/** The response to an earlier request that is being received; absent otherwise. */
+	#late: LateResponse | undefined;
+	/** Whether the connection has carried a request before the current one. */
+	#isUsed = false;
+	/** Whether bytes have arrived that belong to no request. Others may follow at any time, so the connection is not used again. */
+	#hasNeedlessBytes = false;
 	#isPaused = false;
 	#isPersistent = true;
 	#isClosed = false;
@@ -122,9 +129,11 @@
 				this.#onHead(head);
 			},
 			onBody: data => {
-				if (!this.#isSkipping) {
+				if (this.#late === undefined) {
 					// The exchange is absent when it has given the response up in the middle of the received bytes.
 					this.#exchange?.onBody(data);
+				} else {
+					this.#late.skip(data);
 				}
 			},
 			onEnd: () => {
@@ -219,29 +228,43 @@
 		return false;
 	}
 
+	/** Receives a head. Throws `ProtocolError` when it can't be told to which request it responds. */
 	#onHead(head: ResponseHead): void {
-		if (this.#exchange === undefined) {
+		const exchange = this.#exchange;
+		if (exchange === undefined) {
 			throw new ProtocolError('A response arrived without a request.');
 		}
 
+		const [answeredId, ...otherIds] = new Set(getHeaderValues(head.headers, this.#options.attemptHeader));
+		if (otherIds.length > 0) {
+			throw new ProtocolError('The response names several requests.');
+		}
+
+		if (answeredId === undefined && exchange.attemptId !== undefined && this.#isUsed) {
+			throw new ProtocolError('The response names no request, so it may be that to an earlier one.');
+		}
+
 		this.#isPersistent = head.isPersistent;
-		const answeredId = findHeader(head, this.#options.attemptHeader);
-		this.#isSkipping = answeredId !== undefined && answeredId !== (this.#exchange.attemptId ?? '');
-		if (!this.#isSkipping) {
-			this.#readKeepAlive(head);
-			this.#options.onHead(head, this.#sentAt);
-			this.#exchange.onHead(head);
+		if (answeredId !== undefined && answeredId !== (exchange.attemptId ?? '')) {
+			this.#late = new LateResponse(exchange.attemptId);
+			this.#recordNeedlessBytes(needlessBytes.late);
+			return;
 		}
+
+		this.#readKeepAlive(head);
+		this.#options.onHead(head, this.#sentAt);
+		exchange.onHead(head);
 	}
 
 	#onEnd(): void {
-		if (this.#isSkipping) {
-			this.#isSkipping = false;
+		if (this.#late !== undefined) {
+			this.#late = undefined;
 			return;
 		}
 
 		const exchange = this.#exchange;
 		this.#exchange = undefined;
+		this.#isUsed = true;
 		this.#idleSince = this.#options.now();
 		exchange?.onEnd();
 		if (this.#isPaused) {
@@ -249,7 +272,7 @@
 			this.resume();
 		}
 
-		if (!this.#isPersistent || this.#hasEnded) {
+		if (!this.#isPersistent || this.#hasEnded || this.#hasNeedlessBytes) {
 			this.#close();
 		} else if (!this.#isClosed) {
 			this.#options.onIdle(this);
@@ -259,11 +282,16 @@
 	/** Closes a connection on which bytes have arrived while no request waits for a response. */
 	#closeForNeedlessBytes(): void {
 		if (!this.#isClosed) {
-			this.#options.onNeedlessBytes?.(needlessBytes.idle);
+			this.#recordNeedlessBytes(needlessBytes.idle);
 			this.#close();
 		}
 	}
 
+	#recordNeedlessBytes(kind: NeedlessBytes): void {
+		this.#hasNeedlessBytes = true;
+		this.#options.onNeedlessBytes?.(kind);
+	}
+
 	#readKeepAlive(head: ResponseHead): void {
 		const seconds = /timeout=(?<seconds>\d+)/v.exec(findHeader(head, 'keep-alive') ?? '')?.groups?.seconds;
 		if (seconds !== undefined) {
--- a/packages/mulberrypitch-proxy/src/response-head.ts
+++ b/packages/mulberrypitch-proxy/src/response-head.ts
@@ -44,6 +44,7 @@
 const headerName = /^[!#$%\u0026'*+\-.^_`\|~0-9A-Za-z]+$/v;
 /** A control character, which Node.js refuses to write in the value of a header or in the reason of a status line. */
 const controlCharacter = /[^\t\u0020-\u007E\u0080-\u00FF]/v;
+const statusLineAnywhere = /HTTP\/1\.[01] [1-9]\d{2}(?: |\r|$)/v;
 const decimal = /^\d{1,15}$/v;
 
 /**
@@ -55,6 +56,7 @@
 ```
 */
 export function parseHead(text: string): Omit<ResponseHead, 'framing'> {
+	requireNoStatusLine(text.slice(1));
 	const [first, ...lines] = text.split('\r\n');
 	const match = statusLine.exec(first!);
 	if (match === null) {
@@ -106,6 +108,46 @@
 	return lengthBytes === 0 ? noBody : {framing: framings.counted, lengthBytes};
 }
 
+/**
+Checks a line after the head of a response, which is discarded otherwise: a trailer. Throws `ProtocolError` when it is malformed.
+
+@example
+```
+checkTrailer('Server-Timing: total;dur=12');
+```
+*/
+export function checkTrailer(line: string): void {
+	requireNoStatusLine(line);
+	parseHeader(line);
+}
+
+/**
+Throws `ProtocolError` when a status line stands in a text where none may stand. What comes before it was cut short, and the rest is the response
+to another request.
+
+@example
+```
+requireNoStatusLine('Date: Sat, 05 DecHTTP/1.1 500 Internal Server Error');
+```
+*/
+export function requireNoStatusLine(text: string): void {
+	if (hasStatusLine(text)) {
+		throw new ProtocolError('A response begins inside the head, the trailers or a chunk-size line of another one.');
+	}
+}
+
+/**
+Reports whether a status line stands anywhere in a text.
+
+@example
+```
+hasStatusLine('{"stock":HTTP/1.1 200 OK'); // true
+```
+*/
+export function hasStatusLine(text: string): boolean {
+	return statusLineAnywhere.test(text);
+}
+
 /**
 Returns the value of the first header with the given lower-case name, or `undefined`.
 
@@ -118,6 +160,18 @@
 	return headers.find(header => header.name.toLowerCase() === name)?.value;
 }
 
+/**
+Returns the values of all headers with the given lower-case name.
+
+@example
+```
+const lengths = getHeaderValues(headers, 'content-length');
+```
+*/
+export function getHeaderValues(headers: readonly Header[], name: string): string[] {
+	return headers.filter(header => header.name.toLowerCase() === name).map(({value}) => value);
+}
+
 function parseHeader(line: string): Header {
 	const colon = line.indexOf(':');
 	const name = line.slice(0, Math.max(0, colon));
@@ -147,7 +201,3 @@
 function isBlank(character: string): boolean {
 	return character === ' ' || character === '\t';
 }
-
-function getHeaderValues(headers: readonly Header[], name: string): string[] {
-	return headers.filter(header => header.name.toLowerCase() === name).map(({value}) => value);
-}
--- a/packages/mulberrypitch-proxy/src/response-parser.ts
+++ b/packages/mulberrypitch-proxy/src/response-parser.ts
@@ -2,7 +2,7 @@
 import {Buffer} from 'node:buffer';
 import {ProtocolError} from '@mulberrypitch/errors/catalogue';
 import {
-	findBodyFraming, framings, noBody, parseHead, type Framing, type ResponseHead,
+	checkTrailer, findBodyFraming, framings, noBody, parseHead, requireNoStatusLine, type Framing, type ResponseHead,
 } from './response-head.js';
 
 /** The type of a Node.js `Buffer`, which unlike a plain `Uint8Array` can be searched and decoded. */
@@ -207,7 +207,9 @@
 			return undefined;
 		}
 
-		const size = chunkSizeLine.exec(data.toString('latin1', 0, end))?.groups?.size;
+		const line = data.toString('latin1', 0, end);
+		requireNoStatusLine(line);
+		const size = chunkSizeLine.exec(line)?.groups?.size;
 		if (size === undefined) {
 			throw new ProtocolError('The response has an invalid chunk size.');
 		}
@@ -240,6 +242,8 @@
 		this.#headBytes += end + lineEnd.length;
 		if (end === 0) {
 			this.#end();
+		} else {
+			checkTrailer(data.toString('latin1', 0, end));
 		}
 
 		return data.subarray(end + lineEnd.length);
