Refuse an answer whose end other bytes have displaced

Cause: a body with a length ends after as many bytes, whoever's they are. Chunks don't let such bytes pass. Change: what follows a response in the same read must be able to begin another one; the displaced end of the body is none. Open: bytes inside a body that ends with its connection, inside a header's value, and those that come in a later read than the body's last byte. Tests: two in needless-bytes.test.ts, for places in the body and lengths of the beginning; the counted one failed before, the one in chunks did not.

--- a/packages/mulberrypitch-proxy/src/__tests__/needless-bytes.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/needless-bytes.test.ts
@@ -26,6 +26,8 @@
 
 /** Number of turns of the event loop after which a response is taken to be missing; loopback needs a few. */
 const maxTurns = 2000;
+/** Difference between two lengths in bytes of a beginning that are tried inside another answer. */
+const lengthStep = 9;
 const firstId = '9c41d07be2a35f68';
 const nextId = '60b08184d9c017fa';
 const request = 'POST /a/ HTTP/1.1\r\n\r\n';
@@ -225,3 +227,31 @@
 		});
 	}
 }
+
+for (const framed of framedResponses.filter(({isLast, name}) => isLast !== true && name !== bodiless)) {
+	// Guards against a caller that gets bytes of another answer inside its own one, whose end they have displaced.
+	await t.test(`an answer ${framed.name} is not taken for whole if the beginning of another one stands anywhere inside it`, async t => {
+		const earlier = framed.create(success, firstId, '{"stock":12}');
+		const ownBody = '{"stock":9, "unit":"drum"}';
+		const answer = framed.create(success, nextId, ownBody);
+		let place = 0;
+		let length = 0;
+		const address = await startBackend(t, async socket => {
+			socket.write(answer.slice(0, place) + earlier.slice(0, length) + answer.slice(place));
+		});
+		const wrong: string[] = [];
+		for (place = answer.indexOf('\r\n\r\n') + 4; place < answer.length - 1; place += 1) {
+			for (length = 1; length < earlier.length; length += lengthStep) {
+				const connection = await open(address);
+				const {end, body} = await exchange(connection, nextId);
+				if (end !== 'broken' && (end !== 'whole' || body !== ownBody)) {
+					wrong.push(`${length} bytes after ${JSON.stringify(answer.slice(0, place))}: ${end} ${JSON.stringify(body)}`);
+				}
+
+				connection.destroy();
+			}
+		}
+
+		t.same(wrong, []);
+	});
+}
--- a/packages/mulberrypitch-proxy/src/backend-connection.ts
+++ b/packages/mulberrypitch-proxy/src/backend-connection.ts
@@ -5,7 +5,9 @@
 import {getMessage} from '@mulberrypitch/errors/coded-error';
 import {splitAddress} from '@mulberrypitch/lifecycle/listen';
 import {LateResponse} from './late-response.js';
-import {findHeader, getHeaderValues, type ResponseHead} from './response-head.js';
+import {
+	findHeader, getHeaderValues, mayBeginResponse, type ResponseHead,
+} from './response-head.js';
 import {ResponseParser} from './response-parser.js';
 
 /**
@@ -136,8 +138,8 @@
 					this.#late.skip(data);
 				}
 			},
-			onEnd: () => {
-				this.#onEnd();
+			onEnd: following => {
+				this.#onEnd(following);
 			},
 		}, () => this.#exchange?.isHead === true);
 		socket.on('end', () => {
@@ -256,7 +258,13 @@
 		exchange.onHead(head);
 	}
 
-	#onEnd(): void {
+	/** Ends the exchange. Throws `ProtocolError` when what follows the response begins no other one. */
+	#onEnd(following: Uint8Array): void {
+		if (!mayBeginResponse(following)) {
+			// Bytes of another response that got into this body have displaced its own end by as many.
+			throw new ProtocolError('Bytes that begin no response follow the response, so its body may not be its own.');
+		}
+
 		if (this.#late !== undefined) {
 			this.#late = undefined;
 			return;
--- a/packages/mulberrypitch-proxy/src/response-head.ts
+++ b/packages/mulberrypitch-proxy/src/response-head.ts
@@ -1,4 +1,5 @@
 /** Status line and headers of HTTP/1.1 responses. */
+import {Buffer} from 'node:buffer';
 import {ProtocolError} from '@mulberrypitch/errors/catalogue';
 
 /** One header, with the name in its original case. */
@@ -40,6 +41,8 @@
 /** The framing of a response without a body. */
 export const noBody: BodyFraming = {framing: framings.none, lengthBytes: 0};
 
+/** Beginning of each status line. */
+const protocolName = 'HTTP/1.';
 const statusLine = /^HTTP\/1\.(?<minor>[01]) (?<status>[1-9]\d{2})(?: (?<reason>.*))?$/v;
 const headerName = /^[!#$%\u0026'*+\-.^_`\|~0-9A-Za-z]+$/v;
 /** A control character, which Node.js refuses to write in the value of a header or in the reason of a status line. */
@@ -148,6 +151,19 @@
 	return statusLineAnywhere.test(text);
 }
 
+/**
+Reports whether bytes may be the beginning of a response.
+
+@example
+```
+mayBeginResponse(Buffer.from('HTT')); // true
+```
+*/
+export function mayBeginResponse(bytes: Uint8Array): boolean {
+	const length = Math.min(protocolName.length, bytes.length);
+	return Buffer.from(bytes.subarray(0, length)).toString('latin1') === protocolName.slice(0, length);
+}
+
 /**
 Returns the value of the first header with the given lower-case name, or `undefined`.
 
--- a/packages/mulberrypitch-proxy/src/response-parser.ts
+++ b/packages/mulberrypitch-proxy/src/response-parser.ts
@@ -2,7 +2,7 @@
 import {Buffer} from 'node:buffer';
 import {ProtocolError} from '@mulberrypitch/errors/catalogue';
 import {
-	checkTrailer, findBodyFraming, framings, noBody, parseHead, requireNoStatusLine, type Framing, type ResponseHead,
+	checkTrailer, findBodyFraming, framings, mayBeginResponse, noBody, parseHead, requireNoStatusLine, type BodyFraming, type ResponseHead,
 } from './response-head.js';
 
 /** The type of a Node.js `Buffer`, which unlike a plain `Uint8Array` can be searched and decoded. */
@@ -13,8 +13,8 @@
 	onHead(head: ResponseHead): void;
 	/** Called once for all parts of the body that arrived together, however many chunks they came in. */
 	onBody(data: Uint8Array): void;
-	/** Called when the response is complete. */
-	onEnd(): void;
+	/** Called when the response is complete, with the bytes that have arrived after it. May throw `ProtocolError`, which `push` passes on. */
+	onEnd(following: Uint8Array): void;
 };
 
 /** Size in bytes above which the head of a response with the interim responses before it, or the trailers after it, are an error. */
@@ -85,7 +85,7 @@
 			return false;
 		}
 
-		this.#end();
+		this.#end(Buffer.alloc(0));
 		return true;
 	}
 
@@ -154,14 +154,14 @@
 		const isBodiless = this.#isBodiless() || head.status === 204 || head.status === 304;
 		const {framing, lengthBytes} = isBodiless ? noBody : findBodyFraming(head.headers);
 		this.#listener.onHead({...head, framing});
-		this.#beginBody(framing, lengthBytes);
+		this.#beginBody({framing, lengthBytes}, rest);
 		return rest;
 	}
 
-	#beginBody(framing: Framing, lengthBytes: number): void {
+	#beginBody({framing, lengthBytes}: BodyFraming, rest: NodeBuffer): void {
 		switch (framing) {
 			case framings.none: {
-				this.#end();
+				this.#end(rest);
 
 				break;
 			}
@@ -187,17 +187,18 @@
 
 	#consumeBody(data: NodeBuffer): NodeBuffer {
 		const part = data.subarray(0, this.#remainingBytes);
+		const rest = data.subarray(part.length);
 		this.#remainingBytes -= part.length;
 		this.#bodyParts.push(part);
 		if (this.#remainingBytes === 0) {
 			if (this.#state === states.counted) {
-				this.#end();
+				this.#end(rest);
 			} else {
 				this.#state = states.chunkEnd;
 			}
 		}
 
-		return data.subarray(part.length);
+		return rest;
 	}
 
 	#consumeChunkSize(data: NodeBuffer): NodeBuffer | undefined {
@@ -240,13 +241,14 @@
 		}
 
 		this.#headBytes += end + lineEnd.length;
+		const rest = data.subarray(end + lineEnd.length);
 		if (end === 0) {
-			this.#end();
+			this.#end(rest);
 		} else {
 			checkTrailer(data.toString('latin1', 0, end));
 		}
 
-		return data.subarray(end + lineEnd.length);
+		return rest;
 	}
 
 	#passBodyOn(): void {
@@ -257,11 +259,11 @@
 		}
 	}
 
-	#end(): void {
+	#end(following: Uint8Array): void {
 		this.#passBodyOn();
 		this.#state = states.head;
 		this.#headBytes = 0;
-		this.#listener.onEnd();
+		this.#listener.onEnd(following);
 	}
 }
 
@@ -274,9 +276,7 @@
 
 /** Throws `ProtocolError` when an incomplete head doesn't start like an HTTP/1 status line. */
 function checkStatusPrefix(data: NodeBuffer): void {
-	const expected = 'HTTP/1.';
-	const length = Math.min(expected.length, data.length);
-	if (data.toString('latin1', 0, length) !== expected.slice(0, length)) {
+	if (!mayBeginResponse(data)) {
 		throw new ProtocolError('The received bytes are not an HTTP response.');
 	}
 }
