Refuse a success that no back end has signed

Cause: nothing in the proxy looked for it. A header that Connection names is left out for the caller, so such a signature counts as missing. Change: ResponseCollector takes an unsigned success for none, as a whole and as a stream, and for one that another entry passes on: the attempt fails with an unknown outcome. The stand-ins of the proxy's tests sign their successes now, as back ends do.

--- a/packages/mulberrypitch-proxy/src/__tests__/forwarded-request.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/forwarded-request.test.ts
@@ -27,7 +27,7 @@
 	attemptId: 'attempt', deadline: 'deadline', signature: 'signature', notRun: 'not-run', hop: 'hop', reserved: [],
 });
 const refusal = (attemptId: string) => `HTTP/1.1 503 Busy\r\nAttempt: ${attemptId}\r\nContent-Length: 0\r\n\r\n`;
-const streamHead = 'HTTP/1.1 200 OK\r\nAttempt: a-1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n';
+const streamHead = 'HTTP/1.1 200 OK\r\nAttempt: a-1\r\nSignature: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n';
 const event = 'id: 1\ndata: a\n\n';
 const eventChunk = `${event.length.toString(16)}\r\n${event}\r\n`;
 
--- a/packages/mulberrypitch-proxy/src/__tests__/hostile-backends.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/hostile-backends.test.ts
@@ -14,7 +14,7 @@
 /** Size of an endless part after which the back end of a test gives up: what an entry has taken without an end is too much. */
 const endlessBytes = 24 * 1024 * 1024;
 const pieceBytes = 64 * 1024;
-const streamHead = 'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n';
+const streamHead = 'HTTP/1.1 200 OK\r\nSignature: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n';
 
 /** A response that begins with `start` and then repeats a piece. */
 type EndlessResponse = RelayOptions & {
@@ -36,11 +36,11 @@
 const responses: Readonly<Record<string, EndlessResponse>> = {
 	'status line': {start: 'HTTP/1.1 200 ', piece: letters, expected: 'unknown'},
 	header: {start: 'HTTP/1.1 200 OK\r\nA: ', piece: letters, expected: 'unknown'},
-	'number of headers': {start: 'HTTP/1.1 200 OK\r\n', piece: repeat('A: b\r\n'), expected: 'unknown'},
+	'number of headers': {start: 'HTTP/1.1 200 OK\r\nSignature: s\r\n', piece: repeat('A: b\r\n'), expected: 'unknown'},
 	'interim heads': {start: '', piece: repeat('HTTP/1.1 102 Processing\r\n\r\n'), expected: 'unknown'},
 	'interim heads with hints': {start: '', piece: repeat('HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n'), expected: 'unknown'},
-	'chunk size': {start: 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;', piece: letters, expected: 'unknown'},
-	trailers: {start: 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n', piece: repeat('A: b\r\n'), expected: 'unknown'},
+	'chunk size': {start: 'HTTP/1.1 200 OK\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n1;', piece: letters, expected: 'unknown'},
+	trailers: {start: 'HTTP/1.1 200 OK\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n', piece: repeat('A: b\r\n'), expected: 'unknown'},
 	'body of a failure': {start: 'HTTP/1.1 500 Internal Server Error\r\nTransfer-Encoding: chunked\r\n\r\n', piece: createChunk(letters), expected: 'unknown'},
 	'body of a failure in small chunks': {start: 'HTTP/1.1 500 Internal Server Error\r\nTransfer-Encoding: chunked\r\n\r\n', piece: repeat(createChunk('abc')), expected: 'unknown'},
 	'unframed body of a failure': {start: 'HTTP/1.1 500 Internal Server Error\r\n\r\n', piece: letters, expected: 'unknown'},
--- a/packages/mulberrypitch-proxy/src/__tests__/relay-response.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/relay-response.ts
@@ -57,6 +57,7 @@
 			relay,
 			connection,
 			attemptHeader: 'attempt',
+			signatureHeader: 'signature',
 			notRunHeader: 'not-run',
 			onBodyBytes() {
 				// The tests have no permits.
--- a/packages/mulberrypitch-proxy/src/__tests__/response-end.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/response-end.test.ts
@@ -26,7 +26,7 @@
 };
 
 const host = '127.0.0.1';
-const eventStreamHead = 'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n';
+const eventStreamHead = 'HTTP/1.1 200 OK\r\nSignature: s\r\nContent-Type: text/event-stream\r\n';
 const whole = 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n';
 const broken = 'id: 1\ndata: a\n\nid: 2\nda';
 const lastChunk = '\r\n0\r\n\r\n';
@@ -134,7 +134,7 @@
 });
 
 await t.test('a response of another type that ends with its connection is complete wherever it ends', async t => {
-	const {text, outcome} = await run(t, {response: 'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n{}'});
+	const {text, outcome} = await run(t, {response: 'HTTP/1.1 200 OK\r\nSignature: s\r\nContent-Type: application/json\r\n\r\n{}'});
 	t.equal(outcome, 'delivered');
 	t.match(text, '{}');
 });
--- a/packages/mulberrypitch-proxy/src/forwarded-request.ts
+++ b/packages/mulberrypitch-proxy/src/forwarded-request.ts
@@ -178,6 +178,7 @@
 			relay,
 			connection,
 			attemptHeader: names.attemptId,
+			signatureHeader: names.signature,
 			notRunHeader: names.notRun,
 			onBodyBytes: ignore,
 			onRunning: ignore,
--- a/packages/mulberrypitch-proxy/src/proxied-request.ts
+++ b/packages/mulberrypitch-proxy/src/proxied-request.ts
@@ -371,6 +371,7 @@
 			relay,
 			connection,
 			attemptHeader: names.attemptId,
+			signatureHeader: names.signature,
 			notRunHeader: names.notRun,
 			onBodyBytes() {
 				permit.markPrefilled();
--- a/packages/mulberrypitch-proxy/src/response-collector.ts
+++ b/packages/mulberrypitch-proxy/src/response-collector.ts
@@ -1,7 +1,7 @@
 /** Receives one response of a back end: relays a stream as it arrives, buffers any other response, and reports how it ended. */
 import {Buffer} from 'node:buffer';
 import {findHeader, framings, type ResponseHead} from './response-head.js';
-import type {ResponseRelay} from './response-relay.js';
+import {getEndToEndHeaders, type ResponseRelay} from './response-relay.js';
 import type {AttemptOutcome, BufferedResponse} from './attempt-outcome.js';
 import {EventBoundary} from './event-boundary.js';
 import type {BackendConnection, Exchange} from './backend-connection.js';
@@ -18,6 +18,8 @@
 	readonly connection: BackendConnection;
 	/** Name, in lower case, of the header in which back ends repeat the attempt identifier of the request. */
 	readonly attemptHeader: string;
+	/** Name, in lower case, of the header in which back ends sign their responses. */
+	readonly signatureHeader: string;
 	/** Name of the header which states that the request did not run. */
 	readonly notRunHeader: string;
 	/** Called for each received part of the body. */
@@ -58,17 +60,21 @@
 
 	/** Receives the head. Begins to relay a successful response at once if the route streams. */
 	onHead(head: ResponseHead): void {
-		const {isStream, onRunning, connection, relay} = this.#options;
+		const {isStream, onRunning, relay} = this.#options;
 		this.#head = head;
 		if (this.#isNotRun(head)) {
 			if (!this.#namesRequest(head)) {
-				connection.destroy();
-				this.onFailed('the back end refused a request that it does not name');
+				this.#refuse('the back end refused a request that it does not name');
 			}
 
 			return;
 		}
 
+		if (isSuccess(head) && !this.#isSigned(head)) {
+			this.#refuse('the back end did not sign its success');
+			return;
+		}
+
 		if (isStream && isSuccess(head) && relay.canBegin(head)) {
 			this.#beginRelay();
 		} else {
@@ -123,6 +129,17 @@
 		onOutcome(relay.hasStarted ? {kind: 'cut', reason} : {kind: 'unknown', reason});
 	}
 
+	/** Takes a response for none, since it may be spoiled or that to another request. */
+	#refuse(reason: string): void {
+		this.#options.connection.destroy();
+		this.onFailed(reason);
+	}
+
+	/** Reports whether the caller would get the signature of a back end with a response. */
+	#isSigned({headers}: ResponseHead): boolean {
+		return getEndToEndHeaders(headers).some(({name, value}) => name.toLowerCase() === this.#options.signatureHeader && value !== '');
+	}
+
 	/** Relays a response that is too long to be buffered, or gives it up if it might not be delivered. */
 	#endBuffering(): void {
 		const {relay, connection, onOutcome} = this.#options;
