Conclude a stream's only version from news that is newer than the request

An entry that was cut off for less than a second, or stood still for any time, knows one version of a service's back ends; others with a new version have joined meanwhile, and streams have begun there through other entries. A caller who takes such a stream up at this entry is not told apart from one of the old version: the view's age counts by the monotonic clock, which a suspension doesn't advance, and ages up to 1 s counted as current. Change: without a told origin, the entry waits for the reply to a poll that it sends after the request has come (the coordinator replies at once), for 400 ms or an eighth of the request's time at most, and only then concludes that the version it knows is the only one. What it doesn't get told, it refuses. The stand-in of sole-version.test.ts now replies to polls. Not covered: a coordinator in touch that has not heard of the new back end within the time in which a stream begins, breaks and is taken up.

--- a/packages/mulberrypitch-proxy/src/__tests__/sole-version.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/sole-version.test.ts
@@ -19,6 +19,8 @@
 const timeoutMs = 15_000;
 const leftMs = 3000;
 const pollMs = 1000;
+/** Time in milliseconds in which a coordinator replies to a hurried poll. */
+const replyMs = 100;
 const route = assumeType<Route>({
 	kind: requestKinds.streaming, isResumable: true, timeoutMs, targets: [{service, weight: 1}],
 });
@@ -48,8 +50,9 @@
 		versions.apply(roster);
 	};
 
+	const origins = new StreamOrigins(clock, ignore);
 	const resumption = new StreamResumption({
-		origins: new StreamOrigins(clock, ignore), backends, versions, metrics: new MetricsRegistry(), getViewAgeMs: () => state.viewAgeMs,
+		origins, clock, backends, versions, metrics: new MetricsRegistry(), getViewAgeMs: () => state.viewAgeMs,
 	});
 	const runFor = async (durationMs: number) => {
 		for (let passedMs = 0; passedMs < durationMs; passedMs += pollMs) {
@@ -60,7 +63,10 @@
 
 	const resume = async (attemptId?: string) => {
 		const resolving = resumption.resolve({lastEventId: '3', ...(attemptId !== undefined && {attemptId})}, route, leftMs);
-		await clock.runFor(pollMs);
+		await clock.runFor(replyMs);
+		origins.createReport();
+		origins.apply({epoch: String(state.startedAt), position: 0, groups: []}, state.viewAgeMs === 0);
+		await clock.runFor(pollMs - replyMs);
 		const {kind} = await resolving;
 		return kind;
 	};
--- a/packages/mulberrypitch-proxy/src/entry.ts
+++ b/packages/mulberrypitch-proxy/src/entry.ts
@@ -301,7 +301,7 @@
 			rosterEpoch: this.#backends.epoch,
 			rosterVersion: this.#backends.version,
 			origins: this.#origins.createReport(),
-			waitMs: this.#pace.getWaitMs(),
+			waitMs: this.#origins.isReplyAwaited ? 0 : this.#pace.getWaitMs(),
 		};
 	}
 
--- a/packages/mulberrypitch-proxy/src/stream-origins.ts
+++ b/packages/mulberrypitch-proxy/src/stream-origins.ts
@@ -39,6 +39,11 @@
 	#mustReportAll = false;
 	/** Whether the report that the last request carried holds everything. */
 	#hasReportedAll = false;
+	/** Number of reports so far, and the last one to which a coordinator in contact with a leader has replied. */
+	#reports = 0;
+	#answeredReport = 0;
+	/** Number of requests that wait for a reply. */
+	#awaitedReplies = 0;
 
 	/** `onUrgent` is called when the next exchange with a coordinator should not wait: an origin is to be told, or a request waits for one. */
 	constructor(clock: Clock, onUrgent: () => void) {
@@ -52,6 +57,11 @@
 		return this.#changes.waiting > 0;
 	}
 
+	/** Whether a request waits for any reply, so that a coordinator should not wait for changes first. */
+	get isReplyAwaited(): boolean {
+		return this.#awaitedReplies > 0;
+	}
+
 	/** Number of streams of which the entry was told where they began. */
 	get count(): number {
 		return this.#table.size;
@@ -68,18 +78,29 @@
 
 	/** Resolves with the origin of the stream that an attempt began, for which it waits, or with `undefined` if it does not become known. */
 	async waitForOrigin(attemptId: string, maxWaitMs: number): Promise<StreamOrigin | undefined> {
-		if (this.#table.getOrigin(attemptId) === undefined && maxWaitMs > 0) {
-			await this.#waitFor(attemptId, maxWaitMs);
-		}
-
+		await this.#waitUntil(() => this.#isKnown(attemptId), maxWaitMs);
 		return this.#table.getOrigin(attemptId);
 	}
 
+	/**
+	Waits until a coordinator has replied to a report that is made after the call, or until it is known where the attempt began its stream. Resolves
+	with whether such a reply came: without it, what the entry knows may be of any age, since its process may have been suspended.
+	*/
+	async waitForReply(attemptId: string | undefined, maxWaitMs: number): Promise<boolean> {
+		const neededReport = this.#reports + 1;
+		const isAnswered = () => this.#answeredReport >= neededReport;
+		this.#awaitedReplies += 1;
+		await this.#waitUntil(() => isAnswered() || (attemptId !== undefined && this.#isKnown(attemptId)), maxWaitMs);
+		this.#awaitedReplies -= 1;
+		return isAnswered();
+	}
+
 	/** Returns what the next request to a coordinator carries. */
 	createReport(): OriginReport {
 		const since = this.#clock.now() - reportMs;
 		this.#own = this.#own.filter(({begunAt, isAcknowledged}) => !isAcknowledged || begunAt >= since);
 		this.#reported = this.#own;
+		this.#reports += 1;
 		this.#hasReportedAll = this.#mustReportAll;
 		return {
 			known: [...this.#positions].map(([epoch, position]) => ({epoch, position})),
@@ -92,24 +113,29 @@
 	no contact with a leader may not reach the others, so what it was told is reported again.
 	*/
 	apply(changes: OriginChanges | undefined, isInTouch: boolean): void {
-		if (changes === undefined) {
-			return;
+		if (isInTouch) {
+			this.#answeredReport = this.#reports;
+		}
+
+		const hasLearned = changes !== undefined && this.#learn(changes, isInTouch);
+		if (hasLearned || this.isReplyAwaited) {
+			this.#changes.notify();
 		}
+	}
 
+	/** Applies what a coordinator tells. Returns whether any origin is new. */
+	#learn({epoch, position, groups}: OriginChanges, isInTouch: boolean): boolean {
 		for (const own of this.#reported) {
 			own.isAcknowledged ||= isInTouch;
 		}
 
-		const {epoch, position, groups} = changes;
 		if (this.#hasReportedAll) {
 			this.#toldAll.add(epoch);
 		}
 
 		this.#mustReportAll = !this.#toldAll.has(epoch);
 		this.#rememberPosition(epoch, position);
-		if (this.#table.merge(groups)) {
-			this.#changes.notify();
-		}
+		return this.#table.merge(groups);
 	}
 
 	#rememberPosition(epoch: string, position: number): void {
@@ -122,7 +148,16 @@
 		}
 	}
 
-	async #waitFor(attemptId: string, maxWaitMs: number): Promise<void> {
+	#isKnown(attemptId: string): boolean {
+		return this.#table.getOrigin(attemptId) !== undefined;
+	}
+
+	/** Waits for replies until a condition is met or the time is over. */
+	async #waitUntil(isReached: () => boolean, maxWaitMs: number): Promise<void> {
+		if (isReached() || maxWaitMs <= 0) {
+			return;
+		}
+
 		const timeout = new AbortController();
 		const abortAfterWait = async () => {
 			await this.#clock.sleep(maxWaitMs, timeout.signal);
@@ -130,7 +165,7 @@
 		};
 
 		void abortAfterWait();
-		while (this.#table.getOrigin(attemptId) === undefined && !timeout.signal.aborted) {
+		while (!isReached() && !timeout.signal.aborted) {
 			const change = this.#changes.wait(timeout.signal);
 			this.#onUrgent();
 			await change;
--- a/packages/mulberrypitch-proxy/src/stream-resumption.ts
+++ b/packages/mulberrypitch-proxy/src/stream-resumption.ts
@@ -1,4 +1,5 @@
 /** Decides where a stream that a caller takes up again may go on. */
+import type {Clock} from '@mulberrypitch/lifecycle/clock';
 import type {MetricsRegistry} from '@mulberrypitch/metrics/registry';
 import {requestKinds, type Route} from '@mulberrypitch/serving/types';
 import type {StreamOrigin} from '@mulberrypitch/serving/view-messages';
@@ -33,6 +34,7 @@
 /** Dependencies of the resumption. */
 export type StreamResumptionOptions = {
 	readonly origins: StreamOrigins;
+	readonly clock: Clock;
 	readonly backends: BackendView;
 	readonly versions: VersionHistory;
 	readonly metrics: MetricsRegistry;
@@ -88,12 +90,18 @@
 	}
 
 	async #findOrigin({attemptId}: StreamPosition, route: Route, leftMs: number): Promise<StreamOrigin | undefined> {
-		const {origins, getViewAgeMs} = this.#options;
-		const isInTouch = getViewAgeMs() < maxWaitingViewAgeMs;
-		const sole = isInTouch ? this.#findSoleOrigin(route) : undefined;
-		const canWait = isInTouch && sole === undefined;
-		const told = attemptId === undefined ? undefined : await origins.waitForOrigin(attemptId, canWait ? Math.min(maxOriginWaitMs, leftMs * maxOriginWaitShare) : 0);
-		return told ?? sole;
+		const {origins, clock, getViewAgeMs} = this.#options;
+		const waitsUntil = clock.now() + (getViewAgeMs() < maxWaitingViewAgeMs ? Math.min(maxOriginWaitMs, leftMs * maxOriginWaitShare) : 0);
+		const told = attemptId === undefined ? undefined : await origins.waitForOrigin(attemptId, 0);
+		if (told !== undefined) {
+			return told;
+		}
+
+		// A back end of another version may have joined, and begun the stream, while this entry was suspended or cut off.
+		const isCurrent = await origins.waitForReply(attemptId, waitsUntil - clock.now());
+		const sole = isCurrent ? this.#findSoleOrigin(route) : undefined;
+		const later = attemptId === undefined ? undefined : await origins.waitForOrigin(attemptId, sole === undefined ? waitsUntil - clock.now() : 0);
+		return later ?? sole;
 	}
 
 	/** Returns the only origin that a stream of the route can have, if its service has had one version for as long as a request lasts. */
