--- a/packages/mulberrypitch-lifecycle/src/listen.ts
+++ b/packages/mulberrypitch-lifecycle/src/listen.ts
@@ -4,7 +4,8 @@
 import {getMessage} from '@mulberrypitch/errors/coded-error';
 import {ListenError} from '@mulberrypitch/errors/catalogue';
 
-const maxPort = 65_535;
+/** Largest number of a port. */
+export const maxPort = 65_535;
 
 /** A host name or IP address, and a port. */
 export type HostAndPort = {
--- a/packages/mulberrypitch-proxy/src/__tests__/unreachable-backend.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/unreachable-backend.test.ts
@@ -3,6 +3,7 @@
 import {assumeType} from '@mulberrypitch/errors/assume-type';
 import {PeerUnreachableError} from '@mulberrypitch/errors/catalogue';
 import {VirtualClock} from '@mulberrypitch/fakes/virtual-clock';
+import {BackendConnection} from '../backend-connection.js';
 import type {BackendPermit} from '../backend-place.js';
 import {ProxiedRequest} from '../proxied-request.js';
 import type {ProxiedRequestOptions} from '../proxied-request-options.js';
@@ -16,12 +17,12 @@
 }
 
 /** Returns a permit for a back end that is connected to as given. */
-function createPermit(connect: () => Promise<never>): BackendPermit {
+function createPermit(connect: () => Promise<never>, release: () => void = ignore): BackendPermit {
 	return assumeType<BackendPermit>({
 		backend: {
 			id: 'engine-1', announced: {startedAt: 1, isLeaving: false}, connect, eject: ignore, recordResult: () => false,
 		},
-		release: ignore,
+		release,
 	});
 }
 
@@ -95,3 +96,29 @@
 	await clock.runFor(deadlineMs + connectTimeoutMs);
 	t.equal(endedAt, deadlineMs);
 });
+
+// Guards against requests that are closed without an answer, since a back end is listed with a port that can't be.
+await t.test('an address to which no connection is possible counts as unreachable', async t => {
+	for (const port of ['0', '65536', '99999', '-1', '1.5', 'x', '']) {
+		await t.rejects(BackendConnection.open({
+			address: `127.0.0.1:${port}`, connectTimeoutMs: deadlineMs, attemptHeader: 'attempt', onClosed: ignore, onIdle: ignore, onHead: ignore, now: () => 0,
+		}), {code: 'peer_unreachable'}, port);
+	}
+});
+
+// Guards against a back end whose slots are all taken by requests that have ended with an unforeseen error.
+await t.test('a permit is given back when an attempt ends with an error', async t => {
+	let released = 0;
+	const connect = async () => {
+		throw new RangeError('unforeseen');
+	};
+
+	const request = createRequest({
+		clock: new VirtualClock(),
+		place: async () => createPermit(connect, () => {
+			released += 1;
+		}),
+	});
+	await t.rejects(request.run(), {message: 'unforeseen'});
+	t.equal(released, 1);
+});
--- a/packages/mulberrypitch-proxy/src/backend-connection.ts
+++ b/packages/mulberrypitch-proxy/src/backend-connection.ts
@@ -3,7 +3,7 @@
 import net from 'node:net';
 import {PeerUnreachableError, ProtocolError} from '@mulberrypitch/errors/catalogue';
 import {getMessage} from '@mulberrypitch/errors/coded-error';
-import {splitAddress} from '@mulberrypitch/lifecycle/listen';
+import {maxPort, splitAddress} from '@mulberrypitch/lifecycle/listen';
 import {LateResponse} from './late-response.js';
 import {
 	findHeader, getHeaderValues, mayBeginResponse, type ResponseHead,
@@ -67,9 +67,13 @@
 
 /** A connection that is opened by `open`, and closed by `destroy`, by the back end, or after a malformed response. */
 export class BackendConnection {
-	/** Connects. Throws `PeerUnreachableError`, in which case nothing was sent. */
+	/** Connects. Throws `PeerUnreachableError`, in which case nothing was sent, also for an address to which no connection is possible. */
 	static async open(options: ConnectionOptions): Promise<BackendConnection> {
 		const {host, port} = splitAddress(options.address);
+		if (!Number.isInteger(port) || port < 1 || port > maxPort) {
+			throw new PeerUnreachableError(options.address);
+		}
+
 		let consume = (_: Uint8Array) => true;
 		const socket = net.connect({
 			host,
--- a/packages/mulberrypitch-proxy/src/proxied-request.ts
+++ b/packages/mulberrypitch-proxy/src/proxied-request.ts
@@ -99,7 +99,6 @@
 			const isRepeated = this.#triedIds.has(permit.backend.id);
 			this.#logDispatch(permit.backend, clock.now() - queuedAt);
 			const outcome = this.#attachEarlierFailure(await this.#attemptRestricted(permit));
-			this.#release(permit);
 			this.#options.onAttemptEnded(outcome.kind);
 			this.#recordEvidence(permit.backend, outcome);
 			const step = this.#decide(outcome);
@@ -280,7 +279,7 @@
 		}
 	}
 
-	/** Attempts the request while its content counts as running, which keeps another run of restricted content away. */
+	/** Attempts the request while its content counts as running, which keeps another run of restricted content away, and then gives the permit back. */
 	async #attemptRestricted(permit: BackendPermit): Promise<AttemptOutcome> {
 		const endRun = this.#options.content.beginRun();
 		let outcome: AttemptOutcome | undefined;
@@ -289,6 +288,7 @@
 			return outcome;
 		} finally {
 			endRun(outcome !== undefined && isBrokenOff(outcome));
+			this.#release(permit);
 		}
 	}
 
