Start the servers of the proxy's tests in one place

needless-bytes.test.ts and hostile-heads.test.ts had written again how backend-connection.test.ts, hostile-backends.test.ts and response-end.test.ts listen and connect on loopback; all five use loopback.ts now.

--- a/packages/mulberrypitch-proxy/src/__tests__/backend-connection.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/backend-connection.test.ts
@@ -1,10 +1,9 @@
 /** Tests one connection to a back end with servers that send faulty or late responses. */
 import {Buffer} from 'node:buffer';
-import net from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
-import t, {type Test} from 'tap';
-import {assumeType} from '@mulberrypitch/errors/assume-type';
-import {BackendConnection, type Exchange} from '../backend-connection.js';
+import t from 'tap';
+import type {BackendConnection, Exchange} from '../backend-connection.js';
+import {openConnection, startBackend} from './loopback.js';
 
 type Result = {
 	statuses: number[];
@@ -16,45 +15,6 @@
 const maxTurns = 20_000;
 const head = 'POST /a/ HTTP/1.1\r\n\r\n';
 
-/** Starts a server that calls `respond` for each chunk that it receives, and returns its address. */
-async function startServer(t: Test, respond: (socket: net.Socket, request: number) => void): Promise<string> {
-	let requests = 0;
-	const server = net.createServer(socket => {
-		socket.on('error', () => {
-			// The tests reset connections on purpose.
-		});
-		socket.on('data', () => {
-			requests += 1;
-			respond(socket, requests);
-		});
-	});
-	await new Promise<void>(resolve => {
-		server.listen(0, '127.0.0.1', resolve);
-	});
-	t.teardown(() => {
-		server.close();
-	});
-	return `127.0.0.1:${assumeType<net.AddressInfo>(server.address()).port}`;
-}
-
-async function open(address: string): Promise<BackendConnection> {
-	return BackendConnection.open({
-		address,
-		connectTimeoutMs: 1000,
-		attemptHeader: 'attempt',
-		onClosed() {
-			// The tests use no connection pool.
-		},
-		onHead() {
-			// The tests read no statements of back ends.
-		},
-		onIdle() {
-			// The tests use no connection pool.
-		},
-		now: () => performance.now(),
-	});
-}
-
 async function exchange(connection: BackendConnection, attemptId: string | undefined): Promise<Result> {
 	const result: Result = {statuses: [], body: '', end: ''};
 	return new Promise(resolve => {
@@ -79,50 +39,50 @@
 }
 
 await t.test('a response that ends with its connection is complete', async t => {
-	const address = await startServer(t, socket => {
+	const address = await startBackend(t, socket => {
 		socket.end('HTTP/1.1 200 OK\r\n\r\nhello');
 	});
-	const connection = await open(address);
+	const connection = await openConnection(address);
 	t.match(await exchange(connection, '1'), {body: 'hello', end: 'whole'});
 });
 
 await t.test('a response that ends with a reset is broken, even when the reset is seen together with its last bytes', async t => {
-	const address = await startServer(t, socket => {
+	const address = await startBackend(t, socket => {
 		socket.write('HTTP/1.1 200 OK\r\n\r\nhel');
 		socket.resetAndDestroy();
 	});
-	const connection = await open(address);
+	const connection = await openConnection(address);
 	const answered = exchange(connection, '1');
 	t.match(await answered, {end: 'broken'});
 });
 
 await t.test('a response with fewer bytes than its length is broken', async t => {
-	const address = await startServer(t, socket => {
+	const address = await startBackend(t, socket => {
 		socket.end('HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhel');
 	});
-	const connection = await open(address);
+	const connection = await openConnection(address);
 	t.match(await exchange(connection, '1'), {body: 'hel', end: 'broken'});
 });
 
 await t.test('a late response to an earlier request is skipped', async t => {
-	const address = await startServer(t, (socket, request) => {
+	const address = await startBackend(t, (socket, request) => {
 		const late = 'HTTP/1.1 200 OK\r\nAttempt: 1\r\nContent-Length: 5\r\n\r\nfirst';
 		socket.write(request === 1 ? late : `${late}HTTP/1.1 200 OK\r\nAttempt: 2\r\nContent-Length: 6\r\n\r\nsecond`);
 	});
-	const connection = await open(address);
+	const connection = await openConnection(address);
 	t.match(await exchange(connection, '1'), {body: 'first', end: 'whole'});
 	t.match(await exchange(connection, '2'), {statuses: [200], body: 'second', end: 'whole'});
 	connection.destroy();
 });
 
 await t.test('bytes on an idle connection close it', async t => {
-	const address = await startServer(t, socket => {
+	const address = await startBackend(t, socket => {
 		socket.write('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok');
 		setTimeout(() => {
 			socket.write('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno');
 		}, 20);
 	});
-	const connection = await open(address);
+	const connection = await openConnection(address);
 	t.match(await exchange(connection, '1'), {body: 'ok', end: 'whole'});
 	t.equal(connection.isReusable, true);
 	while (connection.isReusable) {
@@ -132,10 +92,10 @@
 
 // Guards against a pooled connection that reads nothing any more, since a slow caller had it paused when the last response ended.
 await t.test('a connection that was paused at the end of a response reads the next one', async t => {
-	const address = await startServer(t, (socket, request) => {
+	const address = await startBackend(t, (socket, request) => {
 		socket.write(`HTTP/1.1 200 OK\r\nAttempt: ${request}\r\nContent-Length: 5\r\n\r\nhello`);
 	});
-	const connection = await open(address);
+	const connection = await openConnection(address);
 	const first = new Promise<void>(resolve => {
 		connection.send(head, undefined, {
 			attemptId: '1',
@@ -174,11 +134,11 @@
 
 // Guards against the late second copy of an answer reaching the next caller on the connection, where that caller sent no identifier.
 await t.test('a late response to an earlier request is skipped for a request without an identifier', async t => {
-	const address = await startServer(t, (socket, request) => {
+	const address = await startBackend(t, (socket, request) => {
 		const late = 'HTTP/1.1 200 OK\r\nAttempt: 1\r\nContent-Length: 5\r\n\r\nfirst';
 		socket.write(request === 1 ? late : `${late}HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond`);
 	});
-	const connection = await open(address);
+	const connection = await openConnection(address);
 	t.match(await exchange(connection, '1'), {body: 'first', end: 'whole'});
 	t.match(await exchange(connection, undefined), {statuses: [200], body: 'second', end: 'whole'});
 	connection.destroy();
--- a/packages/mulberrypitch-proxy/src/__tests__/hostile-backends.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/hostile-backends.test.ts
@@ -6,8 +6,8 @@
 import http from 'node:http';
 import net from 'node:net';
 import t, {type Test} from 'tap';
-import {assumeType} from '@mulberrypitch/errors/assume-type';
 import type {AttemptOutcome} from '../attempt-outcome.js';
+import {listen} from './loopback.js';
 import {relayResponse, type RelayOptions} from './relay-response.js';
 
 const host = '127.0.0.1';
@@ -54,16 +54,6 @@
 	},
 };
 
-async function listen(t: Test, server: net.Server): Promise<number> {
-	await new Promise<void>(resolve => {
-		server.listen(0, host, resolve);
-	});
-	t.teardown(() => {
-		server.close();
-	});
-	return assumeType<net.AddressInfo>(server.address()).port;
-}
-
 /** Sends a response without end. Resolves when the entry has closed the connection, or with `false` after `endlessBytes`. */
 async function sendWithoutEnd(socket: net.Socket, {start, piece}: EndlessResponse): Promise<boolean> {
 	socket.on('error', () => {
--- a/packages/mulberrypitch-proxy/src/__tests__/hostile-heads.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/hostile-heads.test.ts
@@ -3,12 +3,12 @@
 import http from 'node:http';
 import net from 'node:net';
 import t, {type Test} from 'tap';
-import {assumeType} from '@mulberrypitch/errors/assume-type';
 import {hasCode} from '@mulberrypitch/errors/coded-error';
 import type {AttemptOutcome} from '../attempt-outcome.js';
 import type {ResponseHead} from '../response-head.js';
 import {ResponseParser} from '../response-parser.js';
 import {getEndToEndHeaders} from '../response-relay.js';
+import {listen} from './loopback.js';
 import {relayResponse} from './relay-response.js';
 
 const host = '127.0.0.1';
@@ -49,16 +49,6 @@
 	response.writeHead(status, reason, getEndToEndHeaders(headers).flatMap(({name, value}) => [name, value]));
 }
 
-async function listen(t: Test, server: net.Server): Promise<number> {
-	await new Promise<void>(resolve => {
-		server.listen(0, host, resolve);
-	});
-	t.teardown(() => {
-		server.close();
-	});
-	return assumeType<net.AddressInfo>(server.address()).port;
-}
-
 /** Relays a response that a back end ends with its connection, and returns the outcome. */
 async function relay(t: Test, bytes: Uint8Array, isStream: boolean): Promise<AttemptOutcome> {
 	const backendPort = await listen(t, net.createServer(socket => {
--- a/packages/mulberrypitch-proxy/src/__tests__/needless-bytes.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/needless-bytes.test.ts
@@ -3,11 +3,10 @@
  * cut short at any byte, before or after the next request was sent on the connection.
  */
 import {Buffer} from 'node:buffer';
-import net from 'node:net';
 import {setImmediate as nextTurn} from 'node:timers/promises';
-import t, {type Test} from 'tap';
-import {assumeType} from '@mulberrypitch/errors/assume-type';
-import {BackendConnection, type Exchange} from '../backend-connection.js';
+import t from 'tap';
+import type {BackendConnection, Exchange} from '../backend-connection.js';
+import {openConnection, startBackend} from './loopback.js';
 
 /** How an exchange ended, and what its listener received. */
 type Result = {
@@ -55,6 +54,9 @@
 	},
 ];
 
+/** Responses after which another one may follow on the connection. */
+const followedResponses = framedResponses.filter(({isLast}) => isLast !== true);
+
 function createChunk(text: string): string {
 	return `${text.length.toString(16)};a=b\r\n${text}\r\n`;
 }
@@ -63,46 +65,6 @@
 	return `HTTP/1.1 ${status}\r\nContent-Type: application/json\r\nDate: Sat, 05 Dec 2026 10:00:00 GMT\r\nAttempt: ${id}\r\nSignature: s.${id}\r\n`;
 }
 
-/** Starts a back end that calls `respond` with the number of each request on a connection, from one, and returns its address. */
-async function startBackend(t: Test, respond: (socket: net.Socket, count: number) => Promise<void>): Promise<string> {
-	const server = net.createServer(socket => {
-		let count = 0;
-		socket.setNoDelay(true);
-		socket.on('error', () => {
-			// The connection is closed on needless bytes.
-		});
-		socket.on('data', () => {
-			count += 1;
-			void respond(socket, count);
-		});
-	});
-	await new Promise<void>(resolve => {
-		server.listen(0, '127.0.0.1', resolve);
-	});
-	t.teardown(() => {
-		server.close();
-	});
-	return `127.0.0.1:${assumeType<net.AddressInfo>(server.address()).port}`;
-}
-
-async function open(address: string): Promise<BackendConnection> {
-	return BackendConnection.open({
-		address,
-		connectTimeoutMs: 1000,
-		attemptHeader: 'attempt',
-		onClosed() {
-			// The tests use no connection pool.
-		},
-		onHead() {
-			// The tests read no statements of back ends.
-		},
-		onIdle() {
-			// The tests use no connection pool.
-		},
-		now: () => 0,
-	});
-}
-
 /** Sends a request, and resolves when its response has ended or does not come. */
 async function exchange(connection: BackendConnection, attemptId: string): Promise<Result> {
 	const answered = new Promise<Result>(resolve => {
@@ -146,7 +108,7 @@
 	}
 }
 
-for (const late of framedResponses.filter(({isLast}) => isLast !== true)) {
+for (const late of followedResponses) {
 	for (const next of framedResponses) {
 		for (const writes of ['one write', 'two writes']) {
 			// Guards against a failure that reaches its caller as a success, or never, since the head or the body of a late second answer went before it.
@@ -175,7 +137,7 @@
 				const expectedBody = next.name === bodiless ? '' : error;
 				const wrong: string[] = [];
 				for (cut = 0; cut <= first.length; cut += 1) {
-					const connection = await open(address);
+					const connection = await openConnection(address);
 					await exchange(connection, firstId);
 					const {end, status, body} = await exchange(connection, nextId);
 					const isOwn = end === 'whole' && status === 500 && body === expectedBody;
@@ -193,7 +155,7 @@
 	}
 }
 
-for (const framed of framedResponses.filter(({isLast}) => isLast !== true)) {
+for (const framed of followedResponses) {
 	for (const delay of ['at once', 'while it is idle']) {
 		// Guards against a connection that keeps the beginning of a needless answer for the next request, or carries one after it.
 		await t.test(`a connection on which anything follows a whole answer ${framed.name} is not used again, ${delay}`, async t => {
@@ -210,7 +172,7 @@
 				socket.write(first.slice(0, cut));
 			});
 			for (cut = 1; cut <= first.length; cut += 1) {
-				const connection = await open(address);
+				const connection = await openConnection(address);
 				const {end, status} = await exchange(connection, firstId);
 				for (let turn = 0; turn < maxTurns && connection.isReusable; turn += 1) {
 					await nextTurn();
@@ -228,7 +190,7 @@
 	}
 }
 
-for (const framed of framedResponses.filter(({isLast, name}) => isLast !== true && name !== bodiless)) {
+for (const framed of followedResponses.filter(({name}) => name !== bodiless)) {
 	// Guards against a caller that gets bytes of another answer inside its own one, whose end they have displaced.
 	await t.test(`an answer ${framed.name} is not taken for whole if the beginning of another one stands anywhere inside it`, async t => {
 		const earlier = framed.create(success, firstId, '{"stock":12}');
@@ -242,7 +204,7 @@
 		const wrong: string[] = [];
 		for (place = answer.indexOf('\r\n\r\n') + 4; place < answer.length - 1; place += 1) {
 			for (length = 1; length < earlier.length; length += lengthStep) {
-				const connection = await open(address);
+				const connection = await openConnection(address);
 				const {end, body} = await exchange(connection, nextId);
 				if (end !== 'broken' && (end !== 'whole' || body !== ownBody)) {
 					wrong.push(`${length} bytes after ${JSON.stringify(answer.slice(0, place))}: ${end} ${JSON.stringify(body)}`);
--- a/packages/mulberrypitch-proxy/src/__tests__/response-end.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/response-end.test.ts
@@ -3,9 +3,9 @@
 import http from 'node:http';
 import net from 'node:net';
 import t, {type Test} from 'tap';
-import {assumeType} from '@mulberrypitch/errors/assume-type';
 import {getSystemCode} from '@mulberrypitch/errors/coded-error';
 import type {AttemptOutcome} from '../attempt-outcome.js';
+import {listen} from './loopback.js';
 import {relayResponse} from './relay-response.js';
 
 type Received = {
@@ -31,16 +31,6 @@
 const broken = 'id: 1\ndata: a\n\nid: 2\nda';
 const lastChunk = '\r\n0\r\n\r\n';
 
-async function listen(t: Test, server: net.Server): Promise<number> {
-	await new Promise<void>(resolve => {
-		server.listen(0, host, resolve);
-	});
-	t.teardown(() => {
-		server.close();
-	});
-	return assumeType<net.AddressInfo>(server.address()).port;
-}
-
 /** Sends one request through a relay to a back end, and returns what the caller received. */
 async function run(t: Test, exchange: Exchange): Promise<Received> {
 	const backendPort = await listen(t, net.createServer(socket => {
