Name the check of a port and the look-up of a known origin

StreamResumption asked waitForOrigin with a wait of zero for what is known already, and computed a wait that a stale view makes zero: getOrigin and an early return say it.

--- a/packages/mulberrypitch-proxy/src/backend-connection.ts
+++ b/packages/mulberrypitch-proxy/src/backend-connection.ts
@@ -3,7 +3,7 @@
 import net from 'node:net';
 import {PeerUnreachableError, ProtocolError} from '@mulberrypitch/errors/catalogue';
 import {getMessage} from '@mulberrypitch/errors/coded-error';
-import {maxPort, splitAddress} from '@mulberrypitch/lifecycle/listen';
+import {isPort, splitAddress} from '@mulberrypitch/lifecycle/listen';
 import {LateResponse} from './late-response.js';
 import {
 	findHeader, getHeaderValues, mayBeginResponse, type ResponseHead,
@@ -70,7 +70,7 @@
 	/** Connects. Throws `PeerUnreachableError`, in which case nothing was sent, also for an address to which no connection is possible. */
 	static async open(options: ConnectionOptions): Promise<BackendConnection> {
 		const {host, port} = splitAddress(options.address);
-		if (!Number.isInteger(port) || port < 1 || port > maxPort) {
+		if (!isPort(port)) {
 			throw new PeerUnreachableError(options.address);
 		}
 
--- a/packages/mulberrypitch-proxy/src/stream-origins.ts
+++ b/packages/mulberrypitch-proxy/src/stream-origins.ts
@@ -76,10 +76,15 @@
 		this.#onUrgent();
 	}
 
+	/** Returns the origin of the stream that an attempt began, or `undefined` if it is not known. */
+	getOrigin(attemptId: string | undefined): StreamOrigin | undefined {
+		return attemptId === undefined ? undefined : this.#table.getOrigin(attemptId);
+	}
+
 	/** Resolves with the origin of the stream that an attempt began, for which it waits, or with `undefined` if it does not become known. */
 	async waitForOrigin(attemptId: string, maxWaitMs: number): Promise<StreamOrigin | undefined> {
-		await this.#waitUntil(() => this.#isKnown(attemptId), maxWaitMs);
-		return this.#table.getOrigin(attemptId);
+		await this.#waitUntil(() => this.getOrigin(attemptId) !== undefined, maxWaitMs);
+		return this.getOrigin(attemptId);
 	}
 
 	/**
@@ -90,7 +95,7 @@
 		const neededReport = this.#reports + 1;
 		const isAnswered = () => this.#answeredReport >= neededReport;
 		this.#awaitedReplies += 1;
-		await this.#waitUntil(() => isAnswered() || (attemptId !== undefined && this.#isKnown(attemptId)), maxWaitMs);
+		await this.#waitUntil(() => isAnswered() || this.getOrigin(attemptId) !== undefined, maxWaitMs);
 		this.#awaitedReplies -= 1;
 		return isAnswered();
 	}
@@ -148,10 +153,6 @@
 		}
 	}
 
-	#isKnown(attemptId: string): boolean {
-		return this.#table.getOrigin(attemptId) !== undefined;
-	}
-
 	/** Waits for replies until a condition is met or the time is over. */
 	async #waitUntil(isReached: () => boolean, maxWaitMs: number): Promise<void> {
 		if (isReached() || maxWaitMs <= 0) {
--- a/packages/mulberrypitch-proxy/src/stream-resumption.ts
+++ b/packages/mulberrypitch-proxy/src/stream-resumption.ts
@@ -91,17 +91,20 @@
 
 	async #findOrigin({attemptId}: StreamPosition, route: Route, leftMs: number): Promise<StreamOrigin | undefined> {
 		const {origins, clock, getViewAgeMs} = this.#options;
-		const waitsUntil = clock.now() + (getViewAgeMs() < maxWaitingViewAgeMs ? Math.min(maxOriginWaitMs, leftMs * maxOriginWaitShare) : 0);
-		const told = attemptId === undefined ? undefined : await origins.waitForOrigin(attemptId, 0);
-		if (told !== undefined) {
+		const told = origins.getOrigin(attemptId);
+		if (told !== undefined || getViewAgeMs() >= maxWaitingViewAgeMs) {
 			return told;
 		}
 
 		// A back end of another version may have joined, and begun the stream, while this entry was suspended or cut off.
+		const waitsUntil = clock.now() + Math.min(maxOriginWaitMs, leftMs * maxOriginWaitShare);
 		const isCurrent = await origins.waitForReply(attemptId, waitsUntil - clock.now());
-		const sole = isCurrent ? this.#findSoleOrigin(route) : undefined;
-		const later = attemptId === undefined ? undefined : await origins.waitForOrigin(attemptId, sole === undefined ? waitsUntil - clock.now() : 0);
-		return later ?? sole;
+		const known = origins.getOrigin(attemptId) ?? (isCurrent ? this.#findSoleOrigin(route) : undefined);
+		if (known !== undefined || attemptId === undefined) {
+			return known;
+		}
+
+		return origins.waitForOrigin(attemptId, waitsUntil - clock.now());
 	}
 
 	/** Returns the only origin that a stream of the route can have, if its service has had one version for as long as a request lasts. */
