--- a/packages/mulberrypitch-serving/src/view-messages.ts
+++ b/packages/mulberrypitch-serving/src/view-messages.ts
@@ -1,6 +1,8 @@
 /** Messages between entries and coordinators. All processes run the same version, so these types need no schema. */
 import type {RosterChanges, RosterEntry, RosterPosition} from './backend-roster.js';
+import type {ConfigurationPart} from './configuration-messages.js';
 import type {QuarantinedContent} from './quarantine-list.js';
+import type {Rollout, RolloutEvidence} from './rollout-messages.js';
 
 /** Demand for one service at one entry, from which the coordinators determine the size of the fleet. */
 export type ServicePressure = {
@@ -154,6 +156,8 @@
 	readonly leaves?: readonly Incarnation[];
 	/** Whether the entry reaches any back end; absent from an entry of an earlier version. */
 	readonly reachesBackends?: boolean;
+	/** What the entry has observed of the roll-outs in progress; absent if there are none, or from an entry of an earlier version. */
+	readonly rollouts?: readonly RolloutEvidence[];
 };
 
 /** A long-polling request for changes. The reply comes at once when there are any, otherwise after a timeout. */
@@ -168,6 +172,8 @@
 	readonly origins?: OriginReport;
 	/** Longest time in milliseconds for which the coordinator waits for changes; absent from an entry of an earlier version. */
 	readonly waitMs?: number;
+	/** Whether the entry reads configurations in parts; absent from an entry of an earlier version. */
+	readonly readsParts?: boolean;
 };
 
 /** Time in milliseconds for which a coordinator waits for changes if the request states none. */
@@ -188,6 +194,8 @@
 export type ViewReply = {
 	/** Absent if the coordinator knows no newer version. */
 	readonly configuration?: StoredConfiguration;
+	/** First part of a newer configuration, for an entry that reads configurations in parts; absent if the coordinator knows no newer version. */
+	readonly configurationPart?: ConfigurationPart;
 	readonly roster: RosterChanges;
 	/** Load that all other entries put on each back end. */
 	readonly loads: Readonly<Record<string, BackendLoad>>;
@@ -206,6 +214,8 @@
 	readonly nearby?: readonly string[];
 	/** Addresses for callers of other entries that reach back ends; absent from a coordinator of an earlier version. */
 	readonly peers?: readonly string[];
+	/** The last roll-out of each service; absent if there was none, or from a coordinator of an earlier version. */
+	readonly rollouts?: readonly Rollout[];
 	/** Whether the coordinator is in contact with a leader. */
 	readonly isInTouch: boolean;
 };
