--- a/packages/mulberrypitch-coordinator/src/__tests__/usage-duty.test.ts
+++ b/packages/mulberrypitch-coordinator/src/__tests__/usage-duty.test.ts
@@ -52,7 +52,7 @@
 				index, term: 1, time: 0, command,
 			}).result;
 		},
-		confirm: async () => ({holder: 'h', token: 1}),
+		confirm: async () => ({holder: 'h', token: 1, isCurrent: () => true}),
 	};
 	return {state, context};
 }
--- a/packages/mulberrypitch-coordinator/src/duty-runner.ts
+++ b/packages/mulberrypitch-coordinator/src/duty-runner.ts
@@ -10,7 +10,13 @@
 import type {DutyHolder, ServingState} from './serving-state.js';
 
 /** The holder and its fencing token, which are sent with each action so that the receiver can reject a former holder. */
-export type FencingStamp = DutyHolder;
+export type FencingStamp = DutyHolder & {
+	/**
+	Reports whether the confirmation is recent, counting time for which the machine was suspended. Must be asked when the action's bytes are
+	written: connecting takes time, and another coordinator may have acted during a suspension.
+	*/
+	isCurrent(): boolean;
+};
 
 /** The operations that a duty may use while this coordinator holds the duties. */
 export type DutyContext = {
@@ -52,7 +58,7 @@
 const inFlightActionMs = 800;
 /** Safety margin beyond the lease in milliseconds. */
 const leaseMarginMs = 500;
-/** Maximum age in milliseconds of a leadership confirmation when the action starts. */
+/** Maximum age in milliseconds of a leadership confirmation when the action is sent. */
 const maxConfirmationAgeMs = 400;
 
 /** Takes the duties when this coordinator leads and runs them one after another. */
@@ -147,6 +153,6 @@
 			throw new CodedError('duty_lost', 'The duties may have passed to another coordinator.', 'Wait for its next step.');
 		}
 
-		return duties;
+		return {...duties, isCurrent: () => getBootTime() - startedAt <= maxConfirmationAgeMs};
 	}
 }
