--- a/packages/mulberrypitch-proxy/src/entry.ts
+++ b/packages/mulberrypitch-proxy/src/entry.ts
@@ -8,6 +8,7 @@
 import {DisposableStore, type Resource} from '@mulberrypitch/lifecycle/disposable-store';
 import type {Random} from '@mulberrypitch/lifecycle/random';
 import {getMessage} from '@mulberrypitch/errors/coded-error';
+import type {EarlyListener} from '@mulberrypitch/lifecycle/early-listener';
 import {splitAddress} from '@mulberrypitch/lifecycle/listen';
 import {events} from '@mulberrypitch/logger/events';
 import type {Logger} from '@mulberrypitch/logger/logger';
@@ -40,6 +41,8 @@
 	readonly zone: string;
 	/** Address for callers, as `host:port`. */
 	readonly listen: string;
+	/** Listens on that address already; absent if the server is to listen itself. */
+	readonly listener?: EarlyListener;
 	/** Returns the currently configured peer addresses of the coordinators. */
 	readonly getSeeds: () => readonly string[];
 	readonly names: HeaderNames;
@@ -176,6 +179,7 @@
 		});
 		this.#server = new ProxyServer({
 			listen,
+			...(options.listener !== undefined && {listener: options.listener}),
 			zone,
 			names,
 			clock,
--- a/packages/mulberrypitch-proxy/src/proxy-server-options.ts
+++ b/packages/mulberrypitch-proxy/src/proxy-server-options.ts
@@ -1,5 +1,6 @@
 /** Dependencies and settings of the proxy server. */
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
+import type {EarlyListener} from '@mulberrypitch/lifecycle/early-listener';
 import type {Random} from '@mulberrypitch/lifecycle/random';
 import type {Logger} from '@mulberrypitch/logger/logger';
 import type {MetricsRegistry} from '@mulberrypitch/metrics/registry';
@@ -19,6 +20,8 @@
 export type ProxyServerOptions = {
 	/** Address for callers, as `host:port`. */
 	readonly listen: string;
+	/** Listens on that address already; absent if the server is to listen itself. */
+	readonly listener?: EarlyListener;
 	/** Availability zone of the entry. */
 	readonly zone: string;
 	readonly names: HeaderNames;
--- a/packages/mulberrypitch-proxy/src/proxy-server.ts
+++ b/packages/mulberrypitch-proxy/src/proxy-server.ts
@@ -112,7 +112,12 @@
 
 	/** Starts to listen, and resolves with the port. */
 	async listen(): Promise<number> {
-		const {host, port} = splitAddress(this.#options.listen);
+		const {listen, listener} = this.#options;
+		if (listener !== undefined) {
+			return listener.handOver(this.#server);
+		}
+
+		const {host, port} = splitAddress(listen);
 		return listenOn(this.#server, host, port);
 	}
 
