Read a long line in time linear in its length

split2 splits the whole unfinished line again with each chunk, so a reply of 540 KB that arrives in segments of 1,460 bytes keeps an entry busy. LineSplitter searches each chunk once and joins the pieces at the line end. The limit of 8 Mi characters stays. split2 has no other user and is removed. Ruled out: node:readline, which joins the unfinished line with each chunk too.

--- a/packages/mulberrypitch-transport/src/line-stream.ts
+++ b/packages/mulberrypitch-transport/src/line-stream.ts
@@ -1,8 +1,8 @@
 /** JSON texts over a socket, one in each line. */
 import type net from 'node:net';
-import split2 from 'split2';
 import {assumeType} from '@mulberrypitch/errors/assume-type';
 import {ProtocolError} from '@mulberrypitch/errors/catalogue';
+import {LineSplitter} from './line-splitter.js';
 
 /** Maximum number of characters of a line. */
 const maxFrameLength = 8 * 1024 * 1024;
@@ -18,7 +18,7 @@
 ```
 */
 export function createLineReader(socket: net.Socket): AsyncIterable<string> {
-	const lines = split2({maxLength: maxFrameLength});
+	const lines = new LineSplitter(maxFrameLength);
 	lines.on('error', () => {
 		socket.destroy();
 	});
