Send large configurations in parts beside the polls

A reply to a poll carried the operator's whole document, some 540 KB with 2,000 routes. At 5.25 Mbit/s it outlasts the poll's timeout of 400 ms, and began again at the next coordinator while the view aged. Coordinators now encode the decoded configuration once, and an entry that states readsParts reads it in parts of 16 KiB, one call after the other, while its polls go on. A configuration of one part and one block is in force when the reply to the poll has been applied. Entries and coordinators of the version before exchange documents as before. ViewRequest.readingVersion keeps a coordinator from offering a version again with each poll. The rule for an entry in its first second covers parts too.

--- a/packages/mulberrypitch-coordinator/src/__tests__/configuration-restart.test.ts
+++ b/packages/mulberrypitch-coordinator/src/__tests__/configuration-restart.test.ts
@@ -13,7 +13,7 @@
 /** Number of versions after which the coordinators have made a snapshot of an older one. */
 const snapshotVersions = 300;
 
-function createRequest(upMs: number): ViewRequest {
+function createRequest(upMs: number, readsParts: boolean): ViewRequest {
 	return {
 		status: {
 			name: 'front',
@@ -31,18 +31,20 @@
 		configurationVersion: 0,
 		rosterEpoch: '',
 		rosterVersion: 0,
+		readsParts,
 	};
 }
 
-/** Asks coordinators at each step, as an entry that starts at that moment does. Returns the versions that they give. */
+/** Asks coordinators at each step, as an entry of the version before and one that reads parts do if they start at that moment. Returns the versions that they give. */
 async function collectVersions(group: CoordinatorGroup, asked: readonly string[]): Promise<readonly number[]> {
 	const transport = group.network.join('front');
 	const versions: number[] = [];
-	const ask = async (name: string) => {
+	const ask = async (name: string, readsParts: boolean) => {
 		try {
-			const reply = await transport.call<ViewReply>(name, methods.watch, createRequest(0), {timeoutMs: watchTimeoutMs});
-			if (reply.configuration !== undefined) {
-				versions.push(reply.configuration.version);
+			const reply = await transport.call<ViewReply>(name, methods.watch, createRequest(0, readsParts), {timeoutMs: watchTimeoutMs});
+			const {version} = reply.configuration ?? reply.configurationPart ?? {};
+			if (version !== undefined) {
+				versions.push(version);
 			}
 		} catch {
 			// The coordinator does not answer yet.
@@ -51,7 +53,8 @@
 
 	for (let elapsedMs = 0; elapsedMs < observedMs; elapsedMs += stepMs) {
 		for (const name of asked) {
-			void ask(name);
+			void ask(name, false);
+			void ask(name, true);
 		}
 
 		await group.clock.runFor(stepMs);
@@ -113,7 +116,7 @@
 	t.ok(await group.put(2, ['a', 'b']));
 	t.strictSame(await collectVersions(group, ['c']), []);
 	const transport = group.network.join('front');
-	const reply = await group.settle(transport.call<ViewReply>('c', methods.watch, createRequest(60_000), {timeoutMs: watchTimeoutMs}));
+	const reply = await group.settle(transport.call<ViewReply>('c', methods.watch, createRequest(60_000, false), {timeoutMs: watchTimeoutMs}));
 	t.equal(reply?.value.configuration?.version, 1);
 	await group.dispose();
 });
--- a/packages/mulberrypitch-coordinator/src/coordinator.ts
+++ b/packages/mulberrypitch-coordinator/src/coordinator.ts
@@ -25,8 +25,10 @@
 } from '@mulberrypitch/serving/view-messages';
 import type {LogStore} from '@mulberrypitch/storage/types';
 import type {Schema, Transport} from '@mulberrypitch/transport/types';
+import {configurationMethod} from '@mulberrypitch/serving/configuration-messages';
 import {BackendRegistration} from './backend-registration.js';
 import {createCommandSchema} from './command-schema.js';
+import {ConfigurationDistribution, partRequestSchema} from './configuration-distribution.js';
 import {DutyRunner, type Duty} from './duty-runner.js';
 import {EntryDirectory} from './entry-directory.js';
 import {Gossip} from './gossip.js';
@@ -102,6 +104,7 @@
 	readonly #resources = new DisposableStore();
 	/** Notified when the configuration or the roster changes. */
 	readonly #changes = new Notification();
+	readonly #distribution: ConfigurationDistribution;
 	readonly #views: ViewService;
 	readonly #state: ServingState;
 	readonly #replica: Replica;
@@ -164,6 +167,7 @@
 			isInTouch: () => this.isInTouch,
 			getLeader: () => this.#replica.leader,
 		});
+		this.#distribution = new ConfigurationDistribution({logger, metrics: options.metrics});
 		this.#views = new ViewService({
 			clock,
 			logger,
@@ -173,6 +177,7 @@
 			epoch,
 			changes: this.#changes,
 			getConfiguration: () => this.#state.configuration,
+			distribution: this.#distribution,
 			own: {name, address: options.getAddress(name), zone: options.zone},
 			getRecentPeers: () => this.#gossip.recentPeers,
 			getCoordinators: () => this.#replica.getPeers().map(({address}) => address),
@@ -204,6 +209,7 @@
 	async start(): Promise<void> {
 		const {transport} = this.#options;
 		transport.handle(methods.watch, viewRequestSchema, async request => this.#watch(request));
+		transport.handle(configurationMethod, partRequestSchema, async request => this.#distribution.getPart(request));
 		transport.handle(methods.gossip, gossipRequestSchema, async request => this.#views.mergeGossip(request));
 		transport.handle(methods.propose, createCommandSchema(this.#options.decode), async command => this.#replica.propose(command));
 		transport.handle(methods.read, unchecked<Record<string, never>>(), async () => this.#readAsLeader());
@@ -264,9 +270,9 @@
 	*/
 	async #watch(request: ViewRequest): Promise<ViewReply> {
 		const isCurrent = this.#replica.isCurrent();
-		const {configuration, ...reply} = await this.#views.watch(request);
+		const {configuration, configurationPart, ...reply} = await this.#views.watch(request);
 		const isWithheld = !isCurrent && request.configurationVersion === 0 && request.status.upMs < entryStartMs;
-		return {...reply, ...(configuration !== undefined && !isWithheld && {configuration})};
+		return isWithheld ? reply : {...reply, ...(configuration !== undefined && {configuration}), ...(configurationPart !== undefined && {configurationPart})};
 	}
 
 	#addGauges(): void {
@@ -287,6 +293,7 @@
 
 	#applyConfiguration(stored: StoredConfiguration): void {
 		this.#configuration = this.#options.decode(stored.document);
+		this.#distribution.add(this.#configuration);
 		this.#options.logger.log(events.configurationInForce, {version: stored.version});
 		this.#changes.notify();
 	}
--- a/packages/mulberrypitch-coordinator/src/status-schema.ts
+++ b/packages/mulberrypitch-coordinator/src/status-schema.ts
@@ -13,7 +13,7 @@
 /** Schema of the poll of an entry. */
 export const viewRequestSchema: Schema<ViewRequest> = {
 	parse(value) {
-		if (!isObject(value) || !isStatus(value.status) || !areAll(isNumber, [value.configurationVersion, value.rosterVersion, value.waitMs ?? 0])) {
+		if (!isObject(value) || !isStatus(value.status) || !areAll(isNumber, [value.configurationVersion, value.rosterVersion, value.waitMs ?? 0, value.readingVersion ?? 0])) {
 			throw new ProtocolError('A status of an entry is malformed.');
 		}
 
--- a/packages/mulberrypitch-coordinator/src/view-service.ts
+++ b/packages/mulberrypitch-coordinator/src/view-service.ts
@@ -10,6 +10,7 @@
 import {
 	defaultWaitMs, type EntryStatus, type GossipReply, type GossipRequest, type OriginChanges, type OriginReport, type StoredConfiguration, type ViewReply, type ViewRequest,
 } from '@mulberrypitch/serving/view-messages';
+import type {ConfigurationDistribution} from './configuration-distribution.js';
 import {CrashEvidence} from './crash-evidence.js';
 import type {EntryDirectory} from './entry-directory.js';
 
@@ -27,6 +28,8 @@
 	readonly changes: Notification;
 	/** Returns the configuration in force, or `undefined` before the first one. */
 	readonly getConfiguration: () => StoredConfiguration | undefined;
+	/** Parts of the configuration in force. */
+	readonly distribution: ConfigurationDistribution;
 	/** This coordinator, with its address for calls between processes. */
 	readonly own: Peer & {readonly zone: string};
 	/** Returns the coordinators with which this one has exchanged lately. */
@@ -72,22 +75,20 @@
 	}
 
 	/** Stores the status of an entry and replies with the changes since its versions, for which it waits up to the timeout. */
-	async watch({
-		status, configurationVersion, rosterEpoch, rosterVersion, origins: report, waitMs = defaultWaitMs,
-	}: ViewRequest): Promise<ViewReply> {
-		const {directory, roster, origins, getConfiguration, getCoordinators, isInTouch} = this.#options;
+	async watch(request: ViewRequest): Promise<ViewReply> {
+		const {status, rosterEpoch, rosterVersion, origins: report, waitMs = defaultWaitMs} = request;
+		const {directory, roster, origins, getCoordinators, isInTouch} = this.#options;
 		directory.update(status);
 		this.#mergeObservations(status);
 		origins.merge(report?.begun ?? []);
-		const hasChanges = (getConfiguration()?.version ?? 0) > configurationVersion || roster.hasChanges(rosterEpoch, rosterVersion);
+		const hasChanges = this.#hasNewerConfiguration(request) || roster.hasChanges(rosterEpoch, rosterVersion);
 		if (!hasChanges) {
 			await this.#waitForChanges(Math.min(waitMs, maxWaitMs));
 		}
 
-		const stored = getConfiguration();
 		const restricted = this.#evidence.getRestricted();
 		return {
-			...(stored !== undefined && stored.version > configurationVersion && {configuration: stored}),
+			...this.#getConfigurationFields(request),
 			roster: roster.getChanges(rosterEpoch, rosterVersion),
 			loads: directory.getLoads(status.name),
 			othersSpent: directory.getOthersSpent(status.name),
@@ -138,6 +139,23 @@
 		}
 	}
 
+	#hasNewerConfiguration({configurationVersion, readingVersion = 0}: ViewRequest): boolean {
+		return (this.#options.getConfiguration()?.version ?? 0) > Math.max(configurationVersion, readingVersion);
+	}
+
+	/** Returns the first part of a newer configuration, or its document for an entry that reads no parts. */
+	#getConfigurationFields(request: ViewRequest): Pick<ViewReply, 'configuration' | 'configurationPart'> {
+		const {distribution, getConfiguration} = this.#options;
+		const stored = getConfiguration();
+		if (stored === undefined || !this.#hasNewerConfiguration(request)) {
+			return {};
+		}
+
+		return request.readsParts === true && distribution.version === stored.version
+			? {configurationPart: distribution.getPart({version: stored.version, baseVersion: request.configurationVersion, offset: 0})}
+			: {configuration: stored};
+	}
+
 	#getOriginChanges(report: OriginReport | undefined): OriginChanges {
 		const {origins, epoch} = this.#options;
 		const known = report?.known.find(position => position.epoch === epoch);
--- a/packages/mulberrypitch-proxy/src/entry.ts
+++ b/packages/mulberrypitch-proxy/src/entry.ts
@@ -12,13 +12,14 @@
 import {events} from '@mulberrypitch/logger/events';
 import type {Logger} from '@mulberrypitch/logger/logger';
 import type {MetricsRegistry} from '@mulberrypitch/metrics/registry';
-import {RouteTable} from '@mulberrypitch/serving/route-table';
+import type {RouteTable} from '@mulberrypitch/serving/route-table';
 import type {ConfigurationDecoder} from '@mulberrypitch/serving/types';
-import type {StoredConfiguration, ViewReply, ViewRequest} from '@mulberrypitch/serving/view-messages';
+import type {ViewReply, ViewRequest} from '@mulberrypitch/serving/view-messages';
 import type {Transport} from '@mulberrypitch/transport/types';
 import type {StatementDecoder} from './backend-statement.js';
 import {BackendReachability} from './backend-reachability.js';
 import {BackendView} from './backend-view.js';
+import {ConfigurationInForce} from './configuration-in-force.js';
 import {ContentQuarantine, getIncarnationKey} from './content-quarantine.js';
 import {PeerEntries} from './peer-entries.js';
 import {PollPace} from './poll-pace.js';
@@ -101,9 +102,9 @@
 	readonly #quotas: WorkspaceQuotas;
 	readonly #usage: UsageCounter;
 	readonly #view: ViewClient;
+	readonly #configuration: ConfigurationInForce;
 	readonly #pace: PollPace;
 	readonly #server: ProxyServer;
-	#table: RouteTable | undefined;
 	readonly #entryCounts: RecentMaximum;
 	/** Number of entries in the last reply. */
 	#reportedEntryCount = 0;
@@ -174,6 +175,14 @@
 				this.#applyView(reply);
 			},
 		});
+		this.#configuration = new ConfigurationInForce({
+			...options,
+			getCoordinator: () => this.#view.coordinator,
+			onChange: ({workspaces = []}) => {
+				this.#quotas.createBuckets(workspaces);
+				this.#server.refresh();
+			},
+		});
 		this.#server = new ProxyServer({
 			listen,
 			zone,
@@ -210,6 +219,10 @@
 		return this.#entryCounts.read() ?? 1;
 	}
 
+	get #table(): RouteTable | undefined {
+		return this.#configuration.table;
+	}
+
 	/** Whether the entry accepts callers: it has a configuration and is not draining. */
 	get isReady(): boolean {
 		return this.#table !== undefined && !this.#isDraining;
@@ -222,6 +235,8 @@
 		this.#address = `${splitAddress(this.#options.listen).host}:${port}`;
 		this.#resources.add(this.#view);
 		this.#view.start();
+		this.#resources.add(this.#configuration);
+		this.#configuration.start();
 		this.#resources.add(this.#peers);
 		this.#resources.add(new BackgroundTask(async signal => this.#observeReachability(signal), error => {
 			this.#options.logger.log(events.taskFailed, {task: 'reachability', reason: getMessage(error)});
@@ -297,7 +312,7 @@
 				leaves: this.#backends.getLeaves(),
 				reachesBackends: !this.#reachability.isCutOff,
 			},
-			configurationVersion: this.#table?.configuration.version ?? 0,
+			...this.#configuration.pollFields,
 			rosterEpoch: this.#backends.epoch,
 			rosterVersion: this.#backends.version,
 			origins: this.#origins.createReport(),
@@ -306,14 +321,10 @@
 	}
 
 	#applyView({
-		configuration, roster, loads, othersSpent, entryCount, verdict, limits = [], origins, peers = [], isInTouch,
+		roster, loads, othersSpent, entryCount, verdict, limits = [], origins, peers = [], isInTouch, ...reply
 	}: ViewReply): void {
 		this.#peers.setAddresses(peers);
 		this.#quarantine.apply(verdict);
-		if (configuration !== undefined) {
-			this.#applyConfiguration(configuration);
-		}
-
 		this.#backends.apply(roster);
 		this.#versions.apply(roster);
 		this.#origins.apply(origins, isInTouch);
@@ -327,22 +338,12 @@
 		}
 
 		this.#quotas.updateOthersSpent(othersSpent);
-		this.#quotas.createBuckets(this.#table?.configuration.workspaces ?? []);
+		this.#configuration.apply(reply);
 		this.#entryCounts.add(entryCount);
 		this.#reportedEntryCount = entryCount;
 		this.#server.refresh();
 	}
 
-	/** Applies a configuration if it is newer. Within one process, the version in force never decreases. */
-	#applyConfiguration({version, document}: StoredConfiguration): void {
-		if (version <= (this.#table?.configuration.version ?? 0)) {
-			return;
-		}
-
-		this.#table = new RouteTable(this.#options.decode(document));
-		this.#options.logger.log(events.configurationInForce, {version});
-	}
-
 	#getMaxConnections(service: string): number {
 		const limit = this.#table?.getService(service)?.maxConnections ?? 0;
 		return Math.max(minConnections, Math.floor(limit * connectionShare / this.#entryCount));
--- a/packages/mulberrypitch-proxy/src/view-client.ts
+++ b/packages/mulberrypitch-proxy/src/view-client.ts
@@ -56,6 +56,8 @@
 	/** Monotonic time in milliseconds of the last reply of a coordinator that was in contact with a leader. */
 	#inTouchAt = Number.NEGATIVE_INFINITY;
 	#repliedAt = Number.NEGATIVE_INFINITY;
+	/** Address of the coordinator that replied last. */
+	#replied: string | undefined;
 	readonly #unresponsiveUntil = new Map<string, number>();
 	readonly #hurry = new Notification();
 	/** Monotonic time in milliseconds of the last failed poll, by the address of the coordinator. */
@@ -80,6 +82,11 @@
 		return this.#options.clock.now() - this.#repliedAt;
 	}
 
+	/** Address of the coordinator that is polled, or of the one that replied last; absent before the first reply. */
+	get coordinator(): string | undefined {
+		return this.#current ?? this.#replied;
+	}
+
 	/** Starts polling. */
 	start(): void {
 		this.#resources.add(new BackgroundTask(async signal => this.#run(signal), error => {
@@ -170,6 +177,7 @@
 			}
 
 			this.#repliedAt = clock.now();
+			this.#replied = address;
 			this.#unresponsiveUntil.delete(address);
 			onReply(reply);
 			this.#addresses = [...new Set([...reply.coordinators, ...getSeeds()])];
--- a/packages/mulberrypitch-serving/src/view-messages.ts
+++ b/packages/mulberrypitch-serving/src/view-messages.ts
@@ -174,6 +174,8 @@
 	readonly waitMs?: number;
 	/** Whether the entry reads configurations in parts; absent from an entry of an earlier version. */
 	readonly readsParts?: boolean;
+	/** Newest version of which the entry has the first part while it reads a configuration; absent if it reads none. The coordinator offers only newer ones. */
+	readonly readingVersion?: number;
 };
 
 /** Time in milliseconds for which a coordinator waits for changes if the request states none. */
