Send the changes between two configurations, and look routes up by prefix

Each change cost every entry the whole configuration. Configurations with items of one key, of which the order matters, are sent whole, and so are changes of more than half of the items. Where a poll was sent before the transfer ended, the change since the version then in force is asked for, and the next poll is sent at once. RouteTable looks prefixes up in a map in place of a scan.

--- a/packages/mulberrypitch-coordinator/src/configuration-distribution.ts
+++ b/packages/mulberrypitch-coordinator/src/configuration-distribution.ts
@@ -5,7 +5,7 @@
 import {events} from '@mulberrypitch/logger/events';
 import type {Logger} from '@mulberrypitch/logger/logger';
 import type {MetricsRegistry} from '@mulberrypitch/metrics/registry';
-import {createWholeDelta, type DigestedConfiguration} from '@mulberrypitch/serving/configuration-delta';
+import {createDelta, createWholeDelta, type DigestedConfiguration} from '@mulberrypitch/serving/configuration-delta';
 import {encodeDelta, getDigest} from '@mulberrypitch/serving/configuration-encoding';
 import type {ConfigurationPart, ConfigurationPartRequest} from '@mulberrypitch/serving/configuration-messages';
 import type {ServingConfiguration} from '@mulberrypitch/serving/types';
@@ -91,14 +91,14 @@
 			return known;
 		}
 
-		const form = this.#encode(target, base);
+		const form = this.#encode(target, this.#held.get(base));
 		this.#encoded.set(key, form);
 		removeOldest(this.#encoded, maxEncodedForms);
 		return form;
 	}
 
-	#encode(target: DigestedConfiguration, _baseVersion: number): EncodedForm {
-		const delta = createWholeDelta(target);
+	#encode(target: DigestedConfiguration, base: DigestedConfiguration | undefined): EncodedForm {
+		const delta = (base === undefined ? undefined : createDelta(base, target)) ?? createWholeDelta(target);
 		const bytes = encodeDelta(delta);
 		const {baseVersion} = delta.header;
 		this.#options.logger.log(events.configurationEncoded, {
--- a/packages/mulberrypitch-proxy/src/configuration-in-force.ts
+++ b/packages/mulberrypitch-proxy/src/configuration-in-force.ts
@@ -22,6 +22,8 @@
 	readonly getCoordinator: () => string | undefined;
 	/** Called when a newer configuration is in force. */
 	readonly onChange: (configuration: ServingConfiguration) => void;
+	/** Called when a configuration that took several calls is in force, of which the poll in progress says nothing. */
+	readonly onTransferred: () => void;
 };
 
 /** Takes configurations from the replies to polls, whole or in parts. Within one process, the version in force never decreases. */
@@ -51,9 +53,9 @@
 		return this.#table?.configuration.version ?? 0;
 	}
 
-	/** Fields of a poll that state which configurations the entry has and reads. */
-	get pollFields(): Pick<ViewRequest, 'configurationVersion' | 'readsParts' | 'readingVersion'> {
-		return {configurationVersion: this.version, ...this.#reader.pollFields};
+	/** Returns the fields of the next poll that state which configurations the entry has and reads. */
+	createPollFields(): Pick<ViewRequest, 'configurationVersion' | 'readsParts' | 'readingVersion'> {
+		return {configurationVersion: this.version, ...this.#reader.createPollFields()};
 	}
 
 	/** Starts to read in parts what polls offer. */
--- a/packages/mulberrypitch-proxy/src/configuration-reader.ts
+++ b/packages/mulberrypitch-proxy/src/configuration-reader.ts
@@ -28,6 +28,8 @@
 	readonly getConfiguration: () => ServingConfiguration | undefined;
 	/** Puts a newer configuration in force. */
 	readonly onConfiguration: (configuration: ServingConfiguration) => void;
+	/** Called when a configuration that took several calls is in force, of which the poll in progress says nothing. */
+	readonly onTransferred: () => void;
 };
 
 /** Timeout in milliseconds of the call for one part. It exceeds that of a poll, so that polls decide which coordinator is asked. */
@@ -49,6 +51,8 @@
 	#offeredVersion = 0;
 	/** Whether the transfer in progress replaced one that was dropped. It is then not dropped in turn, so that frequent versions don't keep the entry from all of them. */
 	#hasDropped = false;
+	/** Version in force when the last poll was sent. */
+	#polledVersion = 0;
 	#failures = 0;
 	#refusals = 0;
 	/** Monotonic time in milliseconds at which the transfer began. */
@@ -64,8 +68,9 @@
 		metrics.gauge('mulberrypitch_entry_transfer_total_bytes', 'Size of the configuration that is being read.', () => this.#transfer?.totalBytes ?? 0);
 	}
 
-	/** Fields of a poll that state what the entry reads. */
-	get pollFields(): Pick<ViewRequest, 'readsParts' | 'readingVersion'> {
+	/** Returns the fields of the next poll that state what the entry reads. */
+	createPollFields(): Pick<ViewRequest, 'readsParts' | 'readingVersion'> {
+		this.#polledVersion = this.#versionInForce;
 		return {readsParts: true, ...(this.#transfer !== undefined && {readingVersion: this.#offeredVersion})};
 	}
 
@@ -93,8 +98,8 @@
 		}
 
 		this.#hasDropped = previous !== undefined;
-		if (!this.#isUsable(part.baseVersion)) {
-			this.#begin(part.version, 0);
+		if (this.#versionInForce !== this.#polledVersion || !this.#isUsable(part.baseVersion)) {
+			this.#begin(part.version, this.#known.version === this.#versionInForce ? this.#known.version : 0);
 			return;
 		}
 
@@ -205,6 +210,7 @@
 
 			if (transfer === this.#transfer && transfer.version > this.#versionInForce) {
 				this.#apply(transfer, step.value);
+				this.#options.onTransferred();
 			}
 		} catch (error) {
 			if (transfer === this.#transfer) {
--- a/packages/mulberrypitch-proxy/src/entry.ts
+++ b/packages/mulberrypitch-proxy/src/entry.ts
@@ -182,6 +182,9 @@
 				this.#quotas.createBuckets(workspaces);
 				this.#server.refresh();
 			},
+			onTransferred: () => {
+				this.#view.hurry();
+			},
 		});
 		this.#server = new ProxyServer({
 			listen,
@@ -312,7 +315,7 @@
 				leaves: this.#backends.getLeaves(),
 				reachesBackends: !this.#reachability.isCutOff,
 			},
-			...this.#configuration.pollFields,
+			...this.#configuration.createPollFields(),
 			rosterEpoch: this.#backends.epoch,
 			rosterVersion: this.#backends.version,
 			origins: this.#origins.createReport(),
--- a/packages/mulberrypitch-serving/src/configuration-delta.ts
+++ b/packages/mulberrypitch-serving/src/configuration-delta.ts
@@ -41,6 +41,8 @@
 
 /** Share of the items of a configuration from which on the whole configuration is sent instead of the changes. */
 const maxChangedShare = 0.5;
+/** JSON texts of the items that were compared, since each version is compared with several others. */
+const texts = new WeakMap<object, string>();
 
 /**
 Returns a delta that contains a whole configuration.
@@ -127,7 +129,7 @@
 }
 
 /** Returns the changes between two lists, or `undefined` if a key occurs more than once in one of them. */
-function compare<Item>(base: readonly Item[], target: readonly Item[], getKey: (item: Item) => string): {readonly set: readonly Item[]; readonly removed: readonly string[]} | undefined {
+function compare<Item extends object>(base: readonly Item[], target: readonly Item[], getKey: (item: Item) => string): {readonly set: readonly Item[]; readonly removed: readonly string[]} | undefined {
 	const before = new Map(base.map(item => [getKey(item), item]));
 	const after = new Set(target.map(item => getKey(item)));
 	if (before.size < base.length || after.size < target.length) {
@@ -140,8 +142,14 @@
 	};
 }
 
-function isEqual(left: unknown, right: unknown): boolean {
-	return left !== undefined && JSON.stringify(left) === JSON.stringify(right);
+function isEqual(left: object | undefined, right: object): boolean {
+	return left !== undefined && getText(left) === getText(right);
+}
+
+function getText(item: object): string {
+	const text = texts.get(item) ?? JSON.stringify(item);
+	texts.set(item, text);
+	return text;
 }
 
 function update<Item>(base: readonly Item[], set: readonly Item[], removed: readonly string[], getKey: (item: Item) => string): readonly Item[] {
--- a/packages/mulberrypitch-serving/src/route-table.ts
+++ b/packages/mulberrypitch-serving/src/route-table.ts
@@ -3,10 +3,16 @@
 	Route, ServiceProfile, ServingConfiguration, Workspace,
 } from './types.js';
 
+/** Routes of one host by path prefix. The length of the longest prefix bounds the number of look-ups. */
+type HostRoutes = {
+	readonly byPrefix: Map<string, Route>;
+	maxPrefixLength: number;
+};
+
 /** An index of one configuration by host, API key and service name. */
 export class RouteTable {
 	readonly configuration: ServingConfiguration;
-	readonly #routes = new Map<string, Route[]>();
+	readonly #routes = new Map<string, HostRoutes>();
 	readonly #workspaces = new Map<string, Workspace>();
 	readonly #services: ReadonlyMap<string, ServiceProfile>;
 
@@ -15,13 +21,13 @@
 		this.#services = new Map(configuration.services.map(service => [service.name, service]));
 		for (const route of configuration.routes) {
 			const host = route.host.toLowerCase();
-			const hostRoutes = this.#routes.get(host) ?? [];
-			hostRoutes.push(route);
+			const hostRoutes = this.#routes.get(host) ?? {byPrefix: new Map(), maxPrefixLength: 0};
 			this.#routes.set(host, hostRoutes);
-		}
+			if (!hostRoutes.byPrefix.has(route.pathPrefix)) {
+				hostRoutes.byPrefix.set(route.pathPrefix, route);
+			}
 
-		for (const hostRoutes of this.#routes.values()) {
-			hostRoutes.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length);
+			hostRoutes.maxPrefixLength = Math.max(hostRoutes.maxPrefixLength, route.pathPrefix.length);
 		}
 
 		for (const workspace of configuration.workspaces ?? []) {
@@ -42,8 +48,22 @@
 	*/
 	findRoute(host: string, path: string): Route | undefined {
 		const [name] = host.toLowerCase().split(':', 1);
+		const hostRoutes = this.#routes.get(name!);
+		if (hostRoutes === undefined) {
+			return undefined;
+		}
+
 		const [pathOnly] = path.split('?', 1);
-		return this.#routes.get(name!)?.find(({pathPrefix}) => pathOnly!.startsWith(pathPrefix));
+		// Each prefix ends with a slash, so only the prefixes that end at a slash of the path are looked up.
+		for (let prefix = pathOnly!.slice(0, hostRoutes.maxPrefixLength); prefix !== ''; prefix = prefix.slice(0, -1)) {
+			prefix = prefix.slice(0, prefix.lastIndexOf('/') + 1);
+			const route = hostRoutes.byPrefix.get(prefix);
+			if (route !== undefined) {
+				return route;
+			}
+		}
+
+		return undefined;
 	}
 
 	/** Returns the workspace that owns an API key, or `undefined` if the key is unknown. */
