--- a/packages/mulberrypitch-coordinator/src/__tests__/configuration-restart.test.ts
+++ b/packages/mulberrypitch-coordinator/src/__tests__/configuration-restart.test.ts
@@ -1,5 +1,6 @@
 /** Tests that an entry that has just started takes no older configuration from a coordinator that has just started too, or is cut off. */
 import t from 'tap';
+import {configurationMethod, type ConfigurationPart, type ConfigurationPartRequest} from '@mulberrypitch/serving/configuration-messages';
 import {methods, type ViewReply, type ViewRequest} from '@mulberrypitch/serving/view-messages';
 import {CoordinatorGroup} from './coordinator-group.js';
 
@@ -116,7 +117,18 @@
 	t.ok(await group.put(2, ['a', 'b']));
 	t.strictSame(await collectVersions(group, ['c']), []);
 	const transport = group.network.join('front');
+	const call = async (name: string, request: ConfigurationPartRequest) => {
+		const part = transport.call<ConfigurationPart>(name, configurationMethod, request, {timeoutMs: watchTimeoutMs});
+		await group.settle(part);
+		return part;
+	};
+
 	const reply = await group.settle(transport.call<ViewReply>('c', methods.watch, createRequest(60_000, false), {timeoutMs: watchTimeoutMs}));
 	t.equal(reply?.value.configuration?.version, 1);
+	// An entry that began to read version 2 elsewhere gets no other version here.
+	const request: ConfigurationPartRequest = {version: 2, baseVersion: 0, offset: 0};
+	await t.rejects(call('c', request), {code: 'not_found'});
+	const part = await call('a', request);
+	t.equal(part.version, 2);
 	await group.dispose();
 });
--- a/packages/mulberrypitch-proxy/src/__tests__/configuration-reader.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/configuration-reader.test.ts
@@ -134,9 +134,8 @@
 	calls.length = 0;
 	const changes = createDelta(createHeld(1), createHeld(2))!;
 	const bytes = Buffer.from(encodeDelta({...changes, header: {...changes.header, baseDigest: 'other'}}));
-	state.alter = part => part.baseVersion === 0 ? part : {
-		...part, totalBytes: bytes.length, digest: getDigest(bytes), data: bytes.toString('base64'),
-	};
+	const altered = {totalBytes: bytes.length, digest: getDigest(bytes), data: bytes.toString('base64')};
+	state.alter = part => ({...part, ...(part.baseVersion !== 0 && altered)});
 	offer(2);
 	t.strictSame(getVersions(), [1]);
 	await run(2000);
--- a/packages/mulberrypitch-serving/src/configuration-delta.ts
+++ b/packages/mulberrypitch-serving/src/configuration-delta.ts
@@ -27,6 +27,9 @@
 	readonly hasWorkspaces: boolean;
 };
 
+/** An item of one of the lists of a configuration. */
+type Item = Route | ServiceProfile | Workspace;
+
 /** A whole configuration, or the changes since an earlier one. */
 export type ConfigurationDelta = {
 	readonly header: DeltaHeader;
@@ -42,7 +45,7 @@
 /** Share of the items of a configuration from which on the whole configuration is sent instead of the changes. */
 const maxChangedShare = 0.5;
 /** JSON texts of the items that were compared, since each version is compared with several others. */
-const texts = new WeakMap<object, string>();
+const texts = new WeakMap<Item, string>();
 
 /**
 Returns a delta that contains a whole configuration.
@@ -128,8 +131,13 @@
 	return {settings, hasWorkspaces: workspaces !== undefined};
 }
 
+type Changes<Listed> = {
+	readonly set: readonly Listed[];
+	readonly removed: readonly string[];
+};
+
 /** Returns the changes between two lists, or `undefined` if a key occurs more than once in one of them. */
-function compare<Item extends object>(base: readonly Item[], target: readonly Item[], getKey: (item: Item) => string): {readonly set: readonly Item[]; readonly removed: readonly string[]} | undefined {
+function compare<Listed extends Item>(base: readonly Listed[], target: readonly Listed[], getKey: (item: Listed) => string): Changes<Listed> | undefined {
 	const before = new Map(base.map(item => [getKey(item), item]));
 	const after = new Set(target.map(item => getKey(item)));
 	if (before.size < base.length || after.size < target.length) {
@@ -142,17 +150,17 @@
 	};
 }
 
-function isEqual(left: object | undefined, right: object): boolean {
+function isEqual(left: Item | undefined, right: Item): boolean {
 	return left !== undefined && getText(left) === getText(right);
 }
 
-function getText(item: object): string {
+function getText(item: Item): string {
 	const text = texts.get(item) ?? JSON.stringify(item);
 	texts.set(item, text);
 	return text;
 }
 
-function update<Item>(base: readonly Item[], set: readonly Item[], removed: readonly string[], getKey: (item: Item) => string): readonly Item[] {
+function update<Listed extends Item>(base: readonly Listed[], set: readonly Listed[], removed: readonly string[], getKey: (item: Listed) => string): readonly Listed[] {
 	const items = new Map(base.map(item => [getKey(item), item]));
 	for (const key of removed) {
 		items.delete(key);
