--- a/packages/mulberrypitch-coordinator/src/__tests__/configuration-restart.test.ts
+++ b/packages/mulberrypitch-coordinator/src/__tests__/configuration-restart.test.ts
@@ -1,5 +1,6 @@
 /** Tests that an entry that has just started takes no older configuration from a coordinator that has just started too, or is cut off. */
 import t from 'tap';
+import {configurationMethod, type ConfigurationPart, type ConfigurationPartRequest} from '@mulberrypitch/serving/configuration-messages';
 import {methods, type ViewReply, type ViewRequest} from '@mulberrypitch/serving/view-messages';
 import {CoordinatorGroup} from './coordinator-group.js';
 
@@ -13,7 +14,7 @@
 /** Number of versions after which the coordinators have made a snapshot of an older one. */
 const snapshotVersions = 300;
 
-function createRequest(upMs: number): ViewRequest {
+function createRequest(upMs: number, readsParts: boolean): ViewRequest {
 	return {
 		status: {
 			name: 'front',
@@ -31,18 +32,20 @@
 		configurationVersion: 0,
 		rosterEpoch: '',
 		rosterVersion: 0,
+		readsParts,
 	};
 }
 
-/** Asks coordinators at each step, as an entry that starts at that moment does. Returns the versions that they give. */
+/** Asks coordinators at each step, as an entry of the version before and one that reads parts do if they start at that moment. Returns the versions that they give. */
 async function collectVersions(group: CoordinatorGroup, asked: readonly string[]): Promise<readonly number[]> {
 	const transport = group.network.join('front');
 	const versions: number[] = [];
-	const ask = async (name: string) => {
+	const ask = async (name: string, readsParts: boolean) => {
 		try {
-			const reply = await transport.call<ViewReply>(name, methods.watch, createRequest(0), {timeoutMs: watchTimeoutMs});
-			if (reply.configuration !== undefined) {
-				versions.push(reply.configuration.version);
+			const reply = await transport.call<ViewReply>(name, methods.watch, createRequest(0, readsParts), {timeoutMs: watchTimeoutMs});
+			const {version} = reply.configuration ?? reply.configurationPart ?? {};
+			if (version !== undefined) {
+				versions.push(version);
 			}
 		} catch {
 			// The coordinator does not answer yet.
@@ -51,7 +54,8 @@
 
 	for (let elapsedMs = 0; elapsedMs < observedMs; elapsedMs += stepMs) {
 		for (const name of asked) {
-			void ask(name);
+			void ask(name, false);
+			void ask(name, true);
 		}
 
 		await group.clock.runFor(stepMs);
@@ -113,7 +117,18 @@
 	t.ok(await group.put(2, ['a', 'b']));
 	t.strictSame(await collectVersions(group, ['c']), []);
 	const transport = group.network.join('front');
-	const reply = await group.settle(transport.call<ViewReply>('c', methods.watch, createRequest(60_000), {timeoutMs: watchTimeoutMs}));
+	const call = async (name: string, request: ConfigurationPartRequest) => {
+		const part = transport.call<ConfigurationPart>(name, configurationMethod, request, {timeoutMs: watchTimeoutMs});
+		await group.settle(part);
+		return part;
+	};
+
+	const reply = await group.settle(transport.call<ViewReply>('c', methods.watch, createRequest(60_000, false), {timeoutMs: watchTimeoutMs}));
 	t.equal(reply?.value.configuration?.version, 1);
+	// An entry that began to read version 2 elsewhere gets no other version here.
+	const request: ConfigurationPartRequest = {version: 2, baseVersion: 0, offset: 0};
+	await t.rejects(call('c', request), {code: 'not_found'});
+	const part = await call('a', request);
+	t.equal(part.version, 2);
 	await group.dispose();
 });
