Hold the last roll-out of each service in the replicated state

The operator's order of a roll-out has to survive the loss of coordinators, and all replicas must agree on which of two orders wins and on which order is a repeat. `RolloutTable` decides this when a command is applied, by committed values alone.

Deciding on a repeat by the time in the log entry was ruled out, since it is the time of day.

--- a/packages/mulberrypitch-coordinator/src/serving-state.ts
+++ b/packages/mulberrypitch-coordinator/src/serving-state.ts
@@ -1,12 +1,14 @@
-/** The replicated state of a deployment: its configuration, the holder of the duties, the usage and the fleet orders. */
+/** The replicated state of a deployment: its configuration, the holder of the duties, the usage, the fleet orders and the roll-outs. */
 import type {AccountRecord, ChainHead} from '@mulberrypitch/account/types';
 import {emptyHead} from '@mulberrypitch/account/chain';
 import type {
 	Applied, CommandResult, ProposedCommand, StateMachine,
 } from '@mulberrypitch/control/types';
 import {assumeType} from '@mulberrypitch/errors/assume-type';
+import type {Rollout} from '@mulberrypitch/serving/rollout-messages';
 import type {StoredConfiguration, UsageCount} from '@mulberrypitch/serving/view-messages';
 import type {LogEntry} from '@mulberrypitch/storage/types';
+import {RolloutTable, type RolloutCommand} from './rollout-table.js';
 
 /** Stores a configuration. It has no effect unless its version is higher than that of the stored one. */
 export type PutConfiguration = ProposedCommand & {
@@ -60,7 +62,7 @@
 };
 
 /** A command that this state machine applies. */
-export type ServingCommand = PutConfiguration | TakeDuties | CheckpointUsage | RecordUsage | RecordOrder | LeaderStart;
+export type ServingCommand = PutConfiguration | TakeDuties | CheckpointUsage | RecordUsage | RecordOrder | RolloutCommand | LeaderStart;
 
 /** The holder of all duties. */
 export type DutyHolder = {
@@ -82,6 +84,15 @@
 	readonly usage: readonly UsageCount[];
 	readonly notes: readonly UsageCheckpoint[];
 	readonly orders: readonly FleetOrder[];
+	/** Absent from a snapshot of an earlier version. */
+	readonly rollouts?: readonly Rollout[];
+};
+
+/** Functions that are called when a part of the state has changed. */
+type StateListeners = {
+	readonly onConfiguration: (configuration: StoredConfiguration) => void;
+	readonly onDuties: (duties: DutyHolder) => void;
+	readonly onRollouts?: () => void;
 };
 
 /** Number of windows whose fixed usage is kept. */
@@ -93,6 +104,8 @@
 export class ServingState implements StateMachine {
 	/** Head of the audit log; it never changes, because this state writes no audit records. */
 	readonly head: ChainHead = emptyHead;
+	/** The last roll-out of each service. */
+	readonly rollouts: RolloutTable;
 	readonly #onConfiguration: (configuration: StoredConfiguration) => void;
 	readonly #onDuties: (duties: DutyHolder) => void;
 	readonly #orders = new Map<string, FleetOrder>();
@@ -101,9 +114,10 @@
 	#usage: UsageCount[] = [];
 	#checkpoints: readonly UsageCheckpoint[] = [];
 
-	constructor(listeners: {readonly onConfiguration: (configuration: StoredConfiguration) => void; readonly onDuties: (duties: DutyHolder) => void}) {
+	constructor(listeners: StateListeners) {
 		this.#onConfiguration = listeners.onConfiguration;
 		this.#onDuties = listeners.onDuties;
+		this.rollouts = new RolloutTable(() => listeners.onRollouts?.());
 	}
 
 	/** The committed configuration with the highest version. */
@@ -131,7 +145,7 @@
 		return this.#checkpoints.find(checkpoint => checkpoint.window === window)?.entries ?? {};
 	}
 
-	/** Applies a committed log entry and returns its result. */
+	/** Applies a committed log entry and returns its result. A command of a later version has no effect and no result. */
 	apply({index, command}: LogEntry): Applied {
 		const records: readonly AccountRecord[] = [];
 		return {result: this.#applyCommand(assumeType<ServingCommand>(command), index), records};
@@ -145,13 +159,14 @@
 			usage: this.#usage,
 			notes: this.#checkpoints,
 			orders: this.orders,
+			rollouts: this.rollouts.list(),
 		};
 	}
 
 	/** Replaces the state by that of a snapshot. */
 	restore(state: unknown): void {
 		const {
-			configuration, duties, usage, notes, orders,
+			configuration, duties, usage, notes, orders, rollouts = [],
 		} = assumeType<StateSnapshot>(state);
 		this.#usage = [...usage];
 		this.#checkpoints = notes;
@@ -160,6 +175,7 @@
 			this.#orders.set(getOrderKey(order), order);
 		}
 
+		this.rollouts.restore(rollouts);
 		this.#setDuties(duties);
 		if (configuration !== undefined) {
 			this.#setConfiguration(configuration);
@@ -195,6 +211,11 @@
 				return {};
 			}
 
+			case 'startRollout':
+			case 'advanceRollout': {
+				return this.rollouts.apply(command, index);
+			}
+
 			case 'leaderStarted': {
 				return {};
 			}
--- a/packages/mulberrypitch-errors/src/catalogue.ts
+++ b/packages/mulberrypitch-errors/src/catalogue.ts
@@ -7,6 +7,7 @@
 	unauthorized: 'unauthorized',
 	notFound: 'not_found',
 	conflict: 'conflict',
+	unknownService: 'unknown_service',
 	tooLarge: 'too_large',
 	overloaded: 'overloaded',
 	draining: 'draining',
@@ -67,6 +68,15 @@
 	}
 }
 
+/** The order names a service that the configuration in force does not define. */
+export class UnknownServiceError extends CodedError {
+	override readonly name = 'UnknownServiceError';
+
+	constructor(service: string) {
+		super(codes.unknownService, `Service ${service} is not defined.`, 'Name a service of the configuration in force.');
+	}
+}
+
 /** A body, header or frame is larger than its limit, which is given in bytes. */
 export class TooLargeError extends CodedError {
 	override readonly name = 'TooLargeError';
