Take orders of roll-outs and advance them on the leader

Operators need to order a roll-out at any coordinator, and the leader has to move, complete or roll it back by what entries report. `RolloutFeed` makes a poll of an entry return at once if the entry has not been sent the last change. Coordinators exchange the measured times, so that one that has restarted does not put off the deadline.

--- a/packages/mulberrypitch-coordinator/src/__tests__/coordinator-group.ts
+++ b/packages/mulberrypitch-coordinator/src/__tests__/coordinator-group.ts
@@ -12,6 +12,7 @@
 import type {LogEntry} from '@mulberrypitch/storage/types';
 import {Coordinator} from '../coordinator.js';
 import type {Duty, DutyContext} from '../duty-runner.js';
+import type {RolloutConduct} from '../rollout-duty.js';
 
 /** One action of a duty, as the platform receives it. */
 export type DutyAction = {
@@ -26,6 +27,9 @@
 /** Time in milliseconds within which a former holder must not act again after another one took the duties. */
 export const leaseMs = 3000;
 
+/** Service that all configurations of the tests define. */
+export const definedService = 's';
+
 /**
 Returns the document of a configuration.
 
@@ -49,7 +53,7 @@
 	return {
 		version: Number(version),
 		routes: [],
-		services: [],
+		services: [{name: definedService, healthPath: '/', maxConnections: 1}],
 		limits: {
 			maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1,
 		},
@@ -88,10 +92,12 @@
 	readonly #transports = new Map<string, MemoryTransport>();
 	readonly #logs = new Map<string, LogOnLimitedDisk>();
 	readonly #seeds: readonly string[];
+	readonly #rollouts: RolloutConduct | undefined;
 	#starts = 0;
 
-	constructor(seeds: readonly string[] = ['a', 'b', 'c']) {
+	constructor(seeds: readonly string[] = ['a', 'b', 'c'], rollouts?: RolloutConduct) {
 		this.#seeds = seeds;
+		this.#rollouts = rollouts;
 	}
 
 	/** Returns the running coordinator of a host. */
@@ -125,6 +131,7 @@
 			getBootTime: () => this.clock.now(),
 			metrics: new MetricsRegistry(),
 			createDuties: () => [this.#createDuty()],
+			...(this.#rollouts !== undefined && {rollouts: this.#rollouts}),
 			probeStorage: async () => this.#probeStorage(name),
 			onStorageRecovered: () => {
 				this.restarts.push(name);
--- a/packages/mulberrypitch-coordinator/src/__tests__/malformed-requests.test.ts
+++ b/packages/mulberrypitch-coordinator/src/__tests__/malformed-requests.test.ts
@@ -70,6 +70,12 @@
 	'without a report of crashes': {...soundStatus, name: 'bad', crashes: undefined},
 	'with a charge of nothing': {...soundStatus, name: 'bad', crashes: {charges: [{}], answered: [{}], quarantined: [{}]}},
 	'with a leave of nothing': {...soundStatus, name: 'bad', leaves: [5]},
+	'with evidence of nothing': {...soundStatus, name: 'bad', rollouts: [{}]},
+	'with evidence whose sums are no numbers': {
+		...soundStatus, name: 'bad', rollouts: [{
+			rollout: 1, revision: 1, requests: 1, othersRunning: 0, routes: [{route: 'r', target: {sent: 'x'}, others: {sent: -1}}],
+		}],
+	},
 };
 
 // Guards against one malformed status that makes the polls of all other entries fail at every coordinator.
--- a/packages/mulberrypitch-coordinator/src/command-schema.ts
+++ b/packages/mulberrypitch-coordinator/src/command-schema.ts
@@ -1,4 +1,7 @@
-/** Schema of the commands that coordinators propose to their leader. A command that no replica can apply must not get into the log. */
+/**
+ * Schema of the commands that coordinators propose to their leader. A command that no replica can apply must not get into the log. Those of
+ * roll-outs are not among them: the leader proposes them itself, after checks that a proposal of another coordinator would pass by.
+ */
 import * as z from 'zod';
 import type {ProposedCommand} from '@mulberrypitch/control/types';
 import {validateServingConfiguration} from '@mulberrypitch/serving/configuration-check';
--- a/packages/mulberrypitch-coordinator/src/coordinator.ts
+++ b/packages/mulberrypitch-coordinator/src/coordinator.ts
@@ -30,6 +30,8 @@
 import {DutyRunner, type Duty} from './duty-runner.js';
 import {EntryDirectory} from './entry-directory.js';
 import {Gossip} from './gossip.js';
+import type {RolloutConduct} from './rollout-duty.js';
+import {RolloutService} from './rollout-service.js';
 import {ServingState} from './serving-state.js';
 import {gossipRequestSchema, viewRequestSchema} from './status-schema.js';
 import {unchecked} from './unchecked-schema.js';
@@ -66,6 +68,8 @@
 	readonly getBootTime: () => number;
 	readonly metrics: MetricsRegistry;
 	readonly createDuties: (parts: DutyDependencies) => readonly Duty[];
+	/** Absent if the deployment has no roll-outs. */
+	readonly rollouts?: RolloutConduct;
 	/** Makes a test write to the disk. Rejects while the disk accepts no writes. */
 	readonly probeStorage: () => Promise<void>;
 	/** Called when the disk accepts writes again after the log has failed. The process must then restart. */
@@ -98,6 +102,8 @@
 	readonly directory: EntryDirectory;
 	/** The back ends that the coordinators know. */
 	readonly roster: BackendRoster;
+	/** The roll-outs of the services. */
+	readonly rollouts: RolloutService;
 	readonly #options: CoordinatorOptions;
 	readonly #resources = new DisposableStore();
 	/** Notified when the configuration or the roster changes. */
@@ -124,6 +130,9 @@
 			onDuties: duties => {
 				this.#duties.updateHolder(duties);
 			},
+			onRollouts: () => {
+				this.rollouts.update();
+			},
 		});
 		this.#replica = new Replica({
 			group,
@@ -141,6 +150,10 @@
 			timing,
 			snapshotIntervalEntries,
 		});
+		this.rollouts = new RolloutService({
+			...options, directory: this.directory, roster: this.roster, changes: this.#changes, conduct: options.rollouts,
+			log: this.#replica, table: this.#state.rollouts, getConfiguration: () => this.#configuration,
+		});
 		this.#gossip = new Gossip({
 			name,
 			zone: options.zone,
@@ -151,6 +164,7 @@
 			origins,
 			directory: this.directory,
 			getOthers: () => this.#getOthers(),
+			getRolloutAges: () => this.rollouts.ages,
 			onRoster: () => {
 				this.#changes.notify();
 			},
@@ -170,6 +184,7 @@
 			directory: this.directory,
 			roster: this.roster,
 			origins,
+			rollouts: this.rollouts,
 			epoch,
 			changes: this.#changes,
 			getConfiguration: () => this.#state.configuration,
@@ -217,6 +232,8 @@
 		this.#resources.add(this.#gossip);
 		this.#duties.start();
 		this.#resources.add(this.#duties);
+		this.rollouts.start();
+		this.#resources.add(this.rollouts);
 		this.#startTask('join', async signal => this.#runJoin(signal));
 		this.#startTask('expiry', async signal => this.#runExpiry(signal));
 		this.#startTask('storage', async signal => this.#runStorageWatch(signal));
--- a/packages/mulberrypitch-coordinator/src/entry-directory.ts
+++ b/packages/mulberrypitch-coordinator/src/entry-directory.ts
@@ -4,6 +4,7 @@
 import type {BackendLoad, EntryStatus, LimitShare} from '@mulberrypitch/serving/view-messages';
 import {allocateLimit, getNewestLimits} from './limit-allocation.js';
 import {LiveEntries} from './live-entries.js';
+import {RolloutEvidenceStore} from './rollout-evidence.js';
 import type {EntryUsage} from './serving-state.js';
 import {SpendingCounter} from './spending-count.js';
 
@@ -19,6 +20,8 @@
 
 /** Keeps the last status of each incarnation, that is, of each run of an entry's process. */
 export class EntryDirectory {
+	/** What all incarnations observed of the running roll-outs. */
+	readonly rolloutEvidence = new RolloutEvidenceStore();
 	readonly #clock: Clock;
 	readonly #incarnations = new Map<string, IncarnationRecord>();
 	readonly #live: LiveEntries;
@@ -120,6 +123,20 @@
 		return this.#live.list().map(({status}) => status);
 	}
 
+	/** Returns the last status of each entry that reported within a time in milliseconds, which is at most 25 s. */
+	getLastStatuses(maxAgeMs: number): readonly EntryStatus[] {
+		const since = this.#clock.now() - maxAgeMs;
+		const last = new Map<string, IncarnationRecord>();
+		for (const record of this.#incarnations.values()) {
+			const {name} = record.status;
+			if (record.lastSeenAt >= since && record.lastSeenAt >= (last.get(name)?.lastSeenAt ?? since)) {
+				last.set(name, record);
+			}
+		}
+
+		return [...last.values()].map(({status}) => status);
+	}
+
 	/** Removes incarnations without a status for so long that their usage no longer counts. */
 	expire(): void {
 		const before = this.#clock.now() - usageRetentionMs;
@@ -134,6 +151,7 @@
 	#set(status: EntryStatus, isLocal: boolean): void {
 		const key = `${status.name} ${status.incarnation}`;
 		this.#spending.update(status);
+		this.rolloutEvidence.merge(status);
 		this.#incarnations.set(key, {status, lastSeenAt: this.#clock.now()});
 		this.#live.set(status, isLocal);
 	}
--- a/packages/mulberrypitch-coordinator/src/gossip.ts
+++ b/packages/mulberrypitch-coordinator/src/gossip.ts
@@ -12,7 +12,9 @@
 import type {Logger} from '@mulberrypitch/logger/logger';
 import type {BackendRoster, RosterPosition} from '@mulberrypitch/serving/backend-roster';
 import type {OriginTable} from '@mulberrypitch/serving/origin-table';
-import {methods, type GossipReply, type GossipRequest} from '@mulberrypitch/serving/view-messages';
+import {
+	methods, type GossipReply, type GossipRequest, type RolloutAge,
+} from '@mulberrypitch/serving/view-messages';
 import type {Transport} from '@mulberrypitch/transport/types';
 import type {EntryDirectory} from './entry-directory.js';
 
@@ -51,6 +53,8 @@
 	readonly directory: EntryDirectory;
 	/** Returns all other coordinators. */
 	readonly getOthers: () => readonly Peer[];
+	/** Returns the times since the orders of the running roll-outs. */
+	readonly getRolloutAges?: () => readonly RolloutAge[];
 	/** Called when a reply of another coordinator changed the roster. */
 	readonly onRoster: () => void;
 };
@@ -122,6 +126,7 @@
 		const shouldSendAll = lastSentAt === undefined;
 		const since = shouldSendAll ? Number.NEGATIVE_INFINITY : lastSentAt - overlapMs;
 		const known = this.#exchanges.get(peer.name)?.position;
+		const rolloutAges = this.#options.getRolloutAges?.() ?? [];
 		const request: GossipRequest = {
 			from: name,
 			zone,
@@ -130,6 +135,7 @@
 			origins: origins.getSince(this.#originPositions.get(peer.name) ?? 0),
 			wantsAll: shouldSendAll,
 			...(known !== undefined && {known}),
+			...(rolloutAges.length > 0 && {rolloutAges}),
 		};
 		this.#pendingCalls.add(peer.name);
 		try {
--- a/packages/mulberrypitch-coordinator/src/status-schema.ts
+++ b/packages/mulberrypitch-coordinator/src/status-schema.ts
@@ -24,7 +24,7 @@
 /** Schema of what another coordinator tells. Malformed statuses in it are left out, so that they don't hide the others. */
 export const gossipRequestSchema: Schema<GossipRequest> = {
 	parse(value) {
-		if (!isObject(value) || !Array.isArray(value.entries) || !isListOf(isObject)(value.backends) || !isPosition(value.known)) {
+		if (!isObject(value) || !Array.isArray(value.entries) || !isListOf(isObject)(value.backends) || !isPosition(value.known) || !isListOf(isRolloutAge)(value.rolloutAges ?? [])) {
 			throw new ProtocolError('What another coordinator tells is malformed.');
 		}
 
@@ -43,7 +43,8 @@
 		&& isListOf(isUsage)(value.usage)
 		&& isCrashReport(value.crashes)
 		&& isListOf(isLimit)(value.limits ?? [])
-		&& isListOf(isIncarnation)(value.leaves ?? []);
+		&& isListOf(isIncarnation)(value.leaves ?? [])
+		&& isListOf(isRolloutEvidence)(value.rollouts ?? []);
 }
 
 function isLoad(value: unknown): boolean {
@@ -78,6 +79,26 @@
 	return isObject(value) && isString(value.backend) && isNumber(value.startedAt);
 }
 
+function isRolloutEvidence(value: unknown): boolean {
+	return isObject(value) && areAll(isCount, [value.rollout, value.revision, value.requests, value.othersRunning]) && isListOf(isRouteEvidence)(value.routes);
+}
+
+function isRouteEvidence(value: unknown): boolean {
+	return isObject(value) && isString(value.route) && isAnswerSums(value.target) && isAnswerSums(value.others);
+}
+
+function isAnswerSums(value: unknown): boolean {
+	return isObject(value) && areAll(isCount, [value.sent, value.succeeded, value.failed]) && isLogTimeSums(value.first) && isLogTimeSums(value.pause);
+}
+
+function isLogTimeSums(value: unknown): boolean {
+	return isObject(value) && areAll(isNumber, [value.sum]) && areAll(isCount, [value.count, value.squares]);
+}
+
+function isRolloutAge(value: unknown): boolean {
+	return isObject(value) && isCount(value.rollout) && isCount(value.elapsedMs);
+}
+
 function isPosition(value: unknown): boolean {
 	return value === undefined || (isObject(value) && isString(value.epoch) && isNumber(value.version));
 }
@@ -94,6 +115,10 @@
 	return typeof value === 'number' && Number.isFinite(value);
 }
 
+function isCount(value: unknown): boolean {
+	return typeof value === 'number' && Number.isFinite(value) && value >= 0;
+}
+
 function areAll(isItem: Check, values: readonly unknown[]): boolean {
 	return values.every(value => isItem(value));
 }
--- a/packages/mulberrypitch-coordinator/src/view-service.ts
+++ b/packages/mulberrypitch-coordinator/src/view-service.ts
@@ -12,6 +12,7 @@
 } from '@mulberrypitch/serving/view-messages';
 import {CrashEvidence} from './crash-evidence.js';
 import type {EntryDirectory} from './entry-directory.js';
+import type {RolloutService} from './rollout-service.js';
 
 /** Dependencies of the service. */
 export type ViewServiceOptions = {
@@ -21,6 +22,7 @@
 	readonly roster: BackendRoster;
 	/** Where streams began, as the entries reported it. */
 	readonly origins: OriginTable;
+	readonly rollouts: Pick<RolloutService, 'feed' | 'mergeAges'>;
 	/** Identifies this start of the coordinator. */
 	readonly epoch: string;
 	/** Notified when the configuration, the roster or the quarantine changes. */
@@ -75,11 +77,11 @@
 	async watch({
 		status, configurationVersion, rosterEpoch, rosterVersion, origins: report, waitMs = defaultWaitMs,
 	}: ViewRequest): Promise<ViewReply> {
-		const {directory, roster, origins, getConfiguration, getCoordinators, isInTouch} = this.#options;
+		const {directory, roster, origins, rollouts, getConfiguration, getCoordinators, isInTouch} = this.#options;
 		directory.update(status);
 		this.#mergeObservations(status);
 		origins.merge(report?.begun ?? []);
-		const hasChanges = (getConfiguration()?.version ?? 0) > configurationVersion || roster.hasChanges(rosterEpoch, rosterVersion);
+		const hasChanges = (getConfiguration()?.version ?? 0) > configurationVersion || roster.hasChanges(rosterEpoch, rosterVersion) || rollouts.feed.hasNews(status);
 		if (!hasChanges) {
 			await this.#waitForChanges(Math.min(waitMs, maxWaitMs));
 		}
@@ -103,17 +105,19 @@
 			coordinators: getCoordinators(),
 			nearby: this.#getNearby(status.zone),
 			peers: directory.getPeers(status.name, maxPeers),
+			...rollouts.feed.createReply(status),
 			isInTouch: isInTouch(),
 		};
 	}
 
 	/** Merges what another coordinator sends, and replies with what changed in the roster, or with the whole roster and all origins if it asks for them. */
 	async mergeGossip({
-		from, zone, entries, backends, origins: told = [], wantsAll, known,
+		from, zone, entries, backends, origins: told = [], wantsAll, known, rolloutAges = [],
 	}: GossipRequest): Promise<GossipReply> {
-		const {directory, roster, origins, changes} = this.#options;
+		const {directory, roster, origins, rollouts, changes} = this.#options;
 		this.#zones.set(from, zone ?? '');
 		origins.merge(told);
+		rollouts.mergeAges(rolloutAges);
 		for (const status of entries) {
 			directory.merge(status);
 			this.#mergeObservations(status);
@@ -130,8 +134,9 @@
 
 	/** Removes entries, back ends and charges that have not been heard of for too long. */
 	expire(): void {
-		const {directory, roster, changes} = this.#options;
+		const {directory, roster, rollouts, changes} = this.#options;
 		directory.expire();
+		rollouts.feed.retain(directory.getLiveStatuses());
 		this.#evidence.expire();
 		if (roster.expire()) {
 			changes.notify();
--- a/packages/mulberrypitch-serving/src/view-messages.ts
+++ b/packages/mulberrypitch-serving/src/view-messages.ts
@@ -234,6 +234,15 @@
 	readonly wantsAll: boolean;
 	/** Up to where the sender has merged the roster of the called coordinator; absent if it never has, or from a coordinator of an earlier version. */
 	readonly known?: RosterPosition;
+	/** Times since the orders of the running roll-outs, as the sender measured them; absent if there are none, or from a coordinator of an earlier version. */
+	readonly rolloutAges?: readonly RolloutAge[];
+};
+
+/** Time since the order of a roll-out. */
+export type RolloutAge = {
+	/** The roll-out's `id`. */
+	readonly rollout: number;
+	readonly elapsedMs: number;
 };
 
 /** What the called coordinator knows beyond the position in the request. Origins are included only if the request asked for all. */
@@ -252,4 +261,6 @@
 	propose: 'serving.propose',
 	read: 'serving.read',
 	join: 'serving.join',
+	startRollout: 'serving.startRollout',
+	readRollout: 'serving.readRollout',
 } as const;
