Sum the evidence of roll-outs in place

The leader sums the evidence of all entries ten times a second. Adding immutable sums made some eight objects for each route and entry. The sums now change in place. The last evidence of an incarnation also holds if its later statuses don't list the roll-out, so that entries are free to report it less often than they poll.

--- a/packages/mulberrypitch-coordinator/src/rollout-duty.ts
+++ b/packages/mulberrypitch-coordinator/src/rollout-duty.ts
@@ -14,6 +14,7 @@
 import {
 	rolloutStates, type Rollout, type RolloutDecision, type RolloutLimits, type RolloutObservation,
 } from '@mulberrypitch/serving/rollout-messages';
+import type {EntryStatus} from '@mulberrypitch/serving/view-messages';
 import type {EntryDirectory} from './entry-directory.js';
 import {sumRoutes} from './rollout-evidence.js';
 import {confirmTimeoutMs, type RolloutLog} from './rollout-orders.js';
@@ -155,7 +156,7 @@
 		const targetBackends = serving.filter(({version}) => version === target).length;
 		const statuses = directory.getLastStatuses(silentEntryMs);
 		const ready = statuses.filter(({isReady}) => isReady);
-		const evidenceOf = ({rollouts = []}: typeof statuses[number]) => rollouts.find(evidence => evidence.rollout === id);
+		const evidenceOf = (status: EntryStatus) => directory.rolloutEvidence.get(status, id);
 		return {
 			durationMs,
 			elapsedMs: tracker.getElapsed(rollout),
--- a/packages/mulberrypitch-coordinator/src/rollout-evidence.ts
+++ b/packages/mulberrypitch-coordinator/src/rollout-evidence.ts
@@ -46,25 +46,37 @@
 		}
 	}
 
+	/** Returns what an incarnation reported last of a roll-out, which its last status need not repeat. */
+	get({name, incarnation}: EntryStatus, rollout: number): RolloutEvidence | undefined {
+		return this.#reports.get(`${name} ${incarnation}`)?.evidence.find(evidence => evidence.rollout === rollout);
+	}
+
 	/** Returns the sums for a roll-out. */
 	sum(rollout: number): EvidenceTotals {
-		const routes = new Map<string, RouteEvidence>();
+		const sums = new Map<string, {readonly target: MutableSums; readonly others: MutableSums}>();
 		let requests = 0;
-		for (const evidence of [...this.#reports.values()].flatMap(report => report.evidence)) {
-			if (evidence.rollout !== rollout) {
-				continue;
-			}
+		for (const {evidence: listed} of this.#reports.values()) {
+			for (const evidence of listed) {
+				if (evidence.rollout !== rollout) {
+					continue;
+				}
+
+				requests += evidence.requests;
+				for (const {route, target, others} of evidence.routes) {
+					let sum = sums.get(route);
+					if (sum === undefined) {
+						sum = {target: new MutableSums(), others: new MutableSums()};
+						sums.set(route, sum);
+					}
 
-			requests += evidence.requests;
-			for (const added of evidence.routes) {
-				const known = routes.get(added.route);
-				routes.set(added.route, {
-					route: added.route, target: addAnswers(known?.target ?? noAnswers, added.target), others: addAnswers(known?.others ?? noAnswers, added.others),
-				});
+					sum.target.add(target);
+					sum.others.add(others);
+				}
 			}
 		}
 
-		return {requests, routes: [...routes.values()]};
+		const routes = [...sums].map(([route, {target, others}]) => ({route, target: target.capture(), others: others.capture()}));
+		return {requests, routes};
 	}
 }
 
@@ -77,29 +89,39 @@
 ```
 */
 export function sumRoutes(routes: readonly RouteEvidence[], side: 'target' | 'others'): AnswerSums {
-	let sum = noAnswers;
+	const sum = new MutableSums();
 	for (const route of routes) {
-		sum = addAnswers(sum, route[side]);
+		sum.add(route[side]);
 	}
 
-	return sum;
+	return sum.capture();
 }
 
-const noTimes: LogTimeSums = {count: 0, sum: 0, squares: 0};
-const noAnswers: AnswerSums = {
-	sent: 0, succeeded: 0, failed: 0, first: noTimes, pause: noTimes,
-};
+/** A sum of answers. It changes in place, since hundreds of entries with many routes are summed several times a second. */
+class MutableSums {
+	#sent = 0;
+	#succeeded = 0;
+	#failed = 0;
+	readonly #first = {count: 0, sum: 0, squares: 0};
+	readonly #pause = {count: 0, sum: 0, squares: 0};
+
+	add({sent, succeeded, failed, first, pause}: AnswerSums): void {
+		this.#sent += sent;
+		this.#succeeded += succeeded;
+		this.#failed += failed;
+		addTimes(this.#first, first);
+		addTimes(this.#pause, pause);
+	}
 
-function addAnswers(left: AnswerSums, right: AnswerSums): AnswerSums {
-	return {
-		sent: left.sent + right.sent,
-		succeeded: left.succeeded + right.succeeded,
-		failed: left.failed + right.failed,
-		first: addTimes(left.first, right.first),
-		pause: addTimes(left.pause, right.pause),
-	};
+	capture(): AnswerSums {
+		return {
+			sent: this.#sent, succeeded: this.#succeeded, failed: this.#failed, first: this.#first, pause: this.#pause,
+		};
+	}
 }
 
-function addTimes(left: LogTimeSums, right: LogTimeSums): LogTimeSums {
-	return {count: left.count + right.count, sum: left.sum + right.sum, squares: left.squares + right.squares};
+function addTimes(total: {count: number; sum: number; squares: number}, added: LogTimeSums): void {
+	total.count += added.count;
+	total.sum += added.sum;
+	total.squares += added.squares;
 }
