Test silent entries and statuses that overtake each other

Two rules of the evidence had no test: an entry that stopped reporting holds up a completion for 5 s only, and an older status that arrives late does not replace a newer one.

--- a/packages/mulberrypitch-coordinator/src/__tests__/rollout-duty.test.ts
+++ b/packages/mulberrypitch-coordinator/src/__tests__/rollout-duty.test.ts
@@ -86,6 +86,22 @@
 	t.match(await read(group), {state: 'completed'});
 });
 
+// Guards against old back ends that are stopped under an entry that is cut off, and against a killed entry that holds up the completion.
+await t.test('an entry that stopped reporting holds up the completion for a few seconds only', async t => {
+	const group = await startGroup(t, moveAtOnce);
+	startEntry(t, group);
+	const silent = startEntry(t, group, {name: 'silent', incarnation: 'y'});
+	silent.report = {othersRunning: 2};
+	await group.clock.runFor(1000);
+	await order(group);
+	await group.clock.runFor(1000);
+	silent.stop();
+	await group.clock.runFor(4000);
+	t.match(await read(group), {state: 'running', share: 1});
+	await group.clock.runFor(2500);
+	t.match(await read(group), {state: 'completed'});
+});
+
 // Guards against a version that goes into service because nothing was known of it.
 await t.test('a roll-out without a decision by its deadline is rolled back', async t => {
 	const group = await startGroup(t, () => ({kind: 'hold'}));
--- a/packages/mulberrypitch-coordinator/src/__tests__/rollout-table.test.ts
+++ b/packages/mulberrypitch-coordinator/src/__tests__/rollout-table.test.ts
@@ -3,6 +3,7 @@
 import {assumeType} from '@mulberrypitch/errors/assume-type';
 import {VirtualClock} from '@mulberrypitch/fakes/virtual-clock';
 import {rolloutStates, type Rollout} from '@mulberrypitch/serving/rollout-messages';
+import type {EntryStatus} from '@mulberrypitch/serving/view-messages';
 import {RolloutEvidenceStore} from '../rollout-evidence.js';
 import {repeatMs} from '../rollout-table.js';
 import {RolloutTracker} from '../rollout-tracker.js';
@@ -104,6 +105,25 @@
 	t.equal(JSON.stringify(state.capture()), before);
 });
 
+// Guards against counts that go back when statuses overtake each other on their way through two coordinators.
+await t.test('the newest evidence of an incarnation counts, whatever arrives last', async t => {
+	const store = new RolloutEvidenceStore();
+	const status = (upMs: number, requests?: number) => assumeType<EntryStatus>({
+		name: 'front', incarnation: 'x', upMs, ...(requests !== undefined && {
+			rollouts: [{
+				rollout: 1, revision: 1, requests, othersRunning: 0, routes: [],
+			}],
+		}),
+	});
+	store.merge(status(200, 9));
+	store.merge(status(100, 4));
+	t.equal(store.sum(1).requests, 9);
+	store.merge(status(300));
+	t.equal(store.sum(1).requests, 9, 'a status that does not list the roll-out');
+	store.retain(id => id === 2);
+	t.equal(store.sum(1).requests, 0);
+});
+
 // Guards against a deadline that a restart or a change of the leader puts off, and against a time that goes back.
 await t.test('the elapsed time is measured from the committed one, and never goes back', async t => {
 	const clock = new VirtualClock();
--- a/packages/mulberrypitch-coordinator/src/coordinator.ts
+++ b/packages/mulberrypitch-coordinator/src/coordinator.ts
@@ -232,8 +232,7 @@
 		this.#resources.add(this.#gossip);
 		this.#duties.start();
 		this.#resources.add(this.#duties);
-		this.rollouts.start();
-		this.#resources.add(this.rollouts);
+		this.#resources.add(this.rollouts).start();
 		this.#startTask('join', async signal => this.#runJoin(signal));
 		this.#startTask('expiry', async signal => this.#runExpiry(signal));
 		this.#startTask('storage', async signal => this.#runStorageWatch(signal));
