--- /dev/null
+++ b/packages/mulberrypitch-rollouts/src/rollout-decision.ts
@@ -0,0 +1,130 @@
+/** The decision on a roll-out: it composes the comparison of both versions with the schedule of shares. */
+import type {RolloutDecision, RolloutLimits, RolloutObservation} from '@mulberrypitch/serving/rollout-messages';
+import {subtractEvidence, sumRoutes} from './evidence-sums.js';
+import {
+	firstShare, firstShareMs, getNextShare, getProbeShare, getSchedule, limitToCapacity, type Schedule,
+} from './share-schedule.js';
+import {getSuspicion} from './suspicion.js';
+
+/**
+ * Level of suspicion that rolls back. Each comparison of a good version ever reaches it with a probability of e^-11, 2 in 100,000; a
+ * roll-out makes some 200 comparisons (routes, metrics and shares).
+ */
+const rollBackLevel = 11;
+/** Level up to which the evidence counts as clean. */
+const cleanLevel = 2;
+/** Level up to which a version is still completed when the time runs out. */
+const lateLevel = 5;
+/** Successful answers of the target without which nothing is known of it. */
+const minSuccesses = 3;
+/** Answers of the target at a share that show its quality there. */
+const enoughAnswers = 20;
+/** Relative excess of the share over that of the probe from which on it is lowered. */
+const maxProbeExcess = 1.6;
+/** Shortest time in milliseconds at share 1 before completion, in which trouble at full load shows. */
+const minFullShareMs = 1000;
+
+/**
+Decides what is done next with a running roll-out. It keeps no state: the same observation gives the same decision.
+
+@example
+```
+const decision = decideRollout(observation, {exposedShare: 0.1, exposedSlack: 50, rollbackMs: 5000});
+```
+*/
+export function decideRollout(observation: RolloutObservation, limits: RolloutLimits): RolloutDecision {
+	const schedule = getSchedule(observation.durationMs);
+	const suspicion = getSuspicion(observation);
+	if (suspicion.level >= rollBackLevel) {
+		return {kind: 'rollBack', reason: suspicion.reason};
+	}
+
+	const {elapsedMs, share, targetBackends} = observation;
+	if (elapsedMs >= schedule.giveUpMs) {
+		return {kind: 'rollBack', reason: `not completed in time: ${describeLack(observation)}`};
+	}
+
+	if (targetBackends === 0) {
+		return {kind: 'hold'};
+	}
+
+	const isKnown = sumRoutes(observation.routes, 'target').succeeded >= minSuccesses;
+	if (elapsedMs >= schedule.completeMs) {
+		return isKnown && suspicion.level <= lateLevel
+			? {kind: 'complete', reason: 'no evidence against the target shortly before the deadline'}
+			: {kind: 'hold'};
+	}
+
+	if (share === 0) {
+		return {kind: 'setShare', share: limitToCapacity(firstShare, observation), reason: 'the target has back ends'};
+	}
+
+	if (elapsedMs >= schedule.fullMs) {
+		return isKnown && suspicion.level <= lateLevel ? finish(observation, schedule, suspicion.level) : {kind: 'hold'};
+	}
+
+	return elapsedMs < schedule.rampMs
+		? probe(observation, limits, schedule)
+		: ramp(observation, schedule, isKnown && suspicion.level <= cleanLevel);
+}
+
+/** Spreads a part of the exposure limit over the time until the ramp. */
+function probe(observation: RolloutObservation, limits: RolloutLimits, schedule: Schedule): RolloutDecision {
+	const {share, shareAgeMs} = observation;
+	if (shareAgeMs < firstShareMs) {
+		return {kind: 'hold'};
+	}
+
+	const planned = getProbeShare(observation, limits, schedule);
+	if (share <= firstShare && Math.abs(planned - share) > share / 10) {
+		return {kind: 'setShare', share: planned, reason: 'the rate of requests is known'};
+	}
+
+	return share > planned * maxProbeExcess
+		? {kind: 'setShare', share: planned, reason: 'fewer requests than expected'}
+		: {kind: 'hold'};
+}
+
+/** Raises the share step by step while the evidence at the present share is clean. */
+function ramp(observation: RolloutObservation, schedule: Schedule, isClean: boolean): RolloutDecision {
+	const {share, shareAgeMs} = observation;
+	const next = limitToCapacity(getNextShare(share), observation);
+	if (!isClean || next <= share || shareAgeMs < schedule.dwellMs) {
+		return {kind: 'hold'};
+	}
+
+	// The last step waits for its time, since only before it both versions can be compared.
+	return next < 1 && (countAnswers(observation) >= enoughAnswers || shareAgeMs >= 2 * schedule.dwellMs)
+		? {kind: 'setShare', share: next, reason: `clean at share ${share}`}
+		: {kind: 'hold'};
+}
+
+/** Sends all requests to the target, and completes when the others have none. */
+function finish(observation: RolloutObservation, {dwellMs}: Schedule, level: number): RolloutDecision {
+	const {share, shareAgeMs, isAppliedEverywhere, othersRunning} = observation;
+	if (share < 1) {
+		const next = getNextShare(share);
+		return shareAgeMs >= Math.min(dwellMs, minFullShareMs)
+			? {kind: 'setShare', share: next, reason: `no evidence against the target at share ${share}`}
+			: {kind: 'hold'};
+	}
+
+	const isDrained = isAppliedEverywhere && othersRunning === 0 && shareAgeMs >= minFullShareMs;
+	return isDrained && level <= cleanLevel
+		? {kind: 'complete', reason: 'all requests go to the target, and the others have none in progress'}
+		: {kind: 'hold'};
+}
+
+function countAnswers({routes, routesBefore}: RolloutObservation): number {
+	const {succeeded, failed} = sumRoutes(subtractEvidence(routes, routesBefore), 'target');
+	return succeeded + failed;
+}
+
+function describeLack({targetBackends, routes}: RolloutObservation): string {
+	if (targetBackends === 0) {
+		return 'the target has no back end';
+	}
+
+	const {succeeded} = sumRoutes(routes, 'target');
+	return succeeded < minSuccesses ? 'too few answers of the target' : 'the evidence against the target was not cleared up';
+}
--- /dev/null
+++ b/packages/mulberrypitch-rollouts/src/share-schedule.ts
@@ -0,0 +1,106 @@
+/** The share of the target over time, within the limit of exposure. */
+import type {RolloutLimits, RolloutObservation} from '@mulberrypitch/serving/rollout-messages';
+import {sumRoutes} from './evidence-sums.js';
+
+/** Share at which the first answers are gathered, while the rate of requests is unknown and the target's servers are cold. */
+export const firstShare = 0.03;
+/** Time in milliseconds for which the first share stays, by which the rate of requests is known well enough to plan with. */
+export const firstShareMs = 1000;
+/** Shares through which the target passes after the probe. At 0.9, the others still show what hits both sides. */
+const rampShares = [0.12, 0.3, 0.9, 1];
+/** A step to less than this multiple of the share would take time and show little. */
+const minStep = 2;
+/** Part of the exposure limit that is spent before the ramp. The rest is for the ramp and for the time until a bad version is noticed. */
+const probePart = 0.3;
+const maxProbeShare = 0.5;
+const minProbeShare = 0.01;
+/** Part of the requests expected until the deadline that are counted on, since the rate may fall. */
+const countedPart = 0.9;
+/** Number of steps of the ramp for which time is set aside. */
+const plannedSteps = 3;
+
+/** Times in milliseconds since the order. */
+export type Schedule = {
+	/** End of the probe and start of the ramp. */
+	readonly rampMs: number;
+	/** Shortest time at each share of the ramp. */
+	readonly dwellMs: number;
+	/** From here on the share is 1, unless the evidence is against it. */
+	readonly fullMs: number;
+	/** From here on a version that shows no fault is completed, whatever its share. */
+	readonly completeMs: number;
+	/** From here on a version that could not be completed is rolled back. */
+	readonly giveUpMs: number;
+};
+
+/**
+Returns the times of a roll-out of the given duration in milliseconds.
+
+@example
+```
+const {rampMs, fullMs} = getSchedule(12_000);
+```
+*/
+export function getSchedule(durationMs: number): Schedule {
+	// A quarter of the duration, and at least 3 s, is left for requests at old back ends to end.
+	const fullMs = durationMs - Math.max(3200, durationMs * 0.27);
+	const dwellMs = Math.min(2000, Math.max(700, durationMs * 0.08));
+	return {
+		rampMs: Math.max(firstShareMs, fullMs - (plannedSteps * dwellMs)),
+		dwellMs,
+		fullMs,
+		completeMs: durationMs - Math.min(1500, durationMs * 0.2),
+		giveUpMs: durationMs - Math.min(300, durationMs * 0.05),
+	};
+}
+
+/**
+Returns the share of the probe: the target gets a part of the exposure limit, spread evenly over the time until the ramp.
+
+@example
+```
+const share = getProbeShare(observation, limits, getSchedule(observation.durationMs));
+```
+*/
+export function getProbeShare(observation: RolloutObservation, limits: RolloutLimits, {rampMs}: Schedule): number {
+	const {elapsedMs, durationMs, requests} = observation;
+	const rate = requests / elapsedMs;
+	const expected = requests + (countedPart * rate * (durationMs - elapsedMs));
+	const budget = probePart * ((limits.exposedShare * expected) + limits.exposedSlack);
+	const remaining = rate * Math.max(firstShareMs, rampMs - elapsedMs);
+	const share = remaining > 0 ? (budget - getExposure(observation)) / remaining : firstShare;
+	return limitToCapacity(Math.min(maxProbeShare, Math.max(minProbeShare, share)), observation);
+}
+
+/**
+Returns the next share of the ramp after `share`.
+
+@example
+```
+getNextShare(0.3); // 0.9
+```
+*/
+export function getNextShare(share: number): number {
+	return rampShares.find(next => next >= share * minStep) ?? 1;
+}
+
+/**
+Returns the share, or less if the target has too few back ends yet to run that part of the requests at the others' load.
+
+@example
+```
+const share = limitToCapacity(0.3, observation);
+```
+*/
+export function limitToCapacity(share: number, {targetBackends, otherBackends}: RolloutObservation): number {
+	return targetBackends < otherBackends ? Math.min(share, targetBackends / otherBackends) : share;
+}
+
+/**
+ * Number of requests that were sent to the target, including those that entries have not yet reported and those in evidence that was
+ * lost, as far as the share tells.
+ */
+function getExposure({routes, routesBefore, requests, elapsedMs, share, shareAgeMs}: RolloutObservation): number {
+	const planned = share * shareAgeMs * requests / elapsedMs;
+	return Math.max(sumRoutes(routes, 'target').sent, sumRoutes(routesBefore, 'target').sent + planned);
+}
