--- /dev/null
+++ b/packages/mulberrypitch-rollouts/src/__tests__/synthetic-rollout.ts
@@ -0,0 +1,171 @@
+/** A synthetic source of answers of two versions, seen through entries that report late and act late, on virtual time. */
+import {type Random, SeededRandom} from '@mulberrypitch/lifecycle/random';
+import type {AnswerSums, RolloutLimits, RouteEvidence} from '@mulberrypitch/serving/rollout-messages';
+import {decideRollout} from '../rollout-decision.js';
+import {addEvidence, noAnswers} from '../evidence-sums.js';
+
+/** A kind of request. Times are lognormal. */
+export type SyntheticRoute = {
+	readonly name: string; readonly part: number; readonly medianMs: number; readonly spread: number;
+	readonly failedPart: number; readonly streamMs: number;
+};
+/** What is wrong with an answer: the probabilities of a failure and of slowness by `factor`. */
+export type Fault = {readonly failed?: number; readonly slow?: number; readonly factor?: number};
+/** A roll-out to be simulated. `at` is the time in milliseconds since the order. */
+export type SyntheticCase = {
+	readonly name: string; readonly isBad: boolean; readonly rate: number; readonly durationMs: number; readonly backends: number;
+	readonly routes: readonly SyntheticRoute[]; readonly targetStartMs?: number; readonly coldFactor?: number;
+	readonly lostEntryAtMs?: number; readonly noLeaderFromMs?: number;
+	readonly faults?: (input: {at: number; route: string; share: number; isTarget: boolean}) => Fault;
+};
+/** What became of a roll-out. `sentLate` counts requests to the target after `rollbackMs` since its 50th bad answer. */
+export type SyntheticResult = {
+	readonly state: string; readonly endMs: number; readonly reason: string; readonly sent: number; readonly requests: number;
+	readonly badAnswers: number; readonly sentLate: number;
+};
+
+export const limits: RolloutLimits = {exposedShare: 0.1, exposedSlack: 50, rollbackMs: 5000};
+const entryCount = 8;
+const stepMs = 10;
+const reportMs = 200;
+const noLeaderMs = 2000;
+const fastFailure = 0.2;
+
+type Side = 'target' | 'others';
+type Sums = {sent: number; succeeded: number; failed: number; first: Times; pause: Times};
+type Times = {count: number; sum: number; squares: number};
+type Entry = {routes: Map<string, Record<Side, Sums>>; running: number; share: number; reported: RouteEvidence[]; reportedRunning: number};
+
+/** Runs the case with a seed. */
+export function simulateRollout(scenario: SyntheticCase, seed: number): SyntheticResult {
+	const random = new SeededRandom(seed);
+	const entries = Array.from({length: entryCount}, createEntry);
+	const due = new Map<number, Array<() => void>>();
+	const schedule = (at: number, action: () => void) => {
+		const step = Math.ceil(at / stepMs) * stepMs;
+		due.set(step, [...due.get(step) ?? [], action]);
+	};
+
+	const {durationMs, backends, targetStartMs = 0} = scenario;
+	let share = 0;
+	let shareAt = 0;
+	let routesBefore: RouteEvidence[] = [];
+	let state = 'running';
+	let endMs = durationMs;
+	let reason = '';
+	const counts = {sent: 0, requests: 0, badAnswers: 0, sentLate: 0, cold: backends, lateFrom: Infinity};
+
+	const send = (now: number) => {
+		const entry = entries[Math.floor(random.next() * entryCount)]!;
+		const route = pick(scenario.routes, random);
+		const isTarget = now >= targetStartMs && random.next() < entry.share;
+		const fault = scenario.faults?.({at: now, route: route.name, share: entry.share, isTarget}) ?? {};
+		const sums = entry.routes.get(route.name) ?? {target: createSums(), others: createSums()};
+		entry.routes.set(route.name, sums);
+		const side = sums[isTarget ? 'target' : 'others'];
+		const isFailed = random.next() < 1 - ((1 - route.failedPart) * (1 - (fault.failed ?? 0)));
+		const isSlow = random.next() < (fault.slow ?? 0);
+		let timeMs = route.medianMs * Math.exp(route.spread * getNormal(random)) * (isSlow ? fault.factor! : 1);
+		if (isTarget) {
+			timeMs *= counts.cold > 0 ? scenario.coldFactor ?? 1 : 1;
+			counts.cold -= 1;
+			counts.sent += 1;
+			counts.sentLate += now > counts.lateFrom ? 1 : 0;
+		}
+
+		counts.requests += 1;
+		side.sent += 1;
+		entry.running += isTarget ? 0 : 1;
+		const finish = (end: number) => {
+			entry.running -= isTarget ? 0 : 1;
+			side[isFailed ? 'failed' : 'succeeded'] += 1;
+			counts.badAnswers += isTarget && (isFailed || isSlow) ? 1 : 0;
+			counts.lateFrom = counts.badAnswers === 50 ? Math.min(counts.lateFrom, end + limits.rollbackMs) : counts.lateFrom;
+		};
+
+		if (isFailed) {
+			schedule(now + (timeMs * fastFailure), () => finish(now + (timeMs * fastFailure)));
+			return;
+		}
+
+		const endAt = now + timeMs + (route.streamMs * (0.5 + random.next()));
+		schedule(now + timeMs, () => addTime(side.first, timeMs));
+		schedule(endAt, () => {
+			finish(endAt);
+			if (route.streamMs > 0) {
+				addTime(side.pause, 80 * Math.exp(0.4 * getNormal(random)) * (isSlow ? fault.factor! : 1));
+			}
+		});
+	};
+
+	const decide = (now: number) => {
+		const routes = addEvidence(entries.map(entry => entry.reported));
+		const decision = decideRollout({
+			durationMs, elapsedMs: now, share, shareAgeMs: now - shareAt, requests: counts.requests, routes, routesBefore,
+			othersRunning: entries.reduce((sum, entry) => sum + entry.reportedRunning, 0), isAppliedEverywhere: now - shareAt > 400,
+			targetBackends: now >= targetStartMs ? backends : 0, otherBackends: backends,
+		}, limits);
+		if (decision.kind === 'hold') {
+			return;
+		}
+
+		share = decision.kind === 'setShare' ? decision.share : Number(decision.kind === 'complete');
+		[shareAt, routesBefore, reason] = [now, routes, decision.reason];
+		if (decision.kind !== 'setShare') {
+			[state, endMs] = [decision.kind, now];
+		}
+
+		const ordered = share;
+		for (const entry of entries) {
+			schedule(now + 100 + (200 * random.next()), () => {
+				entry.share = ordered;
+			});
+		}
+	};
+
+	let nextRequest = 0;
+	for (let now = stepMs; now <= durationMs; now += stepMs) {
+		for (const action of due.get(now) ?? []) {
+			action();
+		}
+
+		due.delete(now);
+		for (; nextRequest < now; nextRequest -= Math.log(1 - random.next()) * 1000 / scenario.rate) {
+			send(now);
+		}
+
+		for (const [index, entry] of entries.entries()) {
+			if (now === scenario.lostEntryAtMs && index === 0) {
+				entries[0] = {...createEntry(), share: entry.share};
+			} else if ((now + (index * 30)) % reportMs < stepMs) {
+				entry.reported = [...entry.routes].map(([route, sums]) => structuredCopy(route, sums));
+				entry.reportedRunning = entry.running;
+			}
+		}
+
+		const sinceLoss = now - (scenario.noLeaderFromMs ?? Infinity);
+		if (now % 100 === 0 && state === 'running' && !(sinceLoss >= 0 && sinceLoss < noLeaderMs)) {
+			decide(now);
+		}
+	}
+
+	return {state, endMs, reason, ...counts};
+}
+
+const createEntry = (): Entry => ({routes: new Map(), running: 0, share: 0, reported: [], reportedRunning: 0});
+const createSums = (): Sums => ({...noAnswers, first: {...noAnswers.first}, pause: {...noAnswers.pause}});
+const copySums = (sums: Sums): AnswerSums => ({...sums, first: {...sums.first}, pause: {...sums.pause}});
+const structuredCopy = (route: string, {target, others}: Record<Side, Sums>) => ({route, target: copySums(target), others: copySums(others)});
+
+function addTime(times: Times, ms: number) {
+	times.count += 1;
+	times.sum += Math.log(ms);
+	times.squares += Math.log(ms) ** 2;
+}
+
+function pick(routes: readonly SyntheticRoute[], random: Random): SyntheticRoute {
+	let rest = random.next();
+	return routes.find(route => (rest -= route.part) < 0) ?? routes[0]!;
+}
+
+const getNormal = (random: Random) => Math.sqrt(-2 * Math.log(1 - random.next())) * Math.cos(2 * Math.PI * random.next());
--- a/packages/mulberrypitch-rollouts/src/rollout-decision.ts
+++ b/packages/mulberrypitch-rollouts/src/rollout-decision.ts
@@ -7,14 +7,14 @@
 import {getSuspicion} from './suspicion.js';
 
 /**
- * Level of suspicion that rolls back. Each comparison of a good version ever reaches it with a probability of e^-11, 2 in 100,000; a
+ * Level of suspicion that rolls back. Each comparison of a good version ever reaches it with a probability of e^-9, 1 in 8,000; a
  * roll-out makes some 200 comparisons (routes, metrics and shares).
  */
-const rollBackLevel = 11;
+const rollBackLevel = 9;
 /** Level up to which the evidence counts as clean. */
 const cleanLevel = 2;
 /** Level up to which a version is still completed when the time runs out. */
-const lateLevel = 5;
+const lateLevel = 4;
 /** Successful answers of the target without which nothing is known of it. */
 const minSuccesses = 3;
 /** Answers of the target at a share that show its quality there. */
@@ -88,7 +88,7 @@
 /** Raises the share step by step while the evidence at the present share is clean. */
 function ramp(observation: RolloutObservation, schedule: Schedule, isClean: boolean): RolloutDecision {
 	const {share, shareAgeMs} = observation;
-	const next = limitToCapacity(getNextShare(share), observation);
+	const next = limitToCapacity(getNextShare(observation), observation);
 	if (!isClean || next <= share || shareAgeMs < schedule.dwellMs) {
 		return {kind: 'hold'};
 	}
@@ -103,7 +103,7 @@
 function finish(observation: RolloutObservation, {dwellMs}: Schedule, level: number): RolloutDecision {
 	const {share, shareAgeMs, isAppliedEverywhere, othersRunning} = observation;
 	if (share < 1) {
-		const next = getNextShare(share);
+		const next = getNextShare(observation);
 		return shareAgeMs >= Math.min(dwellMs, minFullShareMs)
 			? {kind: 'setShare', share: next, reason: `no evidence against the target at share ${share}`}
 			: {kind: 'hold'};
--- a/packages/mulberrypitch-rollouts/src/share-schedule.ts
+++ b/packages/mulberrypitch-rollouts/src/share-schedule.ts
@@ -6,12 +6,23 @@
 export const firstShare = 0.03;
 /** Time in milliseconds for which the first share stays, by which the rate of requests is known well enough to plan with. */
 export const firstShareMs = 1000;
-/** Shares through which the target passes after the probe. At 0.9, the others still show what hits both sides. */
-const rampShares = [0.12, 0.3, 0.9, 1];
+/** Shares through which the target passes after the probe, before the highest at which both sides can be compared. */
+const rampShares = [0.12, 0.3];
+/** At the highest compared share, the others keep this many requests a second, within bounds, to show what hits both sides. */
+const controlRate = 30;
+const minComparedShare = 0.75;
+const maxComparedShare = 0.9;
 /** A step to less than this multiple of the share would take time and show little. */
 const minStep = 2;
-/** Part of the exposure limit that is spent before the ramp. The rest is for the ramp and for the time until a bad version is noticed. */
-const probePart = 0.3;
+/** Part of the exposure limit that is spent before the ramp in any case. */
+const minProbePart = 0.17;
+/** Part of what the ramp leaves of the exposure limit that is spent before it. */
+const spentPart = 0.7;
+/** Share and time in milliseconds that a version which turns bad at the highest compared share gets until it is rolled back. */
+const noticedShare = 0.9;
+const noticedMs = 1000;
+/** Share at the step before that, for one dwell time. */
+const middleShare = 0.3;
 const maxProbeShare = 0.5;
 const minProbeShare = 0.01;
 /** Part of the requests expected until the deadline that are counted on, since the rate may fall. */
@@ -62,26 +73,31 @@
 const share = getProbeShare(observation, limits, getSchedule(observation.durationMs));
 ```
 */
-export function getProbeShare(observation: RolloutObservation, limits: RolloutLimits, {rampMs}: Schedule): number {
+export function getProbeShare(observation: RolloutObservation, limits: RolloutLimits, {rampMs, dwellMs}: Schedule): number {
 	const {elapsedMs, durationMs, requests} = observation;
 	const rate = requests / elapsedMs;
 	const expected = requests + (countedPart * rate * (durationMs - elapsedMs));
-	const budget = probePart * ((limits.exposedShare * expected) + limits.exposedSlack);
+	const limit = (limits.exposedShare * expected) + limits.exposedSlack;
+	const reserve = rate * ((middleShare * dwellMs) + (noticedShare * noticedMs));
+	const budget = Math.max(minProbePart * limit, spentPart * (limit - reserve));
 	const remaining = rate * Math.max(firstShareMs, rampMs - elapsedMs);
 	const share = remaining > 0 ? (budget - getExposure(observation)) / remaining : firstShare;
 	return limitToCapacity(Math.min(maxProbeShare, Math.max(minProbeShare, share)), observation);
 }
 
 /**
-Returns the next share of the ramp after `share`.
+Returns the next share of the ramp.
 
 @example
 ```
-getNextShare(0.3); // 0.9
+const next = getNextShare(observation);
 ```
 */
-export function getNextShare(share: number): number {
-	return rampShares.find(next => next >= share * minStep) ?? 1;
+export function getNextShare({share, requests, elapsedMs}: RolloutObservation): number {
+	const perSecond = requests * 1000 / elapsedMs;
+	const highest = Math.min(maxComparedShare, Math.max(minComparedShare, 1 - (controlRate / perSecond)));
+	const next = rampShares.find(each => each >= share * minStep);
+	return next ?? (share < minComparedShare ? highest : 1);
 }
 
 /**
--- a/packages/mulberrypitch-rollouts/src/side-comparison.ts
+++ b/packages/mulberrypitch-rollouts/src/side-comparison.ts
@@ -1,25 +1,34 @@
 /**
- * Compares the answers of the target with those of the other versions within one route. Each result is the logarithm of a likelihood
+ * Compares the answers of the target with those of the other versions within one route. A level is the logarithm of a likelihood
  * ratio of "the target is worse" to "both are alike". A ratio of marginal likelihoods is valid at each look, however often it is
  * looked at: with both alike it ever reaches `x` with a probability of at most `1 / x`.
  */
 import type {AnswerSums, LogTimeSums} from '@mulberrypitch/serving/rollout-messages';
 import {getLogBeta} from './log-gamma.js';
 
-/** Failures that are assumed of a healthy route before any were seen: a mean of 5 %, worth 10 answers. */
+/** Failures that are assumed of a healthy route of which nothing is known: a mean of 5 %, worth 10 answers. */
 const priorFailed = 0.5;
 const priorSucceeded = 10;
+/** Number of answers that earlier answers of the others are worth, however many they are, since conditions change. */
+const earlierWeight = 20;
 /** Prior standard deviation of the difference of mean logarithms; 0.4 is the effect of 30 % of answers being 4 times slower. */
 const priorShift = 0.6;
 /** Prior variance of the logarithm of a time, and the number of answers it is worth. */
 const priorVariance = 0.25;
 const priorVarianceWeight = 4;
+/** The tails of times are heavier than those of a lognormal distribution. */
+const varianceFactor = 1.2;
+/**
+ * Variance of the mean logarithm of one back end's times. With 3 back ends on each side, one that is 2.5 times as slow stays below
+ * the level of a roll-back, and 30 % of all answers 4 times slower does not.
+ */
+const backendVariance = 0.0036;
 /** Times of fewer answers are not compared, since the estimate of their variance means nothing. */
 const minTimes = 6;
 /** Natural logarithm of the slowdown that is granted to the first answer of a cold server, a factor of 10. */
 const coldLog = Math.log(10);
-/** At most this part of the answers is taken to be first answers of cold servers. */
-const maxColdPart = 0.25;
+/** Standard deviations by which a route may get more of the first answers of cold servers than its part. */
+const coldDeviations = 2;
 /** Time in milliseconds by which counts of requests that were sent may lag behind a new share. */
 const reportLagMs = 400;
 /** Requests without an answer are tolerated up to this multiple of what the others' times let expect. */
@@ -31,104 +40,155 @@
 	readonly failureMargin: number;
 	/** Difference of mean logarithms that the target may have. */
 	readonly timeMargin: number;
-	/** Back ends of the target that have not given their first answer. */
-	readonly coldBackends: number;
+	/** First answers of cold servers that are expected in this route. */
+	readonly coldAnswers: number;
 };
 
-/** Logarithms of the likelihood ratios for each way in which a version can be worse. */
-export type Comparison = {
-	readonly failures: number;
-	readonly first: number;
-	readonly pause: number;
+/** Difference of the mean logarithms of times, beyond what is tolerated, with its variance. */
+export type TimeShift = {
+	readonly difference: number;
+	readonly variance: number;
+	/** Degrees of freedom of the variance. */
+	readonly freedom: number;
 };
 
 /**
-Compares the answers of both sides. The proportion of failures is that of requests sent, because failures that come faster than
-successes would count too much in answers just after a change of the share.
+Returns the level of suspicion by failures. The proportion is that of requests sent, because failures that come faster than
+successes would count too much in answers just after a change of the share. `earlier` are answers of the others from before.
 
 @example
 ```
-const {failures} = compareSides(sinceShare.target, sinceShare.others, {failureMargin: 0.02, timeMargin: 0.1, coldBackends: 0});
+const level = compareFailures(sinceShare.target, sinceShare.others, {earlier: before.others, margin: 0.02});
 ```
 */
-export function compareSides(target: AnswerSums, others: AnswerSums, options: ComparisonOptions): Comparison {
+export function compareFailures(target: AnswerSums, others: AnswerSums, {earlier, margin}: {
+	readonly earlier: AnswerSums;
+	readonly margin: number;
+}): number {
+	const targetSent = countSent(target);
+	const othersSent = countSent(others);
+	const earlierSent = countSent(earlier);
+	const earlierPart = Math.min(1, earlierWeight / Math.max(1, earlierSent));
+	const baseFailed = others.failed + (earlier.failed * earlierPart);
+	const baseSent = othersSent + (earlierSent * earlierPart);
+	// What is known from before takes the place of the general prior.
+	const priorPart = 1 - (0.8 * earlierSent * earlierPart / earlierWeight);
+	const failed = (priorFailed * priorPart) + baseFailed + (margin * baseSent);
+	const succeeded = (priorSucceeded * priorPart) + Math.max(0, baseSent - baseFailed - (margin * baseSent));
+	const targetSucceeded = targetSent - target.failed;
+	const alike = getLogBeta(failed + target.failed, succeeded + targetSucceeded) - getLogBeta(failed, succeeded);
+	const level = getLogBeta(1 + target.failed, 1 + targetSucceeded) - alike;
+	return target.failed * (failed + succeeded) > failed * targetSent ? level : Math.min(0, level);
+}
+
+/**
+Compares the times of both sides. Returns undefined for too few answers.
+
+@example
+```
+const shift = compareTimes(sinceShare.target.first, sinceShare.others.first, {failureMargin: 0.02, timeMargin: 0.1, coldAnswers: 0});
+```
+*/
+export function compareTimes(target: LogTimeSums, others: LogTimeSums, {timeMargin, coldAnswers}: ComparisonOptions): TimeShift | undefined {
+	if (target.count < minTimes || others.count < minTimes) {
+		return undefined;
+	}
+
+	const cold = Math.min(target.count, coldAnswers + (coldDeviations * Math.sqrt(coldAnswers)));
+	const {mean, variance} = getMoments(others);
 	return {
-		failures: compareFailures(target, others, options.failureMargin),
-		first: compareTimes(target.first, others.first, options),
-		pause: compareTimes(target.pause, others.pause, {...options, coldBackends: 0}),
+		difference: (target.sum / target.count) - mean - timeMargin - (cold * coldLog / target.count),
+		// If both are alike, so are the variances. The target's own would hide that a part of its answers is slow.
+		variance: varianceFactor * variance * ((1 / target.count) + (1 / others.count)),
+		freedom: priorVarianceWeight + others.count - 1,
 	};
 }
 
+/**
+Combines the shifts of several routes into that of a version which is slower on all of them.
+
+@example
+```
+const shift = poolShifts(routes.map(route => route.first));
+```
+*/
+export function poolShifts(shifts: ReadonlyArray<TimeShift | undefined>): TimeShift | undefined {
+	let weight = 0;
+	let weighted = 0;
+	let freedom = 0;
+	for (const shift of shifts.filter(each => each !== undefined)) {
+		weight += 1 / shift.variance;
+		weighted += shift.difference / shift.variance;
+		freedom += shift.freedom;
+	}
+
+	return weight === 0 ? undefined : {difference: weighted / weight, variance: 1 / weight, freedom};
+}
+
+/**
+Returns the level of suspicion by a shift of times, for the numbers of back ends of both sides.
+
+@example
+```
+const level = getShiftLevel(shift, {targetBackends: 42, otherBackends: 42});
+```
+*/
+export function getShiftLevel(shift: TimeShift | undefined, {targetBackends, otherBackends}: {
+	readonly targetBackends: number;
+	readonly otherBackends: number;
+}): number {
+	if (shift === undefined || shift.difference <= 0) {
+		return 0;
+	}
+
+	const {difference, freedom} = shift;
+	const variance = shift.variance + (backendVariance * ((1 / Math.max(1, targetBackends)) + (1 / Math.max(1, otherBackends))));
+	const prior = priorShift ** 2;
+	const gain = (difference ** 2) * prior / (variance * (variance + prior));
+	// With an estimated variance the exponential of the normal density becomes the power of Student's.
+	return ((freedom + 1) / 2 * Math.log(1 + (gain / freedom))) - (Math.log(1 + (prior / variance)) / 2);
+}
+
 /**
 Compares the number of requests that wait for their first event with the number expected from the others' times. A version that
-is slower shows this before its slow answers arrive. `target` holds all requests, `sinceShare` those since the share came into force.
+is slower shows this before its slow answers arrive. `target` and `others` hold all requests, the other two those since the share
+came into force.
 
 @example
 ```
-const pending = comparePending({target, sinceShare, others, othersSinceShare, shareAgeMs: 800, coldBackends: 0});
+const level = comparePending({target, targetRecent, others, othersRecent, shareAgeMs: 800, coldAnswers: 0});
 ```
 */
-export function comparePending(input: {
+export function comparePending({target, targetRecent, others, othersRecent, shareAgeMs, coldAnswers}: {
 	readonly target: AnswerSums;
-	readonly sinceShare: AnswerSums;
+	readonly targetRecent: AnswerSums;
 	readonly others: AnswerSums;
-	readonly othersSinceShare: AnswerSums;
+	readonly othersRecent: AnswerSums;
 	readonly shareAgeMs: number;
-	readonly coldBackends: number;
+	readonly coldAnswers: number;
 }): number {
-	const {target, sinceShare, others, othersSinceShare, shareAgeMs, coldBackends} = input;
 	if (shareAgeMs < 2 * reportLagMs || others.first.count < minTimes) {
 		return 0;
 	}
 
 	const {mean, variance} = getMoments(others.first);
-	const othersRate = othersSinceShare.sent / shareAgeMs;
-	const measuredMs = othersRate > 0 ? getPending(others) / othersRate : 0;
+	const othersRate = othersRecent.sent / shareAgeMs;
+	const measuredMs = othersRate > 0 ? countPending(others) / othersRate : 0;
 	const expectedMs = Math.max(Math.exp(mean + (variance / 2)), measuredMs);
-	const rate = sinceShare.sent / (shareAgeMs - reportLagMs);
-	const expected = 1 + (pendingTolerance * rate * expectedMs) + Math.min(coldBackends, sinceShare.sent * maxColdPart);
-	const pending = getPending(target);
+	const rate = targetRecent.sent / (shareAgeMs - reportLagMs);
+	const cold = Math.min(targetRecent.sent, coldAnswers + (coldDeviations * Math.sqrt(coldAnswers)));
+	const expected = 1 + cold + (pendingTolerance * rate * expectedMs);
+	const pending = countPending(target);
 	return pending > expected ? (pending * Math.log(pending / expected)) - pending + expected - Math.log(1 + pending) : 0;
 }
 
-function getPending(answers: AnswerSums): number {
+function countPending(answers: AnswerSums): number {
 	return Math.max(0, answers.sent - answers.first.count - answers.failed);
 }
 
-function compareFailures(target: AnswerSums, others: AnswerSums, margin: number): number {
-	const targetSent = Math.max(target.sent, target.succeeded + target.failed);
-	const othersSent = Math.max(others.sent, others.succeeded + others.failed);
-	const failed = priorFailed + others.failed + (margin * othersSent);
-	const succeeded = priorSucceeded + ((1 - margin) * othersSent) - others.failed;
-	if (target.failed === 0 || target.failed * (failed + succeeded) <= failed * targetSent || succeeded <= 0) {
-		return 0;
-	}
-
-	const targetSucceeded = targetSent - target.failed;
-	const alike = getLogBeta(failed + target.failed, succeeded + targetSucceeded) - getLogBeta(failed, succeeded);
-	return getLogBeta(1 + target.failed, 1 + targetSucceeded) - alike;
-}
-
-function compareTimes(target: LogTimeSums, others: LogTimeSums, {timeMargin, coldBackends}: ComparisonOptions): number {
-	if (target.count < minTimes || others.count < minTimes) {
-		return 0;
-	}
-
-	const cold = Math.min(coldBackends, target.count * maxColdPart);
-	const a = getMoments(target);
-	const b = getMoments(others);
-	const difference = a.mean - b.mean - timeMargin - (cold * coldLog / target.count);
-	if (difference <= 0) {
-		return 0;
-	}
-
-	// If both are alike, so are the variances; the larger one keeps few answers of the target from looking more certain than they are.
-	const variance = (Math.max(a.variance, b.variance) / target.count) + (b.variance / others.count);
-	const prior = priorShift ** 2;
-	const freedom = priorVarianceWeight + Math.min(target.count, others.count) - 1;
-	const gain = (difference ** 2) * prior / (variance * (variance + prior));
-	// With an estimated variance the exponential of the normal density becomes the power of Student's.
-	return ((freedom + 1) / 2 * Math.log(1 + (gain / freedom))) - (Math.log(1 + (prior / variance)) / 2);
+/** More may be answered since a share came into force than was sent since. */
+function countSent({sent, succeeded, failed}: AnswerSums): number {
+	return Math.max(sent, succeeded + failed);
 }
 
 function getMoments({count, sum, squares}: LogTimeSums): {mean: number; variance: number} {
--- a/packages/mulberrypitch-rollouts/src/suspicion.ts
+++ b/packages/mulberrypitch-rollouts/src/suspicion.ts
@@ -1,21 +1,28 @@
-/** How strongly the evidence speaks against the target, over all routes and both since the share came into force and before. */
-import type {RolloutObservation} from '@mulberrypitch/serving/rollout-messages';
+/** How strongly the evidence speaks against the target, over all routes, both since the share came into force and before. */
+import type {RolloutObservation, RouteEvidence} from '@mulberrypitch/serving/rollout-messages';
 import {noAnswers, subtractEvidence, sumRoutes} from './evidence-sums.js';
-import {compareSides, comparePending, type Comparison} from './side-comparison.js';
+import {
+	compareFailures, comparePending, compareTimes, type ComparisonOptions, getShiftLevel, poolShifts,
+} from './side-comparison.js';
 
 /** From this share on the others get too few requests to be compared with at the same time. */
 const maxComparedShare = 0.95;
 /** Margins of a comparison at the same time. They keep single back ends that crash or are slow from deciding on a version. */
 const comparedMargins = {failureMargin: 0.02, timeMargin: 0.1};
-/** Margins of a comparison with earlier answers of the others, when trouble that hits both sides can't be told apart. */
-const earlierMargins = {failureMargin: 0.1, timeMargin: 0.4};
+/**
+ * Margins of a comparison with earlier answers of the others. Trouble that hits both sides can't be told apart then, so only a
+ * failure of about half of the requests or times several times longer count.
+ */
+const earlierMargins = {failureMargin: 0.45, timeMargin: Math.log(3)};
 /** Requests without an answer vary in bursts, so their ratio counts less. */
 const pendingWeight = 0.6;
 /**
- * Largest logarithm of a ratio that is carried over from before the share. The sums over several shares mix times in which the parts
- * of both sides differed, so they must not decide by themselves.
+ * Largest level that is carried over from before the share. The sums over several shares mix times in which the parts of both
+ * sides differed, so they must not decide by themselves.
  */
 const maxCarried = 5;
+/** Name of the comparison over all routes. */
+const allRoutes = 'all routes';
 
 /** The strongest evidence against the target. */
 export type Suspicion = {
@@ -24,6 +31,8 @@
 	readonly reason: string;
 };
 
+type Levels = {failures: number; first: number; pause: number};
+
 /**
 Returns the strongest evidence against the target among routes and metrics.
 
@@ -33,37 +42,73 @@
 ```
 */
 export function getSuspicion(observation: RolloutObservation): Suspicion {
-	const {routes, routesBefore, share, shareAgeMs, targetBackends} = observation;
-	const before = new Map(routesBefore.map(evidence => [evidence.route, evidence]));
-	const answeredBefore = sumRoutes(routesBefore, 'target').succeeded;
-	const coldBackends = Math.max(0, targetBackends - answeredBefore);
+	const {routes, routesBefore, share, targetBackends} = observation;
+	const recent = subtractEvidence(routes, routesBefore);
 	const isCompared = share < maxComparedShare;
+	const coldBackends = Math.max(0, targetBackends - sumRoutes(routesBefore, 'target').succeeded);
+	const recentLevels = isCompared
+		? getLevels(recent, {...comparedMargins, coldBackends, observation, earlier: routesBefore})
+		: getLevels(
+			recent.map(({route, target}, index) => ({route, target, others: routes[index]!.others})),
+			{...earlierMargins, coldBackends, observation, earlier: []},
+		);
+	const carriedLevels = getLevels(routesBefore, {...comparedMargins, coldBackends: targetBackends, observation, earlier: []});
 	let strongest: Suspicion = {level: 0, reason: 'no evidence against the target'};
-	for (const {route, target, others} of subtractEvidence(routes, routesBefore)) {
-		const all = routes.find(evidence => evidence.route === route)!;
-		const earlier = before.get(route) ?? {target: noAnswers, others: noAnswers};
-		const reference = isCompared ? others : all.others;
-		const margins = isCompared ? comparedMargins : earlierMargins;
-		const recent = compareSides(target, reference, {...margins, coldBackends});
-		const carried = compareSides(earlier.target, earlier.others, {...comparedMargins, coldBackends: targetBackends});
-		const levels = {
-			...combine(recent, carried),
-			pending: pendingWeight * comparePending({
-				target: all.target, sinceShare: target, others: all.others, othersSinceShare: others, shareAgeMs, coldBackends,
-			}),
-		};
-		for (const [metric, level] of Object.entries(levels)) {
-			if (level > strongest.level) {
-				strongest = {level, reason: `${metric} on route ${JSON.stringify(route)}: log likelihood ratio ${level.toFixed(1)}`};
-			}
+	const consider = (route: string, metric: string, level: number) => {
+		if (level > strongest.level) {
+			strongest = {level, reason: `${metric} of ${route}: log likelihood ratio ${level.toFixed(1)}`};
+		}
+	};
+
+	for (const [route, levels] of recentLevels) {
+		for (const metric of ['failures', 'first', 'pause'] as const) {
+			// Evidence from before never speaks for the target, since a version may turn bad.
+			const carried = Math.min(maxCarried, Math.max(0, carriedLevels.get(route)?.[metric] ?? 0));
+			consider(route, metric, levels[metric] + carried);
 		}
 	}
 
+	for (const [index, {route, target, others}] of routes.entries()) {
+		const {target: targetRecent, others: othersRecent} = recent[index]!;
+		consider(nameRoute(route), 'waiting requests', pendingWeight * comparePending({
+			target, targetRecent, others, othersRecent, shareAgeMs: observation.shareAgeMs,
+			coldAnswers: getColdAnswers(coldBackends, targetRecent.sent, recent),
+		}));
+	}
+
 	return strongest;
 }
 
-/** Evidence from before adds to that of the present share. It never speaks for the target, since a version may turn bad. */
-function combine(recent: Comparison, carried: Comparison): Comparison {
-	const add = (metric: keyof Comparison) => recent[metric] + Math.min(maxCarried, Math.max(0, carried[metric]));
-	return {failures: add('failures'), first: add('first'), pause: add('pause')};
+/** Returns the levels of each route, and those of all routes together. */
+function getLevels(routes: readonly RouteEvidence[], options: Omit<ComparisonOptions, 'coldAnswers'> & {
+	readonly coldBackends: number;
+	readonly observation: RolloutObservation;
+	readonly earlier: readonly RouteEvidence[];
+}): Map<string, Levels> {
+	const {coldBackends, observation, earlier, failureMargin} = options;
+	const before = new Map(earlier.map(evidence => [evidence.route, evidence.others]));
+	const comparisons = routes.map(({route, target, others}) => ({
+		name: nameRoute(route),
+		failures: compareFailures(target, others, {earlier: before.get(route) ?? noAnswers, margin: failureMargin}),
+		first: compareTimes(target.first, others.first, {...options, coldAnswers: getColdAnswers(coldBackends, target.sent, routes)}),
+		pause: compareTimes(target.pause, others.pause, {...options, coldAnswers: 0}),
+	}));
+	const levels = new Map<string, Levels>(comparisons.map(({name, failures, first, pause}) => [
+		name, {failures, first: getShiftLevel(first, observation), pause: getShiftLevel(pause, observation)},
+	]));
+	levels.set(allRoutes, {
+		failures: comparisons.reduce((sum, {failures}) => sum + failures, 0),
+		first: getShiftLevel(poolShifts(comparisons.map(({first}) => first)), observation),
+		pause: getShiftLevel(poolShifts(comparisons.map(({pause}) => pause)), observation),
+	});
+	return levels;
+}
+
+/** Number of first answers of cold servers that are expected among the given number of requests of one route. */
+function getColdAnswers(coldBackends: number, sent: number, routes: readonly RouteEvidence[]): number {
+	return coldBackends * sent / Math.max(1, sumRoutes(routes, 'target').sent);
+}
+
+function nameRoute(route: string): string {
+	return `route ${JSON.stringify(route)}`;
 }
