Judge new and old answers by the same requests

Cause: after a change of the share, answers to earlier requests were compared with those to later ones, and a probe share that was lowered near its end made first answers of cold servers look slow. Change: proportions of requests sent, evidence from before the share counts no more than that since, new periods of evidence in the probe, and a lower probe share only where the exposure asks for it.

--- a/packages/mulberrypitch-rollouts/src/rollout-decision.ts
+++ b/packages/mulberrypitch-rollouts/src/rollout-decision.ts
@@ -2,7 +2,7 @@
 import type {RolloutDecision, RolloutLimits, RolloutObservation} from '@mulberrypitch/serving/rollout-messages';
 import {subtractEvidence, sumRoutes} from './evidence-sums.js';
 import {
-	firstShare, firstShareMs, getNextShare, getProbeShare, getSchedule, limitToCapacity, type Schedule,
+	firstShare, firstShareMs, getNextShare, getSchedule, limitToCapacity, planProbe, type Schedule,
 } from './share-schedule.js';
 import {getSuspicion} from './suspicion.js';
 
@@ -14,13 +14,18 @@
 /** Level up to which the evidence counts as clean. */
 const cleanLevel = 2;
 /** Level up to which a version is still completed when the time runs out. */
-const lateLevel = 4;
+const lateLevel = 3;
 /** Successful answers of the target without which nothing is known of it. */
 const minSuccesses = 3;
 /** Answers of the target at a share that show its quality there. */
 const enoughAnswers = 20;
-/** Relative excess of the share over that of the probe from which on it is lowered. */
-const maxProbeExcess = 1.6;
+/** Relative rise of the first share that is worth a change. */
+const minProbeRise = 1.1;
+/** Shortest time in milliseconds, and number of answers of the target, after which a new period of evidence starts in the probe. */
+const minProbeWindowMs = 3000;
+const probeWindowAnswers = 120;
+/** Part by which the share changes to mark a new period. */
+const probeChange = 0.01;
 /** Shortest time in milliseconds at share 1 before completion, in which trouble at full load shows. */
 const minFullShareMs = 1000;
 
@@ -75,20 +80,25 @@
 		return {kind: 'hold'};
 	}
 
-	const planned = getProbeShare(observation, limits, schedule);
-	if (share <= firstShare && Math.abs(planned - share) > share / 10) {
+	const {share: planned, isExceeded} = planProbe(observation, limits, schedule);
+	if (share <= firstShare && planned > share * minProbeRise) {
 		return {kind: 'setShare', share: planned, reason: 'the rate of requests is known'};
 	}
 
-	return share > planned * maxProbeExcess
-		? {kind: 'setShare', share: planned, reason: 'fewer requests than expected'}
+	if (isExceeded && planned < share) {
+		return {kind: 'setShare', share: planned, reason: 'fewer requests than expected'};
+	}
+
+	// Good answers from long ago would hide that the version has turned bad, so the evidence starts anew with a share that hardly differs.
+	return shareAgeMs >= minProbeWindowMs && countAnswers(observation) >= probeWindowAnswers
+		? {kind: 'setShare', share: share > planned ? share * (1 - probeChange) : share * (1 + probeChange), reason: 'new period of evidence'}
 		: {kind: 'hold'};
 }
 
 /** Raises the share step by step while the evidence at the present share is clean. */
 function ramp(observation: RolloutObservation, schedule: Schedule, isClean: boolean): RolloutDecision {
 	const {share, shareAgeMs} = observation;
-	const next = limitToCapacity(getNextShare(observation), observation);
+	const next = limitToCapacity(getNextShare(observation, schedule), observation);
 	if (!isClean || next <= share || shareAgeMs < schedule.dwellMs) {
 		return {kind: 'hold'};
 	}
@@ -100,11 +110,11 @@
 }
 
 /** Sends all requests to the target, and completes when the others have none. */
-function finish(observation: RolloutObservation, {dwellMs}: Schedule, level: number): RolloutDecision {
+function finish(observation: RolloutObservation, schedule: Schedule, level: number): RolloutDecision {
 	const {share, shareAgeMs, isAppliedEverywhere, othersRunning} = observation;
 	if (share < 1) {
-		const next = getNextShare(observation);
-		return shareAgeMs >= Math.min(dwellMs, minFullShareMs)
+		const next = getNextShare(observation, schedule);
+		return shareAgeMs >= Math.min(schedule.dwellMs, minFullShareMs)
 			? {kind: 'setShare', share: next, reason: `no evidence against the target at share ${share}`}
 			: {kind: 'hold'};
 	}
--- a/packages/mulberrypitch-rollouts/src/share-schedule.ts
+++ b/packages/mulberrypitch-rollouts/src/share-schedule.ts
@@ -8,8 +8,8 @@
 export const firstShareMs = 1000;
 /** Shares through which the target passes after the probe, before the highest at which both sides can be compared. */
 const rampShares = [0.12, 0.3];
-/** At the highest compared share, the others keep this many requests a second, within bounds, to show what hits both sides. */
-const controlRate = 30;
+/** At the highest compared share, the others keep this many requests in a dwell time, within bounds, to show what hits both sides. */
+const controlRequests = 20;
 const minComparedShare = 0.75;
 const maxComparedShare = 0.9;
 /** A step to less than this multiple of the share would take time and show little. */
@@ -23,6 +23,8 @@
 const noticedMs = 1000;
 /** Share at the step before that, for one dwell time. */
 const middleShare = 0.3;
+/** Multiple of that part at which the share of the probe is lowered. */
+const maxExcess = 1.6;
 const maxProbeShare = 0.5;
 const minProbeShare = 0.01;
 /** Part of the requests expected until the deadline that are counted on, since the rate may fall. */
@@ -66,23 +68,31 @@
 }
 
 /**
-Returns the share of the probe: the target gets a part of the exposure limit, spread evenly over the time until the ramp.
+Returns the share of the probe: the target gets a part of the exposure limit, spread evenly over the time until the ramp. Also tells
+whether the present share would spend much more than that, as when requests become fewer.
 
 @example
 ```
-const share = getProbeShare(observation, limits, getSchedule(observation.durationMs));
+const {share, isExceeded} = planProbe(observation, limits, getSchedule(observation.durationMs));
 ```
 */
-export function getProbeShare(observation: RolloutObservation, limits: RolloutLimits, {rampMs, dwellMs}: Schedule): number {
+export function planProbe(observation: RolloutObservation, limits: RolloutLimits, {rampMs, dwellMs}: Schedule): {
+	readonly share: number;
+	readonly isExceeded: boolean;
+} {
 	const {elapsedMs, durationMs, requests} = observation;
 	const rate = requests / elapsedMs;
 	const expected = requests + (countedPart * rate * (durationMs - elapsedMs));
 	const limit = (limits.exposedShare * expected) + limits.exposedSlack;
 	const reserve = rate * ((middleShare * dwellMs) + (noticedShare * noticedMs));
 	const budget = Math.max(minProbePart * limit, spentPart * (limit - reserve));
-	const remaining = rate * Math.max(firstShareMs, rampMs - elapsedMs);
-	const share = remaining > 0 ? (budget - getExposure(observation)) / remaining : firstShare;
-	return limitToCapacity(Math.min(maxProbeShare, Math.max(minProbeShare, share)), observation);
+	const remaining = rate * Math.max(0, rampMs - elapsedMs);
+	const exposure = getExposure(observation);
+	const share = remaining > 0 ? (budget - exposure) / remaining : firstShare;
+	return {
+		share: limitToCapacity(Math.min(maxProbeShare, Math.max(minProbeShare, share)), observation),
+		isExceeded: exposure + (observation.share * remaining) > maxExcess * budget,
+	};
 }
 
 /**
@@ -90,12 +100,12 @@
 
 @example
 ```
-const next = getNextShare(observation);
+const next = getNextShare(observation, schedule);
 ```
 */
-export function getNextShare({share, requests, elapsedMs}: RolloutObservation): number {
-	const perSecond = requests * 1000 / elapsedMs;
-	const highest = Math.min(maxComparedShare, Math.max(minComparedShare, 1 - (controlRate / perSecond)));
+export function getNextShare({share, requests, elapsedMs}: RolloutObservation, {dwellMs}: Schedule): number {
+	const inDwell = requests * dwellMs / elapsedMs;
+	const highest = Math.min(maxComparedShare, Math.max(minComparedShare, 1 - (controlRequests / inDwell)));
 	const next = rampShares.find(each => each >= share * minStep);
 	return next ?? (share < minComparedShare ? highest : 1);
 }
--- a/packages/mulberrypitch-rollouts/src/side-comparison.ts
+++ b/packages/mulberrypitch-rollouts/src/side-comparison.ts
@@ -10,7 +10,7 @@
 const priorFailed = 0.5;
 const priorSucceeded = 10;
 /** Number of answers that earlier answers of the others are worth, however many they are, since conditions change. */
-const earlierWeight = 20;
+const earlierWeight = 10;
 /** Prior standard deviation of the difference of mean logarithms; 0.4 is the effect of 30 % of answers being 4 times slower. */
 const priorShift = 0.6;
 /** Prior variance of the logarithm of a time, and the number of answers it is worth. */
@@ -65,9 +65,11 @@
 	readonly earlier: AnswerSums;
 	readonly margin: number;
 }): number {
-	const targetSent = countSent(target);
-	const othersSent = countSent(others);
-	const earlierSent = countSent(earlier);
+	// After a share has changed, answers to requests from before it don't match those sent since. Of both ways to count, that is taken
+	// which shows fewer failures of the target and more of the others.
+	const targetSent = Math.max(target.sent, target.succeeded + target.failed);
+	const othersSent = Math.max(others.sent, others.failed);
+	const earlierSent = Math.max(earlier.sent, earlier.failed);
 	const earlierPart = Math.min(1, earlierWeight / Math.max(1, earlierSent));
 	const baseFailed = others.failed + (earlier.failed * earlierPart);
 	const baseSent = othersSent + (earlierSent * earlierPart);
@@ -182,13 +184,16 @@
 	return pending > expected ? (pending * Math.log(pending / expected)) - pending + expected - Math.log(1 + pending) : 0;
 }
 
-function countPending(answers: AnswerSums): number {
-	return Math.max(0, answers.sent - answers.first.count - answers.failed);
-}
+/**
+Returns the number of requests that wait for their first event.
 
-/** More may be answered since a share came into force than was sent since. */
-function countSent({sent, succeeded, failed}: AnswerSums): number {
-	return Math.max(sent, succeeded + failed);
+@example
+```
+const waiting = countPending(evidence.target);
+```
+*/
+export function countPending(answers: AnswerSums): number {
+	return Math.max(0, answers.sent - answers.first.count - answers.failed);
 }
 
 function getMoments({count, sum, squares}: LogTimeSums): {mean: number; variance: number} {
--- a/packages/mulberrypitch-rollouts/src/suspicion.ts
+++ b/packages/mulberrypitch-rollouts/src/suspicion.ts
@@ -1,14 +1,15 @@
 /** How strongly the evidence speaks against the target, over all routes, both since the share came into force and before. */
-import type {RolloutObservation, RouteEvidence} from '@mulberrypitch/serving/rollout-messages';
+import type {AnswerSums, RolloutObservation, RouteEvidence} from '@mulberrypitch/serving/rollout-messages';
 import {noAnswers, subtractEvidence, sumRoutes} from './evidence-sums.js';
 import {
-	compareFailures, comparePending, compareTimes, type ComparisonOptions, getShiftLevel, poolShifts,
+	compareFailures, comparePending, compareTimes, type ComparisonOptions, countPending, getShiftLevel, poolShifts,
 } from './side-comparison.js';
+import {getSchedule} from './share-schedule.js';
 
 /** From this share on the others get too few requests to be compared with at the same time. */
 const maxComparedShare = 0.95;
 /** Margins of a comparison at the same time. They keep single back ends that crash or are slow from deciding on a version. */
-const comparedMargins = {failureMargin: 0.02, timeMargin: 0.1};
+const comparedMargins = {failureMargin: 0.01, timeMargin: 0.1};
 /**
  * Margins of a comparison with earlier answers of the others. Trouble that hits both sides can't be told apart then, so only a
  * failure of about half of the requests or times several times longer count.
@@ -20,7 +21,7 @@
  * Largest level that is carried over from before the share. The sums over several shares mix times in which the parts of both
  * sides differed, so they must not decide by themselves.
  */
-const maxCarried = 5;
+const maxCarried = 4;
 /** Name of the comparison over all routes. */
 const allRoutes = 'all routes';
 
@@ -45,14 +46,18 @@
 	const {routes, routesBefore, share, targetBackends} = observation;
 	const recent = subtractEvidence(routes, routesBefore);
 	const isCompared = share < maxComparedShare;
-	const coldBackends = Math.max(0, targetBackends - sumRoutes(routesBefore, 'target').succeeded);
+	// The share changes little during the probe, so sums over all of it compare both sides at the same time.
+	const isProbe = observation.elapsedMs < getSchedule(observation.durationMs).rampMs;
+	const coldBackends = countCold(sumRoutes(routesBefore, 'target'), targetBackends);
 	const recentLevels = isCompared
 		? getLevels(recent, {...comparedMargins, coldBackends, observation, earlier: routesBefore})
 		: getLevels(
 			recent.map(({route, target}, index) => ({route, target, others: routes[index]!.others})),
 			{...earlierMargins, coldBackends, observation, earlier: []},
 		);
-	const carriedLevels = getLevels(routesBefore, {...comparedMargins, coldBackends: targetBackends, observation, earlier: []});
+	const options = {...comparedMargins, coldBackends: targetBackends, observation, earlier: []};
+	const carriedLevels = getLevels(isCompared ? routesBefore : [], options);
+	const allLevels = getLevels(isProbe ? routes : [], options);
 	let strongest: Suspicion = {level: 0, reason: 'no evidence against the target'};
 	const consider = (route: string, metric: string, level: number) => {
 		if (level > strongest.level) {
@@ -62,9 +67,10 @@
 
 	for (const [route, levels] of recentLevels) {
 		for (const metric of ['failures', 'first', 'pause'] as const) {
-			// Evidence from before never speaks for the target, since a version may turn bad.
-			const carried = Math.min(maxCarried, Math.max(0, carriedLevels.get(route)?.[metric] ?? 0));
-			consider(route, metric, levels[metric] + carried);
+			// Evidence from before never speaks for the target, since a version may turn bad, and against it only as much as the present.
+			const recentLevel = Math.max(0, levels[metric]);
+			const carried = Math.min(maxCarried, recentLevel, Math.max(0, carriedLevels.get(route)?.[metric] ?? 0));
+			consider(route, metric, Math.max(recentLevel + carried, allLevels.get(route)?.[metric] ?? 0));
 		}
 	}
 
@@ -104,6 +110,15 @@
 	return levels;
 }
 
+/**
+ * Number of back ends whose first answer was still to come when the share came into force. Answers of cold servers may come after
+ * later ones of others, so requests that waited then count until twice as many as back ends were sent.
+ */
+function countCold(before: AnswerSums, targetBackends: number): number {
+	const unsent = Math.max(0, targetBackends - before.sent);
+	return unsent + Math.min(countPending(before), Math.max(0, (2 * targetBackends) - before.sent));
+}
+
 /** Number of first answers of cold servers that are expected among the given number of requests of one route. */
 function getColdAnswers(coldBackends: number, sent: number, routes: readonly RouteEvidence[]): number {
 	return coldBackends * sent / Math.max(1, sumRoutes(routes, 'target').sent);
