--- /dev/null
+++ b/packages/mulberrypitch-rollouts/src/__tests__/evidence-sums.test.ts
@@ -0,0 +1,44 @@
+/** Tests the sums of evidence and the comparison of both sides. */
+import t from 'tap';
+import type {AnswerSums} from '@mulberrypitch/serving/rollout-messages';
+import {
+	addEvidence, isEvidenceLost, noAnswers, subtractEvidence,
+} from '../evidence-sums.js';
+import {compareFailures} from '../side-comparison.js';
+import {getLogBeta} from '../log-gamma.js';
+
+function createAnswers(sent: number, failed = 0): AnswerSums {
+	const first = {count: sent - failed, sum: 5 * (sent - failed), squares: 26 * (sent - failed)};
+	return {
+		sent, succeeded: sent - failed, failed, first, pause: noAnswers.pause,
+	};
+}
+
+const createRoute = (route: string, target: number, others: number) => ({route, target: createAnswers(target), others: createAnswers(others)});
+
+await t.test('adds entries by route and takes away what was known before', async t => {
+	const before = addEvidence([[createRoute('a', 1, 9)], [createRoute('b', 2, 8)]]);
+	const now = addEvidence([[createRoute('a', 3, 20)], [createRoute('b', 5, 8), createRoute('a', 1, 1)]]);
+	t.strictSame(subtractEvidence(now, before), [createRoute('a', 3, 12), {...createRoute('b', 3, 0), others: noAnswers}]);
+});
+
+await t.test('never gives negative counts when an entry loses its evidence', async t => {
+	const [route] = subtractEvidence([createRoute('a', 3, 5)], [createRoute('a', 10, 50)]);
+	t.strictSame(route, {route: 'a', target: noAnswers, others: noAnswers});
+	t.ok(isEvidenceLost([createRoute('a', 3, 5)], [createRoute('a', 10, 50)], 0));
+	t.ok(isEvidenceLost([createRoute('a', 11, 60)], [createRoute('a', 10, 50)], 100));
+	t.notOk(isEvidenceLost([createRoute('a', 20, 140)], [createRoute('a', 10, 50)], 100));
+});
+
+await t.test('tells 8 failures of 10 from none of 100, but not from 14 of 100 by 2 of 10', async t => {
+	const options = {earlier: noAnswers, margin: 0.01};
+	t.ok(compareFailures(createAnswers(10, 8), createAnswers(100), options) > 9);
+	t.ok(compareFailures(createAnswers(10, 2), createAnswers(100, 14), options) < 1);
+	t.ok(compareFailures(createAnswers(10), createAnswers(100), options) <= 0);
+});
+
+await t.test('computes the beta function of small and large numbers', async t => {
+	t.ok(Math.abs(getLogBeta(1, 1)) < 1e-9);
+	t.ok(Math.abs(getLogBeta(3, 4) - Math.log(1 / 60)) < 1e-9);
+	t.ok(Math.abs(getLogBeta(0.5, 0.5) - Math.log(Math.PI)) < 1e-9);
+});
--- a/packages/mulberrypitch-rollouts/src/__tests__/rollout-cases.ts
+++ b/packages/mulberrypitch-rollouts/src/__tests__/rollout-cases.ts
@@ -1,10 +1,32 @@
 /** The roll-outs whose decisions are tested and measured. */
-import type {Fault, SyntheticCase, SyntheticRoute} from './synthetic-rollout.js';
 
-const question: SyntheticRoute = {name: 'question', part: 0.5, medianMs: 300, spread: 0.5, failedPart: 0, streamMs: 300};
-const assessment: SyntheticRoute = {name: 'assessment', part: 0.25, medianMs: 900, spread: 0.6, failedPart: 0.01, streamMs: 4000};
-const posting: SyntheticRoute = {name: 'posting', part: 0.2, medianMs: 60, spread: 0.4, failedPart: 0.14, streamMs: 0};
-const lookup: SyntheticRoute = {name: 'lookup', part: 0.05, medianMs: 60, spread: 0.4, failedPart: 0, streamMs: 0};
+/** A kind of request. Times are lognormal. */
+export type SyntheticRoute = {
+	readonly name: string; readonly part: number; readonly medianMs: number; readonly spread: number;
+	readonly failedPart: number; readonly streamMs: number;
+};
+/** What is wrong with an answer: the probabilities of a failure and of slowness by `factor`. */
+export type Fault = {readonly failed?: number; readonly slow?: number; readonly factor?: number};
+/** A roll-out to be simulated. `at` is the time in milliseconds since the order. */
+export type SyntheticCase = {
+	readonly name: string; readonly isBad: boolean; readonly rate: number; readonly durationMs: number; readonly backends: number;
+	readonly routes: readonly SyntheticRoute[]; readonly targetStartMs?: number; readonly coldFactor?: number;
+	readonly lostEntryAtMs?: number; readonly noLeaderFromMs?: number;
+	readonly faults?: (input: {at: number; route: string; share: number; isTarget: boolean}) => Fault;
+};
+
+const question: SyntheticRoute = {
+	name: 'question', part: 0.5, medianMs: 300, spread: 0.5, failedPart: 0, streamMs: 300,
+};
+const assessment: SyntheticRoute = {
+	name: 'assessment', part: 0.25, medianMs: 900, spread: 0.6, failedPart: 0.01, streamMs: 4000,
+};
+const posting: SyntheticRoute = {
+	name: 'posting', part: 0.2, medianMs: 60, spread: 0.4, failedPart: 0.14, streamMs: 0,
+};
+const lookup: SyntheticRoute = {
+	name: 'lookup', part: 0.05, medianMs: 60, spread: 0.4, failedPart: 0, streamMs: 0,
+};
 const routes = [question, assessment, posting, lookup];
 
 /** Rates per second and durations for which each case is run. */
@@ -57,4 +79,6 @@
 
 /** All cases: each variant at each rate and duration. */
 export const cases: readonly SyntheticCase[] = traffic.flatMap(flow => createVariants(flow.durationMs)
-	.map(variant => ({...flow, routes, ...variant, name: `${variant.name}, ${flow.rate}/s, ${flow.durationMs / 1000} s`})));
+	.map(variant => ({
+		...flow, routes, ...variant, name: `${variant.name}, ${flow.rate}/s, ${flow.durationMs / 1000} s`,
+	})));
--- a/packages/mulberrypitch-rollouts/src/__tests__/synthetic-rollout.ts
+++ b/packages/mulberrypitch-rollouts/src/__tests__/synthetic-rollout.ts
@@ -1,23 +1,13 @@
 /** A synthetic source of answers of two versions, seen through entries that report late and act late, on virtual time. */
-import {type Random, SeededRandom} from '@mulberrypitch/lifecycle/random';
-import type {AnswerSums, RolloutLimits, RouteEvidence} from '@mulberrypitch/serving/rollout-messages';
+import {SeededRandom} from '@mulberrypitch/lifecycle/random';
+import type {RolloutLimits, RouteEvidence} from '@mulberrypitch/serving/rollout-messages';
 import {decideRollout} from '../rollout-decision.js';
-import {addEvidence, noAnswers} from '../evidence-sums.js';
+import {addEvidence} from '../evidence-sums.js';
+import type {SyntheticCase} from './rollout-cases.js';
+import {
+	addTime, createEntry, getNormal, getSums, pick, report,
+} from './synthetic-entry.js';
 
-/** A kind of request. Times are lognormal. */
-export type SyntheticRoute = {
-	readonly name: string; readonly part: number; readonly medianMs: number; readonly spread: number;
-	readonly failedPart: number; readonly streamMs: number;
-};
-/** What is wrong with an answer: the probabilities of a failure and of slowness by `factor`. */
-export type Fault = {readonly failed?: number; readonly slow?: number; readonly factor?: number};
-/** A roll-out to be simulated. `at` is the time in milliseconds since the order. */
-export type SyntheticCase = {
-	readonly name: string; readonly isBad: boolean; readonly rate: number; readonly durationMs: number; readonly backends: number;
-	readonly routes: readonly SyntheticRoute[]; readonly targetStartMs?: number; readonly coldFactor?: number;
-	readonly lostEntryAtMs?: number; readonly noLeaderFromMs?: number;
-	readonly faults?: (input: {at: number; route: string; share: number; isTarget: boolean}) => Fault;
-};
 /** What became of a roll-out. `sentLate` counts requests to the target after `rollbackMs` since its 50th bad answer. */
 export type SyntheticResult = {
 	readonly state: string; readonly endMs: number; readonly reason: string; readonly sent: number; readonly requests: number;
@@ -31,11 +21,6 @@
 const noLeaderMs = 2000;
 const fastFailure = 0.2;
 
-type Side = 'target' | 'others';
-type Sums = {sent: number; succeeded: number; failed: number; first: Times; pause: Times};
-type Times = {count: number; sum: number; squares: number};
-type Entry = {routes: Map<string, Record<Side, Sums>>; running: number; share: number; reported: RouteEvidence[]; reportedRunning: number};
-
 /** Runs the case with a seed. */
 export function simulateRollout(scenario: SyntheticCase, seed: number): SyntheticResult {
 	const random = new SeededRandom(seed);
@@ -47,22 +32,21 @@
 	};
 
 	const {durationMs, backends, targetStartMs = 0} = scenario;
-	let share = 0;
-	let shareAt = 0;
+	let [share, shareAt] = [0, 0];
 	let routesBefore: RouteEvidence[] = [];
-	let state = 'running';
-	let endMs = durationMs;
-	let reason = '';
-	const counts = {sent: 0, requests: 0, badAnswers: 0, sentLate: 0, cold: backends, lateFrom: Infinity};
+	let [state, endMs, reason] = ['running', durationMs, ''];
+	const counts = {
+		sent: 0, requests: 0, badAnswers: 0, sentLate: 0, cold: backends, lateFrom: Infinity,
+	};
 
 	const send = (now: number) => {
 		const entry = entries[Math.floor(random.next() * entryCount)]!;
 		const route = pick(scenario.routes, random);
 		const isTarget = now >= targetStartMs && random.next() < entry.share;
-		const fault = scenario.faults?.({at: now, route: route.name, share: entry.share, isTarget}) ?? {};
-		const sums = entry.routes.get(route.name) ?? {target: createSums(), others: createSums()};
-		entry.routes.set(route.name, sums);
-		const side = sums[isTarget ? 'target' : 'others'];
+		const fault = scenario.faults?.({
+			at: now, route: route.name, share: entry.share, isTarget,
+		}) ?? {};
+		const side = getSums(entry, route.name)[isTarget ? 'target' : 'others'];
 		const isFaulty = random.next() < (fault.failed ?? 0);
 		const isFailed = isFaulty || random.next() < route.failedPart;
 		const isSlow = random.next() < (fault.slow ?? 0);
@@ -85,12 +69,13 @@
 		};
 
 		if (isFailed) {
-			schedule(now + (timeMs * fastFailure), () => finish(now + (timeMs * fastFailure)));
+			const failedAt = now + (timeMs * fastFailure);
+			schedule(failedAt, finish.bind(undefined, failedAt));
 			return;
 		}
 
 		const endAt = now + timeMs + (route.streamMs * (0.5 + random.next()));
-		schedule(now + timeMs, () => addTime(side.first, timeMs));
+		schedule(now + timeMs, addTime.bind(undefined, side.first, timeMs));
 		schedule(endAt, () => {
 			finish(endAt);
 			if (route.streamMs > 0) {
@@ -139,8 +124,7 @@
 			if (now === scenario.lostEntryAtMs && index === 0) {
 				entries[0] = {...createEntry(), share: entry.share};
 			} else if ((now + (index * 30)) % reportMs < stepMs) {
-				entry.reported = [...entry.routes].map(([route, sums]) => structuredCopy(route, sums));
-				entry.reportedRunning = entry.running;
+				report(entry);
 			}
 		}
 
@@ -150,23 +134,7 @@
 		}
 	}
 
-	return {state, endMs, reason, ...counts};
-}
-
-const createEntry = (): Entry => ({routes: new Map(), running: 0, share: 0, reported: [], reportedRunning: 0});
-const createSums = (): Sums => ({...noAnswers, first: {...noAnswers.first}, pause: {...noAnswers.pause}});
-const copySums = (sums: Sums): AnswerSums => ({...sums, first: {...sums.first}, pause: {...sums.pause}});
-const structuredCopy = (route: string, {target, others}: Record<Side, Sums>) => ({route, target: copySums(target), others: copySums(others)});
-
-function addTime(times: Times, ms: number) {
-	times.count += 1;
-	times.sum += Math.log(ms);
-	times.squares += Math.log(ms) ** 2;
-}
-
-function pick(routes: readonly SyntheticRoute[], random: Random): SyntheticRoute {
-	let rest = random.next();
-	return routes.find(route => (rest -= route.part) < 0) ?? routes[0]!;
+	return {
+		state, endMs, reason, ...counts,
+	};
 }
-
-const getNormal = (random: Random) => Math.sqrt(-2 * Math.log(1 - random.next())) * Math.cos(2 * Math.PI * random.next());
--- a/packages/mulberrypitch-rollouts/src/side-comparison.ts
+++ b/packages/mulberrypitch-rollouts/src/side-comparison.ts
@@ -136,7 +136,11 @@
 		count += shift.count;
 	}
 
-	return count < minTimes ? undefined : {difference: weighted / weight, variance: 1 / weight, freedom, count};
+	return count < minTimes
+		? undefined
+		: {
+			difference: weighted / weight, variance: 1 / weight, freedom, count,
+		};
 }
 
 /**
--- a/packages/mulberrypitch-rollouts/src/suspicion.ts
+++ b/packages/mulberrypitch-rollouts/src/suspicion.ts
@@ -50,12 +50,18 @@
 	const isProbe = observation.elapsedMs - observation.shareAgeMs < getSchedule(observation.durationMs).rampMs;
 	const coldBackends = countCold(sumRoutes(routesBefore, 'target'), targetBackends);
 	const recentLevels = isCompared
-		? getLevels(recent, {...comparedMargins, coldBackends, observation, earlier: routesBefore})
+		? getLevels(recent, {
+			...comparedMargins, coldBackends, observation, earlier: routesBefore,
+		})
 		: getLevels(
 			recent.map(({route, target}, index) => ({route, target, others: routes[index]!.others})),
-			{...earlierMargins, coldBackends, observation, earlier: []},
+			{
+				...earlierMargins, coldBackends, observation, earlier: [],
+			},
 		);
-	const options = {...comparedMargins, coldBackends: targetBackends, observation, earlier: []};
+	const options = {
+		...comparedMargins, coldBackends: targetBackends, observation, earlier: [],
+	};
 	const carriedLevels = getLevels(isCompared ? routesBefore : [], options);
 	const allLevels = getLevels(isProbe ? routes : [], options);
 	let strongest: Suspicion = {level: 0, reason: 'no evidence against the target'};
