--- a/packages/mulberrypitch-coordinator/src/coordinator.ts
+++ b/packages/mulberrypitch-coordinator/src/coordinator.ts
@@ -29,6 +29,7 @@
 import {BackendRegistration} from './backend-registration.js';
 import {createCommandSchema} from './command-schema.js';
 import {ConfigurationDistribution, partRequestSchema} from './configuration-distribution.js';
+import {addCoordinatorGauges} from './coordinator-gauges.js';
 import {DutyRunner, type Duty} from './duty-runner.js';
 import {EntryDirectory} from './entry-directory.js';
 import {Gossip} from './gossip.js';
@@ -212,7 +213,9 @@
 			leaseMs: options.leaseMs,
 			getBootTime: options.getBootTime,
 		});
-		this.#addGauges();
+		addCoordinatorGauges(options.metrics, {
+			replica: this.#replica, gossip: this.#gossip, state: this.#state, directory: this.directory, roster: this.roster,
+		});
 	}
 
 	/** Reports whether the coordinator is in contact with a leader, so that its replies are recent. */
@@ -291,18 +294,6 @@
 		return isWithheld ? reply : {...reply, ...(configuration !== undefined && {configuration}), ...(configurationPart !== undefined && {configurationPart})};
 	}
 
-	#addGauges(): void {
-		const {metrics} = this.#options;
-		metrics.gauge('mulberrypitch_coordinator_roster_recent', 'One while the roster has all that a quorum of coordinators knew lately.', () => this.#gossip.isRosterRecent ? 1 : 0);
-		metrics.gauge('mulberrypitch_coordinator_in_touch', 'One while a leader is heard.', () => this.isInTouch ? 1 : 0);
-		metrics.gauge('mulberrypitch_coordinator_leads', 'One while this coordinator leads.', () => this.#replica.hasLease() ? 1 : 0);
-		metrics.gauge('mulberrypitch_coordinator_term', 'Term of the replicated log.', () => this.#replica.term);
-		metrics.gauge('mulberrypitch_coordinator_commit_index', 'Last committed entry.', () => this.#replica.commitIndex);
-		metrics.gauge('mulberrypitch_coordinator_configuration_version', 'Newest committed configuration known here.', () => this.#state.configuration?.version ?? 0);
-		metrics.gauge('mulberrypitch_coordinator_entries', 'Entries heard lately.', () => this.directory.count);
-		metrics.gauge('mulberrypitch_coordinator_backends', 'Back ends that take requests.', () => this.roster.getServing().length);
-	}
-
 	#getOthers(): readonly Peer[] {
 		return this.#replica.getPeers().filter(({name}) => name !== this.#options.name);
 	}
