Send slow back ends less, by speeds learned from their answers

Cause: the engines of a deployment differ in speed (the fastest is 2.4 times as fast as the slowest), plain back ends have periods in which they are 2.5 times as slow, and nothing states which ones. The choice treated all as equal, so streams of slow ones were late.

Change: each entry compares the time to the first part and the mean pause of good answers with what the load at the back end lets one expect. Coordinators add the evidence of all entries up and reply with the speeds that differ from one. The cost of an engine divides the waiting tokens and the streams by its speed; plain back ends are compared by use over speed, and drawn by its square among equal ones.

--- a/packages/mulberrypitch-coordinator/src/__tests__/malformed-replies.test.ts
+++ b/packages/mulberrypitch-coordinator/src/__tests__/malformed-replies.test.ts
@@ -4,6 +4,7 @@
 import {assumeType} from '@mulberrypitch/errors/assume-type';
 import {VirtualClock} from '@mulberrypitch/fakes/virtual-clock';
 import {SilentLogger} from '@mulberrypitch/logger/logger';
+import {MetricsRegistry} from '@mulberrypitch/metrics/registry';
 import {BackendRoster} from '@mulberrypitch/serving/backend-roster';
 import {OriginTable} from '@mulberrypitch/serving/origin-table';
 import type {Transport} from '@mulberrypitch/transport/types';
@@ -11,6 +12,7 @@
 import {EntryDirectory} from '../entry-directory.js';
 import {Gossip} from '../gossip.js';
 import type {ServingState} from '../serving-state.js';
+import {SpeedSums} from '../speed-sums.js';
 
 const runMs = 3000;
 
@@ -41,6 +43,9 @@
 		roster: new BackendRoster({epoch: 'e', clock, announceIntervalMs: 500}),
 		origins: new OriginTable(clock),
 		directory: new EntryDirectory(clock),
+		speeds: new SpeedSums({
+			clock, logger: new SilentLogger(), metrics: new MetricsRegistry(), getServing: () => [],
+		}),
 		getOthers: () => [{name: 'b', address: 'b'}],
 		onRoster() {
 			// The replies bring no back ends.
--- a/packages/mulberrypitch-coordinator/src/coordinator.ts
+++ b/packages/mulberrypitch-coordinator/src/coordinator.ts
@@ -33,6 +33,7 @@
 import {ServingState} from './serving-state.js';
 import {gossipRequestSchema, viewRequestSchema} from './status-schema.js';
 import {unchecked} from './unchecked-schema.js';
+import {SpeedSums} from './speed-sums.js';
 import {ViewService} from './view-service.js';
 
 /** Dependencies and settings of a coordinator. */
@@ -141,6 +142,9 @@
 			timing,
 			snapshotIntervalEntries,
 		});
+		const speeds = new SpeedSums({
+			clock, logger, metrics: options.metrics, getServing: () => this.roster.getServing(),
+		});
 		this.#gossip = new Gossip({
 			name,
 			zone: options.zone,
@@ -150,6 +154,7 @@
 			roster: this.roster,
 			origins,
 			directory: this.directory,
+			speeds,
 			getOthers: () => this.#getOthers(),
 			onRoster: () => {
 				this.#changes.notify();
@@ -169,6 +174,7 @@
 			logger,
 			directory: this.directory,
 			roster: this.roster,
+			speeds,
 			origins,
 			epoch,
 			changes: this.#changes,
--- a/packages/mulberrypitch-coordinator/src/gossip.ts
+++ b/packages/mulberrypitch-coordinator/src/gossip.ts
@@ -15,6 +15,7 @@
 import {methods, type GossipReply, type GossipRequest} from '@mulberrypitch/serving/view-messages';
 import type {Transport} from '@mulberrypitch/transport/types';
 import type {EntryDirectory} from './entry-directory.js';
+import type {SpeedSums} from './speed-sums.js';
 
 /** Interval between rounds in milliseconds. */
 const intervalMs = 100;
@@ -49,6 +50,7 @@
 	/** Where streams began. */
 	readonly origins: OriginTable;
 	readonly directory: EntryDirectory;
+	readonly speeds: SpeedSums;
 	/** Returns all other coordinators. */
 	readonly getOthers: () => readonly Peer[];
 	/** Called when a reply of another coordinator changed the roster. */
@@ -115,13 +117,14 @@
 
 	/** Exchanges entries and back ends with one coordinator; resolves with whether the call succeeded. */
 	async #sendTo(peer: Peer): Promise<boolean> {
-		const {name, zone, clock, transport, roster, origins, directory, onRoster} = this.#options;
+		const {name, zone, clock, transport, roster, origins, directory, speeds, onRoster} = this.#options;
 		const {position} = origins;
 		const startedAt = clock.now();
 		const lastSentAt = this.#lastSentAt.get(peer.name);
 		const shouldSendAll = lastSentAt === undefined;
 		const since = shouldSendAll ? Number.NEGATIVE_INFINITY : lastSentAt - overlapMs;
 		const known = this.#exchanges.get(peer.name)?.position;
+		const speedSums = speeds.takeSums(peer.name);
 		const request: GossipRequest = {
 			from: name,
 			zone,
@@ -130,6 +133,7 @@
 			origins: origins.getSince(this.#originPositions.get(peer.name) ?? 0),
 			wantsAll: shouldSendAll,
 			...(known !== undefined && {known}),
+			...(speedSums !== undefined && {speeds: speedSums}),
 		};
 		this.#pendingCalls.add(peer.name);
 		try {
--- a/packages/mulberrypitch-coordinator/src/status-schema.ts
+++ b/packages/mulberrypitch-coordinator/src/status-schema.ts
@@ -13,7 +13,7 @@
 /** Schema of the poll of an entry. */
 export const viewRequestSchema: Schema<ViewRequest> = {
 	parse(value) {
-		if (!isObject(value) || !isStatus(value.status) || !areAll(isNumber, [value.configurationVersion, value.rosterVersion, value.waitMs ?? 0])) {
+		if (!isObject(value) || !isStatus(value.status) || !areAll(isNumber, [value.configurationVersion, value.rosterVersion, value.waitMs ?? 0]) || !isSpeedReport(value.speeds ?? {})) {
 			throw new ProtocolError('A status of an entry is malformed.');
 		}
 
@@ -24,7 +24,7 @@
 /** Schema of what another coordinator tells. Malformed statuses in it are left out, so that they don't hide the others. */
 export const gossipRequestSchema: Schema<GossipRequest> = {
 	parse(value) {
-		if (!isObject(value) || !Array.isArray(value.entries) || !isListOf(isObject)(value.backends) || !isPosition(value.known)) {
+		if (!isObject(value) || !Array.isArray(value.entries) || !isListOf(isObject)(value.backends) || !isPosition(value.known) || !isSpeedReport(value.speeds ?? {})) {
 			throw new ProtocolError('What another coordinator tells is malformed.');
 		}
 
@@ -50,6 +50,10 @@
 	return isObject(value) && isNumber(value.requests) && isNumber(value.pendingTokens);
 }
 
+function isSpeedReport(value: unknown): boolean {
+	return isMapOf(evidence => Array.isArray(evidence) && evidence.length === 2 && areAll(isNumber, evidence))(value);
+}
+
 function isUsage(value: unknown): boolean {
 	return isObject(value) && isNumber(value.window) && isMapOf(isNumber)(value.counts);
 }
--- a/packages/mulberrypitch-coordinator/src/view-service.ts
+++ b/packages/mulberrypitch-coordinator/src/view-service.ts
@@ -12,6 +12,7 @@
 } from '@mulberrypitch/serving/view-messages';
 import {CrashEvidence} from './crash-evidence.js';
 import type {EntryDirectory} from './entry-directory.js';
+import type {SpeedSums} from './speed-sums.js';
 
 /** Dependencies of the service. */
 export type ViewServiceOptions = {
@@ -19,6 +20,7 @@
 	readonly logger: Logger;
 	readonly directory: EntryDirectory;
 	readonly roster: BackendRoster;
+	readonly speeds: SpeedSums;
 	/** Where streams began, as the entries reported it. */
 	readonly origins: OriginTable;
 	/** Identifies this start of the coordinator. */
@@ -73,11 +75,17 @@
 
 	/** Stores the status of an entry and replies with the changes since its versions, for which it waits up to the timeout. */
 	async watch({
-		status, configurationVersion, rosterEpoch, rosterVersion, origins: report, waitMs = defaultWaitMs,
+		status, configurationVersion, rosterEpoch, rosterVersion, origins: report, waitMs = defaultWaitMs, speeds: observed,
 	}: ViewRequest): Promise<ViewReply> {
-		const {directory, roster, origins, getConfiguration, getCoordinators, isInTouch} = this.#options;
+		const {
+			directory, roster, origins, speeds, getConfiguration, getCoordinators, isInTouch,
+		} = this.#options;
 		directory.update(status);
 		this.#mergeObservations(status);
+		if (observed !== undefined) {
+			speeds.update(status.name, observed);
+		}
+
 		origins.merge(report?.begun ?? []);
 		const hasChanges = (getConfiguration()?.version ?? 0) > configurationVersion || roster.hasChanges(rosterEpoch, rosterVersion);
 		if (!hasChanges) {
@@ -103,17 +111,22 @@
 			coordinators: getCoordinators(),
 			nearby: this.#getNearby(status.zone),
 			peers: directory.getPeers(status.name, maxPeers),
+			...(observed !== undefined && {speeds: speeds.getSpeeds()}),
 			isInTouch: isInTouch(),
 		};
 	}
 
 	/** Merges what another coordinator sends, and replies with what changed in the roster, or with the whole roster and all origins if it asks for them. */
 	async mergeGossip({
-		from, zone, entries, backends, origins: told = [], wantsAll, known,
+		from, zone, entries, backends, origins: told = [], wantsAll, known, speeds: sums,
 	}: GossipRequest): Promise<GossipReply> {
 		const {directory, roster, origins, changes} = this.#options;
 		this.#zones.set(from, zone ?? '');
 		origins.merge(told);
+		if (sums !== undefined) {
+			this.#options.speeds.merge(from, sums);
+		}
+
 		for (const status of entries) {
 			directory.merge(status);
 			this.#mergeObservations(status);
--- a/packages/mulberrypitch-load/src/emulated-engine.ts
+++ b/packages/mulberrypitch-load/src/emulated-engine.ts
@@ -40,8 +40,15 @@
 	/** Priority of admission; zero is the highest. */
 	readonly priority: number;
 	readonly onFirstToken: () => void;
-	/** Called at the end of the answer with the longest pause between two events of the stream. */
-	readonly onEnd: (longestPauseMs: number) => void;
+	/** Called at the end of the answer with the pauses between the events of the stream. */
+	readonly onEnd: (pauses: StreamPauses) => void;
+};
+
+/** Pauses between the events of one stream. */
+export type StreamPauses = {
+	readonly longestMs: number;
+	/** Absent for a stream of one event. */
+	readonly meanMs?: number;
 };
 
 type Sequence = {
@@ -50,7 +57,9 @@
 	contextTokens: number;
 	generatedTokens: number;
 	readyAt: number;
+	firstEventAt: number;
 	lastEventAt: number;
+	eventCount: number;
 	longestPauseMs: number;
 };
 
@@ -58,15 +67,18 @@
 export class EmulatedEngine {
 	readonly #queue: EventQueue;
 	readonly #model: EngineModel;
+	/** Factor of all its work per time. */
+	readonly #speed: number;
 	readonly #cache = new Map<string, number>();
 	#cachedTokens = 0;
 	readonly #waiting: EngineRequest[] = [];
 	#running: Sequence[] = [];
 	#isBusy = false;
 
-	constructor(queue: EventQueue, model: EngineModel) {
+	constructor(queue: EventQueue, model: EngineModel, speed = 1) {
 		this.#queue = queue;
 		this.#model = model;
+		this.#speed = speed;
 	}
 
 	/** Queues a request. The engine reports its progress through the callbacks of the request. */
@@ -88,7 +100,7 @@
 		const prefillMs = this.#prefillChunk();
 		const contextTokens = this.#running.reduce((sum, sequence) => sum + sequence.contextTokens, 0);
 		const ms = stepMs + (stepMsPerSequence * this.#running.length) + (stepMsPerThousandTokens * contextTokens / 1000) + prefillMs;
-		this.#queue.add(ms, () => {
+		this.#queue.add(ms / this.#speed, () => {
 			this.#decodeTokens();
 			this.#step();
 		});
@@ -100,7 +112,8 @@
 			const request = this.#waiting.shift()!;
 			const cached = this.#updatePrefixCache(request.parts);
 			this.#running.push({
-				request, pendingPromptTokens: request.promptTokens - cached, contextTokens: cached, generatedTokens: 0, readyAt: Number.POSITIVE_INFINITY, lastEventAt: 0, longestPauseMs: 0,
+				request, pendingPromptTokens: request.promptTokens - cached, contextTokens: cached, generatedTokens: 0, readyAt: Number.POSITIVE_INFINITY,
+				firstEventAt: 0, lastEventAt: 0, eventCount: 0, longestPauseMs: 0,
 			});
 		}
 	}
@@ -139,7 +152,7 @@
 			sequence.pendingPromptTokens -= tokens;
 			sequence.contextTokens += tokens;
 			if (sequence.pendingPromptTokens <= 0) {
-				sequence.readyAt = this.#queue.now + firstTokenMs;
+				sequence.readyAt = this.#queue.now + (firstTokenMs / this.#speed);
 			}
 		}
 
@@ -156,8 +169,8 @@
 
 		const ended = this.#running.filter(({generatedTokens, request}) => generatedTokens >= request.answerTokens);
 		this.#running = this.#running.filter(({generatedTokens, request}) => generatedTokens < request.answerTokens);
-		for (const {request, longestPauseMs} of ended) {
-			request.onEnd(longestPauseMs);
+		for (const {request, longestPauseMs, firstEventAt, lastEventAt, eventCount} of ended) {
+			request.onEnd({longestMs: longestPauseMs, ...(eventCount > 1 && {meanMs: (lastEventAt - firstEventAt) / (eventCount - 1)})});
 		}
 	}
 
@@ -167,12 +180,15 @@
 		sequence.generatedTokens += 1;
 		sequence.contextTokens += 1;
 		if (sequence.generatedTokens === 1) {
+			sequence.firstEventAt = now;
 			sequence.lastEventAt = now;
+			sequence.eventCount = 1;
 			request.onFirstToken();
 		}
 
 		if (sequence.generatedTokens % this.#model.eventTokens === 0 || sequence.generatedTokens >= request.answerTokens) {
 			sequence.longestPauseMs = Math.max(sequence.longestPauseMs, now - sequence.lastEventAt);
+			sequence.eventCount += now > sequence.firstEventAt ? 1 : 0;
 			sequence.lastEventAt = now;
 		}
 	}
--- a/packages/mulberrypitch-load/src/serving-emulator.ts
+++ b/packages/mulberrypitch-load/src/serving-emulator.ts
@@ -3,13 +3,21 @@
  * delayed view of the other entry hosts' requests. A run that takes minutes on real processes takes seconds.
  */
 import {SeededRandom, type Random} from '@mulberrypitch/lifecycle/random';
-import type {Candidate, PlacedPrompt} from '@mulberrypitch/proxy/backend-choice';
+import {
+	largePromptTokens, type Candidate, type PlacedPrompt, type SpeedLookup,
+} from '@mulberrypitch/proxy/backend-choice';
+import {addEvidence, estimateSpeeds, type Speeds} from '@mulberrypitch/routing/speed-estimate';
+import {SpeedObserver} from '@mulberrypitch/routing/speed-observer';
 import {EmulatedEngine, type SharedPart} from './emulated-engine.js';
 import {EventQueue} from './event-queue.js';
 import type {SizeDistribution, PromptKind, ServingMix} from './serving-mixes.js';
 
 /** Returns the engine to send a prompt to, or nothing when all are full. */
-export type EngineChooser = (candidates: readonly Candidate[], prompt: PlacedPrompt, random: Random) => Candidate | undefined;
+export type EngineChooser = (candidates: readonly Candidate[], prompt: PlacedPrompt, random: Random, getSpeed: SpeedLookup) => Candidate | undefined;
+
+/** What entry hosts know of the speeds of engines: nothing, what they learn, or all. */
+export const speedKnowledge = {none: 'none', learned: 'learned', whole: 'whole'} as const;
+export type SpeedKnowledge = typeof speedKnowledge[keyof typeof speedKnowledge];
 
 /** Settings of one run. */
 export type Emulation = {
@@ -22,6 +30,17 @@
 	readonly seed: number;
 	readonly durationMs: number;
 	readonly choose: EngineChooser;
+	/** Speeds of the engines, repeated in turn; all are of speed one by default. */
+	readonly speeds?: readonly number[];
+	/** Nothing by default. */
+	readonly knowledge?: SpeedKnowledge;
+};
+
+/** Shares of the requests of one kind. */
+export type KindShares = {
+	readonly inTime: number;
+	readonly late: number;
+	readonly refused: number;
 };
 
 /** Measurements of a run after its warm-up. */
@@ -34,6 +53,10 @@
 	readonly refusedShare: number;
 	/** Share of the finished requests whose first event or a pause exceeded its target, by kind. */
 	readonly lateShares: Readonly<Record<string, number>>;
+	/** What became of the ended and refused requests, by kind. */
+	readonly kinds: Readonly<Record<string, KindShares>>;
+	/** The speeds that differ from one, as the entry hosts last learned them, by engine. */
+	readonly learnedSpeeds: Speeds;
 };
 
 /** The worth that a request could earn and did earn. */
@@ -61,6 +84,8 @@
 	readonly worth: number;
 };
 
+/** Interval at which entry hosts report what they observed of the speeds of engines. */
+const speedIntervalMs = 1000;
 const warmUpMs = 4000;
 /** One-way delay between an entry host and an engine. */
 const linkDelayMs = 2;
@@ -98,10 +123,12 @@
 	readonly ownLoads: readonly EngineLoad[];
 	/** Load of the other entry hosts by engine, as of the last view. */
 	otherLoads: readonly EngineLoad[];
+	readonly observer: SpeedObserver;
 
-	constructor(engines: number) {
+	constructor(engines: number, observer: SpeedObserver) {
 		this.ownLoads = createEngineLoads(engines);
 		this.otherLoads = createEngineLoads(engines);
+		this.observer = observer;
 	}
 }
 
@@ -118,17 +145,21 @@
 	readonly #partTokens = new Map<string, number>();
 	readonly #ended: Record<string, number> = {};
 	readonly #late: Record<string, number> = {};
+	readonly #refusedByKind: Record<string, number> = {};
+	#learnedSpeeds: Speeds = {};
 	#requests = 0;
 	#refused = 0;
 	readonly #earnings: Record<string, Earning[]> = {};
 
 	constructor(emulation: Emulation) {
-		const {mix, engines, seed} = emulation;
+		const {mix, engines, seed, speeds = [1]} = emulation;
 		this.#emulation = emulation;
 		this.#trafficRandom = new SeededRandom(seed);
 		this.#choiceRandom = new SeededRandom(seed + 1);
-		this.#engines = Array.from({length: engines}, () => new EmulatedEngine(this.#queue, mix.engine));
-		this.#entries = Array.from({length: mix.entries}, () => new EmulatedEntry(engines));
+		this.#engines = Array.from({length: engines}, (_, index) => new EmulatedEngine(this.#queue, mix.engine, speeds[index % speeds.length]));
+		this.#entries = Array.from({length: mix.entries}, () => new EmulatedEntry(engines, new SpeedObserver({
+			now: () => this.#queue.now, getSpeed: id => this.#learnedSpeeds[id] ?? 1,
+		})));
 		this.#totalLoads = createEngineLoads(engines);
 	}
 
@@ -144,6 +175,10 @@
 			});
 		}
 
+		if (this.#emulation.knowledge === speedKnowledge.learned) {
+			this.#learnSpeeds();
+		}
+
 		this.#queue.runUntil(durationMs);
 		const earningsBySize = (this.#earnings[mix.kinds[0]!.name] ?? []).toSorted((left, right) => right.size - left.size);
 		return {
@@ -151,9 +186,37 @@
 			largestPromptCredit: getCredit(earningsBySize.slice(0, Math.ceil(earningsBySize.length * largestPromptShare))),
 			refusedShare: this.#refused / this.#requests,
 			lateShares: Object.fromEntries(mix.kinds.map(({name}) => [name, (this.#late[name] ?? 0) / Math.max(1, this.#ended[name] ?? 0)])),
+			kinds: Object.fromEntries(mix.kinds.map(({name}) => [name, this.#getShares(name)])),
+			learnedSpeeds: this.#learnedSpeeds,
 		};
 	}
 
+	#getShares(kind: string): KindShares {
+		const [ended, late, refused] = [this.#ended[kind] ?? 0, this.#late[kind] ?? 0, this.#refusedByKind[kind] ?? 0];
+		const all = Math.max(1, ended + refused);
+		return {inTime: (ended - late) / all, late: late / all, refused: refused / all};
+	}
+
+	/** Collects the evidence of all entry hosts, delivers the speeds derived from it after `viewMs`, and repeats. */
+	#learnSpeeds(): void {
+		this.#queue.add(speedIntervalMs, () => {
+			const speeds = estimateSpeeds(addEvidence(this.#entries.map(({observer}) => observer.getEvidence())));
+			this.#queue.add(this.#emulation.viewMs, () => {
+				this.#learnedSpeeds = speeds;
+			});
+			this.#learnSpeeds();
+		});
+	}
+
+	#getSpeed(id: string): number {
+		const {speeds = [1], knowledge = speedKnowledge.none} = this.#emulation;
+		if (knowledge === speedKnowledge.none) {
+			return 1;
+		}
+
+		return knowledge === speedKnowledge.whole ? speeds[Number(id) % speeds.length]! : this.#learnedSpeeds[id] ?? 1;
+	}
+
 	/** Captures the load of the other entry hosts, delivers it to an entry host after `viewMs`, and repeats. */
 	#refreshView(entry: EmulatedEntry): void {
 		const others = this.#totalLoads.map((load, index) => subtract(load, entry.ownLoads[index]!));
@@ -182,7 +245,7 @@
 		const sharedTokens = parts.reduce((sum, {tokens}) => sum + tokens, 0);
 		const chosen = this.#emulation.choose(this.#getCandidates(entry), {
 			tokens: promptTokens, sharedTokens, sharedPart: parts.at(-1)!.id, zone: '',
-		}, this.#choiceRandom);
+		}, this.#choiceRandom, id => this.#getSpeed(id));
 		this.#recordChoice(arrival, chosen === undefined);
 		if (chosen === undefined) {
 			return;
@@ -200,6 +263,9 @@
 		const startedAt = this.#queue.now;
 		let firstMs = 0;
 		addLoad(1, pendingTokens);
+		// Large prompts run at engines of their own, where they slow each other down.
+		const group = promptTokens > largePromptTokens ? `${kind.name} large` : kind.name;
+		const {pendingTokens: work, load: startLoad} = this.#getCandidate(entry, index);
 		this.#queue.add(linkDelayMs, () => {
 			this.#engines[index]!.run({
 				promptTokens,
@@ -209,27 +275,39 @@
 				onFirstToken: () => {
 					firstMs = this.#queue.now + linkDelayMs - startedAt;
 					addLoad(0, -pendingTokens);
+					entry.observer.record({
+						backend: chosen.id, group: `${group} first event`, work, ms: firstMs,
+					});
 				},
-				onEnd: longestPauseMs => {
+				onEnd: ({longestMs, meanMs}) => {
+					if (meanMs !== undefined) {
+						entry.observer.record({
+							backend: chosen.id, group: `${group} pause`, work: (startLoad + this.#getCandidate(entry, index).load) / 2, ms: meanMs,
+						});
+					}
+
 					addLoad(-1, 0);
-					this.#recordEnd(arrival, startedAt, firstMs > kind.targetMs || longestPauseMs > kind.targetPauseMs);
+					this.#recordEnd(arrival, startedAt, firstMs > kind.targetMs || longestMs > kind.targetPauseMs);
 				},
 			});
 		});
 	}
 
 	#getCandidates(entry: EmulatedEntry): readonly Candidate[] {
-		return entry.ownLoads.map(({requests, pendingTokens}, index) => {
-			const others = entry.otherLoads[index]!;
-			return {
-				id: String(index),
-				slots: this.#emulation.mix.engine.slots,
-				inFlight: requests,
-				load: requests + others.requests,
-				pendingTokens: pendingTokens + (stillPendingShare * others.pendingTokens),
-				zone: '',
-			};
-		});
+		return entry.ownLoads.map((_, index) => this.#getCandidate(entry, index));
+	}
+
+	#getCandidate(entry: EmulatedEntry, index: number): Candidate {
+		const {requests, pendingTokens} = entry.ownLoads[index]!;
+		const others = entry.otherLoads[index]!;
+		return {
+			id: String(index),
+			slots: this.#emulation.mix.engine.slots,
+			inFlight: requests,
+			load: requests + others.requests,
+			pendingTokens: pendingTokens + (stillPendingShare * others.pendingTokens),
+			zone: '',
+		};
 	}
 
 	#recordChoice(arrival: Arrival, isRefused: boolean): void {
@@ -240,6 +318,7 @@
 		this.#requests += 1;
 		if (isRefused) {
 			this.#refused += 1;
+			this.#refusedByKind[arrival.kind.name] = (this.#refusedByKind[arrival.kind.name] ?? 0) + 1;
 			this.#recordEarning(arrival, 0);
 		}
 	}
--- a/packages/mulberrypitch-load/src/serving-mixes.ts
+++ b/packages/mulberrypitch-load/src/serving-mixes.ts
@@ -114,4 +114,17 @@
 			name: 'hint', perSecond: 396, worth: 0.94, priority: 1, targetMs: 1510, targetPauseMs: 600, shared: createShortShared(1933), own: shortOwn, answer: {mean: 21, spread: 1.4, max: 90},
 		}],
 	},
+	// The specification gives neither the time of a step nor the sizes of prompts, so these are those of the other mixes with a slower engine.
+	uneven: {
+		name: 'uneven',
+		entries: 76,
+		engine: {
+			...filtriEngine, slots: 16, stepMs: 4, stepMsPerSequence: 0.2, promptTokensPerMs: 60, eventTokens: 9,
+		},
+		kinds: [{
+			name: 'review', perSecond: 71.2, worth: 6.3, priority: 1, targetMs: 1026, targetPauseMs: 300, shared: createLongShared(457), own: longOwn, answer: {mean: 384, spread: 0.44, max: 1120},
+		}, {
+			name: 'verdict', perSecond: 286, worth: 1.9, priority: 0, targetMs: 513, targetPauseMs: 300, shared: createShortShared(4850), own: shortOwn, answer: {mean: 24, spread: 1.4, max: 96},
+		}],
+	},
 } as const satisfies Record<string, ServingMix>;
--- a/packages/mulberrypitch-logger/src/events.ts
+++ b/packages/mulberrypitch-logger/src/events.ts
@@ -59,6 +59,7 @@
 	contentRestricted: {number: 1409, level: 'warn', text: 'content restricted'},
 	backendsUnreachable: {number: 1410, level: 'warn', text: 'no back end reachable'},
 	backendsReached: {number: 1411, level: 'info', text: 'back ends reachable again'},
+	speedChanged: {number: 1412, level: 'info', text: 'speed of a back end changed'},
 	requestForwarded: {number: 1510, level: 'info', text: 'request passed on to another entry'},
 	requestAccepted: {number: 1501, level: 'info', text: 'request accepted'},
 	requestDispatched: {number: 1502, level: 'info', text: 'request dispatched'},
--- a/packages/mulberrypitch-proxy/src/backend-choice.ts
+++ b/packages/mulberrypitch-proxy/src/backend-choice.ts
@@ -31,10 +31,20 @@
 	readonly sharedPart?: string;
 };
 
+/** Returns the speed of a back end by its identifier; one is the mean of its service. */
+export type SpeedLookup = (id: string) => number;
+
+const getEqualSpeed: SpeedLookup = () => 1;
+
 /** Maximum number of requests per slot of a back end without an inference engine, which queues some requests itself. */
 const plainLoadPerSlot = 3;
+/**
+Exponent of the speed in the weight of a back end without an inference engine. A slow one answers late even without a queue, so it gets less
+than in proportion; as the others fill up, their times and with them the difference in speed shrink.
+*/
+const plainSpeedExponent = 2;
 /** Prompt size in tokens above which prefill takes about as long as a stream may pause. */
-const largePromptTokens = 32_000;
+export const largePromptTokens = 32_000;
 /** Share of the engines that is reserved for large prompts. */
 const reservedEngineShare = 1 / 12;
 /** Minimum number of engines from which one is reserved for large prompts. */
@@ -57,18 +67,18 @@
 
 /**
 Returns the least utilized back end without an inference engine, or `undefined` when all are full. Utilization counts
-only this entry's own requests; ties are broken at random.
+only this entry's own requests; ties are broken at random, in favour of faster back ends.
 
 @example
 ```
 const backend = choosePlainBackend(candidates, random);
 ```
 */
-export function choosePlainBackend<Choice extends Candidate>(candidates: readonly Choice[], random: Random): Choice | undefined {
+export function choosePlainBackend<Choice extends Candidate>(candidates: readonly Choice[], random: Random, getSpeed = getEqualSpeed): Choice | undefined {
 	const free = candidates.filter(({load, slots}) => load < slots * plainLoadPerSlot);
-	const least = Math.min(...free.map(candidate => getOwnUtilization(candidate)));
-	const equal = free.filter(candidate => getOwnUtilization(candidate) === least);
-	return equal[Math.floor(random.next() * equal.length)];
+	const least = Math.min(...free.map(candidate => getOwnUtilization(candidate, getSpeed)));
+	const equal = free.filter(candidate => getOwnUtilization(candidate, getSpeed) === least);
+	return draw(equal, ({id}) => getSpeed(id) ** plainSpeedExponent, random);
 }
 
 /**
@@ -80,7 +90,7 @@
 const backend = chooseEngine(candidates, {tokens: 1200, sharedTokens: 0, zone}, random);
 ```
 */
-export function chooseEngine<Choice extends Candidate>(candidates: readonly Choice[], prompt: PlacedPrompt, random: Random): Choice | undefined {
+export function chooseEngine<Choice extends Candidate>(candidates: readonly Choice[], prompt: PlacedPrompt, random: Random, getSpeed = getEqualSpeed): Choice | undefined {
 	const reserved = getReservedForLarge(candidates);
 	const isLarge = prompt.tokens > largePromptTokens;
 	const isMatching = ({id}: Candidate) => reserved.size === 0 || reserved.has(id) === isLarge;
@@ -91,20 +101,24 @@
 	const compared = [...preferred, ...sample(matching, sampledMatching, random), ...sample(others, matching.length === 0 ? sampledMatching : sampledOther, random)];
 	const costs = compared.map(candidate => ({
 		candidate,
-		cost: getCost(candidate, prompt, preferred.indexOf(candidate)) + (isMatching(candidate) ? 0 : mixedSizePenaltyTokens) + (random.next() * maxJitterTokens),
+		cost: getCost(candidate, prompt, {rank: preferred.indexOf(candidate), speed: getSpeed(candidate.id)}) + (isMatching(candidate) ? 0 : mixedSizePenaltyTokens) + (random.next() * maxJitterTokens),
 	}));
 	return costs.toSorted((left, right) => left.cost - right.cost)[0]?.candidate;
 }
 
-function getOwnUtilization({inFlight, slots}: Candidate): number {
-	return inFlight / slots;
+function getOwnUtilization({id, inFlight, slots}: Candidate, getSpeed: SpeedLookup): number {
+	return inFlight / (slots * getSpeed(id));
 }
 
-/** Returns the cost of an engine in tokens. `rank` is the engine's position among those preferred for the prefix, or -1. */
-function getCost({pendingTokens, load, zone}: Candidate, prompt: PlacedPrompt, rank: number): number {
+/**
+Returns the cost of an engine in tokens at mean speed. `rank` is the engine's position among those preferred for the prefix, or -1. A faster
+engine does the work that waits, and the work of this prompt, in less time.
+*/
+function getCost({pendingTokens, load, zone}: Candidate, prompt: PlacedPrompt, {rank, speed}: {readonly rank: number; readonly speed: number}): number {
 	const cachedTokens = (cachedShares[rank] ?? 0) * prompt.sharedTokens;
 	const effectiveTokens = prompt.tokens - (cachedWeight * cachedTokens);
-	return pendingTokens + (effectiveTokens * (1 + (streamWeight * load))) + (zone === prompt.zone ? 0 : otherZonePenaltyTokens);
+	const tokens = pendingTokens + (effectiveTokens * (1 + (streamWeight * load / speed)));
+	return (tokens / speed) + (zone === prompt.zone ? 0 : otherZonePenaltyTokens);
 }
 
 /** Returns the identifiers of the engines reserved for large prompts. All entries reserve the same ones, since they rank the same identifiers. */
@@ -122,6 +136,19 @@
 	return sharedPart === undefined ? [] : rankNodes(hashText(sharedPart), matching, ({id}) => id).slice(0, cachedShares.length);
 }
 
+/** Returns one of the choices, drawn at random by their weights; `undefined` if there are none. */
+function draw<Choice>(choices: readonly Choice[], getWeight: (choice: Choice) => number, random: Random): Choice | undefined {
+	let remainder = random.next() * choices.reduce((sum, choice) => sum + getWeight(choice), 0);
+	for (const choice of choices) {
+		remainder -= getWeight(choice);
+		if (remainder < 0) {
+			return choice;
+		}
+	}
+
+	return choices.at(-1);
+}
+
 /** Returns up to `count` different choices, drawn at random. */
 function sample<Choice>(choices: readonly Choice[], count: number, random: Random): readonly Choice[] {
 	if (choices.length <= count) {
--- a/packages/mulberrypitch-proxy/src/backend-place.ts
+++ b/packages/mulberrypitch-proxy/src/backend-place.ts
@@ -1,4 +1,5 @@
 /** The permission of one request to use a connection to a back end. */
+import type {SendObservation} from './backend-speeds.js';
 import type {KnownBackend} from './known-backend.js';
 
 type BackendPermitEvents = {
@@ -11,6 +12,8 @@
 /** A permit for one back end. It counts toward the back end's load until it is released. */
 export class BackendPermit {
 	readonly backend: KnownBackend;
+	/** Times the response; absent if the request is not observed. */
+	observation: SendObservation | undefined;
 	readonly #events: BackendPermitEvents;
 	#isPrefilled = false;
 	#isReleased = false;
@@ -20,7 +23,13 @@
 		this.#events = events;
 	}
 
-	/** Marks the prompt as prefilled. The first part of the response's body shows this. */
+	/** Records a part of the response's body. The first one shows that the prompt has been prefilled. */
+	recordPart(): void {
+		this.observation?.recordPart();
+		this.markPrefilled();
+	}
+
+	/** Marks the prompt as prefilled. */
 	markPrefilled(): void {
 		if (!this.#isPrefilled) {
 			this.#isPrefilled = true;
--- a/packages/mulberrypitch-proxy/src/entry.ts
+++ b/packages/mulberrypitch-proxy/src/entry.ts
@@ -18,6 +18,7 @@
 import type {Transport} from '@mulberrypitch/transport/types';
 import type {StatementDecoder} from './backend-statement.js';
 import {BackendReachability} from './backend-reachability.js';
+import {BackendSpeeds} from './backend-speeds.js';
 import {BackendView} from './backend-view.js';
 import {ContentQuarantine, getIncarnationKey} from './content-quarantine.js';
 import {PeerEntries} from './peer-entries.js';
@@ -93,6 +94,7 @@
 	readonly #incarnation = randomUUID();
 	readonly #startedAt: number;
 	readonly #backends: BackendView;
+	readonly #speeds: BackendSpeeds;
 	readonly #quarantine: ContentQuarantine;
 	readonly #reachability: BackendReachability;
 	readonly #peers: PeerEntries;
@@ -122,6 +124,7 @@
 		this.#address = listen;
 		this.#entryCounts = new RecentMaximum(clock, entryCountWindowMs);
 		this.#usage = new UsageCounter(clock, options.usageWindowMs);
+		this.#speeds = new BackendSpeeds(clock);
 		this.#backends = new BackendView(({service, id, startedAt}) => ({
 			clock,
 			random,
@@ -182,6 +185,7 @@
 			random,
 			logger,
 			backends: this.#backends,
+			speeds: this.#speeds,
 			quarantine: this.#quarantine,
 			reachability: this.#reachability,
 			peers: this.#peers,
@@ -271,6 +275,7 @@
 		metrics.gauge('mulberrypitch_entry_backends_set_aside', 'Back ends that failed too often and get nothing for a while.', () => this.#backends.getCounts().ejected);
 		metrics.gauge('mulberrypitch_entry_backends_limited', 'Back ends that state a limit on requests.', () => this.#backends.getCounts().limited);
 		metrics.gauge('mulberrypitch_entry_backends_paused', 'Back ends that asked this entry for a pause.', () => this.#backends.getCounts().paused);
+		metrics.gauge('mulberrypitch_entry_backends_uneven', 'Back ends whose speed differs from the mean of their service.', () => this.#speeds.count);
 		metrics.gauge('mulberrypitch_entry_backend_connections', 'Connections to back ends.', () => this.#backends.getCounts().connections);
 		metrics.gauge('mulberrypitch_entry_cut_off', 'One while the entry reaches no back end.', () => this.#reachability.isCutOff ? 1 : 0);
 		metrics.gauge('mulberrypitch_entry_quarantined_contents', 'Contents that are kept from back ends since they crash them.', () => this.#quarantine.count);
@@ -280,6 +285,7 @@
 
 	#createViewRequest(): ViewRequest {
 		const {name, zone} = this.#options;
+		const speeds = this.#speeds.takeReport();
 		return {
 			status: {
 				name,
@@ -301,12 +307,13 @@
 			rosterEpoch: this.#backends.epoch,
 			rosterVersion: this.#backends.version,
 			origins: this.#origins.createReport(),
+			...(speeds !== undefined && {speeds}),
 			waitMs: this.#origins.isReplyAwaited ? 0 : this.#pace.getWaitMs(),
 		};
 	}
 
 	#applyView({
-		configuration, roster, loads, othersSpent, entryCount, verdict, limits = [], origins, peers = [], isInTouch,
+		configuration, roster, loads, othersSpent, entryCount, verdict, limits = [], origins, peers = [], speeds, isInTouch,
 	}: ViewReply): void {
 		this.#peers.setAddresses(peers);
 		this.#quarantine.apply(verdict);
@@ -318,6 +325,7 @@
 		this.#versions.apply(roster);
 		this.#origins.apply(origins, isInTouch);
 		this.#backends.setLoads(loads);
+		this.#speeds.apply(speeds);
 		this.#backends.applyLimitShares(limits);
 		if (roster.epoch !== this.#coordinatorEpoch) {
 			this.#coordinatorEpoch = roster.epoch;
--- a/packages/mulberrypitch-proxy/src/proxied-request.ts
+++ b/packages/mulberrypitch-proxy/src/proxied-request.ts
@@ -374,7 +374,7 @@
 			signatureHeader: names.signature,
 			notRunHeader: names.notRun,
 			onBodyBytes() {
-				permit.markPrefilled();
+				permit.recordPart();
 			},
 			onRunning: () => {
 				this.#markRunStarted();
--- a/packages/mulberrypitch-proxy/src/proxy-server-options.ts
+++ b/packages/mulberrypitch-proxy/src/proxy-server-options.ts
@@ -5,6 +5,7 @@
 import type {MetricsRegistry} from '@mulberrypitch/metrics/registry';
 import type {RouteTable} from '@mulberrypitch/serving/route-table';
 import type {BackendReachability} from './backend-reachability.js';
+import type {BackendSpeeds} from './backend-speeds.js';
 import type {BackendView} from './backend-view.js';
 import type {ContentQuarantine} from './content-quarantine.js';
 import type {PeerEntries} from './peer-entries.js';
@@ -26,6 +27,7 @@
 	readonly random: Random;
 	readonly logger: Logger;
 	readonly backends: BackendView;
+	readonly speeds: BackendSpeeds;
 	readonly quarantine: ContentQuarantine;
 	readonly reachability: BackendReachability;
 	/** Other entries. */
--- a/packages/mulberrypitch-proxy/src/proxy-server.ts
+++ b/packages/mulberrypitch-proxy/src/proxy-server.ts
@@ -10,6 +10,7 @@
 import type {ServicePressure} from '@mulberrypitch/serving/view-messages';
 import {RequestCompletion} from './request-completion.js';
 import type {Header} from './response-head.js';
+import type {BackendPermit} from './backend-place.js';
 import type {BackendFilter} from './backend-view.js';
 import {ResponseRelay} from './response-relay.js';
 import {ResponseTiming} from './response-timing.js';
@@ -41,6 +42,8 @@
 const keepAliveMarginMs = 2000;
 /** Limit of the wait for a permit, as a share of the route's target latency. */
 const maxQueueShare = 0.12;
+/** Lowest status of a response that is no success. */
+const firstFailureStatus = 300;
 
 /** Accepts callers' connections until it is disposed of. */
 export class ProxyServer implements Resource {
@@ -315,6 +318,7 @@
 		}
 
 		const priority = workspace?.priority ?? route.priority;
+		let permit: BackendPermit | undefined;
 		retries.add(service);
 		traffic.add(prompt);
 		const proxied = new ProxiedRequest({
@@ -336,15 +340,19 @@
 			clock,
 			logger,
 			signal,
-			place: async excludedIds => traffic.place({
-				service: table.getService(service),
-				prompt,
-				priority,
-				excludedIds,
-				isMatching,
-				maxWaitMs: Math.min(route.targetLatencyMs * maxQueueShare, deadlineAt - clock.now()),
-				signal,
-			}),
+			async place(excludedIds) {
+				permit = await traffic.place({
+					service: table.getService(service),
+					route: route.name,
+					prompt,
+					priority,
+					excludedIds,
+					isMatching,
+					maxWaitMs: Math.min(route.targetLatencyMs * maxQueueShare, deadlineAt - clock.now()),
+					signal,
+				});
+				return permit;
+			},
 			isTooLate: () => this.#stopWindow.findLate(route, deadlineAt) !== undefined,
 			hasCandidates: () => backends.getCandidates(service, isMatching).length > 0,
 			getStatedWaitMs: () => backends.getStatedWaitMs(service, isMatching),
@@ -359,6 +367,7 @@
 				return isAllowed;
 			},
 			onAttemptEnded(outcome) {
+				permit?.observation?.end(outcome === 'delivered' && response.statusCode < firstFailureStatus);
 				metrics.count('mulberrypitch_sends_total', 'Sends to back ends by how they ended.', {service, outcome});
 			},
 			onRunStarted() {
--- a/packages/mulberrypitch-proxy/src/service-traffic.ts
+++ b/packages/mulberrypitch-proxy/src/service-traffic.ts
@@ -3,8 +3,9 @@
 import type {Random} from '@mulberrypitch/lifecycle/random';
 import type {ServiceProfile} from '@mulberrypitch/serving/types';
 import type {ServicePressure} from '@mulberrypitch/serving/view-messages';
-import {chooseEngine, choosePlainBackend} from './backend-choice.js';
+import {chooseEngine, choosePlainBackend, type SpeedLookup} from './backend-choice.js';
 import type {BackendPermit} from './backend-place.js';
+import type {BackendSpeeds} from './backend-speeds.js';
 import type {BackendFilter, BackendView} from './backend-view.js';
 import type {Prompt} from './caller-request.js';
 import type {KnownBackend} from './known-backend.js';
@@ -19,12 +20,15 @@
 	/** Availability zone of this entry. */
 	readonly zone: string;
 	readonly backends: BackendView;
+	readonly speeds: BackendSpeeds;
 };
 
 /** Parameters of `ServiceTraffic.acquirePermit`. */
 export type PermitParameters = {
 	/** Absent when the service is no longer configured. */
 	readonly service: ServiceProfile | undefined;
+	/** Name of the route. */
+	readonly route: string;
 	readonly prompt: Prompt;
 	/** Zero is the most urgent. */
 	readonly priority: number;
@@ -69,7 +73,7 @@
 
 	/** Resolves with a permit for a back end, or `undefined` when none became free in time or the signal was aborted. */
 	async place({
-		service, prompt, priority, excludedIds, isMatching, maxWaitMs, signal,
+		service, route, prompt, priority, excludedIds, isMatching, maxWaitMs, signal,
 	}: PermitParameters): Promise<BackendPermit | undefined> {
 		if (service === undefined) {
 			return undefined;
@@ -79,7 +83,9 @@
 		const {backends} = this.#options;
 		const isHopeless = backends.isWithoutBackends(service.name, isMatching) || backends.getStatedWaitMs(service.name, isMatching) > maxWaitMs;
 		return this.#queue.acquire({
-			priority, maxWaitMs: isHopeless ? 0 : maxWaitMs, signal, tryAcquire: () => this.#choose(service, {prompt, excludedIds, isMatching})?.acquirePermit(estimateUncachedTokens(prompt)),
+			priority, maxWaitMs: isHopeless ? 0 : maxWaitMs, signal, tryAcquire: () => this.#acquireFree(service, {
+				route, prompt, excludedIds, isMatching,
+			}),
 		});
 	}
 
@@ -93,17 +99,29 @@
 		return {refused: this.#refused, tokensPerSecond: this.#tokens.readPerSecond(), ...this.#cost.read()};
 	}
 
+	/** Takes a permit for the chosen back end, and begins to observe how fast that is. */
+	#acquireFree(service: ServiceProfile, parameters: Pick<PermitParameters, 'route' | 'prompt' | 'excludedIds' | 'isMatching'>): BackendPermit | undefined {
+		const backend = this.#choose(service, parameters);
+		const permit = backend?.acquirePermit(estimateUncachedTokens(parameters.prompt));
+		if (backend !== undefined && permit !== undefined) {
+			permit.observation = this.#options.speeds.observe(backend, parameters);
+		}
+
+		return permit;
+	}
+
 	/** Chooses the back end of each send: first ones, retries and resumed streams. */
 	#choose({name, engine}: ServiceProfile, {prompt, excludedIds, isMatching}: Pick<PermitParameters, 'prompt' | 'excludedIds' | 'isMatching'>): KnownBackend | undefined {
-		const {backends, random, zone} = this.#options;
+		const {backends, random, zone, speeds} = this.#options;
+		const getSpeed: SpeedLookup = id => speeds.getSpeed(id);
 		const candidates = backends.getCandidates(name, isMatching).filter(backend => backend.isAvailable);
 		const untried = candidates.filter(({id}) => !excludedIds.has(id));
 		const choices = untried.length > 0 ? untried : candidates;
 		if (engine === undefined) {
-			return choosePlainBackend(choices, random);
+			return choosePlainBackend(choices, random, getSpeed);
 		}
 
-		return chooseEngine(choices, {...prompt, zone}, random);
+		return chooseEngine(choices, {...prompt, zone}, random, getSpeed);
 	}
 }
 
--- a/packages/mulberrypitch-serving/src/view-messages.ts
+++ b/packages/mulberrypitch-serving/src/view-messages.ts
@@ -30,6 +30,12 @@
 	readonly pendingTokens: number;
 };
 
+/**
+Evidence on the speeds of back ends, by identifier: the sum of the weights of the observed times, and the weighted sum of the logarithms of time
+taken to time expected.
+*/
+export type SpeedReport = Readonly<Record<string, readonly [weight: number, sum: number]>>;
+
 /** Identifies one incarnation of a back end. */
 export type Incarnation = {
 	/** Identifier of the back end. */
@@ -172,6 +178,8 @@
 	readonly origins?: OriginReport;
 	/** Longest time in milliseconds for which the coordinator waits for changes; absent from an entry of an earlier version. */
 	readonly waitMs?: number;
+	/** What the entry has lately observed of the speeds of back ends, about once a second; absent from the other requests, or from an entry of an earlier version. */
+	readonly speeds?: SpeedReport;
 	/** Whether the entry reads configurations in parts; absent from an entry of an earlier version. */
 	readonly readsParts?: boolean;
 };
@@ -214,6 +222,11 @@
 	readonly nearby?: readonly string[];
 	/** Addresses for callers of other entries that reach back ends; absent from a coordinator of an earlier version. */
 	readonly peers?: readonly string[];
+	/**
+	Speeds of the back ends whose speed differs from the mean of their service, which is one. In the reply to a request with a report of speeds;
+	absent from the others, or from a coordinator of an earlier version.
+	*/
+	readonly speeds?: Readonly<Record<string, number>>;
 	/** The last roll-out of each service; absent if there was none, or from a coordinator of an earlier version. */
 	readonly rollouts?: readonly Rollout[];
 	/** Whether the coordinator is in contact with a leader. */
@@ -230,6 +243,8 @@
 	readonly backends: readonly RosterEntry[];
 	/** Origins of streams that the called coordinator may not know; absent from a coordinator of an earlier version. */
 	readonly origins?: readonly OriginGroup[];
+	/** Sums of what the entries observe that report to the sender, about once a second; absent from the other requests, or from a coordinator of an earlier version. */
+	readonly speeds?: SpeedReport;
 	/** Whether the reply should contain all back ends and origins. */
 	readonly wantsAll: boolean;
 	/** Up to where the sender has merged the roster of the called coordinator; absent if it never has, or from a coordinator of an earlier version. */
