--- a/packages/mulberrypitch-coordinator/src/coordinator.ts
+++ b/packages/mulberrypitch-coordinator/src/coordinator.ts
@@ -38,6 +38,7 @@
 import {ServingState} from './serving-state.js';
 import {gossipRequestSchema, viewRequestSchema} from './status-schema.js';
 import {unchecked} from './unchecked-schema.js';
+import {SpeedSums} from './speed-sums.js';
 import {ViewService} from './view-service.js';
 
 /** Dependencies and settings of a coordinator. */
@@ -158,6 +159,9 @@
 			...options, directory: this.directory, roster: this.roster, changes: this.#changes, conduct: options.rollouts,
 			log: this.#replica, table: this.#state.rollouts, getConfiguration: () => this.#configuration,
 		});
+		const speeds = new SpeedSums({
+			clock, logger, metrics: options.metrics, getServing: () => this.roster.getServing(),
+		});
 		this.#gossip = new Gossip({
 			name,
 			zone: options.zone,
@@ -167,6 +171,7 @@
 			roster: this.roster,
 			origins,
 			directory: this.directory,
+			speeds,
 			getOthers: () => this.#getOthers(),
 			getRolloutAges: () => this.rollouts.ages,
 			onRoster: () => {
@@ -188,6 +193,7 @@
 			logger,
 			directory: this.directory,
 			roster: this.roster,
+			speeds,
 			origins,
 			rollouts: this.rollouts,
 			epoch,
--- a/packages/mulberrypitch-coordinator/src/gossip.ts
+++ b/packages/mulberrypitch-coordinator/src/gossip.ts
@@ -17,6 +17,7 @@
 } from '@mulberrypitch/serving/view-messages';
 import type {Transport} from '@mulberrypitch/transport/types';
 import type {EntryDirectory} from './entry-directory.js';
+import type {SpeedSums} from './speed-sums.js';
 
 /** Interval between rounds in milliseconds. */
 const intervalMs = 100;
@@ -51,6 +52,7 @@
 	/** Where streams began. */
 	readonly origins: OriginTable;
 	readonly directory: EntryDirectory;
+	readonly speeds: SpeedSums;
 	/** Returns all other coordinators. */
 	readonly getOthers: () => readonly Peer[];
 	/** Returns the times since the orders of the running roll-outs. */
@@ -119,7 +121,7 @@
 
 	/** Exchanges entries and back ends with one coordinator; resolves with whether the call succeeded. */
 	async #sendTo(peer: Peer): Promise<boolean> {
-		const {name, zone, clock, transport, roster, origins, directory, onRoster} = this.#options;
+		const {name, zone, clock, transport, roster, origins, directory, speeds, onRoster} = this.#options;
 		const {position} = origins;
 		const startedAt = clock.now();
 		const lastSentAt = this.#lastSentAt.get(peer.name);
@@ -127,6 +129,7 @@
 		const since = shouldSendAll ? Number.NEGATIVE_INFINITY : lastSentAt - overlapMs;
 		const known = this.#exchanges.get(peer.name)?.position;
 		const rolloutAges = this.#options.getRolloutAges?.() ?? [];
+		const speedSums = speeds.takeSums(peer.name);
 		const request: GossipRequest = {
 			from: name,
 			zone,
@@ -136,6 +139,7 @@
 			wantsAll: shouldSendAll,
 			...(known !== undefined && {known}),
 			...(rolloutAges.length > 0 && {rolloutAges}),
+			...(speedSums !== undefined && {speeds: speedSums}),
 		};
 		this.#pendingCalls.add(peer.name);
 		try {
--- a/packages/mulberrypitch-coordinator/src/status-schema.ts
+++ b/packages/mulberrypitch-coordinator/src/status-schema.ts
@@ -13,7 +13,8 @@
 /** Schema of the poll of an entry. */
 export const viewRequestSchema: Schema<ViewRequest> = {
 	parse(value) {
-		if (!isObject(value) || !isStatus(value.status) || !areAll(isNumber, [value.configurationVersion, value.rosterVersion, value.waitMs ?? 0, value.readingVersion ?? 0])) {
+		const hasNumbers = isObject(value) && areAll(isNumber, [value.configurationVersion, value.rosterVersion, value.waitMs ?? 0, value.readingVersion ?? 0]);
+		if (!hasNumbers || !isStatus(value.status) || !isSpeedReport(value.speeds ?? {})) {
 			throw new ProtocolError('A status of an entry is malformed.');
 		}
 
@@ -24,7 +25,11 @@
 /** Schema of what another coordinator tells. Malformed statuses in it are left out, so that they don't hide the others. */
 export const gossipRequestSchema: Schema<GossipRequest> = {
 	parse(value) {
-		if (!isObject(value) || !Array.isArray(value.entries) || !isListOf(isObject)(value.backends) || !isPosition(value.known) || !isListOf(isRolloutAge)(value.rolloutAges ?? [])) {
+		if (!isObject(value) || !Array.isArray(value.entries) || !isListOf(isObject)(value.backends) || !isPosition(value.known)) {
+			throw new ProtocolError('What another coordinator tells is malformed.');
+		}
+
+		if (!isListOf(isRolloutAge)(value.rolloutAges ?? []) || !isSpeedReport(value.speeds ?? {})) {
 			throw new ProtocolError('What another coordinator tells is malformed.');
 		}
 
@@ -51,6 +56,10 @@
 	return isObject(value) && isNumber(value.requests) && isNumber(value.pendingTokens);
 }
 
+function isSpeedReport(value: unknown): boolean {
+	return isMapOf(evidence => Array.isArray(evidence) && evidence.length === 2 && areAll(isNumber, evidence))(value);
+}
+
 function isUsage(value: unknown): boolean {
 	return isObject(value) && isNumber(value.window) && isMapOf(isNumber)(value.counts);
 }
--- a/packages/mulberrypitch-coordinator/src/view-service.ts
+++ b/packages/mulberrypitch-coordinator/src/view-service.ts
@@ -14,6 +14,7 @@
 import {CrashEvidence} from './crash-evidence.js';
 import type {EntryDirectory} from './entry-directory.js';
 import type {RolloutService} from './rollout-service.js';
+import type {SpeedSums} from './speed-sums.js';
 
 /** Dependencies of the service. */
 export type ViewServiceOptions = {
@@ -21,6 +22,7 @@
 	readonly logger: Logger;
 	readonly directory: EntryDirectory;
 	readonly roster: BackendRoster;
+	readonly speeds: SpeedSums;
 	/** Where streams began, as the entries reported it. */
 	readonly origins: OriginTable;
 	readonly rollouts: Pick<RolloutService, 'feed' | 'mergeAges'>;
@@ -78,10 +80,16 @@
 
 	/** Stores the status of an entry and replies with the changes since its versions, for which it waits up to the timeout. */
 	async watch(request: ViewRequest): Promise<ViewReply> {
-		const {status, rosterEpoch, rosterVersion, origins: report, waitMs = defaultWaitMs} = request;
-		const {directory, roster, origins, rollouts, getCoordinators, isInTouch} = this.#options;
+		const {status, rosterEpoch, rosterVersion, origins: report, waitMs = defaultWaitMs, speeds: observed} = request;
+		const {
+			directory, roster, origins, rollouts, speeds, getCoordinators, isInTouch,
+		} = this.#options;
 		directory.update(status);
 		this.#mergeObservations(status);
+		if (observed !== undefined) {
+			speeds.update(status.name, observed);
+		}
+
 		origins.merge(report?.begun ?? []);
 		const hasChanges = this.#hasNewerConfiguration(request) || roster.hasChanges(rosterEpoch, rosterVersion) || rollouts.feed.hasNews(status);
 		if (!hasChanges) {
@@ -107,18 +115,23 @@
 			nearby: this.#getNearby(status.zone),
 			peers: directory.getPeers(status.name, maxPeers),
 			...rollouts.feed.createReply(status),
+			...(observed !== undefined && {speeds: speeds.getSpeeds()}),
 			isInTouch: isInTouch(),
 		};
 	}
 
 	/** Merges what another coordinator sends, and replies with what changed in the roster, or with the whole roster and all origins if it asks for them. */
 	async mergeGossip({
-		from, zone, entries, backends, origins: told = [], wantsAll, known, rolloutAges = [],
+		from, zone, entries, backends, origins: told = [], wantsAll, known, rolloutAges = [], speeds: sums,
 	}: GossipRequest): Promise<GossipReply> {
 		const {directory, roster, origins, rollouts, changes} = this.#options;
 		this.#zones.set(from, zone ?? '');
 		origins.merge(told);
 		rollouts.mergeAges(rolloutAges);
+		if (sums !== undefined) {
+			this.#options.speeds.merge(from, sums);
+		}
+
 		for (const status of entries) {
 			directory.merge(status);
 			this.#mergeObservations(status);
--- a/packages/mulberrypitch-proxy/src/entry.ts
+++ b/packages/mulberrypitch-proxy/src/entry.ts
@@ -19,6 +19,7 @@
 import type {Transport} from '@mulberrypitch/transport/types';
 import type {StatementDecoder} from './backend-statement.js';
 import {BackendReachability} from './backend-reachability.js';
+import {BackendSpeeds} from './backend-speeds.js';
 import {BackendView} from './backend-view.js';
 import {ConfigurationInForce} from './configuration-in-force.js';
 import {ContentQuarantine, getIncarnationKey} from './content-quarantine.js';
@@ -97,6 +98,7 @@
 	readonly #incarnation = randomUUID();
 	readonly #startedAt: number;
 	readonly #backends: BackendView;
+	readonly #speeds: BackendSpeeds;
 	readonly #quarantine: ContentQuarantine;
 	readonly #reachability: BackendReachability;
 	readonly #peers: PeerEntries;
@@ -126,6 +128,7 @@
 		this.#address = listen;
 		this.#entryCounts = new RecentMaximum(clock, entryCountWindowMs);
 		this.#usage = new UsageCounter(clock, options.usageWindowMs);
+		this.#speeds = new BackendSpeeds(clock);
 		this.#backends = new BackendView(({service, id, startedAt}) => ({
 			clock,
 			random,
@@ -198,6 +201,7 @@
 			random,
 			logger,
 			backends: this.#backends,
+			speeds: this.#speeds,
 			quarantine: this.#quarantine,
 			reachability: this.#reachability,
 			peers: this.#peers,
@@ -293,6 +297,7 @@
 		metrics.gauge('mulberrypitch_entry_backends_set_aside', 'Back ends that failed too often and get nothing for a while.', () => this.#backends.getCounts().ejected);
 		metrics.gauge('mulberrypitch_entry_backends_limited', 'Back ends that state a limit on requests.', () => this.#backends.getCounts().limited);
 		metrics.gauge('mulberrypitch_entry_backends_paused', 'Back ends that asked this entry for a pause.', () => this.#backends.getCounts().paused);
+		metrics.gauge('mulberrypitch_entry_backends_uneven', 'Back ends whose speed differs from the mean of their service.', () => this.#speeds.count);
 		metrics.gauge('mulberrypitch_entry_backend_connections', 'Connections to back ends.', () => this.#backends.getCounts().connections);
 		metrics.gauge('mulberrypitch_entry_cut_off', 'One while the entry reaches no back end.', () => this.#reachability.isCutOff ? 1 : 0);
 		metrics.gauge('mulberrypitch_entry_quarantined_contents', 'Contents that are kept from back ends since they crash them.', () => this.#quarantine.count);
@@ -302,6 +307,7 @@
 
 	#createViewRequest(): ViewRequest {
 		const {name, zone} = this.#options;
+		const speeds = this.#speeds.takeReport();
 		return {
 			status: {
 				name,
@@ -323,12 +329,13 @@
 			rosterEpoch: this.#backends.epoch,
 			rosterVersion: this.#backends.version,
 			origins: this.#origins.createReport(),
+			...(speeds !== undefined && {speeds}),
 			waitMs: this.#origins.isReplyAwaited ? 0 : this.#pace.getWaitMs(),
 		};
 	}
 
 	#applyView({
-		roster, loads, othersSpent, entryCount, verdict, limits = [], origins, peers = [], isInTouch, ...reply
+		roster, loads, othersSpent, entryCount, verdict, limits = [], origins, peers = [], speeds, isInTouch, ...reply
 	}: ViewReply): void {
 		this.#peers.setAddresses(peers);
 		this.#quarantine.apply(verdict);
@@ -336,6 +343,7 @@
 		this.#versions.apply(roster);
 		this.#origins.apply(origins, isInTouch);
 		this.#backends.setLoads(loads);
+		this.#speeds.apply(speeds);
 		this.#backends.applyLimitShares(limits);
 		if (roster.epoch !== this.#coordinatorEpoch) {
 			this.#coordinatorEpoch = roster.epoch;
