--- a/packages/mulberrypitch-proxy/src/proxied-request.ts
+++ b/packages/mulberrypitch-proxy/src/proxied-request.ts
@@ -16,6 +16,7 @@
 import type {BackendPermit} from './backend-place.js';
 import {connectInTime} from './connect-in-time.js';
 import {getIncarnationKey} from './content-quarantine.js';
+import {logDispatch} from './dispatch-log.js';
 import type {KnownBackend} from './known-backend.js';
 import type {ProxiedRequestOptions, RequestEnd} from './proxied-request-options.js';
 import {isGoodOutcome, recordResult} from './recorded-result.js';
@@ -97,7 +98,7 @@
 			}
 
 			const isRepeated = this.#triedIds.has(permit.backend.id);
-			this.#logDispatch(permit.backend, clock.now() - queuedAt);
+			logDispatch(this.#options, {backend: permit.backend, send: this.#sendCount + 1, waitedMs: clock.now() - queuedAt});
 			const outcome = this.#attachEarlierFailure(await this.#attemptRestricted(permit));
 			this.#options.onAttemptEnded(outcome.kind);
 			this.#recordEvidence(permit.backend, outcome);
@@ -125,30 +126,6 @@
 		return isCutOff(this.#triedIds.size) && this.#runCount === 0 && !relay.hasStarted;
 	}
 
-	#logDispatch(backend: KnownBackend, waitedMs: number): void {
-		const {
-			logger, attemptId, service, clock, deadlineAt, relay, getDecisionContext, prompt, position,
-		} = this.#options;
-		logger.log(events.requestDispatched, {
-			request: attemptId,
-			service,
-			promptTokens: prompt.tokens,
-			backend: backend.id,
-			version: backend.announced.version,
-			send: this.#sendCount + 1,
-			load: backend.load,
-			pendingTokens: Math.round(backend.pendingTokens),
-			slots: backend.slots,
-			limitPerSecond: backend.requestsPerSecond,
-			recentSends: backend.recentSends,
-			waitedMs: Math.round(waitedMs),
-			leftMs: Math.round(deadlineAt - clock.now()),
-			lastEventId: relay.lastEventId ?? position?.lastEventId,
-			resumes: position?.attemptId,
-			...getDecisionContext(),
-		});
-	}
-
 	#release(permit: BackendPermit): void {
 		permit.release();
 		this.#options.onReleased();
