Let entries act on roll-outs and report what they observe

Entries sent requests to all versions of a service alike. They now apply the roll-outs of each view before its roster, choose the back ends of first sends, retries and resumed streams by them, and report evidence with each poll while a roll-out runs. The version is one more condition in the filter that place, hasCandidates and getStatedWaitMs share. It is checked again when a connection has been opened, since the process may have been suspended meanwhile. A stream whose version was rolled back or replaced is refused at once with 503, and waits for no back end within its answer.

othersRunning is the sum of the permits at back ends of other versions, with those that leave or were retired. A permit is given back whatever happens, so no counter of its own can go wrong.

The tests of stream resumption get the new dependency, which closes no version; nothing else in them changes.

--- a/packages/mulberrypitch-proxy/src/__tests__/sole-version.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/sole-version.test.ts
@@ -52,7 +52,7 @@
 
 	const origins = new StreamOrigins(clock, ignore);
 	const resumption = new StreamResumption({
-		origins, clock, backends, versions, metrics: new MetricsRegistry(), getViewAgeMs: () => state.viewAgeMs,
+		origins, clock, backends, versions, metrics: new MetricsRegistry(), rollouts: {isClosed: () => false}, getViewAgeMs: () => state.viewAgeMs,
 	});
 	const runFor = async (durationMs: number) => {
 		for (let passedMs = 0; passedMs < durationMs; passedMs += pollMs) {
--- a/packages/mulberrypitch-proxy/src/__tests__/stream-resumption.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/stream-resumption.test.ts
@@ -36,7 +36,7 @@
 	});
 	const origins = new StreamOrigins(clock, ignore);
 	const resumption = new StreamResumption({
-		origins, clock, backends, versions: new VersionHistory(clock), metrics: new MetricsRegistry(), getViewAgeMs: () => 0,
+		origins, clock, backends, versions: new VersionHistory(clock), metrics: new MetricsRegistry(), rollouts: {isClosed: () => false}, getViewAgeMs: () => 0,
 	});
 	return {
 		clock, backends, origins, resumption,
--- a/packages/mulberrypitch-proxy/src/backend-view.ts
+++ b/packages/mulberrypitch-proxy/src/backend-view.ts
@@ -18,8 +18,8 @@
 	readonly connections: number;
 };
 
-/** Reports whether a request may be sent to a back end. */
-export type BackendFilter = (backend: KnownBackend) => boolean;
+/** Reports whether a request may be sent to a back end. `serving` are all serving back ends of its service, the same array for all of one choice. */
+export type BackendFilter = (backend: KnownBackend, serving: readonly KnownBackend[]) => boolean;
 
 const noLoad: BackendLoad = {requests: 0, pendingTokens: 0};
 
@@ -51,7 +51,8 @@
 
 	/** Returns the serving back ends of a service that a request may be sent to: those that are not ejected, or all of them when every one is ejected. */
 	getCandidates(service: string, isMatching: BackendFilter): readonly KnownBackend[] {
-		const serving = [...this.#backends.values()].filter(backend => backend.announced.service === service && backend.isServing && isMatching(backend));
+		const ofService = [...this.#backends.values()].filter(backend => backend.announced.service === service && backend.isServing);
+		const serving = ofService.filter(backend => isMatching(backend, ofService));
 		const healthy = serving.filter(backend => !backend.isEjected);
 		return healthy.length > 0 ? healthy : serving;
 	}
@@ -69,6 +70,12 @@
 		};
 	}
 
+	/** Returns the number of this entry's requests at back ends that match, with those that are leaving or were retired. */
+	countRequests(isMatching: (backend: KnownBackend) => boolean): number {
+		const counted = [...this.#backends.values(), ...this.#retired.list()].filter(backend => isMatching(backend));
+		return counted.reduce((sum, {inFlight}) => sum + inFlight, 0);
+	}
+
 	/** Returns this entry's load on each back end that has any, by identifier. */
 	getLoads(): Readonly<Record<string, BackendLoad>> {
 		return Object.fromEntries([...this.#backends.values()].filter(({inFlight}) => inFlight > 0).map(({id, ownLoad}) => [id, ownLoad]));
--- a/packages/mulberrypitch-proxy/src/entry.ts
+++ b/packages/mulberrypitch-proxy/src/entry.ts
@@ -20,6 +20,7 @@
 import {BackendReachability} from './backend-reachability.js';
 import {BackendView} from './backend-view.js';
 import {ContentQuarantine, getIncarnationKey} from './content-quarantine.js';
+import {EntryRollouts} from './entry-rollouts.js';
 import {PeerEntries} from './peer-entries.js';
 import {PollPace} from './poll-pace.js';
 import {ProxyServer} from './proxy-server.js';
@@ -58,6 +59,8 @@
 	readonly drainMs: number;
 	/** Time in milliseconds after which a process that is being stopped is killed. */
 	readonly graceMs: number;
+	/** Returns the time in milliseconds since a fixed moment, which counts the suspension of the process; `clock` is used if absent. */
+	readonly getBootTime?: () => number;
 };
 
 /** Timeout of a connection attempt to a back end. */
@@ -98,6 +101,7 @@
 	readonly #peers: PeerEntries;
 	readonly #origins: StreamOrigins;
 	readonly #versions: VersionHistory;
+	readonly #rollouts: EntryRollouts;
 	readonly #quotas: WorkspaceQuotas;
 	readonly #usage: UsageCounter;
 	readonly #view: ViewClient;
@@ -160,6 +164,7 @@
 			this.#view.hurry();
 		});
 		this.#versions = new VersionHistory(clock);
+		this.#rollouts = new EntryRollouts({...options, backends: this.#backends});
 		this.#quotas = new WorkspaceQuotas({
 			clock, getEntryCount: () => this.#entryCount, isInTouch: () => this.#isSpendingKnown(), tolerance: options.quotaTolerance,
 		});
@@ -187,6 +192,7 @@
 			peers: this.#peers,
 			origins: this.#origins,
 			versions: this.#versions,
+			rollouts: this.#rollouts,
 			quotas: this.#quotas,
 			retries: new WindowedRetryBudget({clock, ...retryBudget, getEntryCount: () => this.#entryCount}),
 			usage: this.#usage,
@@ -280,6 +286,8 @@
 
 	#createViewRequest(): ViewRequest {
 		const {name, zone} = this.#options;
+		const rollouts = this.#rollouts.getEvidence();
+		this.#rollouts.recordPoll();
 		return {
 			status: {
 				name,
@@ -296,6 +304,7 @@
 				limits: this.#backends.getStatedLimits(),
 				leaves: this.#backends.getLeaves(),
 				reachesBackends: !this.#reachability.isCutOff,
+				...(rollouts.length > 0 && {rollouts}),
 			},
 			configurationVersion: this.#table?.configuration.version ?? 0,
 			rosterEpoch: this.#backends.epoch,
@@ -305,9 +314,12 @@
 		};
 	}
 
-	#applyView({
-		configuration, roster, loads, othersSpent, entryCount, verdict, limits = [], origins, peers = [], isInTouch,
-	}: ViewReply): void {
+	#applyView(reply: ViewReply): void {
+		const {
+			configuration, roster, loads, othersSpent, entryCount, verdict, limits = [], origins, peers = [], isInTouch,
+		} = reply;
+		// The roster may name back ends of a version for the first time, so the roll-out that decides on it comes before.
+		this.#rollouts.apply(reply);
 		this.#peers.setAddresses(peers);
 		this.#quarantine.apply(verdict);
 		if (configuration !== undefined) {
@@ -365,6 +377,7 @@
 		while (!signal.aborted) {
 			await this.#options.clock.sleep(reachabilityCheckMs, signal);
 			this.#reachability.check();
+			this.#rollouts.check();
 		}
 	}
 }
--- a/packages/mulberrypitch-proxy/src/proxied-request-options.ts
+++ b/packages/mulberrypitch-proxy/src/proxied-request-options.ts
@@ -6,6 +6,7 @@
 import type {BackendPermit} from './backend-place.js';
 import type {Prompt, StreamPosition} from './caller-request.js';
 import type {RequestContent} from './content-quarantine.js';
+import type {KnownBackend} from './known-backend.js';
 import type {CallerHead} from './request-head.js';
 import type {ResponseRelay} from './response-relay.js';
 import type {StreamBinding} from './stream-binding.js';
@@ -57,8 +58,12 @@
 	readonly takeRetry: () => boolean;
 	/** Returns the inputs of a decision other than the back end, for the log. */
 	readonly getDecisionContext: () => DecisionContext;
+	/** Reports whether a back end may still be sent the request, which was given a permit for it. */
+	readonly canSend: (backend: KnownBackend) => boolean;
+	/** Called when the request is sent to a back end. */
+	readonly onSent: (backend: KnownBackend) => void;
 	/** Called after each attempt with its outcome. */
-	readonly onAttemptEnded: (outcome: AttemptOutcome['kind']) => void;
+	readonly onAttemptEnded: (outcome: AttemptOutcome) => void;
 	/** Called once, when it is first certain that a back end runs the request. */
 	readonly onRunStarted: () => void;
 };
--- a/packages/mulberrypitch-proxy/src/proxied-request.ts
+++ b/packages/mulberrypitch-proxy/src/proxied-request.ts
@@ -47,6 +47,8 @@
 
 /** Reason for which a stream does not go on while its service may have back ends of other versions. */
 const versionGoneReason = 'no back end of the version that began the stream';
+/** Reason for which a request is not sent to the back end that was chosen for it. */
+const versionClosedReason = 'the roll-out has closed the version';
 
 /** Handles one request until it is answered, refused, cut off or abandoned. */
 export class ProxiedRequest {
@@ -100,7 +102,7 @@
 			const isRepeated = this.#triedIds.has(permit.backend.id);
 			logDispatch(this.#options, {backend: permit.backend, send: this.#sendCount + 1, waitedMs: clock.now() - queuedAt});
 			const outcome = this.#attachEarlierFailure(await this.#attemptRestricted(permit));
-			this.#options.onAttemptEnded(outcome.kind);
+			this.#options.onAttemptEnded(outcome);
 			this.#recordEvidence(permit.backend, outcome);
 			const step = this.#decide(outcome);
 			this.#recordOutcome(permit.backend, outcome, step);
@@ -294,12 +296,17 @@
 			return {kind: 'abandoned'};
 		}
 
+		if (!this.#options.canSend(backend)) {
+			connection.destroy();
+			return {kind: 'notRun', reason: versionClosedReason, wasSent: false};
+		}
+
 		return this.#exchange(permit, connection);
 	}
 
 	async #exchange(permit: BackendPermit, connection: BackendConnection): Promise<AttemptOutcome> {
 		const {
-			caller, body, clock, deadlineAt, names, signal, workspace, dropsKey, relay, priority, binding,
+			caller, body, clock, deadlineAt, names, signal, workspace, dropsKey, relay, priority, onSent,
 		} = this.#options;
 		const head = createRequestHead(caller, {
 			backendId: permit.backend.id,
@@ -319,7 +326,7 @@
 
 		signal.addEventListener('abort', abandon, {once: true});
 		void enforceDeadline(done, this.#options, timerAbort.signal);
-		binding.recordSend(permit.backend);
+		onSent(permit.backend);
 		this.#usedConnections.add(connection);
 		this.#sendCount += 1;
 		this.#runCount += 1;
--- a/packages/mulberrypitch-proxy/src/proxy-server-options.ts
+++ b/packages/mulberrypitch-proxy/src/proxy-server-options.ts
@@ -7,6 +7,7 @@
 import type {BackendReachability} from './backend-reachability.js';
 import type {BackendView} from './backend-view.js';
 import type {ContentQuarantine} from './content-quarantine.js';
+import type {EntryRollouts} from './entry-rollouts.js';
 import type {PeerEntries} from './peer-entries.js';
 import type {StreamOrigins} from './stream-origins.js';
 import type {VersionHistory} from './version-history.js';
@@ -32,6 +33,7 @@
 	readonly peers: PeerEntries;
 	readonly origins: StreamOrigins;
 	readonly versions: VersionHistory;
+	readonly rollouts: EntryRollouts;
 	readonly quotas: WorkspaceQuotas;
 	readonly retries: WindowedRetryBudget;
 	readonly usage: UsageCounter;
--- a/packages/mulberrypitch-proxy/src/proxy-server.ts
+++ b/packages/mulberrypitch-proxy/src/proxy-server.ts
@@ -17,6 +17,7 @@
 import {watchCaller} from './caller-watch.js';
 import {LocalReplies} from './local-replies.js';
 import {ProxiedRequest} from './proxied-request.js';
+import type {RequestVersions} from './request-versions.js';
 import {RequestPreparation, type PreparedRequest} from './request-preparation.js';
 import {takeQuota} from './quota-claim.js';
 import {RequestForwarding} from './request-forwarding.js';
@@ -244,6 +245,12 @@
 		const {origin} = resumption;
 		const service = origin?.service ?? chooseService(route, this.#options.random);
 		const binding = new StreamBinding(origin?.version);
+		const versions = this.#options.rollouts.begin({
+			service, route: route.name, attemptId: this.#getAttemptId(request), deadlineAt, binding,
+		});
+		timing.observe(at => {
+			versions.recordPart(at);
+		});
 		const relay = new ResponseRelay(response, {
 			isResumable: route.isResumable,
 			timing,
@@ -256,7 +263,7 @@
 			getExtraHeaders: () => this.#getConnectionHeaders(response),
 		});
 		const ownEnd = await this.#run(request, response, {
-			...prepared, arrivedAt, service, relay, binding, signal,
+			...prepared, arrivedAt, service, relay, binding, versions, signal,
 		});
 		if (ownEnd.kind === 'refused' && workspace !== undefined) {
 			this.#options.quotas.refund(workspace, claim.units);
@@ -300,15 +307,16 @@
 		readonly service: string;
 		readonly relay: ResponseRelay;
 		readonly binding: StreamBinding;
+		readonly versions: RequestVersions;
 		readonly signal: AbortSignal;
 	}): Promise<RequestEnd> {
 		const {
 			names, clock, logger, retries, usage, metrics, backends,
 		} = this.#options;
 		const {
-			body, arrivedAt, deadlineAt, route, service, position, workspace, table, relay, binding, prompt, content, signal,
+			body, arrivedAt, deadlineAt, route, service, position, workspace, table, relay, binding, versions, prompt, content, signal,
 		} = admitted;
-		const isMatching: BackendFilter = backend => binding.isMatching(backend);
+		const isMatching: BackendFilter = (backend, serving) => versions.isMatching(backend, serving);
 		const traffic = this.#services.get(service);
 		if (response.destroyed) {
 			return {kind: 'abandoned'};
@@ -342,7 +350,7 @@
 				priority,
 				excludedIds,
 				isMatching,
-				maxWaitMs: Math.min(route.targetLatencyMs * maxQueueShare, deadlineAt - clock.now()),
+				maxWaitMs: versions.isOver ? 0 : Math.min(route.targetLatencyMs * maxQueueShare, deadlineAt - clock.now()),
 				signal,
 			}),
 			isTooLate: () => this.#stopWindow.findLate(route, deadlineAt) !== undefined,
@@ -358,8 +366,13 @@
 				metrics.count('mulberrypitch_repeats_total', 'Requests to be sent again, by whether the budget allowed it.', {service, isAllowed: String(isAllowed)});
 				return isAllowed;
 			},
+			canSend: backend => versions.canSend(backend),
+			onSent(backend) {
+				versions.recordSend(backend);
+			},
 			onAttemptEnded(outcome) {
-				metrics.count('mulberrypitch_sends_total', 'Sends to back ends by how they ended.', {service, outcome});
+				versions.recordEnd(outcome);
+				metrics.count('mulberrypitch_sends_total', 'Sends to back ends by how they ended.', {service, outcome: outcome.kind});
 			},
 			onRunStarted() {
 				traffic.recordFirstEvent(prompt, clock.now() - arrivedAt);
--- a/packages/mulberrypitch-proxy/src/response-timing.ts
+++ b/packages/mulberrypitch-proxy/src/response-timing.ts
@@ -16,12 +16,18 @@
 	#firstAt: number | undefined;
 	#lastAt = 0;
 	#longestPauseMs = 0;
+	#listener: ((at: number) => void) | undefined;
 
 	constructor(clock: Clock, arrivedAt: number) {
 		this.#clock = clock;
 		this.#arrivedAt = arrivedAt;
 	}
 
+	/** Calls a listener at each part from now on, with the monotonic time in milliseconds. */
+	observe(listener: (at: number) => void): void {
+		this.#listener = listener;
+	}
+
 	/** Records that a part was written. */
 	recordPart(): void {
 		const now = this.#clock.now();
@@ -32,6 +38,7 @@
 		}
 
 		this.#lastAt = now;
+		this.#listener?.(now);
 	}
 
 	/** Returns the times recorded so far. */
--- a/packages/mulberrypitch-proxy/src/retired-backends.ts
+++ b/packages/mulberrypitch-proxy/src/retired-backends.ts
@@ -25,6 +25,11 @@
 		}
 	}
 
+	/** Returns the retired back ends that are remembered. */
+	list(): readonly KnownBackend[] {
+		return [...this.#backends.values()];
+	}
+
 	/** Reports whether the announced incarnation left before it was retired, or stated it in a response that came later. */
 	hasLeft({id, startedAt}: AnnouncedBackend): boolean {
 		const retired = this.#backends.get(id);
--- a/packages/mulberrypitch-proxy/src/stream-resumption.ts
+++ b/packages/mulberrypitch-proxy/src/stream-resumption.ts
@@ -7,6 +7,7 @@
 import type {StreamPosition} from './caller-request.js';
 import {minRetryAfterSeconds, type LocalReply} from './local-replies.js';
 import {StreamBinding} from './stream-binding.js';
+import type {EntryRollouts} from './entry-rollouts.js';
 import type {StreamOrigins} from './stream-origins.js';
 import type {VersionHistory} from './version-history.js';
 
@@ -37,12 +38,13 @@
 	readonly clock: Clock;
 	readonly backends: BackendView;
 	readonly versions: VersionHistory;
+	readonly rollouts: Pick<EntryRollouts, 'isClosed'>;
 	readonly metrics: MetricsRegistry;
 	/** Returns the time in milliseconds since the last reply of a coordinator that is in contact with a leader. */
 	readonly getViewAgeMs: () => number;
 };
 
-type Outcome = 'resumed' | 'unknown' | 'not allowed' | 'version gone';
+type Outcome = 'resumed' | 'unknown' | 'not allowed' | 'version gone' | 'version closed';
 
 /** Looks up where streams began. */
 export class StreamResumption {
@@ -72,6 +74,10 @@
 			return this.#refuse('not allowed', 'the route does not lead to the service that began the stream', inputs);
 		}
 
+		if (this.#options.rollouts.isClosed(origin)) {
+			return this.#refuse('version closed', 'the version that began the stream was rolled back or replaced, or the view is too old to tell', inputs);
+		}
+
 		const binding = new StreamBinding(version);
 		if (this.#options.backends.isWithoutBackends(service, backend => binding.isMatching(backend))) {
 			return this.#refuse('version gone', 'no back end of the version that began the stream', inputs);
