--- a/packages/mulberrypitch-proxy/src/__tests__/rollout-entry.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/rollout-entry.test.ts
@@ -7,7 +7,7 @@
 import {assumeType} from '@mulberrypitch/errors/assume-type';
 import {VirtualClock} from '@mulberrypitch/fakes/virtual-clock';
 import {SeededRandom} from '@mulberrypitch/lifecycle/random';
-import {SilentLogger} from '@mulberrypitch/logger/logger';
+import {events, type CataloguedEvent} from '@mulberrypitch/logger/events';
 import {MetricsRegistry} from '@mulberrypitch/metrics/registry';
 import type {Rollout} from '@mulberrypitch/serving/rollout-messages';
 import type {ServingConfiguration} from '@mulberrypitch/serving/types';
@@ -22,6 +22,7 @@
 const service = 's';
 const versions = ['v1', 'v1', 'v2'];
 const requestCount = 60;
+const rolloutEvents = new Set<number>([events.rolloutInForce.number, events.rolloutHeld.number, events.rolloutResumed.number]);
 /** Number of event-loop turns after which virtual time advances while a request waits, and by how many milliseconds. */
 const turnsBetweenSteps = 20;
 const stepMs = 5;
@@ -67,12 +68,15 @@
 	/** Versions of which the back ends answer with status 500, and those that break off streams after their first event. */
 	failing: readonly string[];
 	breaking: readonly string[];
-	/** Called when a stream breaks off. */
+	/** Called when a stream that breaks off begins, and the time in milliseconds after which it does. */
 	onBroken: () => void;
+	breakAfterMs: number;
 	suspendedMs: number;
 	status: EntryStatus | undefined;
 	/** Versions of the back ends that requests reached, in order. */
 	arrivals: string[];
+	/** Numbers of the logged events of roll-outs. */
+	readonly logged: number[];
 };
 
 /** Returns the response of a back end of a version to a request. */
@@ -95,8 +99,19 @@
 }
 
 /** Starts a back end of a version, and resolves with its address. */
-async function startVersion(t: Test, state: State, version: string): Promise<string> {
+async function startVersion(t: Test, state: State, {version, clock}: {readonly version: string; readonly clock: VirtualClock}): Promise<string> {
 	const sockets = new Set<net.Socket>();
+	const answer = async (socket: net.Socket, text: string) => {
+		const response = respond(state, version, text);
+		state.arrivals.push(version);
+		socket.write(response);
+		if (response.includes('chunked') && !response.endsWith('0\r\n\r\n')) {
+			state.onBroken();
+			await clock.sleep(state.breakAfterMs);
+			socket.end();
+		}
+	};
+
 	t.teardown(() => {
 		for (const socket of sockets) {
 			socket.destroy();
@@ -108,14 +123,7 @@
 			// The entry resets connections of streams that broke off.
 		});
 		socket.on('data', data => {
-			state.arrivals.push(version);
-			const response = respond(state, version, data.toString('latin1'));
-			if (response.includes('chunked') && !response.endsWith('0\r\n\r\n')) {
-				state.onBroken();
-				socket.end(response);
-			} else {
-				socket.write(response);
-			}
+			void answer(socket, data.toString('latin1'));
 		});
 	}));
 	return `${host}:${port}`;
@@ -125,12 +133,12 @@
 async function startEntry(t: Test) {
 	const clock = new VirtualClock();
 	const state: State = {
-		rollouts: undefined, isReachable: true, isInTouch: true, failing: [], breaking: [], suspendedMs: 0, status: undefined, arrivals: [],
+		rollouts: undefined, isReachable: true, isInTouch: true, failing: [], breaking: [], suspendedMs: 0, breakAfterMs: 0, status: undefined, arrivals: [], logged: [],
 		onBroken() {
 			// Nothing changes.
 		},
 	};
-	const addresses = await Promise.all(versions.map(async version => startVersion(t, state, version)));
+	const addresses = await Promise.all(versions.map(async version => startVersion(t, state, {version, clock})));
 	const entries = versions.map((version, index) => ({
 		backend: {
 			id: `i-${index}`, startedAt: 1, sequence: 1, service, address: addresses[index]!, zone: 'z', version, slots: 8, isLeaving: false, isSpot: false,
@@ -149,7 +157,13 @@
 	});
 	const metrics = new MetricsRegistry();
 	const entry = new Entry({
-		name: 'front', zone: 'z', listen: `${host}:0`, getSeeds: () => ['c'], names, clock, random: new SeededRandom(1), logger: new SilentLogger(), metrics,
+		name: 'front', zone: 'z', listen: `${host}:0`, getSeeds: () => ['c'], names, clock, random: new SeededRandom(1), logger: {
+			log({number}: CataloguedEvent) {
+				if (rolloutEvents.has(number)) {
+					state.logged.push(number);
+				}
+			},
+		}, metrics,
 		transport: assumeType<Transport>({
 			async call(_: string, __: string, request: ViewRequest) {
 				await clock.sleep(pollMs);
@@ -296,6 +310,7 @@
 	state.isInTouch = true;
 	await clock.runFor(3000);
 	t.ok(await countTarget() > 15, 'in touch again');
+	t.same(state.logged, [1321, 1322, 1323]);
 	state.suspendedMs = 5000;
 	state.isReachable = false;
 	await clock.runFor(60);
@@ -332,12 +347,13 @@
 	state.breaking = ['v2'];
 	state.onBroken = () => {
 		state.rollouts = [createRollout({share: 0, revision: 2, state: 'rolledBack'})];
-		state.breaking = ['v2'];
 	};
 
+	state.breakAfterMs = 3 * pollMs;
+
 	const begun = await send('/stream/x', {[names.attemptId]: 'begun'});
-	t.equal(begun.status, 0, 'the stream broke off twice');
-	await clock.runFor(3 * pollMs);
+	t.equal(begun.status, 0, 'the stream ends');
+	t.same(state.arrivals, ['v2'], 'its version gets no further send');
 	state.breaking = [];
 	state.arrivals = [];
 	const sentAt = clock.now();
--- a/packages/mulberrypitch-proxy/src/__tests__/stream-resumption.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/stream-resumption.test.ts
@@ -21,7 +21,7 @@
 const leftMs = 3000;
 const position = {lastEventId: '3', attemptId: 'a-1'};
 
-function createResumption(versions: ReadonlyArray<string | undefined>) {
+function createResumption(versions: ReadonlyArray<string | undefined>, closedVersion?: string) {
 	const clock = new VirtualClock();
 	const backends = new BackendView(() => assumeType<KnownBackendOptions>({clock}));
 	const entries = versions.map((version, index) => ({
@@ -36,7 +36,7 @@
 	});
 	const origins = new StreamOrigins(clock, ignore);
 	const resumption = new StreamResumption({
-		origins, clock, backends, versions: new VersionHistory(clock), metrics: new MetricsRegistry(), rollouts: {isClosed: () => false}, getViewAgeMs: () => 0,
+		origins, clock, backends, versions: new VersionHistory(clock), metrics: new MetricsRegistry(), rollouts: {isClosed: ({version}) => version === closedVersion}, getViewAgeMs: () => 0,
 	});
 	return {
 		clock, backends, origins, resumption,
@@ -55,6 +55,16 @@
 	}
 });
 
+// Guards against a stream that takes quota and waits for back ends of a version which a roll-out has closed, since some still serve.
+await t.test('a stream whose version was rolled back or replaced is refused at once', async t => {
+	const {clock, origins, resumption} = createResumption(['v1', 'v2'], 'v2');
+	origins.record('a-1', {service: 's', version: 'v2'});
+	origins.record('a-2', {service: 's', version: 'v1'});
+	t.match(await resumption.resolve(position, route, leftMs), {kind: 'refused', reply: {status: 503, inputs: {version: 'v2'}}});
+	t.match(await resumption.resolve({...position, attemptId: 'a-2'}, route, leftMs), {kind: 'allowed'});
+	t.equal(clock.now(), 0);
+});
+
 // Guards against requests that begin a stream, or are none, being kept waiting or refused.
 await t.test('only streams that go on need an origin', async t => {
 	const {resumption} = createResumption(['v1']);
