--- a/packages/mulberrypitch-proxy/src/entry.ts
+++ b/packages/mulberrypitch-proxy/src/entry.ts
@@ -23,6 +23,7 @@
 import {BackendView} from './backend-view.js';
 import {ConfigurationInForce} from './configuration-in-force.js';
 import {ContentQuarantine, getIncarnationKey} from './content-quarantine.js';
+import {EntryRollouts} from './entry-rollouts.js';
 import {PeerEntries} from './peer-entries.js';
 import {PollPace} from './poll-pace.js';
 import {ProxyServer} from './proxy-server.js';
@@ -63,6 +64,8 @@
 	readonly drainMs: number;
 	/** Time in milliseconds after which a process that is being stopped is killed. */
 	readonly graceMs: number;
+	/** Returns the time in milliseconds since a fixed moment, which counts the suspension of the process; `clock` is used if absent. */
+	readonly getBootTime?: () => number;
 };
 
 /** Timeout of a connection attempt to a back end. */
@@ -104,6 +107,7 @@
 	readonly #peers: PeerEntries;
 	readonly #origins: StreamOrigins;
 	readonly #versions: VersionHistory;
+	readonly #rollouts: EntryRollouts;
 	readonly #quotas: WorkspaceQuotas;
 	readonly #usage: UsageCounter;
 	readonly #view: ViewClient;
@@ -167,6 +171,7 @@
 			this.#view.hurry();
 		});
 		this.#versions = new VersionHistory(clock);
+		this.#rollouts = new EntryRollouts({...options, backends: this.#backends});
 		this.#quotas = new WorkspaceQuotas({
 			clock, getEntryCount: () => this.#entryCount, isInTouch: () => this.#isSpendingKnown(), tolerance: options.quotaTolerance,
 		});
@@ -207,6 +212,7 @@
 			peers: this.#peers,
 			origins: this.#origins,
 			versions: this.#versions,
+			rollouts: this.#rollouts,
 			quotas: this.#quotas,
 			retries: new WindowedRetryBudget({clock, ...retryBudget, getEntryCount: () => this.#entryCount}),
 			usage: this.#usage,
@@ -308,6 +314,8 @@
 	#createViewRequest(): ViewRequest {
 		const {name, zone} = this.#options;
 		const speeds = this.#speeds.takeReport();
+		const rollouts = this.#rollouts.getEvidence();
+		this.#rollouts.recordPoll();
 		return {
 			status: {
 				name,
@@ -324,6 +332,7 @@
 				limits: this.#backends.getStatedLimits(),
 				leaves: this.#backends.getLeaves(),
 				reachesBackends: !this.#reachability.isCutOff,
+				...(rollouts.length > 0 && {rollouts}),
 			},
 			...this.#configuration.createPollFields(),
 			rosterEpoch: this.#backends.epoch,
@@ -334,9 +343,12 @@
 		};
 	}
 
-	#applyView({
-		roster, loads, othersSpent, entryCount, verdict, limits = [], origins, peers = [], speeds, isInTouch, ...reply
-	}: ViewReply): void {
+	#applyView(view: ViewReply): void {
+		const {
+			roster, loads, othersSpent, entryCount, verdict, limits = [], origins, peers = [], speeds, isInTouch, ...reply
+		} = view;
+		// The roster may name back ends of a version for the first time, so the roll-out that decides on it comes before.
+		this.#rollouts.apply(view);
 		this.#peers.setAddresses(peers);
 		this.#quarantine.apply(verdict);
 		this.#backends.apply(roster);
@@ -381,6 +393,7 @@
 		while (!signal.aborted) {
 			await this.#options.clock.sleep(reachabilityCheckMs, signal);
 			this.#reachability.check();
+			this.#rollouts.check();
 		}
 	}
 }
--- a/packages/mulberrypitch-proxy/src/proxied-request.ts
+++ b/packages/mulberrypitch-proxy/src/proxied-request.ts
@@ -16,6 +16,7 @@
 import type {BackendPermit} from './backend-place.js';
 import {connectInTime} from './connect-in-time.js';
 import {getIncarnationKey} from './content-quarantine.js';
+import {logDispatch} from './dispatch-log.js';
 import type {KnownBackend} from './known-backend.js';
 import type {ProxiedRequestOptions, RequestEnd} from './proxied-request-options.js';
 import {isGoodOutcome, recordResult} from './recorded-result.js';
@@ -46,6 +47,8 @@
 
 /** Reason for which a stream does not go on while its service may have back ends of other versions. */
 const versionGoneReason = 'no back end of the version that began the stream';
+/** Reason for which a request is not sent to the back end that was chosen for it. */
+const versionClosedReason = 'the roll-out has closed the version';
 
 /** Handles one request until it is answered, refused, cut off or abandoned. */
 export class ProxiedRequest {
@@ -97,9 +100,9 @@
 			}
 
 			const isRepeated = this.#triedIds.has(permit.backend.id);
-			this.#logDispatch(permit.backend, clock.now() - queuedAt);
+			logDispatch(this.#options, {backend: permit.backend, send: this.#sendCount + 1, waitedMs: clock.now() - queuedAt});
 			const outcome = this.#attachEarlierFailure(await this.#attemptRestricted(permit));
-			this.#options.onAttemptEnded(outcome.kind);
+			this.#options.onAttemptEnded(outcome);
 			this.#recordEvidence(permit.backend, outcome);
 			const step = this.#decide(outcome);
 			this.#recordOutcome(permit.backend, outcome, step);
@@ -125,30 +128,6 @@
 		return isCutOff(this.#triedIds.size) && this.#runCount === 0 && !relay.hasStarted;
 	}
 
-	#logDispatch(backend: KnownBackend, waitedMs: number): void {
-		const {
-			logger, attemptId, service, clock, deadlineAt, relay, getDecisionContext, prompt, position,
-		} = this.#options;
-		logger.log(events.requestDispatched, {
-			request: attemptId,
-			service,
-			promptTokens: prompt.tokens,
-			backend: backend.id,
-			version: backend.announced.version,
-			send: this.#sendCount + 1,
-			load: backend.load,
-			pendingTokens: Math.round(backend.pendingTokens),
-			slots: backend.slots,
-			limitPerSecond: backend.requestsPerSecond,
-			recentSends: backend.recentSends,
-			waitedMs: Math.round(waitedMs),
-			leftMs: Math.round(deadlineAt - clock.now()),
-			lastEventId: relay.lastEventId ?? position?.lastEventId,
-			resumes: position?.attemptId,
-			...getDecisionContext(),
-		});
-	}
-
 	#release(permit: BackendPermit): void {
 		permit.release();
 		this.#options.onReleased();
@@ -317,12 +296,17 @@
 			return {kind: 'abandoned'};
 		}
 
+		if (!this.#options.canSend(backend)) {
+			connection.destroy();
+			return {kind: 'notRun', reason: versionClosedReason, wasSent: false};
+		}
+
 		return this.#exchange(permit, connection);
 	}
 
 	async #exchange(permit: BackendPermit, connection: BackendConnection): Promise<AttemptOutcome> {
 		const {
-			caller, body, clock, deadlineAt, names, signal, workspace, dropsKey, relay, priority, binding,
+			caller, body, clock, deadlineAt, names, signal, workspace, dropsKey, relay, priority, onSent,
 		} = this.#options;
 		const head = createRequestHead(caller, {
 			backendId: permit.backend.id,
@@ -342,7 +326,7 @@
 
 		signal.addEventListener('abort', abandon, {once: true});
 		void enforceDeadline(done, this.#options, timerAbort.signal);
-		binding.recordSend(permit.backend);
+		onSent(permit.backend);
 		this.#usedConnections.add(connection);
 		this.#sendCount += 1;
 		this.#runCount += 1;
--- a/packages/mulberrypitch-proxy/src/proxy-server-options.ts
+++ b/packages/mulberrypitch-proxy/src/proxy-server-options.ts
@@ -9,6 +9,7 @@
 import type {BackendSpeeds} from './backend-speeds.js';
 import type {BackendView} from './backend-view.js';
 import type {ContentQuarantine} from './content-quarantine.js';
+import type {EntryRollouts} from './entry-rollouts.js';
 import type {PeerEntries} from './peer-entries.js';
 import type {StreamOrigins} from './stream-origins.js';
 import type {VersionHistory} from './version-history.js';
@@ -37,6 +38,7 @@
 	readonly peers: PeerEntries;
 	readonly origins: StreamOrigins;
 	readonly versions: VersionHistory;
+	readonly rollouts: EntryRollouts;
 	readonly quotas: WorkspaceQuotas;
 	readonly retries: WindowedRetryBudget;
 	readonly usage: UsageCounter;
--- a/packages/mulberrypitch-proxy/src/proxy-server.ts
+++ b/packages/mulberrypitch-proxy/src/proxy-server.ts
@@ -1,12 +1,12 @@
 /** The HTTP server for callers, which admits their requests and handles each one as a `ProxiedRequest`. */
-import http, {type IncomingMessage, type ServerResponse} from 'node:http';
+import type http from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import {breakOff} from '@mulberrypitch/lifecycle/break-off';
 import type {Resource} from '@mulberrypitch/lifecycle/disposable-store';
 import {listenOn, splitAddress} from '@mulberrypitch/lifecycle/listen';
 import {getMessage} from '@mulberrypitch/errors/coded-error';
 import {events} from '@mulberrypitch/logger/events';
-import type {CallerLimits} from '@mulberrypitch/serving/types';
 import type {ServicePressure} from '@mulberrypitch/serving/view-messages';
 import {RequestCompletion} from './request-completion.js';
 import type {Header} from './response-head.js';
@@ -15,9 +15,11 @@
 import {ResponseRelay} from './response-relay.js';
 import {ResponseTiming} from './response-timing.js';
 import {getHeader, getHeaders} from './caller-request.js';
+import {applyCallerLimits, createCallerServer} from './caller-server.js';
 import {watchCaller} from './caller-watch.js';
 import {LocalReplies} from './local-replies.js';
 import {ProxiedRequest} from './proxied-request.js';
+import type {RequestVersions} from './request-versions.js';
 import {RequestPreparation, type PreparedRequest} from './request-preparation.js';
 import {takeQuota} from './quota-claim.js';
 import {RequestForwarding} from './request-forwarding.js';
@@ -32,14 +34,6 @@
 import {StreamResumption} from './stream-resumption.js';
 import {StopWindow} from './stop-window.js';
 
-/** Size in bytes beyond which the HTTP parser itself rejects headers; the configured limit is checked afterwards. */
-const maxHeaderBytes = 32 * 1024;
-/** Limits until the first configuration arrives. */
-const defaultLimits: CallerLimits = {
-	maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
-};
-/** Added, in milliseconds, to the configured idle and header timeouts, so that no connection is closed earlier than promised. */
-const keepAliveMarginMs = 2000;
 /** Limit of the wait for a permit, as a share of the route's target latency. */
 const maxQueueShare = 0.12;
 /** Lowest status of a response that is no success. */
@@ -92,19 +86,14 @@
 				this.#services.get(service).recordRefused();
 			},
 		});
-		this.#server = http.createServer({
-			maxHeaderSize: maxHeaderBytes, keepAliveTimeout: defaultLimits.idleTimeoutMs + keepAliveMarginMs, requestTimeout: 0,
-		}, (request, response) => {
-			void this.#handle(request, response);
-		});
-		this.#server.on('connection', socket => {
-			this.#sockets.add(socket);
-			socket.once('close', () => {
-				this.#sockets.delete(socket);
-			});
-		});
-		this.#server.on('clientError', (error: Error & {code?: string}, socket) => {
-			this.#replies.rejectMalformed(error, socket);
+		this.#server = createCallerServer({
+			sockets: this.#sockets,
+			onRequest: (request, response) => {
+				void this.#handle(request, response);
+			},
+			onMalformed: (error, socket) => {
+				this.#replies.rejectMalformed(error, socket);
+			},
 		});
 	}
 
@@ -134,11 +123,8 @@
 	ends has made free.
 	*/
 	refresh(): void {
-		const table = this.#options.getTable();
-		const limits = table?.configuration.limits ?? defaultLimits;
 		this.#startup.refresh();
-		this.#server.keepAliveTimeout = limits.idleTimeoutMs + keepAliveMarginMs;
-		this.#server.headersTimeout = limits.headerTimeoutMs + keepAliveMarginMs;
+		applyCallerLimits(this.#server, this.#options.getTable()?.configuration.limits);
 		this.#services.grantPermits();
 	}
 
@@ -252,6 +238,12 @@
 		const {origin} = resumption;
 		const service = origin?.service ?? chooseService(route, this.#options.random);
 		const binding = new StreamBinding(origin?.version);
+		const versions = this.#options.rollouts.begin({
+			service, route: route.name, attemptId: this.#getAttemptId(request), deadlineAt, binding,
+		});
+		timing.observe(at => {
+			versions.recordPart(at);
+		});
 		const relay = new ResponseRelay(response, {
 			isResumable: route.isResumable,
 			timing,
@@ -264,7 +256,7 @@
 			getExtraHeaders: () => this.#getConnectionHeaders(response),
 		});
 		const ownEnd = await this.#run(request, response, {
-			...prepared, arrivedAt, service, relay, binding, signal,
+			...prepared, arrivedAt, service, relay, binding, versions, signal,
 		});
 		if (ownEnd.kind === 'refused' && workspace !== undefined) {
 			this.#options.quotas.refund(workspace, claim.units);
@@ -308,15 +300,16 @@
 		readonly service: string;
 		readonly relay: ResponseRelay;
 		readonly binding: StreamBinding;
+		readonly versions: RequestVersions;
 		readonly signal: AbortSignal;
 	}): Promise<RequestEnd> {
 		const {
 			names, clock, logger, retries, usage, metrics, backends,
 		} = this.#options;
 		const {
-			body, arrivedAt, deadlineAt, route, service, position, workspace, table, relay, binding, prompt, content, signal,
+			body, arrivedAt, deadlineAt, route, service, position, workspace, table, relay, binding, versions, prompt, content, signal,
 		} = admitted;
-		const isMatching: BackendFilter = backend => binding.isMatching(backend);
+		const isMatching: BackendFilter = (backend, serving) => versions.isMatching(backend, serving);
 		const traffic = this.#services.get(service);
 		if (response.destroyed) {
 			return {kind: 'abandoned'};
@@ -353,7 +346,7 @@
 					priority,
 					excludedIds,
 					isMatching,
-					maxWaitMs: Math.min(route.targetLatencyMs * maxQueueShare, deadlineAt - clock.now()),
+					maxWaitMs: versions.isOver ? 0 : Math.min(route.targetLatencyMs * maxQueueShare, deadlineAt - clock.now()),
 					signal,
 				});
 				return permit;
@@ -371,9 +364,14 @@
 				metrics.count('mulberrypitch_repeats_total', 'Requests to be sent again, by whether the budget allowed it.', {service, isAllowed: String(isAllowed)});
 				return isAllowed;
 			},
+			canSend: backend => versions.canSend(backend),
+			onSent(backend) {
+				versions.recordSend(backend);
+			},
 			onAttemptEnded(outcome) {
-				permit?.observation?.end(outcome === 'delivered' && response.statusCode < firstFailureStatus);
-				metrics.count('mulberrypitch_sends_total', 'Sends to back ends by how they ended.', {service, outcome});
+				permit?.observation?.end(outcome.kind === 'delivered' && response.statusCode < firstFailureStatus);
+				versions.recordEnd(outcome);
+				metrics.count('mulberrypitch_sends_total', 'Sends to back ends by how they ended.', {service, outcome: outcome.kind});
 			},
 			onRunStarted() {
 				traffic.recordFirstEvent(prompt, clock.now() - arrivedAt);
