Keep the cost of prompts over a restart of all hosts when the fleet is planned

Cause: 12 s after a restart the entries report the cheapest of a few answers each, whose prompts were cached.

--- a/packages/mulberrypitch-coordinator/src/capacity-estimator.ts
+++ b/packages/mulberrypitch-coordinator/src/capacity-estimator.ts
@@ -49,6 +49,12 @@
 /** Time in milliseconds for which the estimate stays up after the load has gone down. */
 const holdMs = 7000;
 
+/**
+Time in milliseconds from the first update for which a cost from before counts as the lowest. Entries that restarted together have seen a few answers
+each, of which the cheapest, with cached prompts, showed half of the cost. The fleet was halved 12 s after a restart.
+*/
+const recallMs = 30_000;
+
 type Sample = {
 	/** Monotonic time in milliseconds. */
 	readonly at: number;
@@ -66,13 +72,19 @@
 	#average: number | undefined;
 	/** Engine time that a prompt token takes, in milliseconds. */
 	#msPerToken: number | undefined;
+	readonly #recalledMsPerToken: number | undefined;
+	/** Monotonic time in milliseconds of the first update. */
+	#updatedSince = Number.POSITIVE_INFINITY;
 	/** Refused requests at the last update, summed over all entries. */
 	#refused = 0;
 	/** Monotonic time in milliseconds of the first estimate. */
 	#knownSince = Number.POSITIVE_INFINITY;
 
-	constructor(clock: Clock) {
+	/** `recalledMsPerToken` is the cost of a prompt token as it was known before this coordinator decided; absent if it never was. */
+	constructor(clock: Clock, recalledMsPerToken?: number) {
 		this.#clock = clock;
+		this.#recalledMsPerToken = recalledMsPerToken;
+		this.#msPerToken = recalledMsPerToken;
 	}
 
 	/** Reports whether the load has been observed for long enough to scale down safely. */
@@ -112,7 +124,10 @@
 	#estimateWork({pressures}: ServiceLoad): number | undefined {
 		const costs = pressures.flatMap(({msPerToken}) => msPerToken ?? []).toSorted((left, right) => left - right);
 		// Uses the lower quartile: lower costs come from less busy engines, where queueing distorts them less.
-		const cost = costs[Math.floor(costs.length / 4)];
+		this.#updatedSince = Math.min(this.#updatedSince, this.#clock.now());
+		const isRecalled = this.#clock.now() - this.#updatedSince < recallMs;
+		const lowest = isRecalled ? this.#recalledMsPerToken ?? 0 : 0;
+		const cost = costs.length === 0 ? undefined : Math.max(lowest, costs[Math.floor(costs.length / 4)]!);
 		if (cost !== undefined) {
 			this.#msPerToken = Math.min(cost, (this.#msPerToken ?? cost) * (1 + maxCostIncrease));
 		}
