Plan no fleet from a recalled cost before an entry reports demand

Cause: a coordinator that begins to plan knows the cost of a prompt token from the recorded orders before any entry has reported. The 30 s for which the cost is kept ran from the first step, not from the first report. Change: no need without a reported cost or demand; the 30 s begin with the first report.

--- a/packages/mulberrypitch-coordinator/src/__tests__/capacity-estimator.test.ts
+++ b/packages/mulberrypitch-coordinator/src/__tests__/capacity-estimator.test.ts
@@ -111,6 +111,7 @@
 	};
 	const recalling = new CapacityEstimator(clock, msPerToken);
 	const forgetting = new CapacityEstimator(clock);
+	t.equal(recalling.update({...load, pressures: []}), undefined, 'before an entry reports demand, back ends must not be released');
 	t.equal(recalling.update({...load, pressures: [{refused: 0, tokensPerSecond: 500_000}]})?.msPerToken, msPerToken, 'before any answer');
 	for (let passedMs = 0; passedMs < 25_000; passedMs += stepMs) {
 		t.equal(recalling.update(load)!.msPerToken, msPerToken);
--- a/packages/mulberrypitch-coordinator/src/capacity-estimator.ts
+++ b/packages/mulberrypitch-coordinator/src/capacity-estimator.ts
@@ -50,7 +50,7 @@
 const holdMs = 7000;
 
 /**
-Time in milliseconds from the first update for which a cost from before counts as the lowest. Entries that restarted together have seen a few answers
+Time in milliseconds from the first reported cost for which one from before counts as the lowest. Entries that restarted together have seen a few answers
 each, of which the cheapest, with cached prompts, showed half of the cost. The fleet was halved 12 s after a restart.
 */
 const recallMs = 30_000;
@@ -73,8 +73,8 @@
 	/** Engine time that a prompt token takes, in milliseconds. */
 	#msPerToken: number | undefined;
 	readonly #recalledMsPerToken: number | undefined;
-	/** Monotonic time in milliseconds of the first update. */
-	#updatedSince = Number.POSITIVE_INFINITY;
+	/** Monotonic time in milliseconds at which an entry first reported a cost. */
+	#observedSince = Number.POSITIVE_INFINITY;
 	/** Refused requests at the last update, summed over all entries. */
 	#refused = 0;
 	/** Monotonic time in milliseconds of the first estimate. */
@@ -120,23 +120,29 @@
 		};
 	}
 
+	/** Returns the cost of a prompt token below which it is not taken now, in milliseconds. */
+	#getLowestCost(): number {
+		this.#observedSince = Math.min(this.#observedSince, this.#clock.now());
+		return this.#clock.now() - this.#observedSince < recallMs ? this.#recalledMsPerToken ?? 0 : 0;
+	}
+
 	/** Returns the work in fully busy back ends, or `undefined` while the cost of prompts is unknown. */
 	#estimateWork({pressures}: ServiceLoad): number | undefined {
 		const costs = pressures.flatMap(({msPerToken}) => msPerToken ?? []).toSorted((left, right) => left - right);
 		// Uses the lower quartile: lower costs come from less busy engines, where queueing distorts them less.
-		this.#updatedSince = Math.min(this.#updatedSince, this.#clock.now());
-		const isRecalled = this.#clock.now() - this.#updatedSince < recallMs;
-		const lowest = isRecalled ? this.#recalledMsPerToken ?? 0 : 0;
-		const cost = costs.length === 0 ? undefined : Math.max(lowest, costs[Math.floor(costs.length / 4)]!);
+		const cost = costs[Math.floor(costs.length / 4)];
 		if (cost !== undefined) {
-			this.#msPerToken = Math.min(cost, (this.#msPerToken ?? cost) * (1 + maxCostIncrease));
+			const bounded = Math.max(cost, this.#getLowestCost());
+			this.#msPerToken = Math.min(bounded, (this.#msPerToken ?? bounded) * (1 + maxCostIncrease));
 		}
 
-		if (this.#msPerToken === undefined) {
+		const tokensPerSecond = pressures.reduce((total, pressure) => total + pressure.tokensPerSecond, 0);
+		// Before any entry has reported demand, a recalled cost would make the need zero and release back ends that are in use.
+		const isIdle = this.#average === undefined && cost === undefined && tokensPerSecond === 0;
+		if (this.#msPerToken === undefined || isIdle) {
 			return undefined;
 		}
 
-		const tokensPerSecond = pressures.reduce((total, pressure) => total + pressure.tokensPerSecond, 0);
 		return tokensPerSecond * this.#msPerToken / 1000;
 	}
 
