Wait for the logger's lines in its test instead of for 50 ms

Cause: 'limits a burst of one event' failed once at load 28: the logger writes in the background, and the test closed the file after 50 ms. Change: the test waits until the last line is in the file. It checks the same lines as before.

--- a/packages/mulberrypitch-logger/src/__tests__/request-timeline.test.ts
+++ b/packages/mulberrypitch-logger/src/__tests__/request-timeline.test.ts
@@ -12,6 +12,9 @@
 import {JsonLogger} from '../json-logger.js';
 import {readRequestTimeline} from '../request-timeline.js';
 
+/** Interval in milliseconds at which it is checked whether lines have been written. */
+const writeCheckMs = 5;
+
 const lines = [
 	'{"time":"2026-01-01T00:00:02.000Z","level":"info","event":1503,"text":"request finished","node":"e-1","request":"r-1","ms":30}',
 	'{"time":"2026-01-01T00:00:01.000Z","level":"info","event":1502,"text":"request dispatched","node":"e-1","request":"r-1","backend":"b-1"}',
@@ -44,7 +47,11 @@
 	time = 1000;
 	logger.log(events.requestFinished, {request: 'last'});
 	logger.log(events.requestDispatched);
-	await sleep(50);
+	// The lines are written in the background. On a busy machine that takes longer than any fixed time.
+	while (!readFileSync(file, 'utf8').includes(`"event":${events.requestDispatched.number}`)) {
+		await sleep(writeCheckMs);
+	}
+
 	closeSync(fileDescriptor);
 	return readFileSync(file, 'utf8').trimEnd().split('\n');
 }
