Name the log events of roll-outs in the test of the entry

Change: the test takes the numbers from the catalogue; kinds and order of the events are checked as before. Result: rollout-entry.test.js passes (3 tests).

--- a/packages/mulberrypitch-proxy/src/__tests__/rollout-entry.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/rollout-entry.test.ts
@@ -310,7 +310,7 @@
 	state.isInTouch = true;
 	await clock.runFor(3000);
 	t.ok(await countTarget() > 15, 'in touch again');
-	t.same(state.logged, [1321, 1322, 1323]);
+	t.same(state.logged, [events.rolloutInForce.number, events.rolloutHeld.number, events.rolloutResumed.number]);
 	state.suspendedMs = 5000;
 	state.isReachable = false;
 	await clock.runFor(60);
