Send everything unbound to the target at share 1

Cause: at share 1 retries of a request of the others still went to the others, and a request that waited kept its side. So a request could reach an old back end after the entry had reported othersRunning 0 and the roll-out was completed, which stops the old back ends at once. A stream between two sends held no permit and was not counted either. Change: at share 1 each send that is bound to no version goes to the target, unless all its back ends are ejected. othersRunning counts streams in progress that another version began also while they hold no permit.

--- a/packages/mulberrypitch-proxy/src/entry-rollouts.ts
+++ b/packages/mulberrypitch-proxy/src/entry-rollouts.ts
@@ -39,6 +39,7 @@
 	/** Services whose running roll-out was last seen with a view that is too old. */
 	readonly #held = new Set<string>();
 	readonly #shown = new Set<string>();
+	readonly #inProgress = new Set<RequestVersions>();
 	#askedAt = Number.NEGATIVE_INFINITY;
 
 	constructor(options: EntryRolloutsOptions) {
@@ -82,8 +83,11 @@
 				return [];
 			}
 
-			const othersRunning = backends.countRequests(({announced}) => announced.service === service && announced.version !== target);
-			return [recorder.report({revision, othersRunning})];
+			const isOther = (version: string | undefined) => version !== target;
+			const permits = backends.countRequests(({announced}) => announced.service === service && isOther(announced.version));
+			// Between two sends, a stream that another version began holds no permit, but goes on there.
+			const streams = [...this.#inProgress].filter(request => request.service === service && request.boundVersion !== undefined && isOther(request.boundVersion));
+			return [recorder.report({revision, othersRunning: Math.max(permits, streams.length)})];
 		});
 	}
 
@@ -102,6 +106,16 @@
 		});
 	}
 
+	/** Counts a request as in progress until its handling has ended. Resolves with the result of that. */
+	async track<Result>(request: RequestVersions, handling: Promise<Result>): Promise<Result> {
+		this.#inProgress.add(request);
+		try {
+			return await handling;
+		} finally {
+			this.#inProgress.delete(request);
+		}
+	}
+
 	#follow(rollout: Rollout): void {
 		const {
 			service, target, state, share, revision, reason, id,
--- a/packages/mulberrypitch-proxy/src/proxy-server.ts
+++ b/packages/mulberrypitch-proxy/src/proxy-server.ts
@@ -380,7 +380,7 @@
 				}
 			},
 		});
-		return proxied.run();
+		return this.#options.rollouts.track(versions, proxied.run());
 	}
 
 	#getConnectionHeaders(response: ServerResponse): readonly Header[] {
--- a/packages/mulberrypitch-proxy/src/request-versions.ts
+++ b/packages/mulberrypitch-proxy/src/request-versions.ts
@@ -59,6 +59,16 @@
 		this.#options = options;
 	}
 
+	/** Name of the service. */
+	get service(): string {
+		return this.#options.service;
+	}
+
+	/** Version that alone may go on with the response; absent if the response is not bound to one. */
+	get boundVersion(): string | undefined {
+		return this.#options.binding.version;
+	}
+
 	/** Whether the version that began the stream gets no request now, so that waiting is in vain. */
 	get isOver(): boolean {
 		const {binding, conduct, service} = this.#options;
@@ -141,12 +151,21 @@
 			return isAssigned || this.#sends === 0;
 		}
 
-		if (!isAssigned || this.#attempts > 0 || targets.every(({isEjected}) => isEjected)) {
+		if (targets.every(({isEjected}) => isEjected)) {
+			return false;
+		}
+
+		if (rollout.share >= 1) {
+			// The others stop at once when the roll-out is completed, so whatever waits or is repeated must not reach them after they were reported empty.
+			return true;
+		}
+
+		if (!isAssigned || this.#attempts > 0) {
 			return false;
 		}
 
-		// A target that has started few back ends must not cost callers answers that the others have room for. At the whole share it replaces them.
-		return rollout.share >= 1 || targets.some(backend => hasRoom(backend)) || !others.some(backend => hasRoom(backend));
+		// A target that has started few back ends must not cost callers answers that the others have room for.
+		return targets.some(backend => hasRoom(backend)) || !others.some(backend => hasRoom(backend));
 	}
 
 	/** Assigns the request by the hash of its identifier, so that every entry assigns it alike. One that was sent before stays with the others. */
--- a/packages/mulberrypitch-serving/src/rollout-messages.ts
+++ b/packages/mulberrypitch-serving/src/rollout-messages.ts
@@ -69,7 +69,7 @@
 	readonly revision: number;
 	/** Requests for the service that arrived. */
 	readonly requests: number;
-	/** Requests in progress at back ends of other versions than the target. */
+	/** Requests in progress at back ends of other versions than the target, with streams that can go on only there; at least one if there are any. */
 	readonly othersRunning: number;
 	readonly routes: readonly RouteEvidence[];
 };
