Name the versions that were rolled back in later roll-outs

Cause: the table holds only the last roll-out of a service. An entry that started during the next one took a version that had been rolled back for one of the others, and sent to it until its back ends had left, seconds later. Change: a roll-out lists the last four versions that earlier ones rolled back, as an optional field, without the one that it names itself. Entries close them. Ruled out: remembering them at the entries only, since a new process has no memory; a list without a bound, since each reply to a poll has it.

--- a/packages/mulberrypitch-coordinator/src/__tests__/rollout-table.test.ts
+++ b/packages/mulberrypitch-coordinator/src/__tests__/rollout-table.test.ts
@@ -55,6 +55,36 @@
 	t.equal(state.rollouts.list().length, 1);
 });
 
+// Guards against an entry that starts during the next roll-out and sends to a bad version whose back ends have not left yet.
+await t.test('a roll-out names the versions that earlier ones rolled back, until it is ordered anew', async t => {
+	const {state, start, advance} = createState();
+	const rollBack = (target: string) => {
+		start({target});
+		const {withdrawn} = state.rollouts.get('s')!;
+		advance({state: rolloutStates.rolledBack, revision: 2, elapsedMs: repeatMs});
+		t.same(state.rollouts.get('s')!.withdrawn, withdrawn, 'an advance keeps them');
+		return withdrawn;
+	};
+
+	t.equal(rollBack('v2'), undefined);
+	t.same(rollBack('v3'), ['v2']);
+	t.same(rollBack('v2'), ['v3']);
+	start({target: 'v4'});
+	advance({state: rolloutStates.completed, revision: 2});
+	start({target: 'v5'});
+	t.same(state.rollouts.get('s')!.withdrawn, ['v3', 'v2'], 'a completed roll-out adds none');
+	const restored = createState().state;
+	restored.restore(structuredClone(state.capture()));
+	t.same(restored.rollouts.get('s')!.withdrawn, ['v3', 'v2']);
+	advance({state: rolloutStates.rolledBack, revision: 2, elapsedMs: repeatMs});
+	for (const target of ['v6', 'v7', 'v8']) {
+		rollBack(target);
+	}
+
+	start({target: 'v9'});
+	t.same(state.rollouts.get('s')!.withdrawn, ['v5', 'v6', 'v7', 'v8'], 'the last ones');
+});
+
 // Guards against two roll-outs of one service at the same time.
 await t.test('a different order conflicts while a roll-out of the service is running', async t => {
 	const {start, advance} = createState();
--- a/packages/mulberrypitch-coordinator/src/rollout-table.ts
+++ b/packages/mulberrypitch-coordinator/src/rollout-table.ts
@@ -43,6 +43,8 @@
 again for up to 5,000 ms; this is twice as long.
 */
 export const repeatMs = 10_000;
+/** Number of versions that were rolled back and are remembered through later roll-outs. Each poll's reply names them. */
+const maxWithdrawn = 4;
 
 /** Holds the last roll-out of each service. All replicas that apply the same commands hold the same ones. */
 export class RolloutTable {
@@ -89,8 +91,9 @@
 			return {failure: new ConflictError(`A roll-out of service ${service} to ${known.target} is running.`, 'Wait until it has ended.', details).toWire()};
 		}
 
+		const withdrawn = known === undefined ? [] : listWithdrawn(known, target);
 		const rollout: Rollout = {
-			id, service, target, durationMs, state: rolloutStates.running, share: 0, revision: 1, elapsedMs: 0, reason: 'ordered',
+			id, service, target, durationMs, state: rolloutStates.running, share: 0, revision: 1, elapsedMs: 0, reason: 'ordered', ...(withdrawn.length > 0 && {withdrawn}),
 		};
 		this.#set(rollout);
 		return {value: {rollout, isRepeat: false} satisfies RolloutStart};
@@ -118,6 +121,12 @@
 	}
 }
 
+/** Returns the versions that were rolled back by the end of a roll-out, without the one that the next order names. */
+function listWithdrawn({state, target, withdrawn = []}: Rollout, ordered: string): readonly string[] {
+	const all = state === rolloutStates.rolledBack ? [...withdrawn, target] : withdrawn;
+	return all.filter(version => version !== ordered).slice(-maxWithdrawn);
+}
+
 /** Reports whether an order equals that of a roll-out and may be its repeat. The time is the committed one, so that all replicas agree. */
 function isRepeat({target, durationMs, state, elapsedMs}: Rollout, order: RolloutOrder): boolean {
 	return target === order.target && durationMs === order.durationMs && (state === rolloutStates.running || elapsedMs < repeatMs);
--- a/packages/mulberrypitch-proxy/src/__tests__/request-versions.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/request-versions.test.ts
@@ -178,6 +178,21 @@
 	t.same(entry.getVersions(entry.request('a-6')), ['v2'], 'a new roll-out does');
 });
 
+// Guards against an entry that has just started and takes a version that was rolled back before for one of the others.
+await t.test('versions that earlier roll-outs rolled back get nothing from an entry that has just started', t => {
+	const entry = new VersionedEntry();
+	entry.serving = [createCandidate('v1'), createCandidate('v2'), createCandidate('v3')];
+	entry.apply({
+		id: 8, target: 'v3', share: 0, withdrawn: ['v2'],
+	});
+	t.same(entry.getVersions(entry.request('a-1')), ['v1']);
+	t.ok(entry.conduct.isClosed({service: 's', version: 'v2'}));
+	entry.apply({id: 9, share: 1, withdrawn: ['v3']});
+	t.same(entry.getVersions(entry.request('a-2')), ['v2'], 'a new roll-out to it opens it');
+	t.ok(entry.conduct.isClosed({service: 's', version: 'v3'}));
+	t.end();
+});
+
 // Guards against requests at back ends that the platform stops without draining.
 await t.test('after completion only the target is used, while a back end of it is known', t => {
 	const entry = new VersionedEntry();
--- a/packages/mulberrypitch-serving/src/rollout-messages.ts
+++ b/packages/mulberrypitch-serving/src/rollout-messages.ts
@@ -28,6 +28,8 @@
 	readonly elapsedMs: number;
 	/** Reason of the last change, for operators. */
 	readonly reason: string;
+	/** Versions that earlier roll-outs of the service rolled back, the last ones only; absent if there are none. */
+	readonly withdrawn?: readonly string[];
 };
 
 /** Count, sum and sum of squares of the natural logarithms of times in milliseconds. Values of several entries can be added. */
