Drop what an entry knows of the times of routes and back ends that are gone

Cause: the relations of time to work by route and measure, and their sums by back end, were never removed, so the memory of an entry grew as routes and back ends came and went. Change: once a minute, a report drops the sums of back ends without a sample for 300 s, five times the time constant, and the relations without any such sums left.

--- a/packages/mulberrypitch-routing/src/__tests__/speed-observer.test.ts
+++ b/packages/mulberrypitch-routing/src/__tests__/speed-observer.test.ts
@@ -109,3 +109,30 @@
 await t.test('one back end alone has nothing to be compared with', async t => {
 	t.same(estimateSpeeds({'engine-1': [500, 300]}), {});
 });
+
+// Guards against an observer that grows as long as its process runs, since routes and back ends come and go.
+await t.test('what is known of routes and back ends that are gone is dropped', async t => {
+	let now = 0;
+	const observer = new SpeedObserver({now: () => now, getSpeed: () => 1});
+	let largest = 0;
+	for (let minute = 0; minute < 60; minute += 1) {
+		for (let sample = 0; sample < 30; sample += 1) {
+			now += 2000;
+			observer.record({
+				backend: `engine-${minute}`, group: `route ${minute}`, work: sample, ms: 100,
+			});
+			observer.record({
+				backend: `engine-${minute}`, group: 'lasting route', work: sample, ms: 100,
+			});
+			observer.getEvidence();
+		}
+
+		largest = Math.max(largest, observer.size);
+	}
+
+	t.comment(`at most ${largest} sums`);
+	t.ok(largest <= 16, `${largest}`);
+	now += 400_000;
+	observer.getEvidence();
+	t.equal(observer.size, 0);
+});
--- a/packages/mulberrypitch-routing/src/speed-observer.ts
+++ b/packages/mulberrypitch-routing/src/speed-observer.ts
@@ -33,6 +33,13 @@
 const minRelationSamples = 12;
 /** Largest difference of a logarithm from what is expected; a time beyond it counts as this, since some answers take long for other reasons. */
 const maxDeviation = 1.5;
+/**
+Time in milliseconds after which a relation, or the sums of a back end in one, are dropped if no sample is added. By then they count for less than
+a hundredth, and most belong to routes and back ends that are gone.
+*/
+const retentionMs = 5 * relationMs;
+/** Interval in milliseconds at which they are looked for. */
+const expiryIntervalMs = relationMs;
 /** Smallest variance of the logarithm of a time. */
 const minVariance = 0.02;
 /** Shortest time in milliseconds that is compared. */
@@ -51,6 +58,11 @@
 		this.#fadeMs = fadeMs;
 	}
 
+	/** Monotonic time in milliseconds to which the sums have faded. */
+	get at(): number {
+		return this.#at;
+	}
+
 	fade(now: number): void {
 		const factor = Math.exp((this.#at - now) / this.#fadeMs);
 		this.#at = now;
@@ -82,6 +94,11 @@
 	readonly #deviations = new FadingSums(3, relationMs);
 	#samples = 0;
 
+	/** Number of back ends of which sums are held. */
+	get size(): number {
+		return this.#sumsByBackend.size;
+	}
+
 	get isKnown(): boolean {
 		return this.#samples >= minRelationSamples;
 	}
@@ -123,6 +140,17 @@
 		this.#samples += 1;
 	}
 
+	/** Drops the sums of the back ends without a sample since a time. Reports whether no back end is left. */
+	expire(since: number): boolean {
+		for (const [backend, {at}] of this.#sumsByBackend) {
+			if (at < since) {
+				this.#sumsByBackend.delete(backend);
+			}
+		}
+
+		return this.#sumsByBackend.size === 0;
+	}
+
 	#getExpectedMs(work: number): number {
 		const [count, works, times] = this.#sums.values;
 		const [squares, products] = this.#products.values;
@@ -148,9 +176,17 @@
 	readonly #relations = new Map<string, TimeRelation>();
 	/** Sums of the weights and of the weighted logarithms, by back end. */
 	readonly #evidence = new Map<string, FadingSums>();
+	/** Monotonic time in milliseconds at which relations were last dropped. */
+	#expiredAt: number;
 
 	constructor(options: SpeedObserverOptions) {
 		this.#options = options;
+		this.#expiredAt = options.now();
+	}
+
+	/** Number of sums by back end, over all relations. */
+	get size(): number {
+		return [...this.#relations.values()].reduce((sum, {size}) => sum + size, 0);
 	}
 
 	/** Records the time of a good answer. Times of failures must not be recorded, since they tell nothing of the speed. */
@@ -176,6 +212,7 @@
 	/** Returns the evidence by back end, rounded for a message. Back ends without recent samples are left out. */
 	getEvidence(): Readonly<Record<string, SpeedEvidence>> {
 		const now = this.#options.now();
+		this.#expire(now);
 		const evidence: Record<string, SpeedEvidence> = {};
 		for (const [backend, sums] of this.#evidence) {
 			sums.fade(now);
@@ -189,6 +226,19 @@
 
 		return evidence;
 	}
+
+	#expire(now: number): void {
+		if (now - this.#expiredAt < expiryIntervalMs) {
+			return;
+		}
+
+		this.#expiredAt = now;
+		for (const [group, relation] of this.#relations) {
+			if (relation.expire(now - retentionMs)) {
+				this.#relations.delete(group);
+			}
+		}
+	}
 }
 
 function clamp(deviation: number): number {
