Sum the evidence of back ends in linear time, and remove the gauges of those that are gone

Cause: the evidence of a service was copied for each of its back ends, and the gauge of a back end whose speed had differed once was never removed. Change: the evidence is assigned into one record for each service. The registration of a gauge returns a function that removes it, which is called when the back end no longer serves or has moved to another service. The test of the gauges fails without the removal. Time is not tested, since tests assert no durations.

--- a/packages/mulberrypitch-coordinator/src/__tests__/speed-sums.test.ts
+++ b/packages/mulberrypitch-coordinator/src/__tests__/speed-sums.test.ts
@@ -11,13 +11,15 @@
 function createSums() {
 	const clock = new VirtualClock();
 	const metrics = new MetricsRegistry();
-	const serving = assumeType<readonly AnnouncedBackend[]>([
+	const serving = assumeType<AnnouncedBackend[]>([
 		{id: 'a1', service: 'a'}, {id: 'a2', service: 'a'}, {id: 'b1', service: 'b'}, {id: 'b2', service: 'b'},
 	]);
 	const sums = new SpeedSums({
 		clock, metrics, logger: new SilentLogger(), getServing: () => serving,
 	});
-	return {clock, metrics, sums};
+	return {
+		clock, metrics, serving, sums,
+	};
 }
 
 const uneven = {a1: [300, -90], a2: [300, 90]} as const;
@@ -53,6 +55,35 @@
 	t.match(metrics.write(), /mulberrypitch_coordinator_backend_speed\{service="a",backend="a1"\} 1\.\d+/v);
 });
 
+// Guards against metrics that grow as long as the process runs, since back ends come and go.
+await t.test('the gauge of a back end that is gone is removed, and comes back with it', async t => {
+	const {sums, metrics, serving, clock} = createSums();
+	const listGauges = () => [...metrics.write().matchAll(/^mulberrypitch_coordinator_backend_speed.*backend="(?<id>\w+)"/gmv)].map(({groups}) => groups!.id);
+	const derive = async () => {
+		await clock.runFor(600);
+		sums.update('entry-1', uneven);
+		sums.getSpeeds();
+	};
+
+	await derive();
+	t.same(listGauges(), ['a1', 'a2']);
+	const [first] = serving.splice(0, 1);
+	await derive();
+	t.same(listGauges(), ['a2']);
+	serving.push(first!);
+	await derive();
+	t.same(listGauges(), ['a2', 'a1']);
+});
+
+// Guards against sums by service that lose back ends. Their cost is not tested, since tests assert no durations.
+await t.test('the speeds of 600 back ends are derived', async t => {
+	const {sums, serving} = createSums();
+	const ids = Array.from({length: 600}, (_, index) => `c${index}`);
+	serving.push(...ids.map(id => assumeType<AnnouncedBackend>({id, service: 'c'})));
+	sums.update('entry-1', Object.fromEntries(ids.map((id, index) => [id, [300, index % 2 === 0 ? -90 : 90]])));
+	t.equal(Object.keys(sums.getSpeeds()).length, 600);
+});
+
 await t.test('a report that is not repeated is forgotten', async t => {
 	const {sums, clock} = createSums();
 	sums.update('entry-1', uneven);
--- a/packages/mulberrypitch-coordinator/src/speed-sums.ts
+++ b/packages/mulberrypitch-coordinator/src/speed-sums.ts
@@ -22,6 +22,13 @@
 	readonly at: number;
 };
 
+type LoggedSpeed = {
+	readonly service: string;
+	/** Speed as last logged. */
+	readonly speed: number;
+	readonly removeGauge: () => void;
+};
+
 /** Time in milliseconds for which a report counts, which is several times the interval between two reports. */
 const reportTimeoutMs = 5000;
 /** Time in milliseconds for which derived speeds are used again. */
@@ -40,8 +47,8 @@
 	readonly #sentAt = new Map<string, number>();
 	#speeds: Speeds = {};
 	#derivedAt = Number.NEGATIVE_INFINITY;
-	/** Speeds as last logged, by back end. */
-	readonly #logged = new Map<string, number>();
+	/** Back ends whose speed has differed from one, by identifier. */
+	readonly #logged = new Map<string, LoggedSpeed>();
 
 	constructor(options: SpeedSumsOptions) {
 		this.#options = options;
@@ -86,10 +93,11 @@
 
 	#derive(): Speeds {
 		const serving = this.#options.getServing();
-		const ids = new Set(serving.map(({id}) => id));
-		for (const backend of this.#logged.keys()) {
-			if (!ids.has(backend)) {
+		const services = new Map(serving.map(({id, service}) => [id, service]));
+		for (const [backend, {service, removeGauge}] of this.#logged) {
+			if (services.get(backend) !== service) {
 				this.#logged.delete(backend);
+				removeGauge();
 			}
 		}
 
@@ -98,7 +106,9 @@
 		for (const {id, service} of serving) {
 			const own = evidence[id];
 			if (own !== undefined) {
-				byService.set(service, {...byService.get(service), [id]: own});
+				const ofService = byService.get(service) ?? {};
+				byService.set(service, ofService);
+				ofService[id] = own;
 			}
 		}
 
@@ -117,18 +127,22 @@
 	}
 
 	#log({service, backend, weight, speed}: {readonly service: string; readonly backend: string; readonly weight: number; readonly speed: number}): void {
-		const previous = this.#logged.get(backend) ?? 1;
+		const logged = this.#logged.get(backend);
+		const previous = logged?.speed ?? 1;
 		if (Math.max(speed / previous, previous / speed) >= loggedRatio) {
-			this.#logged.set(backend, speed);
 			this.#options.logger.log(events.speedChanged, {
 				backend, service, speed, previous, weight: Math.round(weight),
 			});
-			const {metrics} = this.#options;
-			const read = () => this.getSpeed(backend);
-			metrics.gauge('mulberrypitch_coordinator_backend_speed', 'Speed of a back end relative to the mean of its service, of those that differed.', read, {service, backend});
+			this.#logged.set(backend, {service, speed, removeGauge: logged?.removeGauge ?? this.#addGauge(service, backend)});
 		}
 	}
 
+	/** Adds a gauge and returns the function that removes it. */
+	#addGauge(service: string, backend: string): () => void {
+		const read = () => this.getSpeed(backend);
+		return this.#options.metrics.gauge('mulberrypitch_coordinator_backend_speed', 'Speed of a back end relative to the mean of its service, of those that differed.', read, {service, backend});
+	}
+
 	/** Returns the recent reports, and drops the others. */
 	#getRecent(reports: Map<string, TimedReport>): readonly SpeedReport[] {
 		const since = this.#options.clock.now() - reportTimeoutMs;
--- a/packages/mulberrypitch-metrics/src/registry.ts
+++ b/packages/mulberrypitch-metrics/src/registry.ts
@@ -36,9 +36,16 @@
 		getSeries(this.#counters, {name, help, labels}, () => 0).value += amount;
 	}
 
-	/** Registers a gauge. `read` is called whenever the metrics are written. */
-	gauge(name: string, help: string, read: () => number, labels: Labels = {}): void {
-		getSeries(this.#gauges, {name, help, labels}, () => read).value = read;
+	/** Registers a gauge. `read` is called whenever the metrics are written. Returns a function that removes the gauge. */
+	gauge(name: string, help: string, read: () => number, labels: Labels = {}): () => void {
+		const series = getSeries(this.#gauges, {name, help, labels}, () => read);
+		series.value = read;
+		return () => {
+			// Another gauge of the same name and labels may have replaced this one.
+			if (series.value === read) {
+				this.#gauges.get(name)?.series.delete(formatLabels(labels));
+			}
+		};
 	}
 
 	/** Records a duration in milliseconds in a histogram, which is created on its first use. */
