Report the speeds of back ends often enough however many differ

Cause: with more than 320 uneven back ends the interval between two reports of an entry, 1 s for each 64 speeds, exceeded the 5 s after which coordinators forget a report, so that evidence came and went. Change: the interval is 2 s at most. An entry asks for the speeds less often than it reports (`skipsSpeeds`, optional, of no effect at a coordinator of the version before), each 7 s at most, and reports the 128 back ends with the most evidence. Result: with 600 speeds the longest gap between reports is 2 s; the new test fails with the interval of before. Tests: the test of bytes leaves out the speeds where the entry doesn't ask for them, as coordinators do; its limit stays.

--- a/packages/mulberrypitch-coordinator/src/view-service.ts
+++ b/packages/mulberrypitch-coordinator/src/view-service.ts
@@ -80,7 +80,7 @@
 
 	/** Stores the status of an entry and replies with the changes since its versions, for which it waits up to the timeout. */
 	async watch(request: ViewRequest): Promise<ViewReply> {
-		const {status, rosterEpoch, rosterVersion, origins: report, waitMs = defaultWaitMs, speeds: observed} = request;
+		const {status, rosterEpoch, rosterVersion, origins: report, waitMs = defaultWaitMs, speeds: observed, skipsSpeeds = false} = request;
 		const {
 			directory, roster, origins, rollouts, speeds, getCoordinators, isInTouch,
 		} = this.#options;
@@ -115,7 +115,7 @@
 			nearby: this.#getNearby(status.zone),
 			peers: directory.getPeers(status.name, maxPeers),
 			...rollouts.feed.createReply(status),
-			...(observed !== undefined && {speeds: speeds.getSpeeds()}),
+			...(observed !== undefined && !skipsSpeeds && {speeds: speeds.getSpeeds()}),
 			isInTouch: isInTouch(),
 		};
 	}
--- a/packages/mulberrypitch-proxy/src/__tests__/backend-speeds.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/backend-speeds.test.ts
@@ -51,6 +51,45 @@
 	t.ok(speeds.takeReport());
 });
 
+// Guards against evidence that lapses at the coordinators, after 5 s, before the next report of an entry with many uneven back ends.
+await t.test('with 600 speeds, reports come each 2 s, and speeds are asked for before they lapse though a reply is lost', async t => {
+	const clock = new VirtualClock();
+	const speeds = new BackendSpeeds(clock);
+	const reply = Object.fromEntries(Array.from({length: 600}, (_, index) => [`engine-${index}`, 0.71]));
+	const reports: number[] = [];
+	const asked: number[] = [];
+	for (let polls = 0; polls < 600; polls += 1) {
+		await clock.runFor(100);
+		if (speeds.takeReport() !== undefined) {
+			reports.push(clock.now());
+			if (!speeds.skipsSpeeds) {
+				asked.push(clock.now());
+				// Every other reply is lost.
+				speeds.apply(asked.length % 2 === 1 ? reply : undefined);
+			}
+		}
+
+		t.equal(speeds.getSpeed('engine-1'), 0.71);
+	}
+
+	const getLongestGap = (times: readonly number[]) => Math.max(...times.slice(1).map((time, index) => time - times[index]!));
+	t.ok(getLongestGap(reports) <= 2000, `${getLongestGap(reports)}`);
+	t.ok(asked.length <= reports.length / 2, `${asked.length} of ${reports.length}`);
+});
+
+// Guards against an entry that asks for speeds with every other report only, although they are few.
+await t.test('few speeds come with each reply', async t => {
+	const clock = new VirtualClock();
+	const speeds = new BackendSpeeds(clock);
+	for (let second = 0; second < 5; second += 1) {
+		t.ok(speeds.takeReport());
+		t.notOk(speeds.skipsSpeeds);
+		await clock.runFor(100);
+		speeds.apply({a: 0.7});
+		await clock.runFor(900);
+	}
+});
+
 // Guards against speeds that stay in force when no coordinator, or only one of an earlier version, replies.
 await t.test('speeds that are not confirmed are no longer used', async t => {
 	const clock = new VirtualClock();
@@ -79,8 +118,9 @@
 
 			const report = speeds.takeReport();
 			if (report !== undefined) {
-				bytes += Buffer.byteLength(JSON.stringify({speeds: report})) + Buffer.byteLength(JSON.stringify({speeds: reply}));
-				speeds.apply(reply);
+				const {skipsSpeeds} = speeds;
+				bytes += Buffer.byteLength(JSON.stringify({speeds: report, skipsSpeeds})) + (skipsSpeeds ? 0 : Buffer.byteLength(JSON.stringify({speeds: reply})));
+				speeds.apply(skipsSpeeds ? undefined : reply);
 			}
 		}
 
--- a/packages/mulberrypitch-proxy/src/backend-speeds.ts
+++ b/packages/mulberrypitch-proxy/src/backend-speeds.ts
@@ -8,8 +8,14 @@
 
 /** Interval in milliseconds between two reports. */
 const reportIntervalMs = 1000;
-/** Number of speeds in a reply beyond which reports are made less often, so that replies take no more bytes a second. */
+/** Number of speeds in a reply beyond which reports are made, and speeds are asked for, less often, so that they take no more bytes a second. */
 const speedsPerInterval = 64;
+/** Longest interval in milliseconds between two reports. With the longest poll it stays below the 5 s after which a coordinator forgets a report. */
+const maxReportIntervalMs = 2000;
+/** Number of back ends in a report. Beyond it those with the least evidence are left out, which are the ones not seen for some 15 s. */
+const maxReported = 128;
+/** Longest interval in milliseconds between two replies with speeds. One of them may be lost before the speeds are no longer used. */
+const maxSpeedsIntervalMs = 7000;
 /** Time in milliseconds after which speeds are no longer used, since the coordinators don't confirm them. */
 const maxAgeMs = 15_000;
 /** Smallest number of parts of a stream from which the mean pause between them is taken. */
@@ -38,16 +44,23 @@
 		return this.#isRecent ? this.#speeds[backend] ?? 1 : 1;
 	}
 
-	/** Returns the observations of this entry if a report is due. The reply to it has the speeds. */
+	/** Whether the reply to a report may leave out the speeds, since the last ones are recent for their number. */
+	get skipsSpeeds(): boolean {
+		// The reply comes after its report, so that the time between them must not make every other report skip the speeds.
+		return this.#clock.now() - this.#appliedAt < this.#speedsIntervalMs - reportIntervalMs;
+	}
+
+	/** Returns the observations of this entry if a report is due. */
 	takeReport(): SpeedReport | undefined {
 		const now = this.#clock.now();
-		const intervalMs = reportIntervalMs * Math.max(1, Object.keys(this.#speeds).length / speedsPerInterval);
+		const intervalMs = Math.min(maxReportIntervalMs, this.#speedsIntervalMs);
 		if (now - this.#reportedAt < intervalMs) {
 			return undefined;
 		}
 
 		this.#reportedAt = now;
-		return this.#observer.getEvidence();
+		const evidence = Object.entries(this.#observer.getEvidence());
+		return Object.fromEntries(evidence.length > maxReported ? evidence.toSorted(([, [left]], [, [right]]) => right - left).slice(0, maxReported) : evidence);
 	}
 
 	/** Applies the speeds of a reply; `undefined` if it has none. */
@@ -65,6 +78,11 @@
 		return new SendObservation(this.#clock, {backend, group, observer: this.#observer});
 	}
 
+	/** Interval in milliseconds between two replies with speeds. */
+	get #speedsIntervalMs(): number {
+		return Math.min(maxSpeedsIntervalMs, reportIntervalMs * Math.max(1, Object.keys(this.#speeds).length / speedsPerInterval));
+	}
+
 	get #isRecent(): boolean {
 		return this.#clock.now() - this.#appliedAt < maxAgeMs;
 	}
--- a/packages/mulberrypitch-serving/src/view-messages.ts
+++ b/packages/mulberrypitch-serving/src/view-messages.ts
@@ -180,6 +180,8 @@
 	readonly waitMs?: number;
 	/** What the entry has lately observed of the speeds of back ends, about once a second; absent from the other requests, or from an entry of an earlier version. */
 	readonly speeds?: SpeedReport;
+	/** Whether the reply to a report of speeds should leave the speeds out, since the entry has recent ones; absent without a report, or from an entry of an earlier version. */
+	readonly skipsSpeeds?: boolean;
 	/** Whether the entry reads configurations in parts; absent from an entry of an earlier version. */
 	readonly readsParts?: boolean;
 	/** Newest version of which the entry has the first part while it reads a configuration; absent if it reads none. The coordinator offers only newer ones. */
@@ -225,8 +227,8 @@
 	/** Addresses for callers of other entries that reach back ends; absent from a coordinator of an earlier version. */
 	readonly peers?: readonly string[];
 	/**
-	Speeds of the back ends whose speed differs from the mean of their service, which is one. In the reply to a request with a report of speeds;
-	absent from the others, or from a coordinator of an earlier version.
+	Speeds of the back ends whose speed differs from the mean of their service, which is one. In the reply to a request with a report of speeds,
+	unless it asks to leave them out; absent from the others, or from a coordinator of an earlier version.
 	*/
 	readonly speeds?: Readonly<Record<string, number>>;
 	/** The last roll-out of each service; absent if there was none, or from a coordinator of an earlier version. */
