Wait for a second before a configuration that can't be used is offered again

Cause: a whole configuration of one part that can't be used was dropped within the reply to the poll, so that the next poll was answered with it at once, and polls followed each other at the rate of the round trip. Change: for 1 s after a rejected whole configuration, polls state its version as the one being read, so that coordinators keep them waiting and offer only newer versions, and offers of it are ignored. A newer version is taken at once, which the pause of the transfer of several parts kept waiting.

--- a/packages/mulberrypitch-proxy/src/__tests__/configuration-reader.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/configuration-reader.test.ts
@@ -29,6 +29,13 @@
 	return {configuration, digest: getDigest(JSON.stringify(configuration))};
 }
 
+function createSmallHeld(version: number): DigestedConfiguration {
+	const configuration = assumeType<ServingConfiguration>({
+		version, routes: [], services: [], limits: {},
+	});
+	return {configuration, digest: getDigest(JSON.stringify(configuration))};
+}
+
 type Call = ConfigurationPartRequest & {readonly address: string};
 
 function start(t: Test) {
@@ -90,9 +97,18 @@
 		reader.offer(getPart({version, baseVersion: inForce.at(-1)?.version ?? 0, offset: 0}));
 	};
 
+	/** Offers a whole configuration in a single part. */
+	const offerWhole = (version: number) => {
+		const bytes = Buffer.from(encodeDelta(createWholeDelta(createSmallHeld(version))));
+		reader.createPollFields();
+		reader.offer(state.alter({
+			version, baseVersion: 0, totalBytes: bytes.length, digest: getDigest(bytes), offset: 0, data: bytes.toString('base64'),
+		}));
+	};
+
 	const getVersions = () => inForce.map(({version}) => version);
 	return {
-		run, calls, inForce, state, reader, offer, getVersions,
+		run, calls, inForce, state, reader, offer, offerWhole, getVersions,
 	};
 }
 
@@ -157,6 +173,29 @@
 	t.strictSame(getVersions(), [1]);
 });
 
+// Guards against polls that follow each other at the rate of the round trip, since each reply brings the same configuration again.
+await t.test('a configuration of one part that can\'t be used is asked for again after a second only, and a newer one at once', async t => {
+	const {run, state, reader, offerWhole, getVersions} = start(t);
+	const alter = (part: ConfigurationPart) => ({...part, digest: 'wrong'});
+	state.alter = alter;
+	offerWhole(1);
+	t.equal(reader.createPollFields().readingVersion, 1, 'the coordinator keeps the poll waiting');
+	state.alter = part => part;
+	await run(900);
+	offerWhole(1);
+	t.strictSame(getVersions(), [], 'the offer is ignored');
+	t.equal(reader.createPollFields().readingVersion, 1);
+	await run(200);
+	t.equal(reader.createPollFields().readingVersion, undefined);
+	offerWhole(1);
+	t.strictSame(getVersions(), [1]);
+	state.alter = alter;
+	offerWhole(2);
+	state.alter = part => part;
+	offerWhole(3);
+	t.strictSame(getVersions(), [1, 3]);
+});
+
 // Guards against an entry that waits for parts from a coordinator that has none, since it is of the version before or has lost its disk.
 await t.test('a transfer that a coordinator refuses is dropped, so that a poll brings the configuration again', async t => {
 	const {run, state, reader, offer} = start(t);
--- a/packages/mulberrypitch-proxy/src/configuration-reader.ts
+++ b/packages/mulberrypitch-proxy/src/configuration-reader.ts
@@ -38,7 +38,7 @@
 const retryPauseMs = 50;
 /** Number of refusals by coordinators in a row after which a transfer is dropped, so that a poll offers the newest version again. */
 const maxRefusals = 3;
-/** Pause in milliseconds after a whole configuration that can't be used. */
+/** Time in milliseconds for which a whole configuration that can't be used is not read again, and polls ask only for newer ones. */
 const rejectedPauseMs = 1000;
 
 /** Puts the newest configuration in force that a poll has offered. */
@@ -59,6 +59,8 @@
 	#startedAt = 0;
 	/** Version and digest of the last configuration that was put in force here. */
 	#known = {version: 0, digest: ''};
+	/** Version of the last whole configuration that could not be used, and the monotonic time in milliseconds of its rejection. */
+	#rejected = {version: 0, at: Number.NEGATIVE_INFINITY};
 
 	constructor(options: ConfigurationReaderOptions) {
 		this.#options = options;
@@ -71,7 +73,8 @@
 	/** Returns the fields of the next poll that state what the entry reads. */
 	createPollFields(): Pick<ViewRequest, 'readsParts' | 'readingVersion'> {
 		this.#polledVersion = this.#versionInForce;
-		return {readsParts: true, ...(this.#transfer !== undefined && {readingVersion: this.#offeredVersion})};
+		const readingVersion = Math.max(this.#transfer === undefined ? 0 : this.#offeredVersion, this.#unusableVersion);
+		return {readsParts: true, ...(readingVersion > 0 && {readingVersion})};
 	}
 
 	/** Starts to read what polls offer. */
@@ -87,7 +90,7 @@
 
 	/** Takes the first part of a newer version, which a poll has brought. A small configuration is in force when the method returns. */
 	offer(part: ConfigurationPart): void {
-		if (part.version <= Math.max(this.#versionInForce, this.#offeredVersion)) {
+		if (part.version <= Math.max(this.#versionInForce, this.#offeredVersion, this.#unusableVersion)) {
 			return;
 		}
 
@@ -122,6 +125,12 @@
 		return this.#options.getConfiguration()?.version ?? 0;
 	}
 
+	/** Version that was rejected a short time ago; zero if there is none. */
+	get #unusableVersion(): number {
+		const {version, at} = this.#rejected;
+		return this.#options.clock.now() - at < rejectedPauseMs ? version : 0;
+	}
+
 	/** Reports whether changes since a version can be applied. */
 	#isUsable(baseVersion: number): boolean {
 		return baseVersion === 0 || (baseVersion === this.#versionInForce && baseVersion === this.#known.version);
@@ -151,7 +160,7 @@
 				// A coordinator of an earlier version has sent the whole document in the meantime.
 				this.#drop();
 			} else if (transfer.isComplete) {
-				await this.#finish(transfer, signal);
+				await this.#finish(transfer);
 			} else {
 				await this.#readPart(transfer, signal);
 			}
@@ -199,7 +208,7 @@
 	}
 
 	/** Decodes a complete transfer, one block in each turn of the event loop, so that requests of callers don't wait for it. */
-	async #finish(transfer: ConfigurationTransfer, signal: AbortSignal): Promise<void> {
+	async #finish(transfer: ConfigurationTransfer): Promise<void> {
 		try {
 			const steps = decodeDelta(transfer.concatenate());
 			let step = steps.next();
@@ -215,7 +224,6 @@
 		} catch (error) {
 			if (transfer === this.#transfer) {
 				this.#reject(transfer, error);
-				await this.#options.clock.sleep(transfer.baseVersion === 0 ? rejectedPauseMs : 0, signal);
 			}
 		}
 	}
@@ -245,11 +253,12 @@
 		}
 	}
 
-	/** Reads the whole configuration after changes that can't be used. After a whole one, the next poll offers the newest version again. */
+	/** Reads the whole configuration after changes that can't be used. After a whole one, polls offer the newest version again when the pause is over. */
 	#reject(transfer: ConfigurationTransfer, error: unknown): void {
 		const {version, baseVersion} = transfer;
 		this.#options.logger.log(events.configurationRejected, {version, baseVersion, reason: getMessage(error)});
 		if (baseVersion === 0) {
+			this.#rejected = {version, at: this.#options.clock.now()};
 			this.#drop();
 		} else {
 			this.#begin(version, 0);
