Test what becomes of a held connection whose caller has left

Cause: the test of a caller who has left reset its connection without waiting for the listener to accept it, so that it showed neither what its name said, that such a caller is not handed over, nor the contrary. Change: the test waits until the connection is held, resets it, and shows that the listener does not notice, that the connection is handed over and then closed without a request, and that others are served.

--- a/packages/mulberrypitch-lifecycle/src/__tests__/early-listener.test.ts
+++ b/packages/mulberrypitch-lifecycle/src/__tests__/early-listener.test.ts
@@ -1,7 +1,10 @@
 /** Tests that callers who connect while a program loads are served by the server that it creates. */
+import {once} from 'node:events';
 import http from 'node:http';
 import net from 'node:net';
+import {setImmediate as nextTurn} from 'node:timers/promises';
 import t from 'tap';
+import {assumeType} from '@mulberrypitch/errors/assume-type';
 import {EarlyListener} from '../early-listener.js';
 import {listenOn} from '../listen.js';
 
@@ -28,9 +31,7 @@
 	await listener.listen(host, port);
 	const early = get(port, 'early');
 	while (listener.waiting === 0) {
-		await new Promise(resolve => {
-			setImmediate(resolve);
-		});
+		await nextTurn();
 	}
 
 	const server = http.createServer((request, response) => {
@@ -46,25 +47,37 @@
 	t.equal(listener.waiting, 0);
 });
 
-// Guards against a connection that ended while it waited and fails the hand-over.
-await t.test('a caller who has left is not handed over', async t => {
+// Guards against a reset connection whose error fails the hand-over, or is held by the server for good.
+await t.test('a caller who has left is noticed only after the hand-over, which does not fail for it', async t => {
 	const port = await getFreePort();
 	const listener = new EarlyListener();
 	await listener.listen(host, port);
 	const socket = net.connect(port, host);
-	await new Promise(resolve => {
-		socket.once('connect', resolve);
-	});
+	while (listener.waiting === 0) {
+		await nextTurn();
+	}
+
 	socket.resetAndDestroy();
+	await once(socket, 'close');
+	t.equal(listener.waiting, 1, 'nothing is read of a connection that waits, not even its end');
+	const requests: string[] = [];
 	const server = http.createServer((request, response) => {
+		requests.push(request.url!);
 		response.end(request.url);
 	});
 	t.teardown(() => {
 		server.close();
 		server.closeAllConnections();
 	});
+	const left = once(server, 'connection');
 	await listener.handOver(server);
+	const [handedOver] = assumeType<[net.Socket]>(await left);
+	while (!handedOver.destroyed) {
+		await nextTurn();
+	}
+
 	t.equal(await get(port, 'late'), '/late');
+	t.strictSame(requests, ['/late']);
 });
 
 await t.test('an address in use is an error', async t => {
