State what messages, digests and route prefixes rely on

Cause: the head of the messages said that all processes run the same version and need no schema, against their optional fields and the schemas of the coordinator. It was not said that entries never compute the digest of a delta, nor what ensures that prefixes end with a slash. Change: comments only.

--- a/packages/mulberrypitch-serving/src/configuration-delta.ts
+++ b/packages/mulberrypitch-serving/src/configuration-delta.ts
@@ -19,7 +19,7 @@
 	readonly baseVersion: number;
 	/** Digest of the configuration that the delta applies to; empty if it contains the whole configuration. */
 	readonly baseDigest: string;
-	/** Digest of the resulting configuration. */
+	/** Digest of the resulting configuration. The entry does not compute it: it keeps it and compares it with the `baseDigest` of a later delta. */
 	readonly digest: string;
 	/** Fields of the configuration that are no lists. */
 	readonly settings: Omit<ServingConfiguration, 'routes' | 'services' | 'workspaces'>;
--- a/packages/mulberrypitch-serving/src/route-table.ts
+++ b/packages/mulberrypitch-serving/src/route-table.ts
@@ -54,7 +54,7 @@
 		}
 
 		const [pathOnly] = path.split('?', 1);
-		// Each prefix ends with a slash, so only the prefixes that end at a slash of the path are looked up.
+		// Each prefix ends with a slash, which `configuration-check.ts` ensures, so only the prefixes that end at a slash of the path are looked up.
 		for (let prefix = pathOnly!.slice(0, hostRoutes.maxPrefixLength); prefix !== ''; prefix = prefix.slice(0, -1)) {
 			prefix = prefix.slice(0, prefix.lastIndexOf('/') + 1);
 			const route = hostRoutes.byPrefix.get(prefix);
--- a/packages/mulberrypitch-serving/src/view-messages.ts
+++ b/packages/mulberrypitch-serving/src/view-messages.ts
@@ -1,4 +1,7 @@
-/** Messages between entries and coordinators. All processes run the same version, so these types need no schema. */
+/**
+ * Messages between entries and coordinators. Processes of two successive versions exchange them, so new fields are optional. A coordinator
+ * checks the requests of entries and of other coordinators by the schemas of `status-schema.ts`.
+ */
 import type {RosterChanges, RosterEntry, RosterPosition} from './backend-roster.js';
 import type {ConfigurationPart} from './configuration-messages.js';
 import type {QuarantinedContent} from './quarantine-list.js';
