Tell lost evidence by sums that fall, and move all requests before a late completion

Cause: fewer sends than 0.7 of the arrivals counted as lost evidence. Refused requests or a fall of the traffic thus restarted the evidence again and again, before the suspicion was tested. The share stayed at a few percent, and 1,500 ms before the deadline the version was completed while nearly all requests went to old back ends, which stop then.

Change: only sums that an entry had reported and that fall count as lost (the coordinator counts such reports), after the suspicion was tested. Shortly before the deadline the share becomes 1 first, and completion follows 500 ms later. Without time for that, a target with less than half of the requests is not completed. Absolute times to the deadline stay.

Tests: the assertions on a number of expected requests are gone with that parameter; fewer sends, fewer successes and missing routes take their place, and each good version must end with a share of at least 0.5.

--- a/packages/mulberrypitch-coordinator/src/__tests__/rollout-table.test.ts
+++ b/packages/mulberrypitch-coordinator/src/__tests__/rollout-table.test.ts
@@ -124,6 +124,31 @@
 	t.equal(store.sum(1).requests, 0);
 });
 
+// Guards against differences of sums that hold the noise of routes which an entry no longer lists.
+await t.test('a report with smaller sums than before counts as a loss, and a new incarnation does not', t => {
+	const store = new RolloutEvidenceStore();
+	const merge = (upMs: number, incarnation: string, sent: number) => {
+		const answers = {
+			sent, succeeded: sent, failed: 0, first: {count: 0, sum: 0, squares: 0}, pause: {count: 0, sum: 0, squares: 0},
+		};
+		store.merge(assumeType<EntryStatus>({
+			name: 'front', incarnation, upMs, rollouts: [{
+				rollout: 1, revision: 1, requests: sent, othersRunning: 0, routes: [{route: 'r', target: answers, others: answers}],
+			}],
+		}));
+		return store.sum(1).losses;
+	};
+
+	t.equal(merge(100, 'x', 5), 0);
+	t.equal(merge(200, 'x', 7), 0);
+	t.equal(merge(10, 'y', 1), 0);
+	t.equal(merge(300, 'x', 6), 1);
+	t.equal(merge(400, 'x', 6), 1);
+	store.retain(() => false);
+	t.equal(store.sum(1).losses, 0);
+	t.end();
+});
+
 // Guards against a deadline that a restart or a change of the leader puts off, and against a time that goes back.
 await t.test('the elapsed time is measured from the committed one, and never goes back', async t => {
 	const clock = new VirtualClock();
--- a/packages/mulberrypitch-coordinator/src/rollout-duty.ts
+++ b/packages/mulberrypitch-coordinator/src/rollout-duty.ts
@@ -156,13 +156,18 @@
 		const targetBackends = serving.filter(({version}) => version === target).length;
 		const statuses = directory.getLastStatuses(silentEntryMs);
 		const ready = statuses.filter(({isReady}) => isReady);
+		const {requests, routes, losses} = directory.rolloutEvidence.sum(id);
+		const {shareAgeMs, routesBefore, lossesBefore} = tracker.getShareHistory(rollout);
 		const evidenceOf = (status: EntryStatus) => directory.rolloutEvidence.get(status, id);
 		return {
 			durationMs,
 			elapsedMs: tracker.getElapsed(rollout),
 			share,
-			...tracker.getShareHistory(rollout),
-			...directory.rolloutEvidence.sum(id),
+			shareAgeMs,
+			requests,
+			routes,
+			routesBefore,
+			hasLostEvidence: losses > lossesBefore,
 			othersRunning: statuses.reduce((sum, status) => sum + (evidenceOf(status)?.othersRunning ?? 0), 0),
 			isAppliedEverywhere: tracker.hasHeardEntries && ready.length > 0 && ready.every(status => evidenceOf(status)?.revision === revision),
 			targetBackends,
--- a/packages/mulberrypitch-coordinator/src/rollout-evidence.ts
+++ b/packages/mulberrypitch-coordinator/src/rollout-evidence.ts
@@ -16,18 +16,29 @@
 	/** Requests for the service that arrived. */
 	readonly requests: number;
 	readonly routes: readonly RouteEvidence[];
+	/** Number of reports whose sums were smaller than those which the same incarnation had reported before. */
+	readonly losses: number;
 };
 
 /** Keeps the last evidence of each incarnation for as long as its roll-out is running. */
 export class RolloutEvidenceStore {
 	/** By name and incarnation of the entry. */
 	readonly #reports = new Map<string, Report>();
+	/** By identifier of the roll-out. */
+	readonly #losses = new Map<number, number>();
 
 	/** Stores the evidence of a status, which replaces that of an earlier status of the same incarnation. */
 	merge({name, incarnation, upMs, rollouts = []}: EntryStatus): void {
 		const key = `${name} ${incarnation}`;
 		const known = this.#reports.get(key);
 		if (rollouts.length > 0 && upMs >= (known?.upMs ?? 0)) {
+			for (const evidence of rollouts) {
+				const earlier = known?.evidence.find(({rollout}) => rollout === evidence.rollout);
+				if (earlier !== undefined && isReduced(evidence, earlier)) {
+					this.#losses.set(evidence.rollout, (this.#losses.get(evidence.rollout) ?? 0) + 1);
+				}
+			}
+
 			// A status that no longer lists a roll-out must not remove what the incarnation has observed of it.
 			const unlisted = (known?.evidence ?? []).filter(({rollout}) => !rollouts.some(listed => listed.rollout === rollout));
 			this.#reports.set(key, {upMs, evidence: [...rollouts, ...unlisted]});
@@ -44,6 +55,12 @@
 				this.#reports.set(key, {...report, evidence});
 			}
 		}
+
+		for (const rollout of this.#losses.keys()) {
+			if (!isKept(rollout)) {
+				this.#losses.delete(rollout);
+			}
+		}
 	}
 
 	/** Returns what an incarnation reported last of a roll-out, which its last status need not repeat. */
@@ -76,7 +93,7 @@
 		}
 
 		const routes = [...sums].map(([route, {target, others}]) => ({route, target: target.capture(), others: others.capture()}));
-		return {requests, routes};
+		return {requests, routes, losses: this.#losses.get(rollout) ?? 0};
 	}
 }
 
@@ -120,6 +137,14 @@
 	}
 }
 
+/** Reports whether sums that a process reported before are missing from its later report. */
+function isReduced(later: RolloutEvidence, earlier: RolloutEvidence): boolean {
+	return earlier.routes.some(({route, target, others}) => {
+		const now = later.routes.find(listed => listed.route === route);
+		return now === undefined || now.target.sent < target.sent || now.others.sent < others.sent;
+	});
+}
+
 function addTimes(total: {count: number; sum: number; squares: number}, added: LogTimeSums): void {
 	total.count += added.count;
 	total.sum += added.sum;
--- a/packages/mulberrypitch-coordinator/src/rollout-tracker.ts
+++ b/packages/mulberrypitch-coordinator/src/rollout-tracker.ts
@@ -14,12 +14,15 @@
 	readonly shareSince: number;
 	/** Sums over all entries at that time. */
 	readonly routesBefore: readonly RouteEvidence[];
+	/** Number of reports with smaller sums up to that time. */
+	readonly lossesBefore: number;
 };
 
 /** The age of a share, and what was known when it came into force. */
 export type ShareHistory = {
 	readonly shareAgeMs: number;
 	readonly routesBefore: readonly RouteEvidence[];
+	readonly lossesBefore: number;
 };
 
 /**
@@ -62,7 +65,7 @@
 				revision: rollout.revision,
 				elapsedMs: Math.max(rollout.elapsedMs, known?.id === rollout.id ? getElapsed(known, now) : 0),
 				measuredAt: now,
-				...(isSame ? {shareSince: known.shareSince, routesBefore: known.routesBefore} : {shareSince: now, routesBefore: this.#evidence.sum(rollout.id).routes}),
+				...(isSame ? {shareSince: known.shareSince, routesBefore: known.routesBefore, lossesBefore: known.lossesBefore} : {shareSince: now, ...this.#capture(rollout.id)}),
 			});
 		}
 
@@ -102,18 +105,23 @@
 	getShareHistory({service, id}: Rollout): ShareHistory {
 		const known = this.#measurements.get(service);
 		if (known === undefined || !this.hasHeardEntries) {
-			return {shareAgeMs: 0, routesBefore: this.#evidence.sum(id).routes};
+			return {shareAgeMs: 0, ...this.#capture(id)};
 		}
 
 		const heardAt = this.#startedAt + learningMs;
 		if (known.shareSince < heardAt) {
 			// The first call after all entries have been heard fixes what was known by then.
-			const fixed = {...known, shareSince: this.#clock.now(), routesBefore: this.#evidence.sum(id).routes};
+			const fixed = {...known, shareSince: this.#clock.now(), ...this.#capture(id)};
 			this.#measurements.set(service, fixed);
-			return {shareAgeMs: 0, routesBefore: fixed.routesBefore};
+			return {shareAgeMs: 0, routesBefore: fixed.routesBefore, lossesBefore: fixed.lossesBefore};
 		}
 
-		return {shareAgeMs: this.#clock.now() - known.shareSince, routesBefore: known.routesBefore};
+		return {shareAgeMs: this.#clock.now() - known.shareSince, routesBefore: known.routesBefore, lossesBefore: known.lossesBefore};
+	}
+
+	#capture(rollout: number): Pick<Measurement, 'routesBefore' | 'lossesBefore'> {
+		const {routes, losses} = this.#evidence.sum(rollout);
+		return {routesBefore: routes, lossesBefore: losses};
 	}
 }
 
--- a/packages/mulberrypitch-rollouts/src/__tests__/evidence-sums.test.ts
+++ b/packages/mulberrypitch-rollouts/src/__tests__/evidence-sums.test.ts
@@ -25,9 +25,11 @@
 await t.test('never gives negative counts when an entry loses its evidence', async t => {
 	const [route] = subtractEvidence([createRoute('a', 3, 5)], [createRoute('a', 10, 50)]);
 	t.strictSame(route, {route: 'a', target: noAnswers, others: noAnswers});
-	t.ok(isEvidenceLost([createRoute('a', 3, 5)], [createRoute('a', 10, 50)], 0));
-	t.ok(isEvidenceLost([createRoute('a', 11, 60)], [createRoute('a', 10, 50)], 100));
-	t.notOk(isEvidenceLost([createRoute('a', 20, 140)], [createRoute('a', 10, 50)], 100));
+	t.ok(isEvidenceLost([createRoute('a', 3, 5)], [createRoute('a', 10, 50)]));
+	t.ok(isEvidenceLost([createRoute('a', 11, 49)], [createRoute('a', 10, 50)]));
+	t.ok(isEvidenceLost([{...createRoute('a', 10, 50), target: createAnswers(10, 1)}], [createRoute('a', 10, 50)]), 'fewer successes');
+	t.ok(isEvidenceLost([], [createRoute('a', 10, 50)]));
+	t.notOk(isEvidenceLost([createRoute('a', 10, 50), createRoute('b', 1, 0)], [createRoute('a', 10, 50)]));
 });
 
 await t.test('tells 8 failures of 10 from none of 100, but not from 14 of 100 by 2 of 10', async t => {
--- a/packages/mulberrypitch-rollouts/src/__tests__/rollout-cases.ts
+++ b/packages/mulberrypitch-rollouts/src/__tests__/rollout-cases.ts
@@ -5,13 +5,17 @@
 	readonly name: string; readonly part: number; readonly medianMs: number; readonly spread: number;
 	readonly failedPart: number; readonly streamMs: number;
 };
-/** What is wrong with an answer: the probabilities of a failure and of slowness by `factor`. */
-export type Fault = {readonly failed?: number; readonly slow?: number; readonly factor?: number};
+/** What is wrong with an answer: the probabilities of a failure, of slowness by `factor`, and of none before the deadline of the request. */
+export type Fault = {readonly failed?: number; readonly slow?: number; readonly factor?: number; readonly hangs?: number};
 /** A roll-out to be simulated. `at` is the time in milliseconds since the order. */
 export type SyntheticCase = {
 	readonly name: string; readonly isBad: boolean; readonly rate: number; readonly durationMs: number; readonly backends: number;
 	readonly routes: readonly SyntheticRoute[]; readonly targetStartMs?: number; readonly coldFactor?: number;
-	readonly lostEntryAtMs?: number; readonly noLeaderFromMs?: number;
+	readonly lostEntryAtMs?: number; readonly noLeaderFromMs?: number; readonly noLeaderMs?: number;
+	/** Part of the arriving requests that are refused without being sent. */
+	readonly refusedPart?: number;
+	/** Part of the rate that arrives from 40 % of the duration on. */
+	readonly laterRatePart?: number;
 	readonly faults?: (input: {at: number; route: string; share: number; isTarget: boolean}) => Fault;
 };
 
@@ -45,9 +49,12 @@
 const slow: Fault = {slow: 1, factor: 4};
 const none: Fault = {};
 
+/** Rate per second below which 15 % of the requests are too few to tell anything of the target: 9 in 12 s at 5 per second. */
+const minRate = 20;
+
 type Variant = Pick<SyntheticCase, 'name' | 'isBad'> & Partial<SyntheticCase>;
 
-function createVariants(durationMs: number): Variant[] {
+function createVariants({durationMs, rate}: Pick<SyntheticCase, 'durationMs' | 'rate'>): Variant[] {
 	const later = durationMs * 0.4;
 	const trouble = [durationMs * 0.35, durationMs * 0.65] as const;
 	const isTrouble = (at: number) => trouble.some(start => at >= start && at < start + 1500);
@@ -63,9 +70,13 @@
 		good('no leader before the ramp', {noLeaderFromMs: durationMs * 0.5}),
 		good('no leader near the end', {noLeaderFromMs: durationMs - 4000}),
 		good('target starts late', {targetStartMs: durationMs * 0.25}),
+		good('refused requests', {refusedPart: rate < minRate ? 0.5 : 0.85}),
+		good('falling traffic', {laterRatePart: 0.2}),
+		good('no leader until shortly before the deadline', {noLeaderFromMs: durationMs * 0.5, noLeaderMs: (durationMs * 0.5) - 1400}),
 		bad('fails at once', ({isTarget}) => isTarget ? failing : none),
 		bad('partly slow at once', ({isTarget}) => isTarget ? partlySlow : none),
 		bad('slow at once', ({isTarget}) => isTarget ? slow : none),
+		{...bad('hangs at once', ({isTarget}) => isTarget ? {hangs: 1} : none), refusedPart: 0.4},
 		bad('fails later', ({isTarget, at}) => isTarget && at > later ? failing : none),
 		bad('partly slow later', ({isTarget, at}) => isTarget && at > later ? partlySlow : none),
 		bad('fails under load', ({isTarget, share}) => isTarget && share > 0.25 ? failing : none),
@@ -78,7 +89,7 @@
 }
 
 /** All cases: each variant at each rate and duration. */
-export const cases: readonly SyntheticCase[] = traffic.flatMap(flow => createVariants(flow.durationMs)
+export const cases: readonly SyntheticCase[] = traffic.flatMap(flow => createVariants(flow)
 	.map(variant => ({
 		...flow, routes, ...variant, name: `${variant.name}, ${flow.rate}/s, ${flow.durationMs / 1000} s`,
 	})));
--- a/packages/mulberrypitch-rollouts/src/__tests__/synthetic-rollout.ts
+++ b/packages/mulberrypitch-rollouts/src/__tests__/synthetic-rollout.ts
@@ -12,13 +12,16 @@
 export type SyntheticResult = {
 	readonly state: string; readonly endMs: number; readonly reason: string; readonly sent: number; readonly requests: number;
 	readonly badAnswers: number; readonly sentLate: number;
+	/** Share that was in force before the end. */
+	readonly lastShare: number;
 };
 
 export const limits: RolloutLimits = {exposedShare: 0.1, exposedSlack: 50, rollbackMs: 5000};
 const entryCount = 8;
 const stepMs = 10;
 const reportMs = 200;
-const noLeaderMs = 2000;
+/** Time in milliseconds after which a request without an answer fails. */
+const timeoutMs = 10_000;
 const fastFailure = 0.2;
 
 /** Runs the case with a seed. */
@@ -31,15 +34,24 @@
 		due.set(step, [...due.get(step) ?? [], action]);
 	};
 
-	const {durationMs, backends, targetStartMs = 0} = scenario;
+	const {
+		durationMs, backends, targetStartMs = 0, refusedPart = 0, laterRatePart = 1, noLeaderMs = 2000,
+	} = scenario;
 	let [share, shareAt] = [0, 0];
 	let routesBefore: RouteEvidence[] = [];
 	let [state, endMs, reason] = ['running', durationMs, ''];
+	let lastShare = 0;
+	let hasLostEvidence = false;
 	const counts = {
 		sent: 0, requests: 0, badAnswers: 0, sentLate: 0, cold: backends, lateFrom: Infinity,
 	};
 
 	const send = (now: number) => {
+		counts.requests += 1;
+		if (refusedPart > 0 && random.next() < refusedPart) {
+			return;
+		}
+
 		const entry = entries[Math.floor(random.next() * entryCount)]!;
 		const route = pick(scenario.routes, random);
 		const isTarget = now >= targetStartMs && random.next() < entry.share;
@@ -48,7 +60,8 @@
 		}) ?? {};
 		const side = getSums(entry, route.name)[isTarget ? 'target' : 'others'];
 		const isFaulty = random.next() < (fault.failed ?? 0);
-		const isFailed = isFaulty || random.next() < route.failedPart;
+		const isHanging = fault.hangs !== undefined && random.next() < fault.hangs;
+		const isFailed = isFaulty || isHanging || random.next() < route.failedPart;
 		const isSlow = random.next() < (fault.slow ?? 0);
 		let timeMs = route.medianMs * Math.exp(route.spread * getNormal(random)) * (isSlow ? fault.factor! : 1);
 		if (isTarget) {
@@ -58,18 +71,17 @@
 			counts.sentLate += now > counts.lateFrom ? 1 : 0;
 		}
 
-		counts.requests += 1;
 		side.sent += 1;
 		entry.running += isTarget ? 0 : 1;
 		const finish = (end: number) => {
 			entry.running -= isTarget ? 0 : 1;
 			side[isFailed ? 'failed' : 'succeeded'] += 1;
-			counts.badAnswers += isTarget && (isFaulty || isSlow) ? 1 : 0;
+			counts.badAnswers += isTarget && (isFaulty || isSlow || isHanging) ? 1 : 0;
 			counts.lateFrom = counts.badAnswers === 50 ? Math.min(counts.lateFrom, end + limits.rollbackMs) : counts.lateFrom;
 		};
 
 		if (isFailed) {
-			const failedAt = now + (timeMs * fastFailure);
+			const failedAt = now + (isHanging ? timeoutMs : timeMs * fastFailure);
 			schedule(failedAt, finish.bind(undefined, failedAt));
 			return;
 		}
@@ -89,12 +101,13 @@
 		const decision = decideRollout({
 			durationMs, elapsedMs: now, share, shareAgeMs: now - shareAt, requests: counts.requests, routes, routesBefore,
 			othersRunning: entries.reduce((sum, entry) => sum + entry.reportedRunning, 0), isAppliedEverywhere: now - shareAt > 400,
-			targetBackends: now >= targetStartMs ? backends : 0, otherBackends: backends,
+			targetBackends: now >= targetStartMs ? backends : 0, otherBackends: backends, hasLostEvidence,
 		}, limits);
 		if (decision.kind === 'hold') {
 			return;
 		}
 
+		[lastShare, hasLostEvidence] = [share, false];
 		share = decision.kind === 'setShare' ? decision.share : Number(decision.kind === 'complete');
 		[shareAt, routesBefore, reason] = [now, routes, decision.reason];
 		if (decision.kind !== 'setShare') {
@@ -116,13 +129,14 @@
 		}
 
 		due.delete(now);
-		for (; nextRequest < now; nextRequest -= Math.log(1 - random.next()) * 1000 / scenario.rate) {
+		for (; nextRequest < now; nextRequest -= Math.log(1 - random.next()) * 1000 / (scenario.rate * (nextRequest > durationMs * 0.4 ? laterRatePart : 1))) {
 			send(now);
 		}
 
 		for (const [index, entry] of entries.entries()) {
 			if (now === scenario.lostEntryAtMs && index === 0) {
 				entries[0] = {...createEntry(), share: entry.share};
+				hasLostEvidence = true;
 			} else if ((now + (index * 30)) % reportMs < stepMs) {
 				report(entry);
 			}
@@ -135,6 +149,6 @@
 	}
 
 	return {
-		state, endMs, reason, ...counts,
+		state, endMs, reason, lastShare, ...counts,
 	};
 }
--- a/packages/mulberrypitch-rollouts/src/evidence-sums.ts
+++ b/packages/mulberrypitch-rollouts/src/evidence-sums.ts
@@ -6,11 +6,6 @@
 	sent: 0, succeeded: 0, failed: 0, first: {count: 0, sum: 0, squares: 0}, pause: {count: 0, sum: 0, squares: 0},
 };
 
-/** Part of the expected requests that must be present; with less, the differences of sums are mostly noise. */
-const minPresentPart = 0.7;
-/** Fewer expected requests than this vary too much to tell anything is missing. */
-const minExpectedSent = 40;
-
 /**
 Returns the sums of both groups of answers.
 
@@ -90,22 +85,17 @@
 }
 
 /**
-Returns whether evidence since `earlier` can't be told, because much of what it holds is missing from `later`, as after an entry
-restarts. `expectedSent` is the number of requests of both sides that should have been sent in between.
+Returns whether sums of `earlier` are missing from `later`, so that their difference is no evidence. Few sends are no sign of that,
+since requests may also be refused, wait for a back end, or become fewer.
 
 @example
 ```
-const isLost = isEvidenceLost(observation.routes, observation.routesBefore, 400);
+const isLost = isEvidenceLost(observation.routes, observation.routesBefore);
 ```
 */
-export function isEvidenceLost(later: readonly RouteEvidence[], earlier: readonly RouteEvidence[], expectedSent: number): boolean {
+export function isEvidenceLost(later: readonly RouteEvidence[], earlier: readonly RouteEvidence[]): boolean {
 	const now = new Map(later.map(evidence => [evidence.route, evidence]));
-	if (earlier.some(({route, target, others}) => target.sent > (now.get(route)?.target.sent ?? 0) || others.sent > (now.get(route)?.others.sent ?? 0))) {
-		return true;
-	}
-
-	const count = (routes: readonly RouteEvidence[]) => sumRoutes(routes, 'target').sent + sumRoutes(routes, 'others').sent;
-	return expectedSent >= minExpectedSent && count(later) - count(earlier) < minPresentPart * expectedSent;
+	return earlier.some(({route, target, others}) => isSmaller(now.get(route)?.target ?? noAnswers, target) || isSmaller(now.get(route)?.others ?? noAnswers, others));
 }
 
 /**
@@ -125,6 +115,10 @@
 	return sum;
 }
 
+function isSmaller(later: AnswerSums, earlier: AnswerSums): boolean {
+	return later.sent < earlier.sent || later.succeeded < earlier.succeeded || later.failed < earlier.failed;
+}
+
 function addTimes(a: LogTimeSums, b: LogTimeSums): LogTimeSums {
 	return {count: a.count + b.count, sum: a.sum + b.sum, squares: a.squares + b.squares};
 }
--- a/packages/mulberrypitch-rollouts/src/rollout-decision.ts
+++ b/packages/mulberrypitch-rollouts/src/rollout-decision.ts
@@ -32,10 +32,12 @@
 const probeWindowAnswers = 120;
 /** Requests for each back end of the target after which slow first answers of cold servers don't burden a new period. */
 const warmAnswers = 6;
-/** Time in milliseconds by which reports of requests may be late. */
-const reportLagMs = 600;
 /** Shortest time in milliseconds at share 1 before completion, in which trouble at full load shows. */
 const minFullShareMs = 1000;
+/** The same shortly before the deadline: orders take up to 300 ms to reach the entries. */
+const minLateFullShareMs = 500;
+/** Share from which on the target carries most of the traffic, so that it may be completed if no time is left to go to 1. */
+const majorityShare = 0.5;
 
 /**
 Decides what is done next with a running roll-out. It keeps no state: the same observation gives the same decision.
@@ -47,16 +49,12 @@
 */
 export function decideRollout(observation: RolloutObservation, limits: RolloutLimits): RolloutDecision {
 	const schedule = getSchedule(observation.durationMs);
-	if (observation.share < 1 && isPeriodLost(observation)) {
-		return {kind: 'setShare', share: changeSlightly(observation.share, false), reason: 'evidence of an entry was lost'};
-	}
-
 	const suspicion = getSuspicion(observation);
 	if (suspicion.level >= rollBackLevel) {
 		return {kind: 'rollBack', reason: suspicion.reason};
 	}
 
-	const {elapsedMs, share, targetBackends} = observation;
+	const {elapsedMs, share, targetBackends, routes, routesBefore, hasLostEvidence = false} = observation;
 	if (elapsedMs >= schedule.giveUpMs) {
 		return {kind: 'rollBack', reason: `not completed in time: ${describeLack(observation)}`};
 	}
@@ -65,12 +63,14 @@
 		return {kind: 'hold'};
 	}
 
-	const isKnown = sumRoutes(observation.routes, 'target').succeeded >= minSuccesses;
+	if (share > 0 && share < 1 && elapsedMs < schedule.completeMs && (hasLostEvidence || isEvidenceLost(routes, routesBefore))) {
+		return {kind: 'setShare', share: changeSlightly(share, false), reason: 'evidence of an entry was lost'};
+	}
+
+	const isKnown = sumRoutes(routes, 'target').succeeded >= minSuccesses;
 	if (elapsedMs >= schedule.completeMs) {
 		const isThin = observation.requests <= thinTraffic * getExposureLimit(observation, limits);
-		return isKnown && suspicion.level <= (isThin ? thinLateLevel : lateLevel)
-			? {kind: 'complete', reason: 'no evidence against the target shortly before the deadline'}
-			: {kind: 'hold'};
+		return isKnown && suspicion.level <= (isThin ? thinLateLevel : lateLevel) ? finishLate(observation, schedule) : {kind: 'hold'};
 	}
 
 	if (share === 0) {
@@ -139,8 +139,20 @@
 		: {kind: 'hold'};
 }
 
-function isPeriodLost({routes, routesBefore, requests, elapsedMs, shareAgeMs}: RolloutObservation): boolean {
-	return isEvidenceLost(routes, routesBefore, requests / elapsedMs * Math.max(0, shareAgeMs - reportLagMs));
+/**
+ * Completes shortly before the deadline. The old back ends stop then, so all requests are sent to the target before, and a target that has
+ * only a small part of them is not completed.
+ */
+function finishLate({elapsedMs, share, shareAgeMs, isAppliedEverywhere}: RolloutObservation, {giveUpMs}: Schedule): RolloutDecision {
+	const isInTime = elapsedMs + minLateFullShareMs < giveUpMs;
+	if (share < 1 && isInTime) {
+		return {kind: 'setShare', share: 1, reason: 'no evidence against the target shortly before the deadline'};
+	}
+
+	const isMoved = share >= 1 && (isAppliedEverywhere || shareAgeMs >= minLateFullShareMs);
+	return isMoved || (share >= majorityShare && !isInTime)
+		? {kind: 'complete', reason: 'no evidence against the target shortly before the deadline'}
+		: {kind: 'hold'};
 }
 
 function countAnswers({routes, routesBefore}: RolloutObservation): number {
--- a/packages/mulberrypitch-serving/src/rollout-messages.ts
+++ b/packages/mulberrypitch-serving/src/rollout-messages.ts
@@ -87,6 +87,8 @@
 	readonly routes: readonly RouteEvidence[];
 	/** Sums over all entries when the present share came into force, so that answers at this share can be told apart. */
 	readonly routesBefore: readonly RouteEvidence[];
+	/** Whether sums that an entry had reported became smaller since the present share came into force. */
+	readonly hasLostEvidence?: boolean;
 	readonly othersRunning: number;
 	/** Whether every ready entry acts on the present revision. */
 	readonly isAppliedEverywhere: boolean;
