Judge what is left of the evidence as a whole when sums fell

Cause: after the suspicion is tested before the loss, differences of sums that fell were judged.

Change: on a loss the sums since the order are judged in place of the differences.

--- a/packages/mulberrypitch-rollouts/src/rollout-decision.ts
+++ b/packages/mulberrypitch-rollouts/src/rollout-decision.ts
@@ -49,12 +49,14 @@
 */
 export function decideRollout(observation: RolloutObservation, limits: RolloutLimits): RolloutDecision {
 	const schedule = getSchedule(observation.durationMs);
-	const suspicion = getSuspicion(observation);
+	const {elapsedMs, share, targetBackends, routes, routesBefore, hasLostEvidence} = observation;
+	const isLost = hasLostEvidence === true || isEvidenceLost(routes, routesBefore);
+	// Differences of sums that fell say nothing of either version, so what is left of the evidence is judged as a whole.
+	const suspicion = getSuspicion(isLost ? {...observation, routesBefore: [], shareAgeMs: elapsedMs} : observation);
 	if (suspicion.level >= rollBackLevel) {
 		return {kind: 'rollBack', reason: suspicion.reason};
 	}
 
-	const {elapsedMs, share, targetBackends, routes, routesBefore, hasLostEvidence = false} = observation;
 	if (elapsedMs >= schedule.giveUpMs) {
 		return {kind: 'rollBack', reason: `not completed in time: ${describeLack(observation)}`};
 	}
@@ -63,14 +65,13 @@
 		return {kind: 'hold'};
 	}
 
-	if (share > 0 && share < 1 && elapsedMs < schedule.completeMs && (hasLostEvidence || isEvidenceLost(routes, routesBefore))) {
+	if (share > 0 && share < 1 && elapsedMs < schedule.completeMs && isLost) {
 		return {kind: 'setShare', share: changeSlightly(share, false), reason: 'evidence of an entry was lost'};
 	}
 
 	const isKnown = sumRoutes(routes, 'target').succeeded >= minSuccesses;
 	if (elapsedMs >= schedule.completeMs) {
-		const isThin = observation.requests <= thinTraffic * getExposureLimit(observation, limits);
-		return isKnown && suspicion.level <= (isThin ? thinLateLevel : lateLevel) ? finishLate(observation, schedule) : {kind: 'hold'};
+		return isKnown && suspicion.level <= getLateLevel(observation, limits) ? finishLate(observation, schedule) : {kind: 'hold'};
 	}
 
 	if (share === 0) {
@@ -86,6 +87,10 @@
 		: ramp(observation, schedule, isKnown && suspicion.level <= cleanLevel);
 }
 
+function getLateLevel(observation: RolloutObservation, limits: RolloutLimits): number {
+	return observation.requests <= thinTraffic * getExposureLimit(observation, limits) ? thinLateLevel : lateLevel;
+}
+
 /** Spreads a part of the exposure limit over the time until the ramp. */
 function probe(observation: RolloutObservation, limits: RolloutLimits, schedule: Schedule): RolloutDecision {
 	const {share, shareAgeMs} = observation;
