Count the requests that ended without a first event

Cause: refusals that state that the request has not run, and requests that callers left early, counted as waiting for ever, and a stream that was cut after its first event was subtracted twice. A sound target that refused at its start was rolled back for waiting requests.

Change: entries report `unanswered`, the requests that ended without a first event whatever their outcome, in place of which entries of a version before have their failures. Waiting requests are what is left of those sent. One count covers all three faults, and answers without a part as well.

--- a/packages/mulberrypitch-coordinator/src/rollout-evidence.ts
+++ b/packages/mulberrypitch-coordinator/src/rollout-evidence.ts
@@ -119,20 +119,22 @@
 	#sent = 0;
 	#succeeded = 0;
 	#failed = 0;
+	#unanswered = 0;
 	readonly #first = {count: 0, sum: 0, squares: 0};
 	readonly #pause = {count: 0, sum: 0, squares: 0};
 
-	add({sent, succeeded, failed, first, pause}: AnswerSums): void {
+	add({sent, succeeded, failed, unanswered = failed, first, pause}: AnswerSums): void {
 		this.#sent += sent;
 		this.#succeeded += succeeded;
 		this.#failed += failed;
+		this.#unanswered += unanswered;
 		addTimes(this.#first, first);
 		addTimes(this.#pause, pause);
 	}
 
 	capture(): AnswerSums {
 		return {
-			sent: this.#sent, succeeded: this.#succeeded, failed: this.#failed, first: this.#first, pause: this.#pause,
+			sent: this.#sent, succeeded: this.#succeeded, failed: this.#failed, unanswered: this.#unanswered, first: this.#first, pause: this.#pause,
 		};
 	}
 }
--- a/packages/mulberrypitch-coordinator/src/status-schema.ts
+++ b/packages/mulberrypitch-coordinator/src/status-schema.ts
@@ -97,7 +97,7 @@
 }
 
 function isAnswerSums(value: unknown): boolean {
-	return isObject(value) && areAll(isCount, [value.sent, value.succeeded, value.failed]) && isLogTimeSums(value.first) && isLogTimeSums(value.pause);
+	return isObject(value) && areAll(isCount, [value.sent, value.succeeded, value.failed, value.unanswered ?? 0]) && isLogTimeSums(value.first) && isLogTimeSums(value.pause);
 }
 
 function isLogTimeSums(value: unknown): boolean {
--- a/packages/mulberrypitch-proxy/src/__tests__/rollout-recorder.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/rollout-recorder.test.ts
@@ -54,6 +54,28 @@
 	t.end();
 });
 
+// Guards against requests that are taken for waiting long after they have ended, and against waiting ones that are missed.
+await t.test('requests that ended without a first event are counted, whatever their outcome', t => {
+	const recorder = new RolloutRecorder(7, 'v2');
+	const notRun: AttemptOutcome = {
+		kind: 'notRun', reason: 'full', wasSent: true, status: 503,
+	};
+	for (const outcome of [notRun, {kind: 'abandoned'}, {kind: 'timeout', hasStarted: false}, createFailure(500), createFailure(404)] as const) {
+		send(recorder, outcome);
+	}
+
+	send(recorder, {kind: 'cut', reason: 'reset'}, {parts: [200]});
+	send(recorder, {kind: 'delivered'}, {parts: [200]});
+	recorder.begin({
+		route: 'r', version: 'v2', sentAt: 100, deadlineAt,
+	});
+	const {target} = recorder.report(state).routes[0]!;
+	t.match(target, {
+		sent: 8, failed: 3, unanswered: 5, first: {count: 2},
+	});
+	t.end();
+});
+
 // Guards against a version that is slow, or stalls its streams, and looks like the others.
 await t.test('times are summed as logarithms, from the send to the first part and for the longest pause', t => {
 	const recorder = new RolloutRecorder(7, 'v2');
--- a/packages/mulberrypitch-proxy/src/rollout-recorder.ts
+++ b/packages/mulberrypitch-proxy/src/rollout-recorder.ts
@@ -25,6 +25,7 @@
 	sent: number;
 	succeeded: number;
 	failed: number;
+	unanswered: number;
 	readonly first: MutableTimes;
 	readonly pause: MutableTimes;
 };
@@ -75,6 +76,7 @@
 		const isFailure = isFailed(outcome) || (outcome.kind === 'abandoned' && at >= this.#send.deadlineAt - callerTimeoutMarginMs);
 		this.#sums.succeeded += isSuccess ? 1 : 0;
 		this.#sums.failed += isFailure ? 1 : 0;
+		this.#sums.unanswered += this.#lastAt === undefined ? 1 : 0;
 		if (this.#lastAt !== undefined && (outcome.kind === 'abandoned' || outcome.kind === 'timeout')) {
 			// The pause in which the stream ended lasted at least until then.
 			this.#longestPauseMs = Math.max(this.#longestPauseMs ?? 0, at - this.#lastAt);
@@ -147,7 +149,7 @@
 
 function createSums(): MutableSums {
 	return {
-		sent: 0, succeeded: 0, failed: 0, first: {count: 0, sum: 0, squares: 0}, pause: {count: 0, sum: 0, squares: 0},
+		sent: 0, succeeded: 0, failed: 0, unanswered: 0, first: {count: 0, sum: 0, squares: 0}, pause: {count: 0, sum: 0, squares: 0},
 	};
 }
 
@@ -167,6 +169,7 @@
 		sent: add(({sent}) => sent),
 		succeeded: add(({succeeded}) => succeeded),
 		failed: add(({failed}) => failed),
+		unanswered: add(({unanswered}) => unanswered),
 		first: addTimes(({first}) => first),
 		pause: addTimes(({pause}) => pause),
 	};
--- a/packages/mulberrypitch-rollouts/src/__tests__/evidence-sums.test.ts
+++ b/packages/mulberrypitch-rollouts/src/__tests__/evidence-sums.test.ts
@@ -4,7 +4,7 @@
 import {
 	addEvidence, isEvidenceLost, noAnswers, subtractEvidence,
 } from '../evidence-sums.js';
-import {compareFailures} from '../side-comparison.js';
+import {compareFailures, countPending} from '../side-comparison.js';
 import {getLogBeta} from '../log-gamma.js';
 
 function createAnswers(sent: number, failed = 0): AnswerSums {
@@ -32,6 +32,18 @@
 	t.notOk(isEvidenceLost([createRoute('a', 10, 50), createRoute('b', 1, 0)], [createRoute('a', 10, 50)]));
 });
 
+// Guards against requests that have ended and count as waiting, which roll a good version back, also beside an entry of a version before.
+await t.test('requests that ended without a first event do not wait', async t => {
+	const earlier = {...createAnswers(10, 2), sent: 11};
+	const present = {...createAnswers(10, 2), sent: 15, unanswered: 4};
+	t.equal(countPending(earlier), 1);
+	t.equal(countPending(present), 3);
+	t.equal(countPending({...present, failed: 5}), 3, 'streams that were cut after their first event');
+	const [{target} = {target: noAnswers}] = addEvidence([earlier, present].map(target => [{route: 'a', target, others: noAnswers}]));
+	t.equal(countPending(target), 4);
+	t.equal(subtractEvidence([{route: 'a', target, others: noAnswers}], [{route: 'a', target: earlier, others: noAnswers}])[0]!.target.unanswered, 4);
+});
+
 await t.test('tells 8 failures of 10 from none of 100, but not from 14 of 100 by 2 of 10', async t => {
 	const options = {earlier: noAnswers, margin: 0.01};
 	t.ok(compareFailures(createAnswers(10, 8), createAnswers(100), options) > 9);
--- a/packages/mulberrypitch-rollouts/src/__tests__/rollout-cases.ts
+++ b/packages/mulberrypitch-rollouts/src/__tests__/rollout-cases.ts
@@ -5,8 +5,8 @@
 	readonly name: string; readonly part: number; readonly medianMs: number; readonly spread: number;
 	readonly failedPart: number; readonly streamMs: number;
 };
-/** What is wrong with an answer: the probabilities of a failure, of slowness by `factor`, and of none before the deadline of the request. */
-export type Fault = {readonly failed?: number; readonly slow?: number; readonly factor?: number; readonly hangs?: number};
+/** What is wrong with an answer: the probabilities of a failure, of slowness by `factor`, of none before the deadline of the request, and of a refusal. */
+export type Fault = {readonly failed?: number; readonly slow?: number; readonly factor?: number; readonly hangs?: number; readonly refused?: number};
 /** A roll-out to be simulated. `at` is the time in milliseconds since the order. */
 export type SyntheticCase = {
 	readonly name: string; readonly isBad: boolean; readonly rate: number; readonly durationMs: number; readonly backends: number;
@@ -71,6 +71,7 @@
 		good('no leader near the end', {noLeaderFromMs: durationMs - 4000}),
 		good('target starts late', {targetStartMs: durationMs * 0.25}),
 		good('refused requests', {refusedPart: rate < minRate ? 0.5 : 0.85}),
+		good('target refuses at its start', {faults: ({at, isTarget}) => isTarget && at < durationMs * 0.2 ? {refused: 0.5} : none}),
 		good('falling traffic', {laterRatePart: 0.2}),
 		good('no leader until shortly before the deadline', {noLeaderFromMs: durationMs * 0.5, noLeaderMs: (durationMs * 0.5) - 1400}),
 		bad('fails at once', ({isTarget}) => isTarget ? failing : none),
--- a/packages/mulberrypitch-rollouts/src/__tests__/synthetic-entry.ts
+++ b/packages/mulberrypitch-rollouts/src/__tests__/synthetic-entry.ts
@@ -3,7 +3,7 @@
 import type {RouteEvidence} from '@mulberrypitch/serving/rollout-messages';
 
 type Times = {count: number; sum: number; squares: number};
-type Sums = {sent: number; succeeded: number; failed: number; first: Times; pause: Times};
+type Sums = {sent: number; succeeded: number; failed: number; unanswered: number; first: Times; pause: Times};
 type Sides = {target: Sums; others: Sums};
 /** What an entry counts, the share on which it acts, and what it reported last. */
 export type SyntheticEntry = {
@@ -44,7 +44,7 @@
 function createSums(): Sums {
 	const createTimes = (): Times => ({count: 0, sum: 0, squares: 0});
 	return {
-		sent: 0, succeeded: 0, failed: 0, first: createTimes(), pause: createTimes(),
+		sent: 0, succeeded: 0, failed: 0, unanswered: 0, first: createTimes(), pause: createTimes(),
 	};
 }
 
--- a/packages/mulberrypitch-rollouts/src/__tests__/synthetic-rollout.ts
+++ b/packages/mulberrypitch-rollouts/src/__tests__/synthetic-rollout.ts
@@ -22,6 +22,7 @@
 const reportMs = 200;
 /** Time in milliseconds after which a request without an answer fails. */
 const timeoutMs = 10_000;
+const refusalMs = 20;
 const fastFailure = 0.2;
 
 /** Runs the case with a seed. */
@@ -46,9 +47,12 @@
 		sent: 0, requests: 0, badAnswers: 0, sentLate: 0, cold: backends, lateFrom: Infinity,
 	};
 
+	/** Draws with a probability. Faults that a case lacks draw no number, so that they don't change its runs. */
+	const isHit = (probability = 0) => probability > 0 && random.next() < probability;
+
 	const send = (now: number) => {
 		counts.requests += 1;
-		if (refusedPart > 0 && random.next() < refusedPart) {
+		if (isHit(refusedPart)) {
 			return;
 		}
 
@@ -60,7 +64,7 @@
 		}) ?? {};
 		const side = getSums(entry, route.name)[isTarget ? 'target' : 'others'];
 		const isFaulty = random.next() < (fault.failed ?? 0);
-		const isHanging = fault.hangs !== undefined && random.next() < fault.hangs;
+		const isHanging = isHit(fault.hangs);
 		const isFailed = isFaulty || isHanging || random.next() < route.failedPart;
 		const isSlow = random.next() < (fault.slow ?? 0);
 		let timeMs = route.medianMs * Math.exp(route.spread * getNormal(random)) * (isSlow ? fault.factor! : 1);
@@ -72,10 +76,18 @@
 		}
 
 		side.sent += 1;
+		if (isHit(fault.refused)) {
+			schedule(now + refusalMs, () => {
+				side.unanswered += 1;
+			});
+			return;
+		}
+
 		entry.running += isTarget ? 0 : 1;
 		const finish = (end: number) => {
 			entry.running -= isTarget ? 0 : 1;
 			side[isFailed ? 'failed' : 'succeeded'] += 1;
+			side.unanswered += isFailed ? 1 : 0;
 			counts.badAnswers += isTarget && (isFaulty || isSlow || isHanging) ? 1 : 0;
 			counts.lateFrom = counts.badAnswers === 50 ? Math.min(counts.lateFrom, end + limits.rollbackMs) : counts.lateFrom;
 		};
--- a/packages/mulberrypitch-rollouts/src/evidence-sums.ts
+++ b/packages/mulberrypitch-rollouts/src/evidence-sums.ts
@@ -19,6 +19,7 @@
 		sent: a.sent + b.sent,
 		succeeded: a.succeeded + b.succeeded,
 		failed: a.failed + b.failed,
+		...combineUnanswered(a, b, (left, right) => left + right),
 		first: addTimes(a.first, b.first),
 		pause: addTimes(a.pause, b.pause),
 	};
@@ -38,6 +39,7 @@
 		sent: Math.max(0, later.sent - earlier.sent),
 		succeeded: Math.max(0, later.succeeded - earlier.succeeded),
 		failed: Math.max(0, later.failed - earlier.failed),
+		...combineUnanswered(later, earlier, (left, right) => Math.max(0, left - right)),
 		first: subtractTimes(later.first, earlier.first),
 		pause: subtractTimes(later.pause, earlier.pause),
 	};
@@ -115,6 +117,11 @@
 	return sum;
 }
 
+/** Combines the counts of requests that ended without a first event. An entry of a version before reports the failed ones only. */
+function combineUnanswered(a: AnswerSums, b: AnswerSums, combine: (left: number, right: number) => number): Pick<AnswerSums, 'unanswered'> {
+	return a.unanswered === undefined && b.unanswered === undefined ? {} : {unanswered: combine(a.unanswered ?? a.failed, b.unanswered ?? b.failed)};
+}
+
 function isSmaller(later: AnswerSums, earlier: AnswerSums): boolean {
 	return later.sent < earlier.sent || later.succeeded < earlier.succeeded || later.failed < earlier.failed;
 }
--- a/packages/mulberrypitch-rollouts/src/side-comparison.ts
+++ b/packages/mulberrypitch-rollouts/src/side-comparison.ts
@@ -209,7 +209,7 @@
 ```
 */
 export function countPending(answers: AnswerSums): number {
-	return Math.max(0, answers.sent - answers.first.count - answers.failed);
+	return Math.max(0, answers.sent - answers.first.count - (answers.unanswered ?? answers.failed));
 }
 
 function getMoments({count, sum, squares}: LogTimeSums): {mean: number; variance: number} {
--- a/packages/mulberrypitch-serving/src/rollout-messages.ts
+++ b/packages/mulberrypitch-serving/src/rollout-messages.ts
@@ -45,6 +45,11 @@
 	readonly succeeded: number;
 	/** Requests that the back end failed: a status of 500 or more that it ran, an answer that broke off, or none in time. */
 	readonly failed: number;
+	/**
+	Requests that ended without a first event: failed, refused as not run, or left by their callers. Absent from entries of a version
+	before, of which the failed ones are known only.
+	*/
+	readonly unanswered?: number;
 	/** Times to the first event, or to the whole answer of a request that doesn't stream. */
 	readonly first: LogTimeSums;
 	/** Longest pauses between two events of each stream. */
