Name withdrawn versions in each roll-out

Cause: a view names only the last roll-out of each service. An entry that restarted, or was cut off during a roll-out, did not know the versions that earlier ones had rolled back, and sent requests to them.

Change: a new order puts the versions that were rolled back and not ordered again since, at most the last 16, into `withdrawn` of its roll-out. Entries close these. The list replaces what the process knows, since it may have missed that a version was completed later; a roll-out without the field, which a version before ordered, leaves that in force.

--- a/packages/mulberrypitch-coordinator/src/__tests__/rollout-table.test.ts
+++ b/packages/mulberrypitch-coordinator/src/__tests__/rollout-table.test.ts
@@ -66,6 +66,34 @@
 	t.match(start({target: 'v3'}).value, {isRepeat: false, rollout: {target: 'v3'}});
 });
 
+// Guards against a process that has just started and sends requests to a version that an earlier roll-out withdrew.
+await t.test('a new order names the versions that were rolled back, until one of them is ordered again', async t => {
+	const {state, start, advance} = createState();
+	const end = (ended: Rollout['state']) => advance({state: ended, revision: state.rollouts.get('s')!.revision + 1, elapsedMs: repeatMs});
+	const getWithdrawn = () => state.rollouts.get('s')!.withdrawn;
+	start();
+	t.same(getWithdrawn(), []);
+	end(rolloutStates.rolledBack);
+	start({target: 'v3'});
+	t.same(getWithdrawn(), ['v2']);
+	end(rolloutStates.rolledBack);
+	start({target: 'v4'});
+	t.same(getWithdrawn(), ['v2', 'v3']);
+	end(rolloutStates.completed);
+	start();
+	t.same(getWithdrawn(), ['v3'], 'v2 is on trial again');
+	end(rolloutStates.rolledBack);
+	start({target: 'v5'});
+	t.same(getWithdrawn(), ['v3', 'v2']);
+	for (let number = 0; number < 40; number += 1) {
+		end(rolloutStates.rolledBack);
+		start({target: `w${number}`});
+	}
+
+	t.equal(getWithdrawn()!.length, 16);
+	t.equal(getWithdrawn()!.at(-1), 'w38');
+});
+
 // Guards against a former leader's command that undoes a roll-back.
 await t.test('an advance from another revision, or of an earlier roll-out, has no effect', async t => {
 	const {state, start, advance} = createState();
--- a/packages/mulberrypitch-coordinator/src/rollout-table.ts
+++ b/packages/mulberrypitch-coordinator/src/rollout-table.ts
@@ -44,6 +44,9 @@
 */
 export const repeatMs = 10_000;
 
+/** Maximum number of withdrawn versions that are kept, the latest ones, since each reply to a poll names them. */
+const maxWithdrawn = 16;
+
 /** Holds the last roll-out of each service. All replicas that apply the same commands hold the same ones. */
 export class RolloutTable {
 	readonly #onChange: () => void;
@@ -90,7 +93,7 @@
 		}
 
 		const rollout: Rollout = {
-			id, service, target, durationMs, state: rolloutStates.running, share: 0, revision: 1, elapsedMs: 0, reason: 'ordered',
+			id, service, target, durationMs, state: rolloutStates.running, share: 0, revision: 1, elapsedMs: 0, reason: 'ordered', withdrawn: listWithdrawn(known, target),
 		};
 		this.#set(rollout);
 		return {value: {rollout, isRepeat: false} satisfies RolloutStart};
@@ -118,6 +121,20 @@
 	}
 }
 
+/**
+ * Returns the withdrawn versions at the start of a roll-out to `target`, which is open again. They are in the roll-out, so that a process that
+ * has just started knows them, and so that each replica derives the same ones.
+ */
+function listWithdrawn(last: Rollout | undefined, target: string): readonly string[] {
+	const versions = new Set(last?.withdrawn);
+	if (last?.state === rolloutStates.rolledBack) {
+		versions.add(last.target);
+	}
+
+	versions.delete(target);
+	return [...versions].slice(-maxWithdrawn);
+}
+
 /** Reports whether an order equals that of a roll-out and may be its repeat. The time is the committed one, so that all replicas agree. */
 function isRepeat({target, durationMs, state, elapsedMs}: Rollout, order: RolloutOrder): boolean {
 	return target === order.target && durationMs === order.durationMs && (state === rolloutStates.running || elapsedMs < repeatMs);
--- a/packages/mulberrypitch-proxy/src/__tests__/rollout-conduct.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/rollout-conduct.test.ts
@@ -3,7 +3,7 @@
 import {VirtualClock} from '@mulberrypitch/fakes/virtual-clock';
 import {BootTime} from '../boot-time.js';
 import {RolloutConduct} from '../rollout-conduct.js';
-import {createRollout, VersionedEntry} from './versioned-requests.js';
+import {createCandidate, createRollout, VersionedEntry} from './versioned-requests.js';
 
 const service = 's';
 
@@ -59,6 +59,26 @@
 	t.notOk(conduct.isHeld(service));
 });
 
+// Guards against a process that has just started and sends requests to a version that an earlier roll-out withdrew.
+await t.test('versions that a roll-out names as withdrawn are closed', t => {
+	const entry = new VersionedEntry();
+	const isClosed = (version: string) => entry.conduct.isClosed({service, version});
+	entry.apply({withdrawn: ['v0', 'v3']});
+	t.same(['v0', 'v1', 'v2', 'v3'].map(version => isClosed(version)), [true, false, false, true]);
+	entry.serving = [createCandidate('v0'), createCandidate('v1')];
+	t.same(entry.getVersions(entry.request()), ['v1']);
+	entry.apply({id: 8, target: 'v3', withdrawn: ['v0']});
+	t.same(['v0', 'v3'].map(version => isClosed(version)), [true, false]);
+	entry.apply({
+		id: 8, target: 'v3', withdrawn: ['v0'], state: 'rolledBack', revision: 2,
+	});
+	entry.apply({id: 9, target: 'v4'});
+	t.same(['v0', 'v3'].map(version => isClosed(version)), [true, true], 'ordered by a version before');
+	entry.apply({id: 11, target: 'v5', withdrawn: ['v0']});
+	t.same(['v0', 'v3'].map(version => isClosed(version)), [true, false], 'completed by a roll-out that the entry missed');
+	t.end();
+});
+
 // Guards against a system file that is read at each choice of a back end.
 await t.test('the time since boot is read at most once in 50 ms, or when the wall clock has moved', async t => {
 	const clock = new VirtualClock();
--- a/packages/mulberrypitch-proxy/src/rollout-conduct.ts
+++ b/packages/mulberrypitch-proxy/src/rollout-conduct.ts
@@ -93,7 +93,7 @@
 
 	/** Applies one roll-out, unless a newer one is known. Returns whether anything changed. */
 	#applyOne(rollout: Rollout, {isInTouch, askedAt}: RolloutSource): boolean {
-		const {service, id, revision, target, state} = rollout;
+		const {service, id, revision, target, state, withdrawn: earlier} = rollout;
 		const known = this.#known.get(service);
 		const isSame = known?.rollout.id === id;
 		if (known !== undefined && (isSame ? revision < known.rollout.revision : id < known.rollout.id)) {
@@ -105,7 +105,8 @@
 		this.#known.set(service, {
 			rollout: isChanged ? rollout : known.rollout, confirmedAt: isInTouch ? Math.max(askedAt, confirmedBefore) : confirmedBefore,
 		});
-		const withdrawn = this.#withdrawn.get(service) ?? new Set();
+		// This process may have missed that a version which it saw rolled back was completed later, so the roll-out's own list counts.
+		const withdrawn = new Set(earlier ?? this.#withdrawn.get(service));
 		if (state === rolloutStates.rolledBack) {
 			withdrawn.add(target);
 		} else {
--- a/packages/mulberrypitch-serving/src/rollout-messages.ts
+++ b/packages/mulberrypitch-serving/src/rollout-messages.ts
@@ -28,6 +28,8 @@
 	readonly elapsedMs: number;
 	/** Reason of the last change, for operators. */
 	readonly reason: string;
+	/** Versions of the service that earlier roll-outs rolled back and that no later one completed. Absent in a roll-out that was ordered by a version before. */
+	readonly withdrawn?: readonly string[];
 };
 
 /** Count, sum and sum of squares of the natural logarithms of times in milliseconds. Values of several entries can be added. */
