Keep a route listed once a report names it

Cause: with more than 16 routes, a route with twice the traffic of a listed one took its place. The sums under the empty name and those of the replaced route fell, which counts as lost evidence and restarts the comparison.

Change: routes are listed while places are free, those with most traffic first, and stay. Ruled out: room for more names, since 16 take 5 KB of each report.

--- a/packages/mulberrypitch-proxy/src/rollout-recorder.ts
+++ b/packages/mulberrypitch-proxy/src/rollout-recorder.ts
@@ -4,8 +4,6 @@
 
 /** Maximum number of routes that are reported by name. */
 const maxRoutes = 16;
-/** Factor by which an unlisted route must have more traffic than a listed one to replace it, so that equal routes don't alternate. */
-const replacementFactor = 2;
 /** Shortest time in milliseconds that is told apart. */
 const minTimeMs = 1;
 /** Number of decimals of reported sums, which keeps a report of one route below 0.4 KB. */
@@ -94,7 +92,8 @@
 	readonly rollout: number;
 	readonly #target: string;
 	readonly #routes = new Map<string, RouteSums>();
-	#listed: ReadonlySet<string> = new Set();
+	/** Routes that are reported by name. They stay, since sums that go down count as lost evidence. */
+	readonly #listed = new Set<string>();
 	#requests = 0;
 
 	/** `rollout` identifies the roll-out to the version `target`. */
@@ -123,18 +122,25 @@
 	}
 
 	#reportRoutes(): readonly RouteEvidence[] {
-		const ranked = [...this.#routes].toSorted((left, right) => this.#getRank(right) - this.#getRank(left));
-		const listed = ranked.slice(0, maxRoutes);
-		this.#listed = new Set(listed.map(([route]) => route));
-		const rest = ranked.slice(maxRoutes).map(([, sums]) => sums);
+		this.#fillList();
+		const listed = [...this.#routes].filter(([route]) => this.#listed.has(route));
+		const rest = [...this.#routes].filter(([route]) => !this.#listed.has(route)).map(([, sums]) => sums);
 		return [
 			...listed.map(([route, {target, others}]) => ({route, target: addSums([target]), others: addSums([others])})),
 			...(rest.length > 0 ? [{route: '', target: addSums(rest.map(({target}) => target)), others: addSums(rest.map(({others}) => others))}] : []),
 		];
 	}
 
-	#getRank([route, {target, others}]: readonly [string, RouteSums]): number {
-		return (target.sent + others.sent) * (this.#listed.has(route) ? replacementFactor : 1);
+	/** Lists routes that were not reported before, those with most traffic first, while places are free. */
+	#fillList(): void {
+		if (this.#listed.size === maxRoutes) {
+			return;
+		}
+
+		const unlisted = [...this.#routes].filter(([route]) => !this.#listed.has(route)).toSorted(([, left], [, right]) => countSent(right) - countSent(left));
+		for (const [route] of unlisted.slice(0, maxRoutes - this.#listed.size)) {
+			this.#listed.add(route);
+		}
 	}
 }
 
@@ -147,6 +153,10 @@
 	return outcome.kind === 'failed' ? outcome.answer.head.status >= firstFailureStatus : outcome.kind === 'unknown' || outcome.kind === 'cut' || outcome.kind === 'timeout';
 }
 
+function countSent({target, others}: RouteSums): number {
+	return target.sent + others.sent;
+}
+
 function createSums(): MutableSums {
 	return {
 		sent: 0, succeeded: 0, failed: 0, unanswered: 0, first: {count: 0, sum: 0, squares: 0}, pause: {count: 0, sum: 0, squares: 0},
