Acknowledge a repeated order after its service has left the configuration

Cause: the leader checked that the configuration defines the service before it knew whether the order is a repeat. The retry of an accepted order got 422, which ends the operator's call.

Change: an order that the table takes as a repeat of the last one passes that check. Equal orders after that time are refused as before.

Result: a test with a configuration without services, at each of 3 coordinators; it gets `unknown_service` without the change by the order of the checks (not run apart).

--- a/packages/mulberrypitch-coordinator/src/__tests__/coordinator-group.ts
+++ b/packages/mulberrypitch-coordinator/src/__tests__/coordinator-group.ts
@@ -27,9 +27,12 @@
 /** Time in milliseconds within which a former holder must not act again after another one took the duties. */
 export const leaseMs = 3000;
 
-/** Service that all configurations of the tests define. */
+/** Service that the configurations of the tests define. */
 export const definedService = 's';
 
+/** Note of a configuration that defines no service. */
+export const withoutServices = 'without services';
+
 /**
 Returns the document of a configuration.
 
@@ -44,8 +47,9 @@
 
 function decode(document: string): ServingConfiguration {
 	let version: unknown;
+	let note: unknown;
 	try {
-		({version} = assumeType<{readonly version: unknown}>(JSON.parse(document)));
+		({version, note} = assumeType<{readonly version: unknown; readonly note: unknown}>(JSON.parse(document)));
 	} catch {
 		throw new BadRequestError('Not JSON.');
 	}
@@ -53,7 +57,7 @@
 	return {
 		version: Number(version),
 		routes: [],
-		services: [{name: definedService, healthPath: '/', maxConnections: 1}],
+		services: note === withoutServices ? [] : [{name: definedService, healthPath: '/', maxConnections: 1}],
 		limits: {
 			maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1,
 		},
--- a/packages/mulberrypitch-coordinator/src/__tests__/rollout-orders.test.ts
+++ b/packages/mulberrypitch-coordinator/src/__tests__/rollout-orders.test.ts
@@ -5,7 +5,9 @@
 import type {Rollout, RolloutDecision, RolloutObservation} from '@mulberrypitch/serving/rollout-messages';
 import {methods} from '@mulberrypitch/serving/view-messages';
 import type {RolloutOrder} from '../rollout-table.js';
-import {CoordinatorGroup, createDocument, definedService as service} from './coordinator-group.js';
+import {
+	CoordinatorGroup, createDocument, definedService as service, withoutServices,
+} from './coordinator-group.js';
 
 const names = ['a', 'b', 'c'];
 const order: RolloutOrder = {service, target: 'v2', durationMs: 12_000};
@@ -135,6 +137,21 @@
 	});
 });
 
+// Guards against a retry of an accepted order that is rejected for good since its service was removed in between.
+await t.test('a repeated order is acknowledged after its service has left the configuration, and a new one is refused', async t => {
+	const group = await startGroup(t);
+	const started = await settle(group, group.get('a').rollouts.orders.start(order));
+	await settle(group, group.get('a').putConfiguration(createDocument(2, withoutServices)));
+	await group.clock.runFor(500);
+	for (const name of names) {
+		t.match(await settle(group, group.get(name).rollouts.orders.start(order)), {id: assumeType<Rollout>(started).id});
+		t.equal(await settle(group, group.get(name).rollouts.orders.start({...order, target: 'v3'})), 'unknown_service');
+	}
+
+	await group.clock.runFor(order.durationMs + 1000);
+	t.equal(await settle(group, group.get('a').rollouts.orders.start(order)), 'unknown_service', 'no repeat any more');
+});
+
 // Guards against an order for a misspelt service that seems to succeed, and against one for a service that was added a moment ago.
 await t.test('an order for an unknown service is refused', async t => {
 	const group = await startGroup(t);
--- a/packages/mulberrypitch-coordinator/src/rollout-orders.ts
+++ b/packages/mulberrypitch-coordinator/src/rollout-orders.ts
@@ -93,12 +93,14 @@
 	}
 
 	async #startAsLeader(order: RolloutOrder): Promise<RolloutStart> {
-		const {log, logger} = this.#options;
+		const {log, logger, table} = this.#options;
 		this.#checkEnabled();
-		if (!this.#isDefined(order.service)) {
+		// An order that was accepted is acknowledged again, also if its service has left the configuration since.
+		const isAcceptable = () => table.isRepeat(order) || this.#isDefined(order.service);
+		if (!isAcceptable()) {
 			// A newer configuration that defines the service may be committed and not yet applied here.
 			await log.confirmLeadership(confirmTimeoutMs);
-			if (!this.#isDefined(order.service)) {
+			if (!isAcceptable()) {
 				throw new UnknownServiceError(order.service);
 			}
 		}
--- a/packages/mulberrypitch-coordinator/src/rollout-table.ts
+++ b/packages/mulberrypitch-coordinator/src/rollout-table.ts
@@ -66,6 +66,12 @@
 		return [...this.#rollouts.values()];
 	}
 
+	/** Reports whether an order repeats the last one of its service. */
+	isRepeat(order: RolloutOrder): boolean {
+		const known = this.#rollouts.get(order.service);
+		return known !== undefined && isRepeat(known, order);
+	}
+
 	/** Replaces all roll-outs by those of a snapshot. */
 	restore(rollouts: readonly Rollout[]): void {
 		this.#rollouts.clear();
