--- a/packages/mulberrypitch-coordinator/src/__tests__/rollout-table.test.ts
+++ b/packages/mulberrypitch-coordinator/src/__tests__/rollout-table.test.ts
@@ -66,7 +66,7 @@
 		return withdrawn;
 	};
 
-	t.equal(rollBack('v2'), undefined);
+	t.same(rollBack('v2'), []);
 	t.same(rollBack('v3'), ['v2']);
 	t.same(rollBack('v2'), ['v3']);
 	start({target: 'v4'});
@@ -96,6 +96,34 @@
 	t.match(start({target: 'v3'}).value, {isRepeat: false, rollout: {target: 'v3'}});
 });
 
+// Guards against a process that has just started and sends requests to a version that an earlier roll-out withdrew.
+await t.test('a new order names the versions that were rolled back, until one of them is ordered again', async t => {
+	const {state, start, advance} = createState();
+	const end = (ended: Rollout['state']) => advance({state: ended, revision: state.rollouts.get('s')!.revision + 1, elapsedMs: repeatMs});
+	const getWithdrawn = () => state.rollouts.get('s')!.withdrawn;
+	start();
+	t.same(getWithdrawn(), []);
+	end(rolloutStates.rolledBack);
+	start({target: 'v3'});
+	t.same(getWithdrawn(), ['v2']);
+	end(rolloutStates.rolledBack);
+	start({target: 'v4'});
+	t.same(getWithdrawn(), ['v2', 'v3']);
+	end(rolloutStates.completed);
+	start();
+	t.same(getWithdrawn(), ['v3'], 'v2 is on trial again');
+	end(rolloutStates.rolledBack);
+	start({target: 'v5'});
+	t.same(getWithdrawn(), ['v3', 'v2']);
+	for (let number = 0; number < 40; number += 1) {
+		end(rolloutStates.rolledBack);
+		start({target: `w${number}`});
+	}
+
+	t.equal(getWithdrawn()!.length, 16);
+	t.equal(getWithdrawn()!.at(-1), 'w38');
+});
+
 // Guards against a former leader's command that undoes a roll-back.
 await t.test('an advance from another revision, or of an earlier roll-out, has no effect', async t => {
 	const {state, start, advance} = createState();
@@ -154,6 +182,31 @@
 	t.equal(store.sum(1).requests, 0);
 });
 
+// Guards against differences of sums that hold the noise of routes which an entry no longer lists.
+await t.test('a report with smaller sums than before counts as a loss, and a new incarnation does not', t => {
+	const store = new RolloutEvidenceStore();
+	const merge = (upMs: number, incarnation: string, sent: number) => {
+		const answers = {
+			sent, succeeded: sent, failed: 0, first: {count: 0, sum: 0, squares: 0}, pause: {count: 0, sum: 0, squares: 0},
+		};
+		store.merge(assumeType<EntryStatus>({
+			name: 'front', incarnation, upMs, rollouts: [{
+				rollout: 1, revision: 1, requests: sent, othersRunning: 0, routes: [{route: 'r', target: answers, others: answers}],
+			}],
+		}));
+		return store.sum(1).losses;
+	};
+
+	t.equal(merge(100, 'x', 5), 0);
+	t.equal(merge(200, 'x', 7), 0);
+	t.equal(merge(10, 'y', 1), 0);
+	t.equal(merge(300, 'x', 6), 1);
+	t.equal(merge(400, 'x', 6), 1);
+	store.retain(() => false);
+	t.equal(store.sum(1).losses, 0);
+	t.end();
+});
+
 // Guards against a deadline that a restart or a change of the leader puts off, and against a time that goes back.
 await t.test('the elapsed time is measured from the committed one, and never goes back', async t => {
 	const clock = new VirtualClock();
--- a/packages/mulberrypitch-coordinator/src/rollout-table.ts
+++ b/packages/mulberrypitch-coordinator/src/rollout-table.ts
@@ -43,7 +43,8 @@
 again for up to 5,000 ms; this is twice as long.
 */
 export const repeatMs = 10_000;
-/** Number of versions that were rolled back and are remembered through later roll-outs. Each poll's reply names them. */
+
+/** Maximum number of withdrawn versions that are kept, the latest ones, since each reply to a poll names them. */
 const maxWithdrawn = 4;
 
 /** Holds the last roll-out of each service. All replicas that apply the same commands hold the same ones. */
@@ -65,6 +66,12 @@
 		return [...this.#rollouts.values()];
 	}
 
+	/** Reports whether an order repeats the last one of its service. */
+	isRepeat(order: RolloutOrder): boolean {
+		const known = this.#rollouts.get(order.service);
+		return known !== undefined && isRepeat(known, order);
+	}
+
 	/** Replaces all roll-outs by those of a snapshot. */
 	restore(rollouts: readonly Rollout[]): void {
 		this.#rollouts.clear();
@@ -91,9 +98,8 @@
 			return {failure: new ConflictError(`A roll-out of service ${service} to ${known.target} is running.`, 'Wait until it has ended.', details).toWire()};
 		}
 
-		const withdrawn = known === undefined ? [] : listWithdrawn(known, target);
 		const rollout: Rollout = {
-			id, service, target, durationMs, state: rolloutStates.running, share: 0, revision: 1, elapsedMs: 0, reason: 'ordered', ...(withdrawn.length > 0 && {withdrawn}),
+			id, service, target, durationMs, state: rolloutStates.running, share: 0, revision: 1, elapsedMs: 0, reason: 'ordered', withdrawn: listWithdrawn(known, target),
 		};
 		this.#set(rollout);
 		return {value: {rollout, isRepeat: false} satisfies RolloutStart};
@@ -121,10 +127,18 @@
 	}
 }
 
-/** Returns the versions that were rolled back by the end of a roll-out, without the one that the next order names. */
-function listWithdrawn({state, target, withdrawn = []}: Rollout, ordered: string): readonly string[] {
-	const all = state === rolloutStates.rolledBack ? [...withdrawn, target] : withdrawn;
-	return all.filter(version => version !== ordered).slice(-maxWithdrawn);
+/**
+ * Returns the withdrawn versions at the start of a roll-out to `target`, which is open again. They are in the roll-out, so that a process that
+ * has just started knows them, and so that each replica derives the same ones.
+ */
+function listWithdrawn(last: Rollout | undefined, target: string): readonly string[] {
+	const versions = new Set(last?.withdrawn);
+	if (last?.state === rolloutStates.rolledBack) {
+		versions.add(last.target);
+	}
+
+	versions.delete(target);
+	return [...versions].slice(-maxWithdrawn);
 }
 
 /** Reports whether an order equals that of a roll-out and may be its repeat. The time is the committed one, so that all replicas agree. */
--- a/packages/mulberrypitch-proxy/src/__tests__/rollout-recorder.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/rollout-recorder.test.ts
@@ -54,6 +54,28 @@
 	t.end();
 });
 
+// Guards against requests that are taken for waiting long after they have ended, and against waiting ones that are missed.
+await t.test('requests that ended without a first event are counted, whatever their outcome', t => {
+	const recorder = new RolloutRecorder(7, 'v2');
+	const notRun: AttemptOutcome = {
+		kind: 'notRun', reason: 'full', wasSent: true, status: 503,
+	};
+	for (const outcome of [notRun, {kind: 'abandoned'}, {kind: 'timeout', hasStarted: false}, createFailure(500), createFailure(404)] as const) {
+		send(recorder, outcome);
+	}
+
+	send(recorder, {kind: 'cut', reason: 'reset'}, {parts: [200]});
+	send(recorder, {kind: 'delivered'}, {parts: [200]});
+	recorder.begin({
+		route: 'r', version: 'v2', sentAt: 100, deadlineAt,
+	});
+	const {target} = recorder.report(state).routes[0]!;
+	t.match(target, {
+		sent: 8, failed: 3, unanswered: 5, first: {count: 2},
+	});
+	t.end();
+});
+
 // Guards against a version that is slow, or stalls its streams, and looks like the others.
 await t.test('times are summed as logarithms, from the send to the first part and for the longest pause', t => {
 	const recorder = new RolloutRecorder(7, 'v2');
@@ -87,8 +109,10 @@
 	t.equal(list().at(-1)!.target.sent, 24 * 25 / 2);
 	t.ok(JSON.stringify(list()).length < 17 * 400, `${JSON.stringify(list()).length} bytes`);
 	sendMany('r-24', 10);
-	t.same(list().map(({route}) => route), named, 'a little more traffic changes no list');
-	sendMany('r-24', 40);
-	t.ok(list().some(({route}) => route === 'r-24'));
+	t.same(list().map(({route}) => route), named);
+	const before = new Map(list().map(({route, target}) => [route, target.sent]));
+	sendMany('r-24', 400);
+	t.same(list().map(({route}) => route), named, 'much more traffic changes no list');
+	t.ok(list().every(({route, target}) => target.sent >= before.get(route)!), 'no sum goes down');
 	t.end();
 });
--- a/packages/mulberrypitch-serving/src/rollout-messages.ts
+++ b/packages/mulberrypitch-serving/src/rollout-messages.ts
@@ -28,7 +28,7 @@
 	readonly elapsedMs: number;
 	/** Reason of the last change, for operators. */
 	readonly reason: string;
-	/** Versions that earlier roll-outs of the service rolled back, the last ones only; absent if there are none. */
+	/** Versions of the service that earlier roll-outs rolled back and that no later one completed. Absent in a roll-out that was ordered by a version before. */
 	readonly withdrawn?: readonly string[];
 };
 
@@ -47,6 +47,11 @@
 	readonly succeeded: number;
 	/** Requests that the back end failed: a status of 500 or more that it ran, an answer that broke off, or none in time. */
 	readonly failed: number;
+	/**
+	Requests that ended without a first event: failed, refused as not run, or left by their callers. Absent from entries of a version
+	before, of which the failed ones are known only.
+	*/
+	readonly unanswered?: number;
 	/** Times to the first event, or to the whole answer of a request that doesn't stream. */
 	readonly first: LogTimeSums;
 	/** Longest pauses between two events of each stream. */
@@ -89,6 +94,8 @@
 	readonly routes: readonly RouteEvidence[];
 	/** Sums over all entries when the present share came into force, so that answers at this share can be told apart. */
 	readonly routesBefore: readonly RouteEvidence[];
+	/** Whether sums that an entry had reported became smaller since the present share came into force. */
+	readonly hasLostEvidence?: boolean;
 	readonly othersRunning: number;
 	/** Whether every ready entry acts on the present revision. */
 	readonly isAppliedEverywhere: boolean;
