Keep the last four withdrawn versions in both tests of the table

The merge kept one of two limits for the same list (four, 16); each reply to a poll names them, and two roll-outs of a service at most overlap with back ends that still leave.

--- a/packages/mulberrypitch-coordinator/src/__tests__/rollout-table.test.ts
+++ b/packages/mulberrypitch-coordinator/src/__tests__/rollout-table.test.ts
@@ -120,7 +120,7 @@
 		start({target: `w${number}`});
 	}
 
-	t.equal(getWithdrawn()!.length, 16);
+	t.equal(getWithdrawn()!.length, 4);
 	t.equal(getWithdrawn()!.at(-1), 'w38');
 });
 
