Take a view of roll-outs as new only from a current coordinator

Cause: a follower that hears a leader but lags in its log says that it is in touch. It confirmed an old revision of a roll-out for ever, so an entry that polls only this coordinator went on to send to a version that was rolled back.

Change: replies to polls say whether the coordinator had applied all that the leader knew to be committed (`isCurrent`). Entries take the view of roll-outs as new only then. Without the field, from a coordinator of a version before, being in touch is enough as before.

--- a/packages/mulberrypitch-coordinator/src/__tests__/rollout-duty.test.ts
+++ b/packages/mulberrypitch-coordinator/src/__tests__/rollout-duty.test.ts
@@ -240,3 +240,16 @@
 	await group.clock.runFor(500);
 	t.match(observations.at(-1), {targetBackends: 2, otherBackends: 1});
 });
+
+// Guards against entries that stop sending to a good target since the only coordinator which they poll says too seldom that it is current.
+await t.test('no view becomes old at an entry that polls one sound coordinator, leader or follower', async t => {
+	const group = await startGroup(t, () => ({kind: 'hold'}));
+	const entries = names.map(name => startEntry(t, group, {name: `front-${name}`, intervalMs: 400}, [name]));
+	await order(group);
+	await group.clock.runFor(10_000);
+	for (const [index, {told}] of entries.entries()) {
+		const confirmed = told.filter(({isCurrent}) => isCurrent);
+		const ages = confirmed.map(({askedAt}, position) => (confirmed[position + 1]?.at ?? group.clock.now()) - askedAt);
+		t.ok(Math.max(...ages) < 1500, `${names[index]}: ${Math.max(...ages)} ms`);
+	}
+});
--- a/packages/mulberrypitch-coordinator/src/__tests__/rollout-entry.ts
+++ b/packages/mulberrypitch-coordinator/src/__tests__/rollout-entry.ts
@@ -27,7 +27,7 @@
 	fixedRevision: number | undefined;
 	isReady = true;
 	/** The roll-outs that it was told, with the times in milliseconds. */
-	readonly told: Array<{readonly at: number; readonly rollouts: readonly Rollout[]}> = [];
+	readonly told: Array<{readonly at: number; readonly askedAt: number; readonly isCurrent: boolean | undefined; readonly rollouts: readonly Rollout[]}> = [];
 	readonly #group: CoordinatorGroup;
 	readonly #name: string;
 	readonly #incarnation: string;
@@ -51,8 +51,11 @@
 					const request = {
 						status: this.#createStatus(), configurationVersion: 1, rosterEpoch: '', rosterVersion: 0, waitMs,
 					};
-					const {rollouts = []} = await transport.call<ViewReply>(to, methods.watch, request, {timeoutMs});
-					this.told.push({at: group.clock.now(), rollouts});
+					const askedAt = group.clock.now();
+					const {rollouts = [], isCurrent} = await transport.call<ViewReply>(to, methods.watch, request, {timeoutMs});
+					this.told.push({
+						at: group.clock.now(), askedAt, isCurrent, rollouts,
+					});
 				} catch {
 					// The next poll asks another coordinator.
 				}
--- a/packages/mulberrypitch-coordinator/src/coordinator.ts
+++ b/packages/mulberrypitch-coordinator/src/coordinator.ts
@@ -295,7 +295,8 @@
 	*/
 	async #watch(request: ViewRequest): Promise<ViewReply> {
 		const isCurrent = this.#replica.isCurrent();
-		const {configuration, configurationPart, ...reply} = await this.#views.watch(request);
+		const {configuration, configurationPart, ...rest} = await this.#views.watch(request);
+		const reply = {...rest, isCurrent: this.#replica.isCurrent()};
 		const isWithheld = !isCurrent && request.configurationVersion === 0 && request.status.upMs < entryStartMs;
 		return isWithheld ? reply : {...reply, ...(configuration !== undefined && {configuration}), ...(configurationPart !== undefined && {configurationPart})};
 	}
--- a/packages/mulberrypitch-proxy/src/__tests__/rollout-conduct.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/rollout-conduct.test.ts
@@ -1,7 +1,10 @@
 /** Tests by which views an entry acts on a roll-out. */
 import t from 'tap';
 import {VirtualClock} from '@mulberrypitch/fakes/virtual-clock';
+import {SeededRandom} from '@mulberrypitch/lifecycle/random';
+import {MetricsRegistry} from '@mulberrypitch/metrics/registry';
 import {BootTime} from '../boot-time.js';
+import {EntryRollouts} from '../entry-rollouts.js';
 import {RolloutConduct} from '../rollout-conduct.js';
 import {createCandidate, createRollout, VersionedEntry} from './versioned-requests.js';
 
@@ -79,6 +82,33 @@
 	t.end();
 });
 
+// Guards against a coordinator that hears a leader but lags in its log, and confirms for ever a state that was rolled back.
+await t.test('a coordinator that is not current makes no view new', async t => {
+	const clock = new VirtualClock();
+	const metrics = new MetricsRegistry();
+	const rollouts = new EntryRollouts({
+		clock, random: new SeededRandom(1), metrics, backends: {listServing: () => [], countRequests: () => 0},
+		logger: {
+			log() {
+				// The gauge shows the state.
+			},
+		},
+	});
+	const poll = async (reply: {readonly isCurrent?: boolean}) => {
+		rollouts.recordPoll();
+		await clock.runFor(100);
+		rollouts.apply({rollouts: [createRollout()], isInTouch: true, ...reply});
+		return metrics.write().includes('mulberrypitch_entry_rollout_held{service="s"} 1');
+	};
+
+	t.notOk(await poll({isCurrent: true}));
+	await clock.runFor(1000);
+	t.notOk(await poll({isCurrent: false}));
+	await clock.runFor(1000);
+	t.ok(await poll({isCurrent: false}), 'the view is that of the first poll');
+	t.notOk(await poll({}), 'a coordinator of a version before');
+});
+
 // Guards against a system file that is read at each choice of a back end.
 await t.test('the time since boot is read at most once in 50 ms, or when the wall clock has moved', async t => {
 	const clock = new VirtualClock();
--- a/packages/mulberrypitch-proxy/src/entry-rollouts.ts
+++ b/packages/mulberrypitch-proxy/src/entry-rollouts.ts
@@ -54,8 +54,9 @@
 	}
 
 	/** Applies the roll-outs of the reply to the last poll. */
-	apply({rollouts = [], isInTouch}: Pick<ViewReply, 'rollouts' | 'isInTouch'>): void {
-		for (const rollout of this.#conduct.apply(rollouts, {isInTouch, askedAt: this.#askedAt})) {
+	apply({rollouts = [], isInTouch, isCurrent = true}: Pick<ViewReply, 'rollouts' | 'isInTouch' | 'isCurrent'>): void {
+		// A coordinator that hears a leader but lags in its log would confirm an old state for ever.
+		for (const rollout of this.#conduct.apply(rollouts, {isInTouch: isInTouch && isCurrent, askedAt: this.#askedAt})) {
 			this.#follow(rollout);
 		}
 
--- a/packages/mulberrypitch-serving/src/view-messages.ts
+++ b/packages/mulberrypitch-serving/src/view-messages.ts
@@ -233,6 +233,11 @@
 	readonly rollouts?: readonly Rollout[];
 	/** Whether the coordinator is in contact with a leader. */
 	readonly isInTouch: boolean;
+	/**
+	Whether the coordinator had applied, a moment before, all that a leader knew to be committed: one that only hears a leader may lag behind. Absent
+	from a coordinator of an earlier version.
+	*/
+	readonly isCurrent?: boolean;
 };
 
 /** Statuses of entries and back ends that one coordinator sends to another. */
