Keep using a target that alone served before its order

Cause: while no other version than the target served, a view older than 1,500 ms refused every request at a share below 1, also if the target was the version that ran before. A retry was refused after a send to the target itself, since any send counted.

Change: if only the target served when the process learned of the order at its first revision, and no other version serves now, the age of the view does not close it. Only a send to another version keeps a request from the target.

--- a/packages/mulberrypitch-proxy/src/__tests__/request-versions.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/request-versions.test.ts
@@ -194,3 +194,35 @@
 	await entry.clock.runFor(60_000);
 	t.equal(entry.getShare(200), 1);
 });
+
+// Guards against a service that refuses everything although its roll-out names the version that ran before.
+await t.test('with an old view, the target is used if no other version served when the order was learned of', async t => {
+	for (const [before, expected] of [['v2', ['v2']], ['v1', []]] as const) {
+		const entry = new VersionedEntry();
+		entry.serving = [createCandidate(before)];
+		entry.apply({share: 0});
+		entry.apply({share: 0.1, revision: 2});
+		entry.serving = [createCandidate('v2')];
+		await entry.clock.runFor(maxViewAgeMs + 100);
+		t.same(entry.getVersions(entry.request('a-1')), expected, before);
+		entry.serving = [createCandidate('v2'), createCandidate('v3')];
+		t.same(entry.getVersions(entry.request('a-1')), ['v3'], 'another version serves');
+	}
+
+	const late = new VersionedEntry();
+	late.serving = [createCandidate('v2')];
+	late.apply({share: 0.1, revision: 2});
+	await late.clock.runFor(maxViewAgeMs + 100);
+	t.same(late.getVersions(late.request('a-1')), [], 'learned of after the share had changed');
+});
+
+// Guards against a request that the only version has refused once and that is never sent again.
+await t.test('a request that only the target was sent may be repeated there while no other version serves', t => {
+	const entry = new VersionedEntry();
+	entry.serving = [createCandidate('v2')];
+	entry.apply({share: 0});
+	const request = entry.request('a-1');
+	t.equal(entry.fail(request), 'v2');
+	t.same(entry.getVersions(request), ['v2']);
+	t.end();
+});
--- a/packages/mulberrypitch-proxy/src/request-versions.ts
+++ b/packages/mulberrypitch-proxy/src/request-versions.ts
@@ -50,7 +50,7 @@
 	#assignment: Assignment | undefined;
 	/** Number of attempts that have ended, with those that could not connect. */
 	#attempts = 0;
-	#sends = 0;
+	readonly #sentVersions = new Set<string | undefined>();
 	#recorder: AttemptRecorder | undefined;
 	/** The rule for the last list of back ends, which is made once for each list. */
 	#judged: {readonly serving: readonly VersionedCandidate[]; readonly rule: Rule} | undefined;
@@ -88,7 +88,7 @@
 	recordSend({announced}: Pick<KnownBackend, 'announced'>): void {
 		const {binding, getRecorder, route, now, deadlineAt} = this.#options;
 		binding.recordSend({announced});
-		this.#sends += 1;
+		this.#sentVersions.add(announced.version);
 		this.#recorder = getRecorder()?.begin({
 			route, version: announced.version, sentAt: now(), deadlineAt,
 		});
@@ -138,7 +138,7 @@
 		const isAssigned = this.#isAssignedToTarget(rollout);
 		if (others.length === 0) {
 			// A request that a back end of another version got stays away from the target for good, so that no version is blamed for the other.
-			return isAssigned || this.#sends === 0;
+			return isAssigned || [...this.#sentVersions].every(version => version === rollout.target);
 		}
 
 		if (!isAssigned || this.#attempts > 0 || targets.every(({isEjected}) => isEjected)) {
--- a/packages/mulberrypitch-proxy/src/rollout-conduct.ts
+++ b/packages/mulberrypitch-proxy/src/rollout-conduct.ts
@@ -9,6 +9,9 @@
 /** Age of the view in milliseconds beyond which no request goes to the target of a running roll-out. */
 const maxViewAgeMs = 1500;
 
+/** Revision of a roll-out that was ordered and not yet advanced. */
+const firstRevision = 1;
+
 /** Dependencies of the conduct. */
 export type RolloutConductOptions = {
 	/** Returns the time in milliseconds, which counts the suspension of the process. */
@@ -29,6 +32,8 @@
 	readonly rollout: Rollout;
 	/** Time in milliseconds at which a coordinator that hears a leader was asked for the newest view that holds the roll-out. */
 	readonly confirmedAt: number;
+	/** Whether only the target served when this process learned of the order, so that it is the version that ran before. */
+	readonly wasSole: boolean;
 };
 
 /** Knows the last roll-out of each service. */
@@ -68,7 +73,7 @@
 		}
 
 		const isWholeShare = known.rollout.share >= 1 && Number.isFinite(known.confirmedAt);
-		return !isWholeShare && this.#options.now() - known.confirmedAt > maxViewAgeMs;
+		return !isWholeShare && !(known.wasSole && this.#isSole(known.rollout)) && this.#options.now() - known.confirmedAt > maxViewAgeMs;
 	}
 
 	/** Reports whether a version was rolled back, so that it gets no request until a new roll-out names it. */
@@ -91,6 +96,12 @@
 		return this.isWithdrawn(service, version) || (version === target && this.isHeld(service));
 	}
 
+	/** Reports whether the target, and no other version, serves the service. */
+	#isSole({service, target}: Rollout): boolean {
+		const serving = this.#options.listServing().filter(backend => backend.service === service);
+		return serving.length > 0 && serving.every(({version}) => version === target);
+	}
+
 	/** Applies one roll-out, unless a newer one is known. Returns whether anything changed. */
 	#applyOne(rollout: Rollout, {isInTouch, askedAt}: RolloutSource): boolean {
 		const {service, id, revision, target, state, withdrawn: earlier} = rollout;
@@ -101,9 +112,11 @@
 		}
 
 		const confirmedBefore = isSame ? known.confirmedAt : Number.NEGATIVE_INFINITY;
+		// At the first revision nothing was sent to a new version yet. Views apply roll-outs before they name back ends.
+		const wasSole = isSame ? known.wasSole : revision === firstRevision && this.#isSole(rollout);
 		const isChanged = !isSame || revision !== known.rollout.revision;
 		this.#known.set(service, {
-			rollout: isChanged ? rollout : known.rollout, confirmedAt: isInTouch ? Math.max(askedAt, confirmedBefore) : confirmedBefore,
+			rollout: isChanged ? rollout : known.rollout, confirmedAt: isInTouch ? Math.max(askedAt, confirmedBefore) : confirmedBefore, wasSole,
 		});
 		// This process may have missed that a version which it saw rolled back was completed later, so the roll-out's own list counts.
 		const withdrawn = new Set(earlier ?? this.#withdrawn.get(service));
