Let requests wait as long as they are likely to start in time

Cause: each request waited at most 0.12 of its route's target time for a back end with room, and priorities were strict.

Change: a request may wait until the latest start at which its answer begins in time, by the times of the route's answers, if the rate of grants makes that likely. An unlikely one waits for 0.12 of its target time, a hopeless one is rejected at once, also while it waits. Requests that wait are ordered by weighted fair queueing over priority, route and workspace (FairQueue, which the product's own path uses), within them by latest start. Retry-After of a request without a place is the expected time of room, spread at random.

--- a/packages/mulberrypitch-admission/src/fair-order.ts
+++ b/packages/mulberrypitch-admission/src/fair-order.ts
@@ -134,6 +134,28 @@
 		return item;
 	}
 
+	/**
+	Removes and returns the first short request that may run, by the order of the virtual times at which the customers' first requests would end;
+	`undefined` if none may. `tryStart` is asked once for each request until it returns true, and for `maxTries` requests of a customer at most. The
+	request counts as ended at once, with its expected time.
+	*/
+	takeWhere(tryStart: (item: Item) => boolean, maxTries: number): Item | undefined {
+		const getEnd = ({short, share}: CustomerQueue<Item>) => short.virtualTime + (short.items[0]!.costMs / share);
+		const customerQueues = [...this.#customerQueues.values()].filter(({short}) => short.items.length > 0);
+		for (const customerQueue of customerQueues.toSorted((left, right) => getEnd(left) - getEnd(right) || right.share - left.share)) {
+			const {short, share} = customerQueue;
+			const item = short.items.slice(0, maxTries).find(candidate => tryStart(candidate));
+			if (item !== undefined) {
+				this.#virtualTime.short = Math.max(this.#virtualTime.short, short.virtualTime);
+				short.virtualTime += item.costMs / share;
+				this.remove(item);
+				return item;
+			}
+		}
+
+		return undefined;
+	}
+
 	/** Records the end of a request that was taken, and corrects the customer's virtual time by the slot time that was really used. */
 	finish(item: Item, usedMs: number): void {
 		const customerQueue = this.#customerQueues.get(item.customer)!;
--- a/packages/mulberrypitch-logger/src/events.ts
+++ b/packages/mulberrypitch-logger/src/events.ts
@@ -69,6 +69,7 @@
 	requestTakenOver: {number: 1506, level: 'warn', text: 'request taken over'},
 	requestFailed: {number: 1507, level: 'warn', text: 'request failed'},
 	requestInStop: {number: 1509, level: 'info', text: 'request arrived in a stop'},
+	waitEnded: {number: 1512, level: 'info', text: 'wait for a back end ended'},
 	needlessBytes: {number: 1511, level: 'warn', text: 'bytes that belong to no request'},
 	sendFailed: {number: 1508, level: 'warn', text: 'send to back end failed'},
 	orderSent: {number: 1601, level: 'info', text: 'order sent'},
--- a/packages/mulberrypitch-proxy/src/__tests__/permit-queue.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/permit-queue.test.ts
@@ -77,3 +77,48 @@
 	t.equal(await granted, 'permit');
 	t.ok(grantedAt - freeAt <= 50, `after ${grantedAt - freeAt} ms`);
 });
+
+// Guards against a request that is held until the end of its time and then rejected, since no more permits become free.
+await t.test('a request that is no longer likely to start in time is rejected before that is over, and its caller learns why', async t => {
+	const clock = new VirtualClock();
+	const {queue, free} = createQueue(clock);
+	const ends: Array<{readonly end: string; readonly waitedMs: number}> = [];
+	const acquire = async () => queue.acquire({
+		priority: 0, costMs: 100, maxWaitMs: 2000, freeWaitMs: 50, signal: new AbortController().signal, tryAcquire: () => free.shift(), onWaitEnded({end, waitedMs}) {
+			ends.push({end, waitedMs});
+		},
+	});
+	for (let count = 0; count < 20; count += 1) {
+		free.push('permit');
+		await acquire();
+		await clock.runFor(100);
+	}
+
+	const results = Array.from({length: 18}, async () => acquire());
+	await clock.runFor(1000);
+	t.same(ends, []);
+	await clock.runFor(900);
+	const hopeless = ends.filter(({end}) => end === 'hopeless');
+	t.ok(hopeless.length > 3, JSON.stringify(ends));
+	t.ok(hopeless.every(({waitedMs}) => waitedMs < 1900));
+	await clock.runFor(200);
+	t.same(await Promise.all(results), Array.from({length: 18}, () => undefined));
+});
+
+await t.test('a request without a chance to start in time is rejected at once', async t => {
+	const clock = new VirtualClock();
+	const {queue, free} = createQueue(clock);
+	const acquire = async (maxWaitMs: number) => queue.acquire({
+		priority: 0, costMs: 1000, maxWaitMs, freeWaitMs: 50, signal: new AbortController().signal, tryAcquire: () => free.shift(),
+	});
+	for (let count = 0; count < 6; count += 1) {
+		free.push('permit');
+		await acquire(1000);
+		await clock.runFor(300);
+	}
+
+	const startedAt = clock.now();
+	t.ok(queue.expectedMs! > 300);
+	t.equal(await acquire(20), undefined);
+	t.equal(clock.now(), startedAt);
+});
--- a/packages/mulberrypitch-proxy/src/backend-speeds.ts
+++ b/packages/mulberrypitch-proxy/src/backend-speeds.ts
@@ -70,6 +70,12 @@
 	}
 }
 
+/** Times of a good answer, in milliseconds since it was sent. */
+export type AnswerTimes = {
+	readonly firstPartMs: number;
+	readonly wholeMs: number;
+};
+
 /** Times the parts of one response. */
 export class SendObservation {
 	readonly #clock: Clock;
@@ -101,11 +107,11 @@
 		}
 	}
 
-	/** Ends the observation. Only successes are counted, since failures come at any speed. */
-	end(isSuccess: boolean): void {
+	/** Ends the observation, and returns the times of a good answer. Only successes are counted, since failures come at any speed. */
+	end(isSuccess: boolean): AnswerTimes | undefined {
 		const {backend, group, observer} = this.#options;
 		if (!isSuccess || this.#firstAt === undefined || backend.isEjected) {
-			return;
+			return undefined;
 		}
 
 		observer.record({
@@ -116,5 +122,7 @@
 				backend: backend.id, group: `${group} pause`, work: (this.#firstLoad + this.#lastLoad) / 2, ms: (this.#lastAt - this.#firstAt) / (this.#parts - 1),
 			});
 		}
+
+		return {firstPartMs: this.#firstAt - this.#sentAt, wholeMs: this.#lastAt - this.#sentAt};
 	}
 }
--- a/packages/mulberrypitch-proxy/src/proxy-server.ts
+++ b/packages/mulberrypitch-proxy/src/proxy-server.ts
@@ -40,8 +40,6 @@
 };
 /** Added, in milliseconds, to the configured idle and header timeouts, so that no connection is closed earlier than promised. */
 const keepAliveMarginMs = 2000;
-/** Limit of the wait for a permit, as a share of the route's target latency. */
-const maxQueueShare = 0.12;
 /** Lowest status of a response that is no success. */
 const firstFailureStatus = 300;
 
@@ -340,15 +338,18 @@
 			clock,
 			logger,
 			signal,
-			async place(excludedIds) {
+			place: async excludedIds => {
 				permit = await traffic.place({
 					service: table.getService(service),
-					route: route.name,
+					route,
+					workspace: workspace?.name,
+					attemptId: this.#getAttemptId(request),
 					prompt,
 					priority,
 					excludedIds,
 					isMatching,
-					maxWaitMs: Math.min(route.targetLatencyMs * maxQueueShare, deadlineAt - clock.now()),
+					arrivedAt,
+					deadlineAt,
 					signal,
 				});
 				return permit;
@@ -367,7 +368,7 @@
 				return isAllowed;
 			},
 			onAttemptEnded(outcome) {
-				permit?.observation?.end(outcome === 'delivered' && response.statusCode < firstFailureStatus);
+				traffic.recordAttempt(route, prompt, {permit, isSuccess: outcome === 'delivered' && response.statusCode < firstFailureStatus});
 				metrics.count('mulberrypitch_sends_total', 'Sends to back ends by how they ended.', {service, outcome});
 			},
 			onRunStarted() {
@@ -377,7 +378,8 @@
 				}
 			},
 		});
-		return proxied.run();
+		const end = await proxied.run();
+		return end.kind === 'refused' && permit === undefined ? {retryAfterSeconds: traffic.getRetryAfterSeconds(), ...end} : end;
 	}
 
 	#getConnectionHeaders(response: ServerResponse): readonly Header[] {
