--- a/packages/mulberrypitch-proxy/src/proxy-server.ts
+++ b/packages/mulberrypitch-proxy/src/proxy-server.ts
@@ -34,8 +34,6 @@
 import {StreamResumption} from './stream-resumption.js';
 import {StopWindow} from './stop-window.js';
 
-/** Limit of the wait for a permit, as a share of the route's target latency. */
-const maxQueueShare = 0.12;
 /** Lowest status of a response that is no success. */
 const firstFailureStatus = 300;
 
@@ -338,15 +336,18 @@
 			clock,
 			logger,
 			signal,
-			async place(excludedIds) {
+			place: async excludedIds => {
 				permit = await traffic.place({
 					service: table.getService(service),
-					route: route.name,
+					route,
+					workspace: workspace?.name,
+					attemptId: this.#getAttemptId(request),
 					prompt,
 					priority,
 					excludedIds,
 					isMatching,
-					maxWaitMs: versions.isOver ? 0 : Math.min(route.targetLatencyMs * maxQueueShare, deadlineAt - clock.now()),
+					arrivedAt,
+					deadlineAt: versions.isOver ? clock.now() : deadlineAt,
 					signal,
 				});
 				return permit;
@@ -369,7 +370,7 @@
 				versions.recordSend(backend);
 			},
 			onAttemptEnded(outcome) {
-				permit?.observation?.end(outcome.kind === 'delivered' && response.statusCode < firstFailureStatus);
+				traffic.recordAttempt(route, prompt, {permit, isSuccess: outcome.kind === 'delivered' && response.statusCode < firstFailureStatus});
 				versions.recordEnd(outcome);
 				metrics.count('mulberrypitch_sends_total', 'Sends to back ends by how they ended.', {service, outcome: outcome.kind});
 			},
@@ -380,7 +381,8 @@
 				}
 			},
 		});
-		return proxied.run();
+		const end = await proxied.run();
+		return end.kind === 'refused' && permit === undefined ? {retryAfterSeconds: traffic.getRetryAfterSeconds(), ...end} : end;
 	}
 
 	#getConnectionHeaders(response: ServerResponse): readonly Header[] {
