--- a/packages/mulberrypitch-proxy/src/proxy-server.ts
+++ b/packages/mulberrypitch-proxy/src/proxy-server.ts
@@ -381,7 +381,7 @@
 				}
 			},
 		});
-		const end = await proxied.run();
+		const end = await this.#options.rollouts.track(versions, proxied.run());
 		return end.kind === 'refused' && permit === undefined ? {retryAfterSeconds: traffic.getRetryAfterSeconds(), ...end} : end;
 	}
 
--- a/packages/mulberrypitch-serving/src/rollout-messages.ts
+++ b/packages/mulberrypitch-serving/src/rollout-messages.ts
@@ -28,6 +28,8 @@
 	readonly elapsedMs: number;
 	/** Reason of the last change, for operators. */
 	readonly reason: string;
+	/** Versions that earlier roll-outs of the service rolled back, the last ones only; absent if there are none. */
+	readonly withdrawn?: readonly string[];
 };
 
 /** Count, sum and sum of squares of the natural logarithms of times in milliseconds. Values of several entries can be added. */
@@ -69,7 +71,7 @@
 	readonly revision: number;
 	/** Requests for the service that arrived. */
 	readonly requests: number;
-	/** Requests in progress at back ends of other versions than the target. */
+	/** Requests in progress at back ends of other versions than the target, with streams that can go on only there; at least one if there are any. */
 	readonly othersRunning: number;
 	readonly routes: readonly RouteEvidence[];
 };
