Assert that coordinators say that they are current

The test of the age of views passed also if no reply said that its coordinator is current, since it then compared no ages.

--- a/packages/mulberrypitch-coordinator/src/__tests__/rollout-duty.test.ts
+++ b/packages/mulberrypitch-coordinator/src/__tests__/rollout-duty.test.ts
@@ -250,6 +250,7 @@
 	for (const [index, {told}] of entries.entries()) {
 		const confirmed = told.filter(({isCurrent}) => isCurrent);
 		const ages = confirmed.map(({askedAt}, position) => (confirmed[position + 1]?.at ?? group.clock.now()) - askedAt);
+		t.ok(confirmed.length >= 10, `${names[index]}: ${confirmed.length} of ${told.length} replies are current`);
 		t.ok(Math.max(...ages) < 1500, `${names[index]}: ${Math.max(...ages)} ms`);
 	}
 });
