--- a/packages/mulberrypitch-coordinator/src/capacity-estimator.ts
+++ b/packages/mulberrypitch-coordinator/src/capacity-estimator.ts
@@ -49,12 +49,6 @@
 /** Time in milliseconds for which the estimate stays up after the load has gone down. */
 const holdMs = 7000;
 
-/**
-Time in milliseconds from the first reported cost for which one from before counts as the lowest. Entries that restarted together have seen a few answers
-each, of which the cheapest, with cached prompts, showed half of the cost. The fleet was halved 12 s after a restart.
-*/
-const recallMs = 30_000;
-
 type Sample = {
 	/** Monotonic time in milliseconds. */
 	readonly at: number;
@@ -72,19 +66,13 @@
 	#average: number | undefined;
 	/** Engine time that a prompt token takes, in milliseconds. */
 	#msPerToken: number | undefined;
-	readonly #recalledMsPerToken: number | undefined;
-	/** Monotonic time in milliseconds at which an entry first reported a cost. */
-	#observedSince = Number.POSITIVE_INFINITY;
 	/** Refused requests at the last update, summed over all entries. */
 	#refused = 0;
 	/** Monotonic time in milliseconds of the first estimate. */
 	#knownSince = Number.POSITIVE_INFINITY;
 
-	/** `recalledMsPerToken` is the cost of a prompt token as it was known before this coordinator decided; absent if it never was. */
-	constructor(clock: Clock, recalledMsPerToken?: number) {
+	constructor(clock: Clock) {
 		this.#clock = clock;
-		this.#recalledMsPerToken = recalledMsPerToken;
-		this.#msPerToken = recalledMsPerToken;
 	}
 
 	/** Reports whether the load has been observed for long enough to scale down safely. */
@@ -120,29 +108,20 @@
 		};
 	}
 
-	/** Returns the cost of a prompt token below which it is not taken now, in milliseconds. */
-	#getLowestCost(): number {
-		this.#observedSince = Math.min(this.#observedSince, this.#clock.now());
-		return this.#clock.now() - this.#observedSince < recallMs ? this.#recalledMsPerToken ?? 0 : 0;
-	}
-
 	/** Returns the work in fully busy back ends, or `undefined` while the cost of prompts is unknown. */
 	#estimateWork({pressures}: ServiceLoad): number | undefined {
 		const costs = pressures.flatMap(({msPerToken}) => msPerToken ?? []).toSorted((left, right) => left - right);
 		// Uses the lower quartile: lower costs come from less busy engines, where queueing distorts them less.
 		const cost = costs[Math.floor(costs.length / 4)];
 		if (cost !== undefined) {
-			const bounded = Math.max(cost, this.#getLowestCost());
-			this.#msPerToken = Math.min(bounded, (this.#msPerToken ?? bounded) * (1 + maxCostIncrease));
+			this.#msPerToken = Math.min(cost, (this.#msPerToken ?? cost) * (1 + maxCostIncrease));
 		}
 
-		const tokensPerSecond = pressures.reduce((total, pressure) => total + pressure.tokensPerSecond, 0);
-		// Before any entry has reported demand, a recalled cost would make the need zero and release back ends that are in use.
-		const isIdle = this.#average === undefined && cost === undefined && tokensPerSecond === 0;
-		if (this.#msPerToken === undefined || isIdle) {
+		if (this.#msPerToken === undefined) {
 			return undefined;
 		}
 
+		const tokensPerSecond = pressures.reduce((total, pressure) => total + pressure.tokensPerSecond, 0);
 		return tokensPerSecond * this.#msPerToken / 1000;
 	}
 
--- a/packages/mulberrypitch-coordinator/src/command-schema.ts
+++ b/packages/mulberrypitch-coordinator/src/command-schema.ts
@@ -19,7 +19,7 @@
 	z.strictObject({
 		kind: z.literal('recordOrder'),
 		order: z.strictObject({
-			service: z.string(), zone: z.string(), isSpot: z.boolean(), desired: integer, msPerToken: z.number().positive().optional(),
+			service: z.string(), zone: z.string(), isSpot: z.boolean(), desired: integer,
 		}),
 	}),
 ]);
--- a/packages/mulberrypitch-coordinator/src/fleet-duty.ts
+++ b/packages/mulberrypitch-coordinator/src/fleet-duty.ts
@@ -224,7 +224,7 @@
 		}
 
 		if (!state.orders.some(known => getOrderKey(known) === key && known.desired === order.desired)) {
-			await context.propose({kind: 'recordOrder', order: {...order, ...(need?.msPerToken !== undefined && {msPerToken: need.msPerToken})}});
+			await context.propose({kind: 'recordOrder', order});
 		}
 
 		const stamp = await context.confirm();
@@ -271,17 +271,10 @@
 	#getEstimator(service: string): CapacityEstimator {
 		let estimator = this.#estimators.get(service);
 		if (estimator === undefined) {
-			estimator = new CapacityEstimator(this.#options.clock, this.#recallCost(service));
+			estimator = new CapacityEstimator(this.#options.clock);
 			this.#estimators.set(service, estimator);
 		}
 
 		return estimator;
 	}
-
-	/** Returns the median cost of a prompt token in the last orders of a service, which outlive a restart of all hosts. */
-	#recallCost(service: string): number | undefined {
-		const orders = this.#options.state.orders.filter(order => order.service === service);
-		const costs = orders.flatMap(({msPerToken}) => msPerToken ?? []).toSorted((left, right) => left - right);
-		return costs[Math.floor(costs.length / 2)];
-	}
 }
--- a/packages/mulberrypitch-coordinator/src/serving-state.ts
+++ b/packages/mulberrypitch-coordinator/src/serving-state.ts
@@ -48,8 +48,6 @@
 	readonly isSpot: boolean;
 	/** Total number of back ends to have, not a difference. */
 	readonly desired: number;
-	/** Engine time in milliseconds that a prompt token took when the order was decided; absent while unknown, or from an earlier version. */
-	readonly msPerToken?: number;
 };
 
 /** Records an order before it is sent. */
