Try few waiting requests at each release of a permit

Cause: since requests wait longer, a release tried up to four requests of each waiting kind at all back ends. Change: an offer ends after 12 requests that got no permit, one at an interval after 48.

--- a/packages/mulberrypitch-proxy/src/__tests__/permit-queue.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/permit-queue.test.ts
@@ -122,3 +122,28 @@
 	t.equal(await acquire(20), undefined);
 	t.equal(clock.now(), startedAt);
 });
+
+// Guards against an entry that falls behind in a burst, since each release tries all waiting requests of all kinds.
+await t.test('a release tries few of many waiting kinds, and an offer at an interval reaches those behind them', async t => {
+	const clock = new VirtualClock();
+	const queue = new PermitQueue<string>(clock);
+	let tries = 0;
+	let isFree = false;
+	const acquire = async (kind: string, tryAcquire: () => string | undefined) => queue.acquire({
+		priority: 0, kind, maxWaitMs: 1000, signal: new AbortController().signal, tryAcquire,
+	});
+	const blocked = Array.from({length: 40}, async (_, index) => acquire(`kind-${index}`, () => {
+		tries += 1;
+		return undefined;
+	}));
+	const last = acquire('last', () => isFree ? 'a' : undefined);
+	await clock.runFor(1);
+	tries = 0;
+	queue.grantPermits();
+	t.ok(tries > 0 && tries <= 12, `${tries} tries`);
+	isFree = true;
+	await clock.runFor(50);
+	t.equal(await last, 'a');
+	await clock.runFor(1000);
+	t.same(new Set(await Promise.all(blocked)), new Set([undefined]));
+});
--- a/packages/mulberrypitch-proxy/src/permit-queue.ts
+++ b/packages/mulberrypitch-proxy/src/permit-queue.ts
@@ -66,6 +66,12 @@
 
 /** Number of requests of one kind for which a permit is sought at a time: if there is none for the first ones, there is seldom one for the next. */
 const maxTries = 4;
+/**
+Number of requests that are refused a permit in one offer until the others are left for the next one. Each try compares all back ends: with dozens of
+kinds waiting, that takes an entry with a third of a core tens of milliseconds. Offers at intervals try more, since the first ones may wait for back ends
+of their own, such as those of one version.
+*/
+const maxFailures = {release: 12, interval: 48} as const;
 /** Factor between the parts of the permits, by run time, of a priority and of the next less urgent one. */
 const priorityFactor = 2;
 /** Run time in milliseconds of requests whose time is not known. */
@@ -138,15 +144,18 @@
 		return admitted.place.promise;
 	}
 
-	/** Offers free permits to the waiting requests in their order. A request whose `tryAcquire` returns `undefined` keeps its place and is passed over. */
-	grantPermits(): void {
+	/** Offers free permits to the waiting requests in their order, until a number of them got none. A request whose `tryAcquire` returns `undefined` keeps its place and is passed over. */
+	grantPermits(maxFailed: number = maxFailures.release): void {
+		let failures = 0;
 		const tryStart = ({request, place}: Waiter<Permit>) => {
-			const permit = request.signal.aborted ? undefined : request.tryAcquire();
-			if (permit !== undefined) {
-				place.resolve(permit);
+			const permit = request.signal.aborted || failures >= maxFailed ? undefined : request.tryAcquire();
+			if (permit === undefined) {
+				failures += request.signal.aborted ? 0 : 1;
+				return false;
 			}
 
-			return permit !== undefined;
+			place.resolve(permit);
+			return true;
 		};
 
 		for (;;) {
@@ -195,7 +204,7 @@
 		this.#isOffering = true;
 		while (this.#waiters.size > 0) {
 			await this.#clock.sleep(offerIntervalMs);
-			this.grantPermits();
+			this.grantPermits(maxFailures.interval);
 			this.#rejectHopeless();
 		}
 
