Take a time that no run shows out of a comment of the permit queue

The comment gave the cost of a release as tens of milliseconds, which was estimated by reading. Only the comment changes.

--- a/packages/mulberrypitch-proxy/src/permit-queue.ts
+++ b/packages/mulberrypitch-proxy/src/permit-queue.ts
@@ -67,8 +67,8 @@
 /** Number of requests of one kind for which a permit is sought at a time: if there is none for the first ones, there is seldom one for the next. */
 const maxTries = 4;
 /**
-Number of requests that are refused a permit in one offer until the others are left for the next one. Each try compares all back ends: with dozens of
-kinds waiting, that takes an entry with a third of a core tens of milliseconds. Offers at intervals try more, since the first ones may wait for back ends
+Number of requests that are refused a permit in one offer until the others are left for the next one. Each try compares all back ends, and dozens of
+kinds may wait. Offers at intervals try more, since the first ones may wait for back ends
 of their own, such as those of one version.
 */
 const maxFailures = {release: 12, interval: 48} as const;
