--- a/packages/mulberrypitch-proxy/src/entry.ts
+++ b/packages/mulberrypitch-proxy/src/entry.ts
@@ -23,6 +23,7 @@
 import {BackendView} from './backend-view.js';
 import {ConfigurationInForce} from './configuration-in-force.js';
 import {ContentQuarantine, getIncarnationKey} from './content-quarantine.js';
+import {addEntryGauges} from './entry-gauges.js';
 import {EntryRollouts} from './entry-rollouts.js';
 import {PeerEntries} from './peer-entries.js';
 import {PollPace} from './poll-pace.js';
@@ -91,8 +92,6 @@
 const maxExitMarginShare = 1 / 8;
 /** Interval in milliseconds at which a drain checks for requests in progress. */
 const drainPollMs = 50;
-/** Upper limit of the reported view age in milliseconds; also reported before the first reply. */
-const maxViewAgeGaugeMs = 3_600_000;
 
 /** Runs the proxy server and the view client until it is disposed of. */
 export class Entry implements Resource {
@@ -225,7 +224,18 @@
 			isPressed: () => this.#origins.isAwaited || this.#quarantine.isActive || this.#quotas.isAnyTight || this.#backends.isAnyBusy(busyShare),
 			getRefused: () => Object.values(this.#server.getPressure()).reduce((sum, {refused}) => sum + refused, 0),
 		});
-		this.#addGauges();
+		addEntryGauges(options.metrics, {
+			isReady: () => this.isReady,
+			getEntryCount: () => this.#entryCount,
+			configuration: this.#configuration,
+			server: this.#server,
+			view: this.#view,
+			backends: this.#backends,
+			speeds: this.#speeds,
+			reachability: this.#reachability,
+			quarantine: this.#quarantine,
+			origins: this.#origins,
+		});
 	}
 
 	/**
@@ -293,24 +303,6 @@
 		await this.#resources.dispose();
 	}
 
-	#addGauges(): void {
-		const {metrics} = this.#options;
-		metrics.gauge('mulberrypitch_entry_ready', 'One while the entry takes callers.', () => this.isReady ? 1 : 0);
-		metrics.gauge('mulberrypitch_entry_running', 'Requests in progress.', () => this.#server.running);
-		metrics.gauge('mulberrypitch_entry_configuration_version', 'Configuration in force.', () => this.#table?.configuration.version ?? 0);
-		metrics.gauge('mulberrypitch_entry_view_age_seconds', 'Age of what the coordinators said.', () => Math.min(this.#view.ageMs, maxViewAgeGaugeMs) / 1000);
-		metrics.gauge('mulberrypitch_entry_backends', 'Back ends that may be given requests.', () => this.#backends.getCounts().serving);
-		metrics.gauge('mulberrypitch_entry_backends_set_aside', 'Back ends that failed too often and get nothing for a while.', () => this.#backends.getCounts().ejected);
-		metrics.gauge('mulberrypitch_entry_backends_limited', 'Back ends that state a limit on requests.', () => this.#backends.getCounts().limited);
-		metrics.gauge('mulberrypitch_entry_backends_paused', 'Back ends that asked this entry for a pause.', () => this.#backends.getCounts().paused);
-		metrics.gauge('mulberrypitch_entry_backends_uneven', 'Back ends whose speed differs from the mean of their service.', () => this.#speeds.count);
-		metrics.gauge('mulberrypitch_entry_backend_connections', 'Connections to back ends.', () => this.#backends.getCounts().connections);
-		metrics.gauge('mulberrypitch_entry_cut_off', 'One while the entry reaches no back end.', () => this.#reachability.isCutOff ? 1 : 0);
-		metrics.gauge('mulberrypitch_entry_quarantined_contents', 'Contents that are kept from back ends since they crash them.', () => this.#quarantine.count);
-		metrics.gauge('mulberrypitch_entry_stream_origins', 'Streams of which the entry was told where they began.', () => this.#origins.count);
-		metrics.gauge('mulberrypitch_entries', 'Entries in touch, as the coordinators said.', () => this.#entryCount);
-	}
-
 	#createViewRequest(): ViewRequest {
 		const {name, zone} = this.#options;
 		const speeds = this.#speeds.takeReport();
