Log which back ends come into use and go out of use at an entry

The logs could not tell whether a late request to a back end that has left came from one entry's view or from the coordinators' rosters: entries logged nothing of the back ends in their view. Lines 1413 and 1414 name the incarnation, the coordinator whose roster changed the view, whether that coordinator is in touch, and why a back end went out of use. What is used does not change.

--- a/packages/mulberrypitch-logger/src/events.ts
+++ b/packages/mulberrypitch-logger/src/events.ts
@@ -71,6 +71,8 @@
 	backendsUnreachable: {number: 1410, level: 'warn', text: 'no back end reachable'},
 	backendsReached: {number: 1411, level: 'info', text: 'back ends reachable again'},
 	speedChanged: {number: 1412, level: 'info', text: 'speed of a back end changed'},
+	backendTaken: {number: 1413, level: 'info', text: 'back end taken into use'},
+	backendDropped: {number: 1414, level: 'info', text: 'back end out of use'},
 	requestForwarded: {number: 1510, level: 'info', text: 'request passed on to another entry'},
 	requestAccepted: {number: 1501, level: 'info', text: 'request accepted'},
 	requestDispatched: {number: 1502, level: 'info', text: 'request dispatched'},
--- a/packages/mulberrypitch-proxy/src/backend-view.ts
+++ b/packages/mulberrypitch-proxy/src/backend-view.ts
@@ -1,5 +1,5 @@
 /** An entry's view of the back ends: those that it knows from the coordinators' roster, and its own state of each. */
-import {updateIncarnation, type RosterChanges} from '@mulberrypitch/serving/backend-roster';
+import {updateIncarnation, type RosterChanges, type RosterEntry} from '@mulberrypitch/serving/backend-roster';
 import type {AnnouncedBackend} from '@mulberrypitch/serving/types';
 import type {
 	BackendLoad, Incarnation, LimitShare, StatedLimit,
@@ -18,6 +18,12 @@
 	readonly connections: number;
 };
 
+/** What a roster changed in the view: a back end came into use, leaves, ended, stopped its announcements, or is no longer listed. */
+export type BackendChange = {
+	readonly backend: Incarnation;
+	readonly kind: 'taken' | 'leaving' | 'ended' | 'silent' | 'unlisted';
+};
+
 /** Reports whether a request may be sent to a back end. `serving` are all serving back ends of its service, the same array for all of one choice. */
 export type BackendFilter = (backend: KnownBackend, serving: readonly KnownBackend[]) => boolean;
 
@@ -81,17 +87,18 @@
 		return Object.fromEntries([...this.#backends.values()].filter(({inFlight}) => inFlight > 0).map(({id, ownLoad}) => [id, ownLoad]));
 	}
 
-	/** Applies the changes of a roster. A whole roster also retires the back ends that it doesn't list, unless it is not settled. */
-	apply({epoch, version, isWhole, isSettled, entries}: RosterChanges): void {
-		for (const {backend, isGone} of entries) {
-			this.#applyEntry(backend, isGone);
-		}
+	/**
+	Applies the changes of a roster, and returns what they changed in the view. A whole roster also retires the back ends that it doesn't list, unless it
+	is not settled.
+	*/
+	apply({epoch, version, isWhole, isSettled, entries}: RosterChanges): readonly BackendChange[] {
+		const changes = entries.flatMap(entry => this.#applyEntry(entry));
 
 		this.#epoch = epoch;
 		this.#version = version;
 		this.#isSettled = isSettled;
 		if (isWhole && isSettled) {
-			this.#retireOthers(new Set(entries.map(({backend}) => backend.id)));
+			changes.push(...this.#retireOthers(new Set(entries.map(({backend}) => backend.id))));
 		} else if (isWhole) {
 			// A coordinator that has just started doesn't know all back ends yet, so those that it doesn't list are not retired.
 			this.#isPartial = true;
@@ -100,6 +107,8 @@
 			this.#epoch = '';
 			this.#isPartial = false;
 		}
+
+		return changes;
 	}
 
 	/** Sets the load that the other entries put on each back end, by identifier. */
@@ -183,38 +192,49 @@
 		}
 	}
 
-	#applyEntry(announced: AnnouncedBackend, isGone: boolean): void {
-		const known = this.#backends.get(announced.id);
-		if (known !== undefined && known.announced.startedAt > announced.startedAt) {
-			return;
+	#applyEntry({backend: announced, isGone, isSilent}: RosterEntry): readonly BackendChange[] {
+		const {id, startedAt} = announced;
+		const known = this.#backends.get(id);
+		if (known !== undefined && known.announced.startedAt > startedAt) {
+			return [];
 		}
 
+		const backend = {backend: id, startedAt};
 		if (isGone) {
-			this.#retire(announced.id);
-		} else if (known?.announced.startedAt === announced.startedAt && known.announced.address === announced.address) {
+			return this.#retire(id) ? [{backend, kind: isSilent === true ? 'silent' : 'ended'}] : [];
+		}
+
+		if (known?.announced.startedAt === startedAt && known.announced.address === announced.address) {
+			const wasLeaving = known.isLeaving;
 			known.update(updateIncarnation(known.announced, announced));
-		} else {
-			this.#retire(announced.id);
-			this.#backends.set(announced.id, this.#create({...announced, isLeaving: announced.isLeaving || this.#retired.hasLeft(announced)}));
+			return known.isLeaving && !wasLeaving ? [{backend, kind: 'leaving'}] : [];
 		}
+
+		this.#retire(id);
+		const taken = this.#create({...announced, isLeaving: announced.isLeaving || this.#retired.hasLeft(announced)});
+		this.#backends.set(id, taken);
+		return [{backend, kind: taken.isLeaving ? 'leaving' : 'taken'}];
 	}
 
-	#retireOthers(listed: ReadonlySet<string>): void {
-		for (const id of this.#backends.keys()) {
-			if (!listed.has(id)) {
-				this.#retire(id);
-			}
+	#retireOthers(listed: ReadonlySet<string>): readonly BackendChange[] {
+		const unlisted = [...this.#backends.values()].filter(({id}) => !listed.has(id));
+		for (const {id} of unlisted) {
+			this.#retire(id);
 		}
+
+		return unlisted.map(({id, announced}) => ({backend: {backend: id, startedAt: announced.startedAt}, kind: 'unlisted'}));
 	}
 
-	#retire(id: string): void {
+	/** Retires a back end. Returns whether it was in the view. */
+	#retire(id: string): boolean {
 		const backend = this.#backends.get(id);
 		if (backend === undefined) {
-			return;
+			return false;
 		}
 
 		backend.retire();
 		this.#backends.delete(id);
 		this.#retired.add(backend);
+		return true;
 	}
 }
--- a/packages/mulberrypitch-proxy/src/entry.ts
+++ b/packages/mulberrypitch-proxy/src/entry.ts
@@ -18,6 +18,7 @@
 import type {ViewReply, ViewRequest} from '@mulberrypitch/serving/view-messages';
 import type {Transport} from '@mulberrypitch/transport/types';
 import type {StatementDecoder} from './backend-statement.js';
+import {logBackendChanges} from './backend-changes.js';
 import {BackendReachability} from './backend-reachability.js';
 import {BackendSpeeds} from './backend-speeds.js';
 import {BackendView} from './backend-view.js';
@@ -343,7 +344,7 @@
 		this.#rollouts.apply(view);
 		this.#peers.setAddresses(peers);
 		this.#quarantine.apply(verdict);
-		this.#backends.apply(roster);
+		logBackendChanges(this.#options.logger, this.#backends.apply(roster), {coordinator: this.#view.coordinator, isInTouch});
 		this.#versions.apply(roster);
 		this.#origins.apply(origins, isInTouch);
 		this.#backends.setLoads(loads);
