--- a/packages/mulberrypitch-coordinator/src/__tests__/departures.test.ts
+++ b/packages/mulberrypitch-coordinator/src/__tests__/departures.test.ts
@@ -138,3 +138,63 @@
 	t.equal(later?.isInTouch, true, 'once it is told again');
 	await group.dispose();
 });
+
+/** Ends all coordinators at the same moment, and starts them again on their disks. */
+async function restartAll(group: CoordinatorGroup): Promise<void> {
+	for (const name of names) {
+		group.kill(name);
+	}
+
+	await group.clock.runFor(500);
+	for (const name of names) {
+		await group.start(name);
+	}
+
+	await group.clock.runFor(2000);
+}
+
+// Guards against requests to a back end that has left, since every process that knew of the leave has ended and an announcement came late.
+await t.test('a leave that was acknowledged holds after a restart of all coordinators', async t => {
+	const group = await startGroup();
+	await group.settle(group.get('a').announce(createBackend()));
+	await group.settle(group.get('a').announce(createBackend({id: 'i-2', address: '10.0.0.2:80'})));
+	t.ok(await group.settle(group.get('b').deregister({id: 'i-1', startedAt: 100})), 'a notice');
+	t.ok(await group.settle(group.get('c').announce(createBackend({
+		id: 'i-2', address: '10.0.0.2:80', sequence: 2, isLeaving: true,
+	}))), 'an announcement');
+	await restartAll(group);
+	await group.settle(group.get('a').announce(createBackend({sequence: 2})));
+	await group.settle(group.get('b').announce(createBackend({id: 'i-2', address: '10.0.0.2:80'})));
+	await group.clock.runFor(1000);
+	t.same(getServing(group), [], 'the announcements that came late');
+	await group.settle(group.get('a').announce(createBackend({startedAt: 200})));
+	t.equal(getServing(group).length, names.length, 'a later start');
+	await group.dispose();
+});
+
+// Guards against requests to a back end that has left, offered by the one coordinator that the acknowledgement did not need.
+await t.test('a leave that was acknowledged during a cut holds when the coordinators that knew it restart before the cut ends', async t => {
+	const group = await startGroup();
+	await group.settle(group.get('a').announce(createBackend()));
+	cut(group, ['a c', 'b c']);
+	await group.clock.runFor(1500);
+	t.ok(await group.settle(group.get('b').deregister({id: 'i-1', startedAt: 100})));
+	for (const name of ['a', 'b']) {
+		group.kill(name);
+		await group.start(name);
+	}
+
+	cut(group, []);
+	await group.clock.runFor(2000);
+	t.same(getServing(group), []);
+	await group.dispose();
+});
+
+// Guards against an acknowledgement that rests on nothing: the call that states the leave was overtaken, and its content dropped as out of date.
+await t.test('a leave that is announced by a call that a later one has overtaken holds once it is acknowledged', async t => {
+	const group = await startGroup();
+	await group.settle(group.get('a').announce(createBackend({sequence: 5})));
+	t.ok(await group.settle(group.get('a').announce(createBackend({sequence: 4, isLeaving: true}))));
+	t.same(getServing(group), []);
+	await group.dispose();
+});
--- a/packages/mulberrypitch-proxy/src/__tests__/backend-view.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/backend-view.test.ts
@@ -81,3 +81,17 @@
 	t.ok(await leaveAndReturn('b', 2000, 0));
 	t.ok(await leaveAndReturn('c', 0, 10 * silenceMs));
 });
+
+// Guards against requests to a back end whose end the entry was told of and forgot, when a coordinator with an older roster replies next.
+await t.test('a back end that has ended does not return to service when an older roster lists it', async t => {
+	const {view, apply} = createView();
+	apply({});
+	apply({isGone: true});
+	apply({id: 'unknown', isGone: true});
+	apply({});
+	apply({id: 'unknown'});
+	t.equal(view.getCandidates(service, () => true).length, 0);
+	t.strictSame(view.getLeaves().map(({backend}) => backend), ['a', 'unknown'], 'and the coordinators are told of it');
+	apply({startedAt: 2});
+	t.equal(view.getCandidates(service, () => true).length, 1, 'a later start');
+});
