Let an entry remember the back ends that ended

Callers' requests reached back ends whose leave was acknowledged long before, through an entry that had been told of it: the entry dropped a back end that ended from its view and kept no trace of it, so that the next older roster put it into use again. Older rosters come from a coordinator that the others don't reach, that goes on after a suspension, or that has just restarted and got a late announcement; the entry applies them all.

One that a roster lists again counts as leaving, so that the coordinators are told of it again, too. A back end that is only silent still returns with its next announcement.

--- a/packages/mulberrypitch-proxy/src/backend-view.ts
+++ b/packages/mulberrypitch-proxy/src/backend-view.ts
@@ -1,9 +1,11 @@
 /** An entry's view of the back ends: those that it knows from the coordinators' roster, and its own state of each. */
+import type {Clock} from '@mulberrypitch/lifecycle/clock';
 import {updateIncarnation, type RosterChanges, type RosterEntry} from '@mulberrypitch/serving/backend-roster';
 import type {AnnouncedBackend} from '@mulberrypitch/serving/types';
 import type {
 	BackendLoad, Incarnation, LimitShare, StatedLimit,
 } from '@mulberrypitch/serving/view-messages';
+import {EndedIncarnations} from './ended-incarnations.js';
 import {KnownBackend, type KnownBackendOptions} from './known-backend.js';
 import {RetiredBackends} from './retired-backends.js';
 
@@ -34,6 +36,7 @@
 	readonly #create: (announced: AnnouncedBackend) => KnownBackend;
 	readonly #backends = new Map<string, KnownBackend>();
 	readonly #retired = new RetiredBackends();
+	readonly #ended: EndedIncarnations;
 	#epoch = '';
 	#version = 0;
 	/** Whether the last whole roster was not settled, so that back ends that it doesn't list are retired only later. */
@@ -41,7 +44,8 @@
 	/** Whether the coordinator of the last roster had been running for long enough to know all back ends. */
 	#isSettled = false;
 
-	constructor(createOptions: (announced: AnnouncedBackend) => KnownBackendOptions) {
+	constructor(clock: Clock, createOptions: (announced: AnnouncedBackend) => KnownBackendOptions) {
+		this.#ended = new EndedIncarnations(clock);
 		this.#create = announced => new KnownBackend(announced, createOptions(announced));
 	}
 
@@ -201,6 +205,10 @@
 
 		const backend = {backend: id, startedAt};
 		if (isGone) {
+			if (isSilent === false) {
+				this.#ended.add(backend);
+			}
+
 			return this.#retire(id) ? [{backend, kind: isSilent === true ? 'silent' : 'ended'}] : [];
 		}
 
@@ -211,11 +219,16 @@
 		}
 
 		this.#retire(id);
-		const taken = this.#create({...announced, isLeaving: announced.isLeaving || this.#retired.hasLeft(announced)});
+		const taken = this.#create({...announced, isLeaving: announced.isLeaving || this.#hasLeft(announced)});
 		this.#backends.set(id, taken);
 		return [{backend, kind: taken.isLeaving ? 'leaving' : 'taken'}];
 	}
 
+	/** Reports whether an incarnation may not return to service, whatever a roster says. */
+	#hasLeft(announced: AnnouncedBackend): boolean {
+		return this.#retired.hasLeft(announced) || this.#ended.has({backend: announced.id, startedAt: announced.startedAt});
+	}
+
 	#retireOthers(listed: ReadonlySet<string>): readonly BackendChange[] {
 		const unlisted = [...this.#backends.values()].filter(({id}) => !listed.has(id));
 		for (const {id} of unlisted) {
--- a/packages/mulberrypitch-proxy/src/entry.ts
+++ b/packages/mulberrypitch-proxy/src/entry.ts
@@ -133,7 +133,7 @@
 		this.#entryCounts = new RecentMaximum(clock, entryCountWindowMs);
 		this.#usage = new UsageCounter(clock, options.usageWindowMs);
 		this.#speeds = new BackendSpeeds(clock);
-		this.#backends = new BackendView(({service, id, startedAt}) => ({
+		this.#backends = new BackendView(clock, ({service, id, startedAt}) => ({
 			clock,
 			random,
 			logger,
