Commit the departure of a back end to the replicated log before it is acknowledged

A leave is now acknowledged once it is committed as well as in the rosters of a quorum; a coordinator lists a departed incarnation only as leaving, also after a restart, and marks one that it lists as serving when the departure is applied. A leader of an earlier version refuses the new command; the leave is then acknowledged by the rosters alone, as before, so that back ends can leave during an upgrade.

--- a/packages/mulberrypitch-coordinator/src/__tests__/malformed-requests.test.ts
+++ b/packages/mulberrypitch-coordinator/src/__tests__/malformed-requests.test.ts
@@ -16,6 +16,7 @@
 	'to take the duties for nobody': {kind: 'takeDuties'},
 	'to record an order without a service': {kind: 'recordOrder'},
 	'to record usage without counts': {kind: 'recordUsage', window: 1},
+	'to record a departure without a start': {kind: 'recordDeparture', backend: 'i-1'},
 	'to save usage without entries': {kind: 'noteUsage', window: 1},
 };
 
--- a/packages/mulberrypitch-coordinator/src/backend-registration.ts
+++ b/packages/mulberrypitch-coordinator/src/backend-registration.ts
@@ -1,12 +1,17 @@
-/** Takes the announcements and notices of back ends, and acknowledges a leave only once a quorum of coordinators knows of it. */
+/**
+ * Takes the announcements and notices of back ends, and acknowledges a leave only once a quorum of coordinators knows of it, in the replicated log and in
+ * their rosters.
+ */
 import {getQuorum} from '@mulberrypitch/control/replica-elections';
 import type {Peer} from '@mulberrypitch/control/types';
-import {NotFoundError, NotLeaderError} from '@mulberrypitch/errors/catalogue';
+import {codes, NotFoundError, NotLeaderError} from '@mulberrypitch/errors/catalogue';
+import {hasCode} from '@mulberrypitch/errors/coded-error';
 import type {Notification} from '@mulberrypitch/lifecycle/background';
 import {events} from '@mulberrypitch/logger/events';
 import type {Logger} from '@mulberrypitch/logger/logger';
 import type {BackendRoster} from '@mulberrypitch/serving/backend-roster';
 import type {AnnouncedBackend, BackendDeregistration} from '@mulberrypitch/serving/types';
+import type {Incarnation} from '@mulberrypitch/serving/view-messages';
 import type {Gossip} from './gossip.js';
 
 /** Dependencies of the registration. */
@@ -21,6 +26,8 @@
 	readonly isInTouch: () => boolean;
 	/** Returns the name of the leader, if one is known. */
 	readonly getLeader: () => string | undefined;
+	/** Resolves once the departure of an incarnation is committed to the replicated log. */
+	readonly recordDeparture: (departure: Incarnation) => Promise<void>;
 };
 
 /** Handles the calls of back ends at one coordinator. */
@@ -33,12 +40,12 @@
 
 	/**
 	Handles an announcement of a back end. One that affects routing is sent to the other coordinators before this resolves.
-	Throws `NotLeaderError` when the back end is leaving and either no quorum of coordinators could be informed or this
+	Throws `NotLeaderError` or another `CodedError` when the back end is leaving and either no quorum of coordinators could be informed or this
 	coordinator has no contact with a leader.
 	*/
 	async announce(backend: AnnouncedBackend): Promise<void> {
 		const {roster, logger, changes, gossip} = this.#options;
-		const {id, service, address, isLeaving} = backend;
+		const {id, service, address, isLeaving, startedAt} = backend;
 		const wasListed = roster.isListed(backend);
 		const isChanged = roster.announce(backend);
 		if (isChanged) {
@@ -47,7 +54,7 @@
 		}
 
 		if (isLeaving) {
-			await this.#confirmLeave(backend, wasListed);
+			await this.#confirmLeave({backend: id, startedAt}, wasListed);
 		} else if (isChanged) {
 			await gossip.flush();
 		}
@@ -57,37 +64,59 @@
 	Handles a notice that a back end is leaving, in the same way as an announcement that says so. Throws `NotFoundError` when the notice
 	names no start and this coordinator has not heard of the back end: it can't tell the others which incarnation leaves.
 	*/
-	async deregister(leave: BackendDeregistration): Promise<void> {
+	async deregister({id, startedAt: namedStart}: BackendDeregistration): Promise<void> {
 		const {roster, logger, changes} = this.#options;
-		const wasListed = roster.isListed(leave);
-		if (!wasListed && leave.startedAt === undefined) {
-			throw new NotFoundError(`Back end ${leave.id} is not known here, and its notice names no start.`, 'Send the notice to another coordinator.');
+		const startedAt = namedStart ?? roster.getStart(id);
+		if (startedAt === undefined) {
+			throw new NotFoundError(`Back end ${id} is not known here, and its notice names no start.`, 'Send the notice to another coordinator.');
 		}
 
-		if (roster.deregister(leave)) {
-			logger.log(events.backendRemoved, {backend: leave.id});
+		const wasListed = roster.isListed({id, startedAt});
+		if (roster.deregister({id, startedAt})) {
+			logger.log(events.backendRemoved, {backend: id});
 			changes.notify();
 		}
 
-		await this.#confirmLeave(leave, wasListed);
+		await this.#confirmLeave({backend: id, startedAt}, wasListed);
+	}
+
+	/** Marks a back end as leaving whose departure is committed, whichever coordinator took the notice, or before the last restart. */
+	applyDeparture(departure: Incarnation): void {
+		const {roster, logger, changes} = this.#options;
+		if (roster.markLeaving(departure)) {
+			logger.log(events.backendLeaving, {backend: departure.backend, isRecorded: true});
+			changes.notify();
+		}
 	}
 
 	/**
-	Resolves once a quorum of coordinators knows of a leave, so that all entries with a recent view stop sending requests, whichever coordinator
-	they call. Other ways by which this coordinator may have learned of the leave do not show that.
+	Resolves once the leave is in the replicated log and in the rosters of a quorum of coordinators. All entries with a recent view then stop sending
+	requests, whichever coordinator they call, and coordinators that restart know of it. Other ways by which this coordinator may have learned of
+	the leave do not show that.
 	*/
-	async #confirmLeave(leave: BackendDeregistration, wasListed: boolean): Promise<void> {
+	async #confirmLeave(leave: Incarnation, wasListed: boolean): Promise<void> {
 		const {roster, gossip, getOthers, isInTouch, getLeader, logger} = this.#options;
 		if (roster.isLeaveConfirmed(leave)) {
 			return;
 		}
 
-		const reachedCount = 1 + await gossip.flush();
-		if (reachedCount < getQuorum(getOthers().length + 1) || !isInTouch()) {
+		const [reachedOthers] = await Promise.all([gossip.flush(), this.#recordDeparture(leave)]);
+		if (1 + reachedOthers < getQuorum(getOthers().length + 1) || !isInTouch()) {
 			throw new NotLeaderError(getLeader());
 		}
 
 		roster.confirmLeave(leave);
-		logger.log(events.leaveAcknowledged, {backend: leave.id, startedAt: leave.startedAt, wasListed});
+		logger.log(events.leaveAcknowledged, {...leave, wasListed});
+	}
+
+	async #recordDeparture(leave: Incarnation): Promise<void> {
+		try {
+			await this.#options.recordDeparture(leave);
+		} catch (error) {
+			// A leader of an earlier version keeps no departures; refusing the notice until it is upgraded would cost more requests.
+			if (!hasCode(error, codes.protocol)) {
+				throw error;
+			}
+		}
 	}
 }
--- a/packages/mulberrypitch-coordinator/src/command-schema.ts
+++ b/packages/mulberrypitch-coordinator/src/command-schema.ts
@@ -16,6 +16,7 @@
 	z.strictObject({kind: z.literal('takeDuties'), holder: z.string()}),
 	z.strictObject({kind: z.literal('noteUsage'), window: integer, entries: z.record(z.string(), counts)}),
 	z.strictObject({kind: z.literal('recordUsage'), window: integer, counts}),
+	z.strictObject({kind: z.literal('recordDeparture'), backend: z.string(), startedAt: z.number()}),
 	z.strictObject({
 		kind: z.literal('recordOrder'),
 		order: z.strictObject({
--- a/packages/mulberrypitch-coordinator/src/coordinator.ts
+++ b/packages/mulberrypitch-coordinator/src/coordinator.ts
@@ -21,7 +21,7 @@
 	AnnouncedBackend, BackendDeregistration, ConfigurationDecoder, ServingConfiguration,
 } from '@mulberrypitch/serving/types';
 import {
-	methods, type ConfigurationRead, type StoredConfiguration, type ViewReply, type ViewRequest,
+	methods, type ConfigurationRead, type Incarnation, type StoredConfiguration, type ViewReply, type ViewRequest,
 } from '@mulberrypitch/serving/view-messages';
 import type {LogStore} from '@mulberrypitch/storage/types';
 import type {Schema, Transport} from '@mulberrypitch/transport/types';
@@ -36,6 +36,7 @@
 import type {RolloutConduct} from './rollout-duty.js';
 import {RolloutService} from './rollout-service.js';
 import {ServingState} from './serving-state.js';
+import {watchStorage} from './storage-watch.js';
 import {gossipRequestSchema, viewRequestSchema} from './status-schema.js';
 import {unchecked} from './unchecked-schema.js';
 import {SpeedSums} from './speed-sums.js';
@@ -93,7 +94,6 @@
 const confirmTimeoutMs = 700;
 const joinIntervalMs = 300;
 const expiryIntervalMs = 500;
-const storageWatchIntervalMs = 300;
 const snapshotIntervalEntries = 256;
 /** Time in milliseconds after its start for which an entry waits for a configuration that is certainly the newest. */
 const entryStartMs = 1000;
@@ -127,7 +127,9 @@
 		this.directory = new EntryDirectory(clock);
 		const epoch = randomUUID();
 		const origins = new OriginTable(clock);
-		this.roster = new BackendRoster({epoch, clock, announceIntervalMs: options.announceIntervalMs});
+		this.roster = new BackendRoster({
+			epoch, clock, announceIntervalMs: options.announceIntervalMs, hasDeparted: incarnation => this.#state.departures.has(incarnation),
+		});
 		this.#state = new ServingState({
 			onConfiguration: configuration => {
 				this.#applyConfiguration(configuration);
@@ -138,6 +140,9 @@
 			onRollouts: () => {
 				this.rollouts.update();
 			},
+			onDeparture: incarnation => {
+				this.#registration.applyDeparture(incarnation);
+			},
 		});
 		this.#replica = new Replica({
 			group,
@@ -186,6 +191,7 @@
 			getOthers: () => this.#getOthers(),
 			isInTouch: () => this.isInTouch,
 			getLeader: () => this.#replica.leader,
+			recordDeparture: async departure => this.#recordDeparture(departure),
 		});
 		this.#distribution = new ConfigurationDistribution({logger, metrics: options.metrics});
 		this.#views = new ViewService({
@@ -301,6 +307,13 @@
 		return isWithheld ? reply : {...reply, ...(configuration !== undefined && {configuration}), ...(configurationPart !== undefined && {configurationPart})};
 	}
 
+	/** Resolves once the departure of a back end is committed. */
+	async #recordDeparture(departure: Incarnation): Promise<void> {
+		if (!this.#state.departures.has(departure)) {
+			await this.#callLeader<CommandResult>(methods.propose, {kind: 'recordDeparture', ...departure});
+		}
+	}
+
 	#getOthers(): readonly Peer[] {
 		return this.#replica.getPeers().filter(({name}) => name !== this.#options.name);
 	}
@@ -372,24 +385,10 @@
 	the group, which then tolerates one failure less.
 	*/
 	async #runStorageWatch(signal: AbortSignal): Promise<void> {
-		const {clock, logger, probeStorage, onStorageRecovered} = this.#options;
-		while (!signal.aborted) {
-			await clock.sleep(storageWatchIntervalMs, signal);
-			if (signal.aborted || !this.#replica.hasStorageFailed) {
-				continue;
-			}
-
-			try {
-				await probeStorage();
-			} catch (error) {
-				logger.log(events.storageFailed, {reason: getMessage(error)});
-				continue;
-			}
-
-			logger.log(events.storageRecovered);
-			onStorageRecovered();
-			return;
-		}
+		const {probeStorage: probe, onStorageRecovered: onRecovered} = this.#options;
+		await watchStorage({
+			...this.#options, hasFailed: () => this.#replica.hasStorageFailed, probe, onRecovered,
+		}, signal);
 	}
 
 	#startTask(task: string, run: (signal: AbortSignal) => Promise<void>): void {
--- a/packages/mulberrypitch-coordinator/src/serving-state.ts
+++ b/packages/mulberrypitch-coordinator/src/serving-state.ts
@@ -1,4 +1,7 @@
-/** The replicated state of a deployment: its configuration, the holder of the duties, the usage, the fleet orders and the roll-outs. */
+/**
+ * The replicated state of a deployment: its configuration, the holder of the duties, the usage, the fleet orders, the roll-outs and the back ends that
+ * departed.
+ */
 import type {AccountRecord, ChainHead} from '@mulberrypitch/account/types';
 import {emptyHead} from '@mulberrypitch/account/chain';
 import type {
@@ -6,8 +9,9 @@
 } from '@mulberrypitch/control/types';
 import {assumeType} from '@mulberrypitch/errors/assume-type';
 import type {Rollout} from '@mulberrypitch/serving/rollout-messages';
-import type {StoredConfiguration, UsageCount} from '@mulberrypitch/serving/view-messages';
+import type {Incarnation, StoredConfiguration, UsageCount} from '@mulberrypitch/serving/view-messages';
 import type {LogEntry} from '@mulberrypitch/storage/types';
+import {DepartureTable} from './departure-table.js';
 import {RolloutTable, type RolloutCommand} from './rollout-table.js';
 
 /** Stores a configuration. It has no effect unless its version is higher than that of the stored one. */
@@ -56,13 +60,18 @@
 	readonly order: FleetOrder;
 };
 
+/** Records that an incarnation of a back end leaves, before this is acknowledged. */
+export type RecordDeparture = ProposedCommand & Incarnation & {
+	readonly kind: 'recordDeparture';
+};
+
 /** Marks the start of a leader's term. It has no effect on this state. */
 export type LeaderStart = ProposedCommand & {
 	readonly kind: 'leaderStarted';
 };
 
 /** A command that this state machine applies. */
-export type ServingCommand = PutConfiguration | TakeDuties | CheckpointUsage | RecordUsage | RecordOrder | RolloutCommand | LeaderStart;
+export type ServingCommand = PutConfiguration | TakeDuties | CheckpointUsage | RecordUsage | RecordOrder | RecordDeparture | RolloutCommand | LeaderStart;
 
 /** The holder of all duties. */
 export type DutyHolder = {
@@ -86,6 +95,8 @@
 	readonly orders: readonly FleetOrder[];
 	/** Absent from a snapshot of an earlier version. */
 	readonly rollouts?: readonly Rollout[];
+	/** Absent from a snapshot of an earlier version. */
+	readonly departures?: readonly Incarnation[];
 };
 
 /** Functions that are called when a part of the state has changed. */
@@ -93,6 +104,7 @@
 	readonly onConfiguration: (configuration: StoredConfiguration) => void;
 	readonly onDuties: (duties: DutyHolder) => void;
 	readonly onRollouts?: () => void;
+	readonly onDeparture?: (incarnation: Incarnation) => void;
 };
 
 /** Number of windows whose fixed usage is kept. */
@@ -106,6 +118,8 @@
 	readonly head: ChainHead = emptyHead;
 	/** The last roll-out of each service. */
 	readonly rollouts: RolloutTable;
+	/** The back ends that departed. */
+	readonly departures: DepartureTable;
 	readonly #onConfiguration: (configuration: StoredConfiguration) => void;
 	readonly #onDuties: (duties: DutyHolder) => void;
 	readonly #orders = new Map<string, FleetOrder>();
@@ -118,6 +132,7 @@
 		this.#onConfiguration = listeners.onConfiguration;
 		this.#onDuties = listeners.onDuties;
 		this.rollouts = new RolloutTable(() => listeners.onRollouts?.());
+		this.departures = new DepartureTable(incarnation => listeners.onDeparture?.(incarnation));
 	}
 
 	/** The committed configuration with the highest version. */
@@ -160,13 +175,14 @@
 			notes: this.#checkpoints,
 			orders: this.orders,
 			rollouts: this.rollouts.list(),
+			departures: this.departures.list(),
 		};
 	}
 
 	/** Replaces the state by that of a snapshot. */
 	restore(state: unknown): void {
 		const {
-			configuration, duties, usage, notes, orders, rollouts = [],
+			configuration, duties, usage, notes, orders, rollouts = [], departures = [],
 		} = assumeType<StateSnapshot>(state);
 		this.#usage = [...usage];
 		this.#checkpoints = notes;
@@ -176,6 +192,7 @@
 		}
 
 		this.rollouts.restore(rollouts);
+		this.departures.restore(departures);
 		this.#setDuties(duties);
 		if (configuration !== undefined) {
 			this.#setConfiguration(configuration);
@@ -211,6 +228,11 @@
 				return {};
 			}
 
+			case 'recordDeparture': {
+				this.departures.add({backend: command.backend, startedAt: command.startedAt});
+				return {};
+			}
+
 			case 'startRollout':
 			case 'advanceRollout': {
 				return this.rollouts.apply(command, index);
--- a/packages/mulberrypitch-serving/src/backend-roster.ts
+++ b/packages/mulberrypitch-serving/src/backend-roster.ts
@@ -56,6 +56,8 @@
 	readonly clock: Clock;
 	/** Interval in milliseconds between two announcements of one back end. */
 	readonly announceIntervalMs: number;
+	/** Reports whether an incarnation departed for good, by what outlives this roster; absent if nothing does. */
+	readonly hasDeparted?: (incarnation: Incarnation) => boolean;
 };
 
 /** Number of announcements that may be missed before a back end counts as gone. */
@@ -115,17 +117,21 @@
 		return record !== undefined && (startedAt === undefined || startedAt === record.backend.startedAt) && this.#endIncarnation(record);
 	}
 
+	/** Returns the start of the listed incarnation of a back end, or `undefined` if none is listed. */
+	getStart(id: string): number | undefined {
+		return this.#records.get(id)?.backend.startedAt;
+	}
+
 	/** Reports whether this coordinator has found that a quorum knows of the leave of an incarnation. */
-	isLeaveConfirmed({id, startedAt}: BackendDeregistration): boolean {
-		const record = this.#records.get(id);
-		return record?.confirmedLeave !== undefined && record.confirmedLeave === (startedAt ?? record.backend.startedAt);
+	isLeaveConfirmed({backend, startedAt}: Incarnation): boolean {
+		return this.#records.get(backend)?.confirmedLeave === startedAt;
 	}
 
 	/** Records that a quorum of coordinators knows of the leave of an incarnation. */
-	confirmLeave({id, startedAt}: BackendDeregistration): void {
-		const record = this.#records.get(id);
+	confirmLeave({backend, startedAt}: Incarnation): void {
+		const record = this.#records.get(backend);
 		if (record !== undefined) {
-			record.confirmedLeave = startedAt ?? record.backend.startedAt;
+			record.confirmedLeave = startedAt;
 		}
 	}
 
@@ -143,7 +149,8 @@
 	}
 
 	/** Merges an entry of another coordinator's roster. Returns whether it changed anything that affects routing. */
-	merge({backend: announced, isGone, isSilent = false, ageMs}: RosterEntry): boolean {
+	merge({backend: merged, isGone, isSilent = false, ageMs}: RosterEntry): boolean {
+		const announced = this.#addDeparture(merged);
 		const lastSeenAt = this.#options.clock.now() - ageMs;
 		const known = this.#records.get(announced.id);
 		if (known === undefined) {
@@ -236,6 +243,12 @@
 		return [...this.#records.values()].filter(({isGone, backend}) => !isGone && !backend.isLeaving).map(({backend}) => backend);
 	}
 
+	/** Returns an announcement as one of a back end that leaves if its incarnation departed for good. */
+	#addDeparture(announced: AnnouncedBackend): AnnouncedBackend {
+		const hasDeparted = this.#options.hasDeparted?.({backend: announced.id, startedAt: announced.startedAt}) === true;
+		return hasDeparted ? {...announced, isLeaving: true} : announced;
+	}
+
 	/**
 	Reports whether an announcement revives a back end that is gone: only if the back end is gone because its announcements stopped,
 	the announcement is newer, and no other back end has started at the same address since.
