Record a leave whose announcement a later one has overtaken

A back end that is leaving could be told so though nothing was recorded where its announcement came after one with a higher sequence number: the whole announcement was dropped as out of date, and acknowledged. A leave now holds for its incarnation whatever its sequence number.

--- a/packages/mulberrypitch-serving/src/backend-roster.ts
+++ b/packages/mulberrypitch-serving/src/backend-roster.ts
@@ -164,7 +164,8 @@
 		}
 
 		if (isOlder(announced, known.backend)) {
-			return false;
+			// A leave holds until the end of its incarnation, also if a later announcement has overtaken it on the way.
+			return announced.isLeaving && this.markLeaving({backend: announced.id, startedAt: announced.startedAt});
 		}
 
 		const isNewIncarnation = announced.startedAt > known.backend.startedAt;
