--- a/packages/mulberrypitch-coordinator/src/coordinator.ts
+++ b/packages/mulberrypitch-coordinator/src/coordinator.ts
@@ -33,6 +33,7 @@
 import {DutyRunner, type Duty} from './duty-runner.js';
 import {EntryDirectory} from './entry-directory.js';
 import {Gossip} from './gossip.js';
+import {runJoin} from './group-join.js';
 import type {RolloutConduct} from './rollout-duty.js';
 import {RolloutService} from './rollout-service.js';
 import {ServingState} from './serving-state.js';
@@ -92,7 +93,6 @@
 const group = 'serving';
 const forwardTimeoutMs = 900;
 const confirmTimeoutMs = 700;
-const joinIntervalMs = 300;
 const expiryIntervalMs = 500;
 const snapshotIntervalEntries = 256;
 /** Time in milliseconds after its start for which an entry waits for a configuration that is certainly the newest. */
@@ -254,7 +254,11 @@
 		this.#duties.start();
 		this.#resources.add(this.#duties);
 		this.#resources.add(this.rollouts).start();
-		this.#startTask('join', async signal => this.#runJoin(signal));
+		this.#startTask('join', async signal => runJoin({
+			...this.#options,
+			isNeeded: () => !(this.#replica.isVoter && this.#replica.isInTouch()),
+			getOthers: () => this.#getOthers(),
+		}, signal));
 		this.#startTask('expiry', async signal => this.#runExpiry(signal));
 		this.#startTask('storage', async signal => this.#runStorageWatch(signal));
 	}
@@ -348,31 +352,6 @@
 		return assumeType<Reply>(reply);
 	}
 
-	/** Asks the other coordinators to admit this one for as long as it is not a voter in contact with a leader. */
-	async #runJoin(signal: AbortSignal): Promise<void> {
-		const {name, getSeeds, clock} = this.#options;
-		while (!signal.aborted) {
-			await clock.sleep(joinIntervalMs, signal);
-			if (!signal.aborted && !(this.#replica.isVoter && this.#replica.isInTouch())) {
-				const candidates = new Set([...getSeeds(), ...this.#getOthers().map(peer => peer.name)]);
-				candidates.delete(name);
-				await Promise.all([...candidates].map(async other => this.#requestJoin(other)));
-			}
-		}
-	}
-
-	async #requestJoin(other: string): Promise<void> {
-		const {name, transport, getAddress} = this.#options;
-		try {
-			const {leader} = await transport.call<{readonly leader?: string}>(getAddress(other), methods.join, {name}, {timeoutMs: forwardTimeoutMs});
-			if (leader !== undefined && leader !== other && leader !== name) {
-				await transport.call(getAddress(leader), methods.join, {name}, {timeoutMs: forwardTimeoutMs});
-			}
-		} catch (error) {
-			this.#options.logger.log(events.joinRefused, {peer: other, reason: getMessage(error)});
-		}
-	}
-
 	async #runExpiry(signal: AbortSignal): Promise<void> {
 		while (!signal.aborted) {
 			await this.#options.clock.sleep(expiryIntervalMs, signal);
