Commit the leaves that back ends state in their responses, too

A back end that stated in its responses that it leaves got a request of a new entry after a restart of all processes: the statement was kept in memory only, and nobody had asked for an acknowledgement.

--- a/packages/mulberrypitch-coordinator/src/coordinator.ts
+++ b/packages/mulberrypitch-coordinator/src/coordinator.ts
@@ -30,6 +30,7 @@
 import {createCommandSchema} from './command-schema.js';
 import {ConfigurationDistribution, partRequestSchema} from './configuration-distribution.js';
 import {addCoordinatorGauges} from './coordinator-gauges.js';
+import {DepartureRecorder} from './departure-recorder.js';
 import {DutyRunner, type Duty} from './duty-runner.js';
 import {EntryDirectory} from './entry-directory.js';
 import {Gossip} from './gossip.js';
@@ -254,6 +255,12 @@
 		this.#duties.start();
 		this.#resources.add(this.#duties);
 		this.#resources.add(this.rollouts).start();
+		this.#resources.add(new DepartureRecorder({
+			...this.#options,
+			isLeader: () => this.#replica.hasLease(),
+			getLeaving: () => this.roster.getLeaving(),
+			record: async departure => this.#recordDeparture(departure),
+		})).start();
 		this.#startTask('join', async signal => runJoin({
 			...this.#options,
 			isNeeded: () => !(this.#replica.isVoter && this.#replica.isInTouch()),
--- a/packages/mulberrypitch-serving/src/backend-roster.ts
+++ b/packages/mulberrypitch-serving/src/backend-roster.ts
@@ -244,6 +244,13 @@
 		return [...this.#records.values()].filter(({isGone, backend}) => !isGone && !backend.isLeaving).map(({backend}) => backend);
 	}
 
+	/** Returns the listed incarnations that leave. */
+	getLeaving(): readonly Incarnation[] {
+		return [...this.#records.values()]
+			.filter(({backend}) => backend.isLeaving)
+			.map(({backend}) => ({backend: backend.id, startedAt: backend.startedAt}));
+	}
+
 	/** Returns an announcement as one of a back end that leaves if its incarnation departed for good. */
 	#addDeparture(announced: AnnouncedBackend): AnnouncedBackend {
 		const hasDeparted = this.#options.hasDeparted?.({backend: announced.id, startedAt: announced.startedAt}) === true;
