--- a/packages/mulberrypitch-coordinator/src/__tests__/departures.test.ts
+++ b/packages/mulberrypitch-coordinator/src/__tests__/departures.test.ts
@@ -90,12 +90,38 @@
 	await group.dispose();
 });
 
-// Guards against an acknowledgement that promises what nobody knows: a notice without a start may mean any incarnation.
-await t.test('a leave that names no start is not acknowledged by a coordinator that has not heard of the back end', async t => {
+// Guards against requests to a back end that took the answer to its notice as final, though the coordinator had not heard of it and recorded nothing.
+await t.test('a leave that names no start is acknowledged by a coordinator that has not heard of the back end, and holds for all starts up to then', async t => {
+	const group = await startGroup();
+	cut(group, ['a c', 'b c']);
+	await group.clock.runFor(1500);
+	const startedAt = group.clock.wallTime();
+	await group.settle(group.get('c').announce(createBackend({startedAt})));
+	t.equal(await group.settle(group.get('c').deregister({id: 'i-1'})), undefined, 'not behind the cut');
+	await group.clock.runFor(100);
+	t.ok(await group.settle(group.get('b').deregister({id: 'i-1'})));
+	await group.settle(group.get('b').announce(createBackend({startedAt, sequence: 2})));
+	t.same(getServing(group), []);
+	cut(group, []);
+	await group.clock.runFor(1500);
+	await group.settle(group.get('a').announce(createBackend({startedAt, sequence: 3})));
+	t.same(getServing(group), [], 'after the cut');
+	await group.settle(group.get('a').announce(createBackend({startedAt: group.clock.wallTime() + 1})));
+	t.equal(getServing(group).length, names.length, 'a later start');
+	await group.dispose();
+});
+
+// Guards against a notice without a start that is recorded only for the earlier incarnation that its coordinator lists.
+await t.test('a leave that names no start holds for an incarnation that only a coordinator behind a cut has heard of', async t => {
 	const group = await startGroup();
-	t.equal(await group.settle(group.get('b').deregister({id: 'i-1'})), undefined);
 	await group.settle(group.get('a').announce(createBackend()));
+	cut(group, ['a c', 'b c']);
+	await group.clock.runFor(1500);
+	await group.settle(group.get('c').announce(createBackend({startedAt: 200})));
 	t.ok(await group.settle(group.get('b').deregister({id: 'i-1'})));
+	await group.settle(group.get('a').announce(createBackend({startedAt: 200, sequence: 2})));
+	cut(group, []);
+	await group.clock.runFor(1500);
 	t.same(getServing(group), []);
 	await group.dispose();
 });
