Acknowledge a notice of departure that names no start wherever it arrives

A back end that had announced itself only to a coordinator that was cut off sent its notice, which has no body on the platform, to another one. That one had not heard of it and answered 404, which says that there is nothing to leave; the back end took it for the acknowledgement. Its next announcement there put it into use at all entries.

A notice that names no start now departs all incarnations that have started by the time at which it arrives: this is committed, told to a quorum and acknowledged whether the coordinator lists the back end or not, or lists an earlier incarnation only. Announcements of these incarnations that come later count as leaving everywhere; a later start serves.

--- a/packages/mulberrypitch-coordinator/src/__tests__/departure-table.test.ts
+++ b/packages/mulberrypitch-coordinator/src/__tests__/departure-table.test.ts
@@ -39,6 +39,7 @@
 	return new BackendRegistration({
 		roster: new BackendRoster({epoch: 'e', clock: new VirtualClock(), announceIntervalMs: 1000}),
 		gossip: assumeType<Gossip>({flush: async () => 0}),
+		clock: new VirtualClock(),
 		logger: new SilentLogger(),
 		changes: new Notification(),
 		getOthers: () => [],
--- a/packages/mulberrypitch-coordinator/src/backend-registration.ts
+++ b/packages/mulberrypitch-coordinator/src/backend-registration.ts
@@ -4,9 +4,10 @@
  */
 import {getQuorum} from '@mulberrypitch/control/replica-elections';
 import type {Peer} from '@mulberrypitch/control/types';
-import {codes, NotFoundError, NotLeaderError} from '@mulberrypitch/errors/catalogue';
+import {codes, NotLeaderError} from '@mulberrypitch/errors/catalogue';
 import {hasCode} from '@mulberrypitch/errors/coded-error';
 import type {Notification} from '@mulberrypitch/lifecycle/background';
+import type {Clock} from '@mulberrypitch/lifecycle/clock';
 import {events} from '@mulberrypitch/logger/events';
 import type {Logger} from '@mulberrypitch/logger/logger';
 import type {BackendRoster} from '@mulberrypitch/serving/backend-roster';
@@ -18,6 +19,7 @@
 export type BackendRegistrationOptions = {
 	readonly roster: BackendRoster;
 	readonly gossip: Gossip;
+	readonly clock: Clock;
 	readonly logger: Logger;
 	/** Notified when the roster changes. */
 	readonly changes: Notification;
@@ -61,18 +63,15 @@
 	}
 
 	/**
-	Handles a notice that a back end is leaving, in the same way as an announcement that says so. Throws `NotFoundError` when the notice
-	names no start and this coordinator has not heard of the back end: it can't tell the others which incarnation leaves.
+	Handles a notice that a back end is leaving, in the same way as an announcement that says so. A notice that names no start holds for all incarnations that
+	have started by now, since this coordinator may have heard of none or only of an earlier one.
 	*/
-	async deregister({id, startedAt: namedStart}: BackendDeregistration): Promise<void> {
-		const {roster, logger, changes} = this.#options;
-		const startedAt = namedStart ?? roster.getStart(id);
-		if (startedAt === undefined) {
-			throw new NotFoundError(`Back end ${id} is not known here, and its notice names no start.`, 'Send the notice to another coordinator.');
-		}
-
-		const wasListed = roster.isListed({id, startedAt});
-		if (roster.deregister({id, startedAt})) {
+	async deregister(notice: BackendDeregistration): Promise<void> {
+		const {roster, clock, logger, changes} = this.#options;
+		const {id} = notice;
+		const startedAt = notice.startedAt ?? clock.wallTime();
+		const wasListed = roster.isListed(notice);
+		if (roster.deregister(wasListed ? notice : {id, startedAt})) {
 			logger.log(events.backendRemoved, {backend: id});
 			changes.notify();
 		}
@@ -83,7 +82,7 @@
 	/** Marks a back end as leaving whose departure is committed, whichever coordinator took the notice, or before the last restart. */
 	applyDeparture(departure: Incarnation): void {
 		const {roster, logger, changes} = this.#options;
-		if (roster.markLeaving(departure)) {
+		if (roster.markDeparted(departure)) {
 			logger.log(events.backendLeaving, {backend: departure.backend, isRecorded: true});
 			changes.notify();
 		}
--- a/packages/mulberrypitch-coordinator/src/coordinator.ts
+++ b/packages/mulberrypitch-coordinator/src/coordinator.ts
@@ -187,6 +187,7 @@
 		this.#registration = new BackendRegistration({
 			roster: this.roster,
 			gossip: this.#gossip,
+			clock,
 			logger,
 			changes: this.#changes,
 			getOthers: () => this.#getOthers(),
--- a/packages/mulberrypitch-serving/src/backend-roster.ts
+++ b/packages/mulberrypitch-serving/src/backend-roster.ts
@@ -117,11 +117,6 @@
 		return record !== undefined && (startedAt === undefined || startedAt === record.backend.startedAt) && this.#endIncarnation(record);
 	}
 
-	/** Returns the start of the listed incarnation of a back end, or `undefined` if none is listed. */
-	getStart(id: string): number | undefined {
-		return this.#records.get(id)?.backend.startedAt;
-	}
-
 	/** Reports whether this coordinator has found that a quorum knows of the leave of an incarnation. */
 	isLeaveConfirmed({backend, startedAt}: Incarnation): boolean {
 		return this.#records.get(backend)?.confirmedLeave === startedAt;
@@ -148,6 +143,12 @@
 		return true;
 	}
 
+	/** Marks a back end as leaving whose listed incarnation, or a later one, departed. Returns whether it was listed as serving. */
+	markDeparted({backend, startedAt}: Incarnation): boolean {
+		const listedStart = this.#records.get(backend)?.backend.startedAt;
+		return listedStart !== undefined && listedStart <= startedAt && this.markLeaving({backend, startedAt: listedStart});
+	}
+
 	/** Merges an entry of another coordinator's roster. Returns whether it changed anything that affects routing. */
 	merge({backend: merged, isGone, isSilent = false, ageMs}: RosterEntry): boolean {
 		const announced = this.#addDeparture(merged);
