Limit what all clients together can make a process hold

Clients ended processes or filled their memory: a coordinator by 24 bodies in chunks of a byte, an entry by 24 connections with requests sent ahead, both far beyond their machines' memory by 96 bodies inside the limit of one that stopped short of their end (442 and 835 MiB of 210 and 256); 400 silent connections took 425 descriptors. Each request was limited, and nothing limited all of them; what was held went by the number of parts and requests that a client chose, not by bytes.

ClientConnections limits the connections of a server, and the requests in progress or waiting on all and on each of them. BodyStore limits the memory of all bodies, reads them into blocks that are used again, and reads only a few at once that arrive in thousands of tiny parts. What began first and has not come to its end yields: a body with 503 and Retry-After (it has not run), a connection by being closed.

--- a/packages/mulberrypitch-entry/src/caller-routes.ts
+++ b/packages/mulberrypitch-entry/src/caller-routes.ts
@@ -1,5 +1,6 @@
 /** HTTP handlers for callers: completions, calls of plain services, and reading an answer again. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {BodyStore} from '@mulberrypitch/lifecycle/body-store';
 import {abortReason} from '@mulberrypitch/lifecycle/abort-reason';
 import {BadRequestError, NotFoundError, UnauthorizedError} from '@mulberrypitch/errors/catalogue';
 import type {ServiceConfiguration, SharedConfiguration, Workspace} from '@mulberrypitch/config/types';
@@ -23,6 +24,8 @@
 /** Dependencies of the handlers. */
 export type CallerContext = {
 	readonly requests: CallerRequests;
+	/** Holds the bodies of the requests that are being handled. */
+	readonly bodies: BodyStore;
 	/** The responses to accepted requests, for which a planned stop waits. */
 	readonly responses: OpenResponses;
 	readonly getConfiguration: () => SharedConfiguration;
@@ -39,7 +42,7 @@
 export async function answerCompletion(context: CallerContext, request: IncomingMessage, response: ServerResponse, path: string): Promise<void> {
 	const configuration = context.getConfiguration();
 	const workspace = getWorkspace(request, configuration);
-	const text = await readBody(request);
+	const text = await readBody(request, context.bodies);
 	const body = parseJson(text);
 	const service = requireService(configuration, workspace, typeof body.model === 'string' ? body.model : '', 'engine');
 	const accepted = await context.requests.submit({
@@ -76,7 +79,7 @@
 		workspace,
 		service,
 		body: {
-			method, path: `/${segments.join('/')}`, contentType: request.headers['content-type'] ?? 'application/json', text: await readBody(request),
+			method, path: `/${segments.join('/')}`, contentType: request.headers['content-type'] ?? 'application/json', text: await readBody(request, context.bodies),
 		},
 		...getIdempotencyKey(request),
 		isIdempotent: method === 'GET' || service.idempotentPaths.includes(segments[0]?.split('?')[0] ?? ''),
--- a/packages/mulberrypitch-entry/src/entry-server.ts
+++ b/packages/mulberrypitch-entry/src/entry-server.ts
@@ -2,7 +2,10 @@
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
 import {assumeType} from '@mulberrypitch/errors/assume-type';
 import polka, {type Polka} from 'polka';
+import {BodyStore} from '@mulberrypitch/lifecycle/body-store';
 import {breakOff} from '@mulberrypitch/lifecycle/break-off';
+import {ClientConnections} from '@mulberrypitch/lifecycle/client-connections';
+import {defaultClientLimits} from '@mulberrypitch/lifecycle/client-limits';
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
 import {listenOn, splitAddress} from '@mulberrypitch/lifecycle/listen';
 import type {Random} from '@mulberrypitch/lifecycle/random';
@@ -76,6 +79,7 @@
 	readonly #callerContext: CallerContext;
 	readonly #burn: BurnRecorder;
 	readonly #responses: OpenResponses;
+	readonly #bodies = new BodyStore(defaultClientLimits);
 	#isDraining = false;
 
 	constructor(options: EntryServerOptions) {
@@ -85,10 +89,11 @@
 		this.#callerContext = {
 			requests: new MeasuredRequests(options.requests, this.#burn, options.clock),
 			responses: this.#responses,
+			bodies: this.#bodies,
 			// Unlike the option of the same name, this throws `NoConfigurationError` before the first configuration has arrived.
 			getConfiguration: () => this.#requireConfiguration(),
 		};
-		this.#server = http.createServer({maxHeaderSize: maxHeaderBytes});
+		this.#server = http.createServer({maxHeaderSize: maxHeaderBytes, requireHostHeader: false});
 		this.#server.maxHeadersCount = maxHeaderCount;
 		this.#server.headersTimeout = headersTimeoutMs;
 		this.#server.requestTimeout = requestTimeoutMs;
@@ -105,7 +110,9 @@
 			}
 		});
 		// Polka attaches its handler in its own `listen()`, which is not used here, so the handler is attached explicitly.
-		this.#server.on('request', assumeType<http.RequestListener>(app.handler));
+		const connections = new ClientConnections(defaultClientLimits);
+		connections.watch(this.#server);
+		this.#server.on('request', connections.limit(assumeType<http.RequestListener>(app.handler)));
 	}
 
 	/** Number of answers that callers are receiving, whichever host holds the request. */
@@ -195,6 +202,8 @@
 				await route(request, response);
 			} catch (error) {
 				this.#handleError(request, response, error);
+			} finally {
+				this.#bodies.release(request);
 			}
 		});
 	}
@@ -213,7 +222,7 @@
 			return;
 		}
 
-		if (hasCode(error, codes.tooLarge)) {
+		if (!request.complete) {
 			// The server would go on to read the rest of the body.
 			response.setHeader('connection', 'close');
 		}
@@ -258,7 +267,7 @@
 	/** Handles the announcement of a back end. Replies with the list of entry hosts. */
 	async #announce(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		requireToken(request, this.#options.settings.backendToken);
-		const parsed = announcementSchema.safeParse(parseJson(await readBody(request)));
+		const parsed = announcementSchema.safeParse(parseJson(await readBody(request, this.#bodies)));
 		if (!parsed.success) {
 			const issue = parsed.error.issues[0]!;
 			throw new BadRequestError(`Field "${issue.path.join('.')}": ${issue.message}.`);
@@ -269,7 +278,7 @@
 	}
 
 	async #applyConfiguration(request: IncomingMessage, response: ServerResponse): Promise<void> {
-		const parsed = configurationChangeSchema.safeParse(parseJson(await readBody(request)));
+		const parsed = configurationChangeSchema.safeParse(parseJson(await readBody(request, this.#bodies)));
 		if (!parsed.success) {
 			const issue = parsed.error.issues[0]!;
 			throw new BadRequestError(`Field "${issue.path.join('.')}": ${issue.message}.`);
--- a/packages/mulberrypitch-entry/src/http-reply.ts
+++ b/packages/mulberrypitch-entry/src/http-reply.ts
@@ -2,11 +2,14 @@
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {CodedError} from '@mulberrypitch/errors/coded-error';
+import type {BodyStore} from '@mulberrypitch/lifecycle/body-store';
 import {
-	BadRequestError, codes, InternalError, TooLargeError,
+	BadRequestError, codes, InternalError, OverloadedError, TooLargeError,
 } from '@mulberrypitch/errors/catalogue';
 
 const maxBodyBytes = 1024 * 1024;
+/** Time in seconds after which a request that found too many bodies may be sent again. */
+const crowdedRetrySeconds = 1;
 
 /** HTTP status of each error code that does not lead to status 500. */
 const statusByCode: Readonly<Record<string, number>> = {
@@ -32,26 +35,21 @@
 };
 
 /**
-Reads the body of a request as UTF-8 text. Throws `TooLargeError` when it is larger than 1 MiB.
+Reads the body of a request as UTF-8 text. Throws `TooLargeError` when it is larger than 1 MiB, and `OverloadedError` when the bodies of all requests together
+take too much memory.
 
 @example
 ```
-const text = await readBody(request);
+const text = await readBody(request, bodies);
 ```
 */
-export async function readBody(request: IncomingMessage): Promise<string> {
-	const parts: Uint8Array[] = [];
-	let length = 0;
-	for await (const part of request as AsyncIterable<Uint8Array>) {
-		length += part.length;
-		if (length > maxBodyBytes) {
-			throw new TooLargeError('The request body', maxBodyBytes);
-		}
-
-		parts.push(part);
+export async function readBody(request: IncomingMessage, bodies: BodyStore): Promise<string> {
+	const stored = await bodies.read(request, maxBodyBytes);
+	if (stored.kind === 'whole') {
+		return Buffer.from(stored.body).toString();
 	}
 
-	return Buffer.concat(parts).toString();
+	throw stored.kind === 'tooLong' ? new TooLargeError('The request body', maxBodyBytes) : new OverloadedError('Too many bodies are being sent.', crowdedRetrySeconds);
 }
 
 /**
@@ -59,7 +57,7 @@
 
 @example
 ```
-const body = parseJson(await readBody(request));
+const body = parseJson(await readBody(request, bodies));
 ```
 */
 export function parseJson(text: string): Record<string, unknown> {
--- a/packages/mulberrypitch-proxy/src/__tests__/proxy-server.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/proxy-server.test.ts
@@ -1,6 +1,7 @@
 /** Tests requests that arrive before a restarted entry has received its configuration, since callers reconnect that early. */
 import http from 'node:http';
 import t, {type Test} from 'tap';
+import {defaultClientLimits} from '@mulberrypitch/lifecycle/client-limits';
 import {assumeType} from '@mulberrypitch/errors/assume-type';
 import {VirtualClock} from '@mulberrypitch/fakes/virtual-clock';
 import {SeededRandom} from '@mulberrypitch/lifecycle/random';
@@ -19,6 +20,7 @@
 	const server = new ProxyServer(assumeType<ProxyServerOptions>({
 		listen: `${host}:0`,
 		names: {attemptId: 'x-attempt'},
+		clientLimits: defaultClientLimits,
 		clock,
 		random: new SeededRandom(1),
 		logger: {
--- a/packages/mulberrypitch-proxy/src/caller-request.ts
+++ b/packages/mulberrypitch-proxy/src/caller-request.ts
@@ -1,9 +1,8 @@
 /** Reads the headers and the body of a caller's request. */
-import {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
-import {assumeType} from '@mulberrypitch/errors/assume-type';
 import {codes, TimeoutError} from '@mulberrypitch/errors/catalogue';
 import {hasCode} from '@mulberrypitch/errors/coded-error';
+import type {BodyStore, StoredBody} from '@mulberrypitch/lifecycle/body-store';
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
 import {withTimeout} from '@mulberrypitch/lifecycle/with-timeout';
 import type {Route, Workspace} from '@mulberrypitch/serving/types';
@@ -146,14 +145,15 @@
 
 /** The body of a request, or why it can't be read. */
 export type BodyRead
-	= | {readonly kind: 'whole'; readonly body: Uint8Array}
-		| {readonly kind: 'tooLong'}
+	= | StoredBody
 	/** The caller did not send all of it in time. */
 		| {readonly kind: 'late'};
 
 /** Limits on the body of a request. */
 export type BodyLimits = {
 	readonly clock: Clock;
+	/** Holds the body until the end of the request. */
+	readonly bodies: BodyStore;
 	readonly maxBytes: number;
 	/** Time in milliseconds that the caller has left to send it. */
 	readonly maxWaitMs: number;
@@ -164,13 +164,12 @@
 
 @example
 ```
-const read = await readBody(request, {clock, maxBytes: 1024, maxWaitMs: 3000});
+const read = await readBody(request, {clock, bodies, maxBytes: 1024, maxWaitMs: 3000});
 ```
 */
-export async function readBody(request: IncomingMessage, {clock, maxBytes, maxWaitMs}: BodyLimits): Promise<BodyRead> {
+export async function readBody(request: IncomingMessage, {clock, bodies, maxBytes, maxWaitMs}: BodyLimits): Promise<BodyRead> {
 	try {
-		const body = await withTimeout(clock, readWhole(request, maxBytes), maxWaitMs, () => new TimeoutError('The caller', maxWaitMs));
-		return body === undefined ? {kind: 'tooLong'} : {kind: 'whole', body};
+		return await withTimeout(clock, bodies.read(request, maxBytes), maxWaitMs, () => new TimeoutError('The caller', maxWaitMs));
 	} catch (error) {
 		if (!hasCode(error, codes.timeout)) {
 			throw error;
@@ -179,20 +178,3 @@
 		return {kind: 'late'};
 	}
 }
-
-/** Returns the whole body, or `undefined` when it is longer than the limit in bytes. */
-async function readWhole(request: IncomingMessage, limitBytes: number): Promise<Uint8Array | undefined> {
-	const parts: Uint8Array[] = [];
-	let lengthBytes = 0;
-	for await (const part of request) {
-		const data = assumeType<Uint8Array>(part);
-		lengthBytes += data.length;
-		if (lengthBytes > limitBytes) {
-			return undefined;
-		}
-
-		parts.push(data);
-	}
-
-	return parts.length === 1 ? parts[0]! : Buffer.concat(parts);
-}
--- a/packages/mulberrypitch-proxy/src/caller-server.ts
+++ b/packages/mulberrypitch-proxy/src/caller-server.ts
@@ -1,7 +1,7 @@
 /** Creates the HTTP server for callers and applies the configured timeouts to it. */
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
 import type {Duplex} from 'node:stream';
-import type {Socket} from 'node:net';
+import type {ClientConnections} from '@mulberrypitch/lifecycle/client-connections';
 import type {CallerLimits} from '@mulberrypitch/serving/types';
 
 /** Size in bytes beyond which the HTTP parser itself rejects headers; the configured limit is checked afterwards. */
@@ -15,8 +15,8 @@
 
 /** Handlers of a server for callers. */
 export type CallerServerOptions = {
-	/** Holds the open connections. */
-	readonly sockets: Set<Socket>;
+	/** Holds and limits the open connections. */
+	readonly connections: ClientConnections;
 	readonly onRequest: (request: IncomingMessage, response: ServerResponse) => void;
 	readonly onMalformed: (error: Error & {code?: string}, socket: Duplex) => void;
 };
@@ -26,19 +26,14 @@
 
 @example
 ```
-const server = createCallerServer({sockets, onRequest, onMalformed});
+const server = createCallerServer({connections, onRequest, onMalformed});
 ```
 */
-export function createCallerServer({sockets, onRequest, onMalformed}: CallerServerOptions): http.Server {
+export function createCallerServer({connections, onRequest, onMalformed}: CallerServerOptions): http.Server {
 	const server = http.createServer({
-		maxHeaderSize: maxHeaderBytes, keepAliveTimeout: defaultLimits.idleTimeoutMs + keepAliveMarginMs, requestTimeout: 0,
-	}, onRequest);
-	server.on('connection', socket => {
-		sockets.add(socket);
-		socket.once('close', () => {
-			sockets.delete(socket);
-		});
-	});
+		maxHeaderSize: maxHeaderBytes, keepAliveTimeout: defaultLimits.idleTimeoutMs + keepAliveMarginMs, requestTimeout: 0, requireHostHeader: false,
+	}, connections.limit(onRequest));
+	connections.watch(server);
 	server.on('clientError', onMalformed);
 	return server;
 }
--- a/packages/mulberrypitch-proxy/src/entry-gauges.ts
+++ b/packages/mulberrypitch-proxy/src/entry-gauges.ts
@@ -40,6 +40,8 @@
 	} = parts;
 	metrics.gauge('mulberrypitch_entry_ready', 'One while the entry takes callers.', () => parts.isReady() ? 1 : 0);
 	metrics.gauge('mulberrypitch_entry_running', 'Requests in progress.', () => server.running);
+	metrics.gauge('mulberrypitch_entry_caller_connections', 'Open connections of callers.', () => server.connectionCount);
+	metrics.gauge('mulberrypitch_entry_body_bytes', 'Memory that the bodies of requests take.', () => server.bodyBytes);
 	metrics.gauge('mulberrypitch_entry_configuration_version', 'Configuration in force.', () => configuration.table?.configuration.version ?? 0);
 	metrics.gauge('mulberrypitch_entry_view_age_seconds', 'Age of what the coordinators said.', () => Math.min(view.ageMs, maxViewAgeMs) / 1000);
 	metrics.gauge('mulberrypitch_entry_backends', 'Back ends that may be given requests.', () => backends.getCounts().serving);
--- a/packages/mulberrypitch-proxy/src/entry.ts
+++ b/packages/mulberrypitch-proxy/src/entry.ts
@@ -3,6 +3,7 @@
  * the coordinators.
  */
 import {randomUUID} from 'node:crypto';
+import {defaultClientLimits, type ClientLimits} from '@mulberrypitch/lifecycle/client-limits';
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
 import {BackgroundTask} from '@mulberrypitch/lifecycle/background';
 import {DisposableStore, type Resource} from '@mulberrypitch/lifecycle/disposable-store';
@@ -51,6 +52,8 @@
 	/** Returns the currently configured peer addresses of the coordinators. */
 	readonly getSeeds: () => readonly string[];
 	readonly names: HeaderNames;
+	/** Limits on what callers can make the entry hold; the defaults if absent. */
+	readonly clientLimits?: ClientLimits;
 	readonly transport: Transport;
 	readonly clock: Clock;
 	readonly random: Random;
@@ -202,6 +205,7 @@
 			...(options.listener !== undefined && {listener: options.listener}),
 			zone,
 			names,
+			clientLimits: options.clientLimits ?? defaultClientLimits,
 			clock,
 			random,
 			logger,
--- a/packages/mulberrypitch-proxy/src/proxy-server-options.ts
+++ b/packages/mulberrypitch-proxy/src/proxy-server-options.ts
@@ -1,4 +1,5 @@
 /** Dependencies and settings of the proxy server. */
+import type {ClientLimits} from '@mulberrypitch/lifecycle/client-limits';
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
 import type {EarlyListener} from '@mulberrypitch/lifecycle/early-listener';
 import type {Random} from '@mulberrypitch/lifecycle/random';
@@ -27,6 +28,7 @@
 	/** Availability zone of the entry. */
 	readonly zone: string;
 	readonly names: HeaderNames;
+	readonly clientLimits: ClientLimits;
 	readonly clock: Clock;
 	readonly random: Random;
 	readonly logger: Logger;
--- a/packages/mulberrypitch-proxy/src/proxy-server.ts
+++ b/packages/mulberrypitch-proxy/src/proxy-server.ts
@@ -1,8 +1,9 @@
 /** The HTTP server for callers, which admits their requests and handles each one as a `ProxiedRequest`. */
 import type http from 'node:http';
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {Socket} from 'node:net';
 import {breakOff} from '@mulberrypitch/lifecycle/break-off';
+import {BodyStore} from '@mulberrypitch/lifecycle/body-store';
+import {ClientConnections} from '@mulberrypitch/lifecycle/client-connections';
 import type {Resource} from '@mulberrypitch/lifecycle/disposable-store';
 import {listenOn, splitAddress} from '@mulberrypitch/lifecycle/listen';
 import {getMessage} from '@mulberrypitch/errors/coded-error';
@@ -44,7 +45,8 @@
 	readonly #services: ServiceTraffics;
 	readonly #replies: LocalReplies;
 	readonly #completion: RequestCompletion;
-	readonly #sockets = new Set<Socket>();
+	readonly #connections: ClientConnections;
+	readonly #bodies: BodyStore;
 	readonly #startup: StartupWait;
 	readonly #requests = new RequestsInProgress();
 	readonly #order = new RequestOrder();
@@ -57,14 +59,18 @@
 	constructor(options: ProxyServerOptions) {
 		const {names, random, logger, metrics} = options;
 		this.#options = options;
+		this.#connections = new ClientConnections(options.clientLimits);
+		this.#bodies = new BodyStore(options.clientLimits);
 		this.#startup = new StartupWait(options.clock, options.getTable);
 		this.#services = new ServiceTraffics(options);
 		this.#stopWindow = new StopWindow(options.clock, logger, route => {
 			const now = options.clock.now();
 			return this.#requests.listArrivals(route).map(arrivedAt => now - arrivedAt);
 		});
-		this.#preparation = new RequestPreparation({...options, startup: this.#startup, stopWindow: this.#stopWindow});
-		this.#forwarding = new RequestForwarding(options);
+		this.#preparation = new RequestPreparation({
+			...options, startup: this.#startup, stopWindow: this.#stopWindow, bodies: this.#bodies,
+		});
+		this.#forwarding = new RequestForwarding({...options, getConnectionHeaders: response => this.#getConnectionHeaders(response)});
 		this.#resumption = new StreamResumption(options);
 		this.#replies = new LocalReplies({
 			attemptHeader: names.attemptId,
@@ -85,7 +91,7 @@
 			},
 		});
 		this.#server = createCallerServer({
-			sockets: this.#sockets,
+			connections: this.#connections,
 			onRequest: (request, response) => {
 				void this.#handle(request, response);
 			},
@@ -100,6 +106,16 @@
 		return this.#requests.size;
 	}
 
+	/** Number of open connections of callers. */
+	get connectionCount(): number {
+		return this.#connections.size;
+	}
+
+	/** Bytes of memory that the bodies of callers' requests take. */
+	get bodyBytes(): number {
+		return this.#bodies.heldBytes;
+	}
+
 	/** Starts to listen, and resolves with the port. */
 	async listen(): Promise<number> {
 		const {listen, listener} = this.#options;
@@ -157,9 +173,7 @@
 				resolve();
 			});
 			this.#requests.breakOff();
-			for (const socket of this.#sockets) {
-				socket.destroy();
-			}
+			this.#connections.closeAll();
 		});
 	}
 
@@ -179,6 +193,7 @@
 			}
 		} finally {
 			this.#requests.remove(response);
+			this.#bodies.release(request);
 		}
 	}
 
@@ -214,8 +229,8 @@
 		const signal = watchCaller(response);
 		this.#requests.setRoute(response, route.name);
 		if (this.#forwarding.isCutOff && !isTaken) {
-			const end = await this.#passOn(request, response, {
-				prepared, timing, signal, service: chooseService(route, this.#options.random),
+			const end = await this.#forwarding.passOn({
+				request, response, prepared, timing, signal, service: chooseService(route, this.#options.random),
 			});
 			this.#completion.complete(request, response, end, {...facts, ...timing.read()});
 			return;
@@ -266,33 +281,13 @@
 		}
 
 		const end = isPassedOn
-			? await this.#passOn(request, response, {
-				prepared, timing, signal, service,
+			? await this.#forwarding.passOn({
+				request, response, prepared, timing, signal, service,
 			})
 			: ownEnd;
 		this.#completion.complete(request, response, end, {...facts, ...timing.read(), ...relay.getBodyFacts()});
 	}
 
-	/** Passes a request on to another entry, which counts it and records where its stream begins. */
-	async #passOn(request: IncomingMessage, response: ServerResponse, {prepared, timing, signal, service}: {
-		readonly prepared: PreparedRequest;
-		readonly timing: ResponseTiming;
-		readonly signal: AbortSignal;
-		readonly service: string;
-	}): Promise<RequestEnd> {
-		const relay = new ResponseRelay(response, {
-			isResumable: prepared.route.isResumable,
-			timing,
-			onStarted() {
-				// The other entry records it.
-			},
-			getExtraHeaders: () => this.#getConnectionHeaders(response),
-		});
-		return this.#forwarding.passOn({
-			request, prepared, service, relay, signal,
-		});
-	}
-
 	async #run(request: IncomingMessage, response: ServerResponse, admitted: PreparedRequest & {
 		readonly arrivedAt: number;
 		readonly service: string;
--- a/packages/mulberrypitch-proxy/src/request-forwarding.ts
+++ b/packages/mulberrypitch-proxy/src/request-forwarding.ts
@@ -1,5 +1,5 @@
 /** Decides which requests pass between this entry and others while one of them reaches no back end. */
-import type {IncomingMessage} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
 import type {Logger} from '@mulberrypitch/logger/logger';
 import {requestKinds} from '@mulberrypitch/serving/types';
@@ -12,7 +12,9 @@
 import type {PeerEntries} from './peer-entries.js';
 import type {RequestEnd} from './proxied-request-options.js';
 import type {PreparedRequest} from './request-preparation.js';
-import type {ResponseRelay} from './response-relay.js';
+import type {Header} from './response-head.js';
+import {ResponseRelay} from './response-relay.js';
+import type {ResponseTiming} from './response-timing.js';
 import type {HeaderNames} from './types.js';
 
 /** Dependencies of the forwarding. */
@@ -23,14 +25,17 @@
 	readonly clock: Clock;
 	readonly logger: Logger;
 	readonly metrics: MetricsRegistry;
+	/** Returns the connection headers that a response carries at the moment. */
+	readonly getConnectionHeaders: (response: ServerResponse) => readonly Header[];
 };
 
 /** A request that is passed on. */
 export type PassedRequest = {
 	readonly request: IncomingMessage;
+	readonly response: ServerResponse;
 	readonly prepared: PreparedRequest;
 	readonly service: string;
-	readonly relay: ResponseRelay;
+	readonly timing: ResponseTiming;
 	/** Aborts when the caller disconnects. */
 	readonly signal: AbortSignal;
 };
@@ -84,10 +89,20 @@
 		this.#taken -= 1;
 	}
 
-	/** Passes a request on, and returns how it ended. */
-	async passOn({request, prepared, service, relay, signal}: PassedRequest): Promise<RequestEnd> {
-		const {names, clock, logger, peers, metrics} = this.#options;
+	/** Passes a request on to another entry, which counts it and records where its stream begins. Returns how it ended. */
+	async passOn({request, response, prepared, service, timing, signal}: PassedRequest): Promise<RequestEnd> {
+		const {
+			names, clock, logger, peers, metrics, getConnectionHeaders,
+		} = this.#options;
 		const {body, route, deadlineAt} = prepared;
+		const relay = new ResponseRelay(response, {
+			isResumable: route.isResumable,
+			timing,
+			onStarted() {
+				// The other entry records it.
+			},
+			getExtraHeaders: () => getConnectionHeaders(response),
+		});
 		const forwarded = new ForwardedRequest({
 			attemptId: getHeader(request, names.attemptId),
 			caller: {method: request.method!, path: request.url!, headers: getHeaders(request)},
--- a/packages/mulberrypitch-proxy/src/request-preparation.ts
+++ b/packages/mulberrypitch-proxy/src/request-preparation.ts
@@ -1,5 +1,6 @@
 /** Prepares a caller's request for being sent: admits it, reads its body, and checks that its contents and the time left allow it. */
 import type {IncomingMessage} from 'node:http';
+import type {BodyStore} from '@mulberrypitch/lifecycle/body-store';
 import type {RouteTable} from '@mulberrypitch/serving/route-table';
 import type {Route, Workspace} from '@mulberrypitch/serving/types';
 import {admitRequest} from './admission.js';
@@ -35,6 +36,7 @@
 
 /** Dependencies of the preparation. */
 export type RequestPreparationOptions = Pick<ProxyServerOptions, 'names' | 'clock' | 'quarantine'> & {
+	readonly bodies: BodyStore;
 	readonly startup: StartupWait;
 	readonly stopWindow: StopWindow;
 };
@@ -49,7 +51,7 @@
 
 	/** Prepares a request, which arrived at the given monotonic time in milliseconds. */
 	async prepare(request: IncomingMessage, arrivedAt: number): Promise<Preparation> {
-		const {names, clock, startup, stopWindow} = this.#options;
+		const {names, clock, startup, stopWindow, bodies} = this.#options;
 		const table = await startup.waitForTable();
 		if (table === undefined) {
 			return reject({status: 503, reason: 'no configuration yet', retryAfterSeconds: minRetryAfterSeconds});
@@ -70,10 +72,10 @@
 		}
 
 		const read = await readBody(request, {
-			clock, maxBytes: table.configuration.limits.maxBodyBytes, maxWaitMs: deadlineAt - clock.now(),
+			clock, bodies, maxBytes: table.configuration.limits.maxBodyBytes, maxWaitMs: deadlineAt - clock.now(),
 		});
 		if (read.kind !== 'whole') {
-			return reject(read.kind === 'late' ? {status: 408, reason: 'body late'} : {status: 413, reason: 'body too large'});
+			return reject(bodyRefusals[read.kind]);
 		}
 
 		const {body} = read;
@@ -108,6 +110,13 @@
 	}
 }
 
+/** Replies to requests whose bodies were not read to the end. */
+const bodyRefusals = {
+	late: {status: 408, reason: 'body late'},
+	tooLong: {status: 413, reason: 'body too large'},
+	crowded: {status: 503, reason: 'too many bodies at once', retryAfterSeconds: minRetryAfterSeconds},
+} as const satisfies Record<string, LocalReply>;
+
 function reject(reply: LocalReply): Preparation {
 	return {kind: 'rejected', reply};
 }
