--- a/packages/mulberrypitch-coordinator/src/__tests__/coordinator-group.ts
+++ b/packages/mulberrypitch-coordinator/src/__tests__/coordinator-group.ts
@@ -1,5 +1,6 @@
 /** A group of coordinators on virtual time, for tests. */
 import {AccountStore} from '@mulberrypitch/account/account-store';
+import {MemoryDisk} from '@mulberrypitch/fakes/memory-disk';
 import {MemoryNetwork, type MemoryTransport} from '@mulberrypitch/fakes/memory-transport';
 import {VirtualClock} from '@mulberrypitch/fakes/virtual-clock';
 import {SeededRandom} from '@mulberrypitch/lifecycle/random';
@@ -8,8 +9,8 @@
 import {BadRequestError, StorageError} from '@mulberrypitch/errors/catalogue';
 import type {ServingConfiguration} from '@mulberrypitch/serving/types';
 import {MetricsRegistry} from '@mulberrypitch/metrics/registry';
+import {FileLog} from '@mulberrypitch/storage/file-log';
 import {MemoryLog} from '@mulberrypitch/storage/memory-log';
-import type {LogEntry} from '@mulberrypitch/storage/types';
 import {Coordinator} from '../coordinator.js';
 import type {Duty, DutyContext} from '../duty-runner.js';
 import type {RolloutConduct} from '../rollout-duty.js';
@@ -64,24 +65,6 @@
 	};
 }
 
-/** A log whose writes fail while the disk is full. */
-class LogOnLimitedDisk extends MemoryLog {
-	readonly #isFull: () => boolean;
-
-	constructor(isFull: () => boolean) {
-		super();
-		this.#isFull = isFull;
-	}
-
-	override async append(entries: readonly LogEntry[]): Promise<void> {
-		if (this.#isFull()) {
-			throw new StorageError('The disk is full.');
-		}
-
-		await super.append(entries);
-	}
-}
-
 /** Coordinators on hosts that can be killed, replaced, wiped and partitioned. */
 export class CoordinatorGroup {
 	readonly clock = new VirtualClock();
@@ -90,11 +73,9 @@
 	readonly actions: DutyAction[] = [];
 	/** Hosts whose coordinator requested a restart. */
 	readonly restarts: string[] = [];
-	/** Hosts whose disk accepts no writes. */
-	readonly fullDisks = new Set<string>();
 	readonly #coordinators = new Map<string, Coordinator>();
 	readonly #transports = new Map<string, MemoryTransport>();
-	readonly #logs = new Map<string, LogOnLimitedDisk>();
+	readonly #disks = new Map<string, MemoryDisk>();
 	readonly #seeds: readonly string[];
 	readonly #rollouts: RolloutConduct | undefined;
 	#starts = 0;
@@ -113,8 +94,7 @@
 	async start(name: string, isFirstStart = false): Promise<void> {
 		this.#starts += 1;
 		const transport = this.network.join(name);
-		const store = this.#logs.get(name) ?? new LogOnLimitedDisk(() => this.fullDisks.has(name));
-		this.#logs.set(name, store);
+		const store = new FileLog('log', this.#getDisk(name).open());
 		const coordinator = new Coordinator({
 			name,
 			zone: `zone of ${name}`,
@@ -160,7 +140,7 @@
 
 	/** Replaces the disk of a host by an empty one from its next start on. */
 	eraseDisk(name: string): void {
-		this.#logs.delete(name);
+		this.#disks.delete(name);
 	}
 
 	/** Retries until a configuration is committed through one of the hosts; resolves with whether that succeeded in time. */
@@ -207,8 +187,19 @@
 		}
 	}
 
+	/** Fills the disk of a host, which then refuses all writes, or makes room on it. */
+	setFull(name: string, isFull: boolean): void {
+		this.#getDisk(name).faults.isFull = isFull;
+	}
+
+	#getDisk(name: string): MemoryDisk {
+		const disk = this.#disks.get(name) ?? new MemoryDisk(this.clock, new SeededRandom(1));
+		this.#disks.set(name, disk);
+		return disk;
+	}
+
 	async #probeStorage(name: string): Promise<void> {
-		if (this.fullDisks.has(name)) {
+		if (this.#getDisk(name).faults.isFull) {
 			throw new StorageError('The disk is full.');
 		}
 	}
--- a/packages/mulberrypitch-coordinator/src/__tests__/coordinator.test.ts
+++ b/packages/mulberrypitch-coordinator/src/__tests__/coordinator.test.ts
@@ -239,11 +239,11 @@
 	const group = new CoordinatorGroup();
 	await group.startAll();
 	t.ok(await group.put(1, names));
-	group.fullDisks.add('a');
+	group.setFull('a', true);
 	t.ok(await group.put(2, ['b', 'c']));
 	await group.clock.runFor(2000);
 	t.same(group.restarts, [], 'not while it is full');
-	group.fullDisks.clear();
+	group.setFull('a', false);
 	await group.clock.runFor(1000);
 	t.same(group.restarts, ['a']);
 	group.kill('a');
