Let a control host ask for a restart once its full disk has room

Operators' changes could be refused for good while all processes run: after a write of its log has failed a replica refuses further ones until its process starts anew, and on the product's own hosts nobody had it start. Once two of three control hosts had full disks, one after the other, no quorum could write (by reading). Coordinators of the users' platform end themselves when the disk takes writes again, so that they were not affected.

A host now watches its disk as a coordinator does; the watch moves into the control package. 'serve' drains the host and exits with code 6, for a service manager.

--- a/packages/mulberrypitch-coordinator/src/storage-watch.ts
+++ b/packages/mulberrypitch-control/src/storage-watch.ts
@@ -1,4 +1,4 @@
-/** Waits for the disk of a coordinator to accept writes again after its log has failed. */
+/** Waits for the disk of a replica to accept writes again after its log has failed. The process must then start anew, since memory and disk may differ. */
 import {getMessage} from '@mulberrypitch/errors/coded-error';
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
 import {events} from '@mulberrypitch/logger/events';
--- a/packages/mulberrypitch-host/src/host.ts
+++ b/packages/mulberrypitch-host/src/host.ts
@@ -13,11 +13,13 @@
 import {ControlService} from '@mulberrypitch/control/control-service';
 import {ControlState} from '@mulberrypitch/control/control-state';
 import {Replica} from '@mulberrypitch/control/replica';
+import {watchStorage} from '@mulberrypitch/control/storage-watch';
 import type {ConfigurationRevision} from '@mulberrypitch/control/types';
 import {TimeoutError} from '@mulberrypitch/errors/catalogue';
 import {getMessage} from '@mulberrypitch/errors/coded-error';
 import {BackendDirectory} from '@mulberrypitch/entry/backend-directory';
 import {EntryServer} from '@mulberrypitch/entry/entry-server';
+import {BackgroundTask} from '@mulberrypitch/lifecycle/background';
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
 import {DisposableStore, type Resource} from '@mulberrypitch/lifecycle/disposable-store';
 import type {Random} from '@mulberrypitch/lifecycle/random';
@@ -30,7 +32,8 @@
 import {FileLog} from '@mulberrypitch/storage/file-log';
 import {MemoryLog} from '@mulberrypitch/storage/memory-log';
 import {NodeDisk} from '@mulberrypitch/storage/node-disk';
-import type {LogStore} from '@mulberrypitch/storage/types';
+import {probeDisk} from '@mulberrypitch/storage/disk-probe';
+import type {Disk, LogStore} from '@mulberrypitch/storage/types';
 import type {Transport} from '@mulberrypitch/transport/types';
 
 /** Share of a service's queue limit above which this host reports itself as overloaded, so that callers prefer others. */
@@ -50,6 +53,10 @@
 	readonly clock: Clock;
 	readonly random: Random;
 	readonly logger: Logger;
+	/** Disk under the data folder; that of the machine if absent. */
+	readonly disk?: Disk;
+	/** Called when the disk of a control host accepts writes again after its log has failed. The process must then start anew. */
+	readonly onStorageRecovered?: () => void;
 };
 
 /** Runs the roles of a host until it is drained or disposed of. */
@@ -58,6 +65,7 @@
 	readonly #resources = new DisposableStore();
 	readonly #metrics = new MetricsRegistry();
 	readonly #incarnation = randomUUID();
+	readonly #disk: Disk;
 	#configuration: SharedConfiguration | undefined;
 	#effectiveDigest = '';
 	#control: ControlClient | undefined;
@@ -71,6 +79,7 @@
 
 	constructor(options: HostOptions) {
 		this.#options = options;
+		this.#disk = options.disk ?? new NodeDisk();
 	}
 
 	/** Starts all roles. Resolves with the HTTP port in use, or with `undefined` on a host without the entry role. */
@@ -218,11 +227,32 @@
 		this.#resources.add(account);
 		this.#resources.add(replica);
 		this.#resources.add(service);
+		this.#watchStorage(replica);
+	}
+
+	#watchStorage(replica: Replica): void {
+		const {settings, clock, logger, onStorageRecovered} = this.#options;
+		const {dataFolder} = settings;
+		if (dataFolder === undefined) {
+			return;
+		}
+
+		this.#resources.add(new BackgroundTask(async signal => watchStorage({
+			clock,
+			logger,
+			hasFailed: () => replica.hasStorageFailed,
+			probe: async () => probeDisk(this.#disk, dataFolder),
+			onRecovered() {
+				onStorageRecovered?.();
+			},
+		}, signal), error => {
+			logger.log(events.taskFailed, {task: 'storage', reason: getMessage(error)});
+		}));
 	}
 
 	#createStore(folder: string): LogStore {
 		const {settings} = this.#options;
-		return settings.dataFolder === undefined ? new MemoryLog() : new FileLog(path.join(settings.dataFolder, settings.group, folder), new NodeDisk());
+		return settings.dataFolder === undefined ? new MemoryLog() : new FileLog(path.join(settings.dataFolder, settings.group, folder), this.#disk);
 	}
 
 	async #startEntry(): Promise<number> {
--- a/packages/mulberrypitch/src/commands/serve.ts
+++ b/packages/mulberrypitch/src/commands/serve.ts
@@ -31,14 +31,20 @@
 		.action(async (file: string) => serve(loadHostSettings(file)));
 }
 
+/** Exit code of a host that has to be started again, since its disk accepts writes after it had refused some. */
+const restartExitCode = 6;
+
 async function serve(settings: HostSettings): Promise<void> {
 	const clock = new SystemClock();
 	const logger = createProcessLogger({level: settings.logLevel, fields: {node: settings.name}, getTime: () => clock.wallTime()});
 	const transport = createTransport(settings, logger);
+	const stopRequest = new Deferred<void>();
 	const host = new Host({
-		settings, transport, clock, random: new SeededRandom(randomInt(maxSeed)), logger,
+		settings, transport, clock, random: new SeededRandom(randomInt(maxSeed)), logger, onStorageRecovered() {
+			process.exitCode = restartExitCode;
+			stopRequest.resolve();
+		},
 	});
-	const stopRequest = new Deferred<void>();
 	const state = {isStopping: false};
 	for (const signal of ['SIGTERM', 'SIGINT'] as const) {
 		process.on(signal, () => {
