--- a/review/harness-2/runner.js
+++ b/review/harness-2/runner.js
@@ -13,10 +13,10 @@
 /** Serves requests under one identifier, which it keeps over restarts. */
 export class Runner {
 	constructor(deployment, {
-		id, service, index, version = 'v1', slots = 64, eventCount = 40, gapMs = 300, handle,
+		id, service, index, version = 'v1', slots = 64, eventCount = 40, gapMs = 300, handle, isQuiet = false,
 	}) {
 		Object.assign(this, {
-			deployment, id, service, version, slots, eventCount, gapMs, handle, ip: createIp(2, index),
+			deployment, id, service, version, slots, eventCount, gapMs, handle, isQuiet, ip: createIp(2, index),
 		});
 		this.sockets = new Set();
 		this.runs = [];
@@ -136,7 +136,10 @@
 			attempt, runner: this.id, version: this.version, at: Date.now(), lastEventId: request.headers['last-event-id'], tenant: request.headers.tenant,
 		};
 		this.runs.push(run);
-		this.deployment.record(`runner ${this.id} ${this.version} runs ${attempt}${run.lastEventId === undefined ? '' : ` from event ${run.lastEventId}`}`);
+		if (!this.isQuiet) {
+			this.deployment.record(`runner ${this.id} ${this.version} runs ${attempt}${run.lastEventId === undefined ? '' : ` from event ${run.lastEventId}`}`);
+		}
+
 		if (this.handle !== undefined) {
 			await this.handle({
 				request, response, headers, run,
