--- a/review/6/case.js
+++ b/review/6/case.js
@@ -1,108 +1,105 @@
-/** The configuration has grown by many routes, and hundreds of changes follow. The coordinators must not end by themselves. */
+/** An entry that reaches no runner passes orders on to others. A runner fails a part of the orders after it has run them. No order may run twice. */
 /* eslint-disable camelcase -- The names are those of the wire. */
+import net from 'node:net';
 import path from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {bounds, call, runCase} from '../harness-2/deployment.js';
+import {runCase} from '../harness-2/deployment.js';
+import {send} from '../harness-2/client.js';
+import {Runner} from '../harness-2/runner.js';
 
-/** Two times the largest `count` of `big_config` in the site file; `idle_routes` of a small site. */
-const manyRoutes = 2 * 1792;
-const fewRoutes = 8;
-/** As `config_storm` in the site files. */
-const gapMs = 330;
-const changeCount = 250;
-/** The operator ends its changes then, also if fewer were acknowledged. */
-const maxChangesMs = 85_000;
-/** A fault by the rule: on half of the core, processes end by themselves so often. */
-const maxEnds = 3;
+const service = 'fixa31b';
+const host = 'ficu95.example';
+const key = '3d3zji9n73hh2b9wu3fe';
+const orderCount = 120;
+const workMs = 60;
+/** Which of nine requests in a row one runner fails: 0.44 of them, as `x` (0.45) of `srv_grey` in the site file. */
+const failedOfNine = new Set([0, 2, 4, 6]);
+const runnerCount = 3;
 
-/** Returns a route like the two of the page's example of `Config.Put`, in turn. */
-function createRoute(index, version) {
-	const name = `r-6tta${String(index).padStart(4, '0')}`;
-	const timeout = 15_000 + (index === 0 ? version : 0);
-	return index % 2 === 0
-		? {
-			name, host: 'ficu95.example', path_prefix: `/lohu${index}/`, kind: 'streaming',
-			timeout_ms: timeout, target_latency_ms: 1000, priority: 0, traffic_split: [{service: 'huvo11a', weight: 90}, {service: 'wuno96b', weight: 10}],
-			max_attempts: 2, public: false,
-			session_affinity: true, resumable: true, gap_target_ms: 600,
-		}
-		: {
-			name, host: 'ficu95.example', path_prefix: `/pufi${index}/`, kind: 'streaming',
-			timeout_ms: 3000, target_latency_ms: 1200, priority: 1, service: 'huvo11a',
-			max_attempts: 1, public: false,
-			session_affinity: true, resumable: false, gap_target_ms: 600,
-		};
-}
+const configuration = {
+	version: 1,
+	routes: [{
+		name: 'order', host, path_prefix: '/order/', kind: 'non_idempotent', timeout_ms: 1500, target_latency_ms: 386, priority: 2,
+		service, max_attempts: 1, public: false, session_affinity: false, resumable: false,
+	}],
+	services: [{
+		name: service, health_path: '/health', max_connections: 110, protocol: 'h1', tls: false,
+	}],
+	limits: {
+		max_header_bytes: 16_384, max_body_bytes: 4_194_304, header_timeout_ms: 3000, idle_timeout_ms: 15_000,
+	},
+	tenants: [{name: 'huka270', api_keys: [key], priority: 1}],
+};
 
-function createConfiguration(version, routeCount) {
-	return {
-		version,
-		routes: Array.from({length: routeCount}, (_, index) => createRoute(index, version)),
-		services: [
-			{
-				name: 'huvo11a', health_path: '/health', max_connections: 370, protocol: 'h1', tls: false,
-			},
-			{
-				name: 'wuno96b', health_path: '/health', max_connections: 110, protocol: 'h1', tls: false,
-			},
-		],
-		limits: {
-			max_header_bytes: 16_384, max_body_bytes: 4_194_304, header_timeout_ms: 3000, idle_timeout_ms: 15_000,
-		},
-		tenants: [{
-			name: 'huka270', api_keys: ['3d3zji9n73hh2b9wu3fe', 'xd9dnn2ctnfzs989anu6'], priority: 1, unit: 'tokens', plain_tokens: 200, rate_per_s: 194_644, burst: 194_644,
-		}],
-	};
+/** Places an order at an entry, in one attempt. */
+async function placeOrder(deployment, entry, attempt) {
+	const {status, headers, body, error} = await send({
+		host: entry.ip, port: deployment.ports.callers, target: '/order/1', body: '{"drums":1}', headers: {
+			Host: host, 'Attempt-Id': attempt, 'Request-Deadline': '1500', Authorization: `Bearer ${key}`,
+		}, timeoutMs: 1600,
+	});
+	const signature = headers['response-signature'];
+	deployment.record(`client got from ${entry.name} for ${attempt}: ${status === 0 ? error : status}${signature === undefined ? '' : `, signed ${signature}`} ${body.trim()}`);
+	return status;
 }
 
-/** Reads the configuration from all coordinators in turn, for `recovery_s`. Resolves with the first version that comes. */
-async function readBack(deployment) {
-	const until = Date.now() + (bounds.recoverySeconds * 1000);
-	for (let attempt = 0; Date.now() < until; attempt += 1) {
-		const {ip, name} = deployment.coordinators[attempt % deployment.coordinators.length];
-		const {status, body, error} = await call({
-			host: ip, port: deployment.ports.operators, target: '/mulberrypitch/Config.Get',
-		});
-		if (status === 200) {
-			const {version} = JSON.parse(body);
-			deployment.record(`${name} answers the read with version ${version}`);
-			return version;
-		}
-
-		deployment.record(`${name} answers the read with ${status === 0 ? error : status}`);
-		await sleep(300);
+/** Places orders at an entry, several at once, so that it has kept connections to the runners. */
+async function useEntry(deployment, entry, name) {
+	for (let round = 0; round < 4; round += 1) {
+		await Promise.all(Array.from({length: 9}, async (_, index) => placeOrder(deployment, entry, `${name}-${round}-${index}`)));
 	}
-
-	return undefined;
 }
 
 await runCase(path.join(import.meta.dirname, 'record.txt'), async (deployment, {hasTrouble}) => {
-	const routeCount = hasTrouble ? manyRoutes : fewRoutes;
-	await deployment.start({coordinators: 3, entries: 1});
-	await deployment.putFirst(createConfiguration(1, fewRoutes));
+	await deployment.start({coordinators: 3, entries: 3});
+	await deployment.putFirst(configuration);
+	let isGrey = false;
+	const runners = Array.from({length: runnerCount}, (_, index) => new Runner(deployment, {
+		id: `i-d00495c35${index}`, service, index, slots: 6, async handle({response, headers, run}) {
+			await sleep(workMs);
+			const isFailing = isGrey && index === 0 && failedOfNine.has(run.number % 9);
+			deployment.record(`runner ${run.runner} has run ${run.attempt} and answers ${isFailing ? 503 : 200}`);
+			response.writeHead(isFailing ? 503 : 200, {
+				...headers, 'Keep-Alive': 'timeout=60', ...(!isFailing && {'Response-Signature': `${run.runner}.${run.attempt}`}),
+			});
+			response.end(isFailing ? '{"error":"could not confirm"}' : '{"order":"taken"}');
+		},
+	}));
+	for (const runner of runners) {
+		await runner.start();
+		runner.server.keepAliveTimeout = 60_000;
+	}
+
 	await deployment.waitForEntries();
-	const startedAt = Date.now();
-	let newest = 1;
-	let acknowledged = 0;
-	for (let version = 2; version < changeCount + 2 && Date.now() - startedAt < maxChangesMs; version += 1) {
-		const sentAt = Date.now();
-		const status = await deployment.put(createConfiguration(version, routeCount), {first: version});
-		if (status === 200) {
-			newest = version;
-			acknowledged += 1;
-		} else {
-			deployment.record(`version ${version} got no acknowledgement within ${bounds.ackMs} ms (${status})`);
-		}
+	await sleep(3000);
+	const [cutOff, ...others] = deployment.entries;
+	for (const entry of others) {
+		await useEntry(deployment, entry, entry.name);
+	}
 
-		if (version % 25 === 0) {
-			deployment.record(`${acknowledged} changes of ${JSON.stringify(createConfiguration(version, routeCount)).length} bytes acknowledged, the newest is ${newest}`);
+	if (hasTrouble) {
+		deployment.record('the runners accept no new connections; kept ones live on');
+		for (const {server} of runners) {
+			net.Server.prototype.close.call(server);
 		}
 
-		await sleep(Math.max(0, sentAt + gapMs - Date.now()));
+		isGrey = true;
+	}
+
+	const orders = [];
+	for (let order = 0; order < orderCount; order += 1) {
+		orders.push(placeOrder(deployment, cutOff, `o${order}`));
+		await sleep(60);
+	}
+
+	const statuses = await Promise.all(orders);
+	const ran = new Map();
+	for (const {attempt} of runners.flatMap(({runs}) => runs)) {
+		ran.set(attempt, (ran.get(attempt) ?? 0) + 1);
 	}
 
-	const version = await readBack(deployment);
-	const ends = deployment.coordinators.map(coordinator => coordinator.ends.length);
-	deployment.record(`newest acknowledged version ${newest}, read back ${version ?? 'nothing'}; coordinators ended by themselves ${ends.join(', ')} times`);
-	return 2 * ends.filter(count => count >= maxEnds).length >= ends.length;
+	const twice = [...ran].filter(([, count]) => count > 1).map(([attempt]) => attempt);
+	deployment.record(`${orderCount} orders at ${cutOff.name}, ${statuses.filter(status => status === 200).length} answered with 200`);
+	deployment.record(`${twice.length} attempts ran more than once: ${twice.join(' ')}`);
+	return twice.length > 0;
 });
