--- a/review/harness-2/deployment.js
+++ b/review/harness-2/deployment.js
@@ -311,6 +311,12 @@
 		// eslint-disable-next-line unicorn/no-process-exit
 		process.exit(2);
 	}, 118_000);
+	for (const name of ['SIGINT', 'SIGTERM']) {
+		process.on(name, () => {
+			process.exit(2);
+		});
+	}
+
 	let code = 2;
 	try {
 		code = await check(deployment, {hasTrouble: process.env.TROUBLE !== '0'}) ? 1 : 0;
--- a/review/harness-2/runner.js
+++ b/review/harness-2/runner.js
@@ -134,6 +134,7 @@
 
 		const run = {
 			attempt, runner: this.id, version: this.version, at: Date.now(), lastEventId: request.headers['last-event-id'], tenant: request.headers.tenant,
+			number: this.runs.length,
 		};
 		this.runs.push(run);
 		if (!this.isQuiet) {
