--- a/review/harness-2/deployment.js
+++ b/review/harness-2/deployment.js
@@ -83,12 +83,19 @@
 		return this.child?.pid;
 	}
 
+	/** Writes the settings file with what holds now, and returns its path. */
+	writeSettings() {
+		const {settings, folder, isFirstStart = true} = this.options;
+		const file = path.join(folder, 'settings.ini');
+		writeFileSync(file, settings({isFirstStart: this.starts <= 1 && isFirstStart, dataFolder: path.join(folder, 'data')}));
+		return file;
+	}
+
 	start() {
-		const {deployment, name, program, settings, folder} = this.options;
+		const {deployment, name, program, folder} = this.options;
 		mkdirSync(path.join(folder, 'data'), {recursive: true});
-		const file = path.join(folder, 'settings.ini');
-		writeFileSync(file, settings({isFirstStart: this.starts === 0 && this.options.isFirstStart !== false, dataFolder: path.join(folder, 'data')}));
 		this.starts += 1;
+		const file = this.writeSettings();
 		this.isWanted = true;
 		const child = spawn(process.execPath, [...nodeOptions, path.join('target', program)], {
 			cwd: root, env: {PATH: process.env.PATH, HOME: process.env.HOME, MULBERRYPITCH_BOOT: file}, stdio: ['ignore', 'pipe', 'pipe'],
