Log the status of the response with which a send failed

Lines 1508 and 1510 named the outcome of a send only, so a refusal by another entry could not be told from a back end's failure that this entry relays: both were `failed`. Both lines now have the `status`.

--- a/packages/mulberrypitch-proxy/src/attempt-outcome.ts
+++ b/packages/mulberrypitch-proxy/src/attempt-outcome.ts
@@ -78,6 +78,22 @@
 	return kind === 'cut' || kind === 'unknown';
 }
 
+/**
+Returns the status of the response that ended the attempt, if that is a failure; otherwise `undefined`.
+
+@example
+```
+logger.log(events.sendFailed, {status: getStatus(outcome)});
+```
+*/
+export function getStatus(outcome: AttemptOutcome): number | undefined {
+	if (outcome.kind === 'failed') {
+		return outcome.answer.head.status;
+	}
+
+	return outcome.kind === 'notRun' ? outcome.status : undefined;
+}
+
 /**
 Returns what to do after an attempt has ended. Takes a retry from the budget when it is needed for the next attempt.
 
--- a/packages/mulberrypitch-proxy/src/forwarded-request.ts
+++ b/packages/mulberrypitch-proxy/src/forwarded-request.ts
@@ -8,7 +8,7 @@
 import {events} from '@mulberrypitch/logger/events';
 import type {Logger} from '@mulberrypitch/logger/logger';
 import {enforceDeadline} from './attempt-deadline.js';
-import type {AttemptOutcome, BufferedResponse} from './attempt-outcome.js';
+import {getStatus, type AttemptOutcome, type BufferedResponse} from './attempt-outcome.js';
 import type {BackendConnection} from './backend-connection.js';
 import type {PeerEntries} from './peer-entries.js';
 import type {RequestEnd} from './proxied-request-options.js';
@@ -200,7 +200,12 @@
 	#log(address: string, outcome: AttemptOutcome): void {
 		const {logger, attemptId, service} = this.#options;
 		logger.log(events.requestForwarded, {
-			request: attemptId, service, entry: address, outcome: outcome.kind, reason: 'reason' in outcome ? outcome.reason : undefined,
+			request: attemptId,
+			service,
+			entry: address,
+			outcome: outcome.kind,
+			status: getStatus(outcome),
+			reason: 'reason' in outcome ? outcome.reason : undefined,
 		});
 	}
 }
--- a/packages/mulberrypitch-proxy/src/proxied-request.ts
+++ b/packages/mulberrypitch-proxy/src/proxied-request.ts
@@ -10,7 +10,7 @@
 import {ResponseCollector} from './response-collector.js';
 import {enforceDeadline} from './attempt-deadline.js';
 import {
-	decideNextStep, isBrokenOff, type AttemptOutcome, type BufferedResponse, type NextStep,
+	decideNextStep, getStatus, isBrokenOff, type AttemptOutcome, type BufferedResponse, type NextStep,
 } from './attempt-outcome.js';
 import type {BackendConnection, Exchange} from './backend-connection.js';
 import type {BackendPermit} from './backend-place.js';
@@ -248,6 +248,7 @@
 				request: attemptId,
 				backend: backend.id,
 				outcome: outcome.kind,
+				status: getStatus(outcome),
 				reason: 'reason' in outcome ? outcome.reason : undefined,
 				next: step.kind,
 				lastEventId: relay.lastEventId,
--- a/packages/mulberrypitch-proxy/src/recorded-result.ts
+++ b/packages/mulberrypitch-proxy/src/recorded-result.ts
@@ -1,5 +1,5 @@
 /** Records the outcomes of attempts for the outlier detection of back ends. */
-import type {AttemptOutcome} from './attempt-outcome.js';
+import {getStatus, type AttemptOutcome} from './attempt-outcome.js';
 import type {KnownBackend} from './known-backend.js';
 import {misdirectedStatus} from './types.js';
 
@@ -43,15 +43,6 @@
 	return kind === 'delivered' || kind === 'abandoned';
 }
 
-/** Returns the status of the response that ended the attempt, if that is a failure. */
-function getStatus(outcome: AttemptOutcome): number | undefined {
-	if (outcome.kind === 'failed') {
-		return outcome.answer.head.status;
-	}
-
-	return outcome.kind === 'notRun' ? outcome.status : undefined;
-}
-
 /** Records that a back end did not run a request. Returns whether the back end was ejected. */
 function recordNotRun(backend: KnownBackend, status: number | undefined): boolean {
 	if (status === misdirectedStatus) {
