Take only a stated refusal of another entry for a refusal

Cause: ForwardedRequest took any 503 without a signature for the other entry's own refusal, and asked the next entry. An entry also relays the 503 of a back end, which need not sign a failure.

Change: an entry states in its refusal to another entry, in the header in which back ends state it, that the request has not run. Everything else ends the request. An entry relays no response of a back end with that header, so it proves who refused. Refusals that other entries would repeat (429, 408) reach the caller at once, as before.

The refusal of the other entry in forwarded-request.test.ts had no such header, which is the fault; it has one now, and the test asks for the same.

--- a/packages/mulberrypitch-proxy/src/__tests__/forwarded-request.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/forwarded-request.test.ts
@@ -26,7 +26,7 @@
 const names = assumeType<HeaderNames>({
 	attemptId: 'attempt', deadline: 'deadline', signature: 'signature', notRun: 'not-run', hop: 'hop', reserved: [],
 });
-const refusal = (attemptId: string) => `HTTP/1.1 503 Busy\r\nAttempt: ${attemptId}\r\nContent-Length: 0\r\n\r\n`;
+const refusal = (attemptId: string) => `HTTP/1.1 503 Busy\r\nAttempt: ${attemptId}\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n`;
 const streamHead = 'HTTP/1.1 200 OK\r\nAttempt: a-1\r\nSignature: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n';
 const event = 'id: 1\ndata: a\n\n';
 const eventChunk = `${event.length.toString(16)}\r\n${event}\r\n`;
@@ -133,3 +133,21 @@
 	t.equal(sends, 2, 'both entries were asked');
 	t.match(text, /^HTTP\/1\.1 503/v);
 });
+
+// Guards against a request that runs twice, since the failure that an entry relays from a back end was taken for the entry's own refusal.
+await t.test('a failure that does not state that the request did not run is not sent to another entry, whatever its status', async t => {
+	for (const status of [408, 429, 500, 502, 503]) {
+		for (const line of ['', 'Signature: s\r\n']) {
+			const {sends} = await passOn(t, `HTTP/1.1 ${status} Failed\r\nAttempt: a-1\r\n${line}Content-Length: 0\r\n\r\n`);
+			t.equal(sends, 1, `${status} ${line}`);
+		}
+	}
+});
+
+// Guards against a caller over its quota that is told so only after several entries were asked, or without the time after which it may retry.
+await t.test('a refusal that other entries would repeat reaches the caller at once', async t => {
+	const {end, sends, text} = await passOn(t, 'HTTP/1.1 429 Too Many Requests\r\nAttempt: a-1\r\nNot-Run: 1\r\nRetry-After: 0.5\r\nContent-Length: 0\r\n\r\n');
+	t.match(end, {kind: 'answered'});
+	t.equal(sends, 1);
+	t.match(text, /^HTTP\/1\.1 429 .*Retry-After: 0\.5/sv);
+});
--- a/packages/mulberrypitch-proxy/src/attempt-outcome.ts
+++ b/packages/mulberrypitch-proxy/src/attempt-outcome.ts
@@ -16,9 +16,16 @@
 	= | {readonly kind: 'delivered'}
 	/**
 	The request provably did not run: it was never sent, or the back end said so by the response's `status` or a header.
-	`status` is absent if there was no response. `earlierFailure` is the failure response of an earlier attempt.
+	`status` is absent if there was no response, and `refusal` if there was no complete one. `earlierFailure` is the failure response of an earlier attempt.
 	*/
-		| {readonly kind: 'notRun'; readonly reason: string; readonly wasSent: boolean; readonly status?: number; readonly earlierFailure?: BufferedResponse}
+		| {
+			readonly kind: 'notRun';
+			readonly reason: string;
+			readonly wasSent: boolean;
+			readonly status?: number;
+			readonly refusal?: BufferedResponse;
+			readonly earlierFailure?: BufferedResponse;
+		}
 	/** The back end sent a complete response that reports a failure, or that can't follow the written part of a stream; `answer` is this response. */
 		| {readonly kind: 'failed'; readonly answer: BufferedResponse}
 	/** The request may have run, but no complete response arrived; nothing was written to the caller. */
@@ -30,7 +37,8 @@
 	/** The caller disconnected. */
 		| {readonly kind: 'abandoned'};
 
-type NotRun = Extract<AttemptOutcome, {kind: 'notRun'}>;
+/** Outcome of an attempt that provably did not run the request. */
+export type NotRun = Extract<AttemptOutcome, {kind: 'notRun'}>;
 
 /** State of a request on which the next step depends, and access to the retry budget. */
 export type AttemptState = {
--- a/packages/mulberrypitch-proxy/src/forwarded-request.ts
+++ b/packages/mulberrypitch-proxy/src/forwarded-request.ts
@@ -13,7 +13,6 @@
 import type {PeerEntries} from './peer-entries.js';
 import type {RequestEnd} from './proxied-request-options.js';
 import {createForwardedHead, type CallerHead} from './request-head.js';
-import {findHeader} from './response-head.js';
 import {ResponseCollector} from './response-collector.js';
 import type {ResponseRelay} from './response-relay.js';
 import type {HeaderNames} from './types.js';
@@ -40,8 +39,8 @@
 const maxTries = 3;
 /** An entry is tried only if more than this time, in milliseconds, is left before the deadline. */
 const minTryMs = 60;
-/** Status with which an entry refuses a request that no back end has run. */
-const refusedStatus = 503;
+/** Status with which an entry refuses a request that it has no back end for, so that another entry may still serve it. */
+const noRoomStatus = 503;
 
 /** Handles one request until it is answered, refused, cut off or abandoned. */
 export class ForwardedRequest {
@@ -54,7 +53,10 @@
 		this.#options = options;
 	}
 
-	/** Passes the request on until an entry accepts it, and returns how it ended. An entry that refuses it promises that no back end has run it. */
+	/**
+	Passes the request on until an entry accepts it, and returns how it ended. Only an entry that states in a header of its response that no back end
+	has run the request has refused it: a status may also be that of a back end, whose failure the entry relays.
+	*/
 	async run(): Promise<RequestEnd> {
 		const {clock, deadlineAt, peers, signal} = this.#options;
 		while (!signal.aborted && this.#tried.size < maxTries && deadlineAt - clock.now() > minTryMs) {
@@ -88,15 +90,10 @@
 			}
 
 			case 'notRun': {
-				return undefined;
+				return this.#decideAfterRefusal(outcome.refusal);
 			}
 
 			case 'failed': {
-				if (this.#isRefusal(outcome.answer)) {
-					this.#refusal = outcome.answer;
-					return undefined;
-				}
-
 				relay.deliver(outcome.answer.head, outcome.answer.body);
 				return {kind: 'answered'};
 			}
@@ -121,6 +118,17 @@
 		}
 	}
 
+	/** Returns how a request ends that an entry refused, or could not be sent, or `undefined` if another entry may have room for it. */
+	#decideAfterRefusal(refusal: BufferedResponse | undefined): RequestEnd | undefined {
+		if (refusal === undefined || refusal.head.status === noRoomStatus) {
+			this.#refusal = refusal ?? this.#refusal;
+			return undefined;
+		}
+
+		this.#options.relay.deliver(refusal.head, refusal.body);
+		return {kind: 'answered'};
+	}
+
 	#endWithoutEntry(): RequestEnd {
 		const {relay, service} = this.#options;
 		if (this.#refusal === undefined) {
@@ -131,11 +139,6 @@
 		return {kind: 'answered'};
 	}
 
-	/** Reports whether an entry refused the request by itself. A response of a back end has a signature. */
-	#isRefusal({head}: BufferedResponse): boolean {
-		return head.status === refusedStatus && findHeader(head, this.#options.names.signature) === undefined;
-	}
-
 	async #attempt(address: string): Promise<AttemptOutcome> {
 		const {peers, signal} = this.#options;
 		let connection: BackendConnection;
--- a/packages/mulberrypitch-proxy/src/local-replies.ts
+++ b/packages/mulberrypitch-proxy/src/local-replies.ts
@@ -11,6 +11,7 @@
 import type {Header} from './response-head.js';
 import {getHeader} from './caller-request.js';
 import type {DecisionContext} from './proxied-request-options.js';
+import type {HeaderNames} from './types.js';
 
 /** A response that the entry generates itself instead of relaying one of a back end. */
 export type LocalReply = {
@@ -24,8 +25,7 @@
 
 /** Dependencies and settings of the local replies. */
 export type LocalRepliesOptions = {
-	/** Name of the header that identifies an attempt. */
-	readonly attemptHeader: string;
+	readonly names: Pick<HeaderNames, 'attemptId' | 'hop' | 'notRun'>;
 	readonly random: Random;
 	readonly logger: Logger;
 	readonly metrics: MetricsRegistry;
@@ -52,8 +52,8 @@
 
 	/** Sends a reply, or closes the connection when a part of a response was already sent. */
 	send(request: IncomingMessage, response: ServerResponse, {status, reason, retryAfterSeconds, inputs}: LocalReply): void {
-		const {attemptHeader, metrics, logger, getDecisionContext} = this.#options;
-		const attemptId = getHeader(request, attemptHeader);
+		const {names, metrics, logger, getDecisionContext} = this.#options;
+		const attemptId = getHeader(request, names.attemptId);
 		const retryAfter = retryAfterSeconds === undefined ? undefined : (retryAfterSeconds + this.#drawJitterSeconds()).toFixed(2);
 		metrics.count('mulberrypitch_own_replies_total', 'Replies of the entry itself, by status.', {status: String(status)});
 		logger.log(refusalStatuses.has(status) ? events.requestRefused : events.requestFailed, {
@@ -65,7 +65,7 @@
 		}
 
 		const text = JSON.stringify({error: reason}) + '\n';
-		const headers = this.#createHeaders(response, text, retryAfter);
+		const headers = [...this.#createHeaders(response, text, retryAfter), ...this.#createPromise(request, status)];
 		response.writeHead(status, headers.flatMap(({name, value}) => [name, value]));
 		response.end(text);
 	}
@@ -75,15 +75,24 @@
 		rejectMalformed(error, socket);
 	}
 
+	/**
+	States in a refusal to another entry that no back end ran the request, and none will. By the status alone that entry could not tell the refusal from
+	the failure of a back end that this one relays.
+	*/
+	#createPromise(request: IncomingMessage, status: number): readonly Header[] {
+		const {names} = this.#options;
+		return refusalStatuses.has(status) && getHeader(request, names.hop) !== undefined ? [{name: names.notRun, value: '1'}] : [];
+	}
+
 	#createHeaders(response: ServerResponse, text: string, retryAfter: string | undefined): readonly Header[] {
-		const {attemptHeader, getConnectionHeaders} = this.#options;
+		const {names, getConnectionHeaders} = this.#options;
 		const {req: request} = response;
-		const attemptId = getHeader(request, attemptHeader);
+		const attemptId = getHeader(request, names.attemptId);
 		return [
 			{name: 'Content-Type', value: 'application/json'},
 			{name: 'Content-Length', value: String(Buffer.byteLength(text))},
 			...getConnectionHeaders(response),
-			...(attemptId === undefined ? [] : [{name: attemptHeader, value: attemptId}]),
+			...(attemptId === undefined ? [] : [{name: names.attemptId, value: attemptId}]),
 			...(retryAfter === undefined ? [] : [{name: 'Retry-After', value: retryAfter}]),
 			// The unread rest of the body would be parsed as the next request.
 			...(request.complete ? [] : [{name: 'Connection', value: 'close'}]),
--- a/packages/mulberrypitch-proxy/src/proxy-server.ts
+++ b/packages/mulberrypitch-proxy/src/proxy-server.ts
@@ -73,7 +73,7 @@
 		this.#forwarding = new RequestForwarding({...options, getConnectionHeaders: response => this.#getConnectionHeaders(response)});
 		this.#resumption = new StreamResumption(options);
 		this.#replies = new LocalReplies({
-			attemptHeader: names.attemptId,
+			names,
 			random,
 			logger,
 			metrics,
--- a/packages/mulberrypitch-proxy/src/response-collector.ts
+++ b/packages/mulberrypitch-proxy/src/response-collector.ts
@@ -2,7 +2,7 @@
 import {Buffer} from 'node:buffer';
 import {findHeader, framings, type ResponseHead} from './response-head.js';
 import {getEndToEndHeaders, type ResponseRelay} from './response-relay.js';
-import type {AttemptOutcome, BufferedResponse} from './attempt-outcome.js';
+import type {AttemptOutcome, BufferedResponse, NotRun} from './attempt-outcome.js';
 import {EventBoundary} from './event-boundary.js';
 import type {BackendConnection, Exchange} from './backend-connection.js';
 import {misdirectedStatus} from './types.js';
@@ -165,7 +165,7 @@
 	#endBuffered(answer: BufferedResponse): AttemptOutcome {
 		const {status} = answer.head;
 		if (this.#isNotRun(answer.head)) {
-			return createNotRun(answer.head);
+			return {...createNotRun(answer.head), refusal: answer};
 		}
 
 		// The caller has got a part of a stream, which a complete response can't follow.
@@ -226,7 +226,7 @@
 	}
 }
 
-function createNotRun({status}: ResponseHead): AttemptOutcome {
+function createNotRun({status}: ResponseHead): NotRun {
 	return {
 		kind: 'notRun', reason: `the back end answered ${status}`, wasSent: true, status,
 	};
