Take no end of a connection for that of an answer while its request is still being sent

The product's own client for plain services took any transfer coding for one that marks the end of the body, so a part was complete there after a reset too.

Change: while a part of the request is still to be sent, the end of the connection completes nothing. PlainClient takes chunks only.

--- a/packages/mulberrypitch-backends/src/__tests__/plain-client.test.ts
+++ b/packages/mulberrypitch-backends/src/__tests__/plain-client.test.ts
@@ -46,8 +46,11 @@
 
 // Guards against an answer that its service broke off and that is recorded as complete: for the HTTP client a reset ends it like a close.
 await t.test('an answer that ends with its connection is refused, since a reset may have cut it', async t => {
-	for (const isReset of [false, true]) {
-		await t.rejects(call(t, 'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n{"a"', isReset), {code: 'backend_failed', details: {isNotSent: false}});
+	for (const header of ['', 'Transfer-Encoding: identity\r\n', 'Transfer-Encoding: gzip\r\n', 'Transfer-Encoding: chunked, gzip\r\n']) {
+		for (const isReset of [false, true]) {
+			const answer = call(t, `HTTP/1.1 200 OK\r\n${header}Content-Type: application/json\r\n\r\n{"a"`, isReset);
+			await t.rejects(answer, {code: 'backend_failed', details: {isNotSent: false}}, `${header} ${isReset}`);
+		}
 	}
 });
 
--- a/packages/mulberrypitch-backends/src/plain-client.ts
+++ b/packages/mulberrypitch-backends/src/plain-client.ts
@@ -13,6 +13,9 @@
 const maxConnections = 256;
 const maxResponseBytes = 1024 * 1024;
 
+/** The parts of a response that tell how its body ends. */
+type ResponseHead = Pick<Dispatcher.ResponseData, 'statusCode' | 'headers'>;
+
 /** Statuses of responses that have no body. */
 const bodilessStatuses = new Set([204, 304]);
 
@@ -59,7 +62,7 @@
 	}
 }
 
-/** Reports whether the end of the response's body is marked by its length or a last chunk. */
-function isFramed({statusCode, headers}: Pick<Dispatcher.ResponseData, 'statusCode' | 'headers'>): boolean {
-	return bodilessStatuses.has(statusCode) || headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+/** Reports whether the end of the response's body is marked by its length or a last chunk. Any other transfer coding ends with the connection. */
+function isFramed({statusCode, headers}: ResponseHead): boolean {
+	return bodilessStatuses.has(statusCode) || headers['content-length'] !== undefined || String(headers['transfer-encoding']).trim().toLowerCase() === 'chunked';
 }
--- a/packages/mulberrypitch-proxy/src/__tests__/relay-response.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/relay-response.ts
@@ -15,6 +15,8 @@
 	readonly isResumable?: boolean;
 	/** Whether the route responds with a stream; it does by default. */
 	readonly isStream?: boolean;
+	/** Body of the request; none by default. */
+	readonly requestBody?: Uint8Array;
 };
 
 /**
@@ -25,7 +27,7 @@
 const outcome = await relayResponse(backendPort, response, {isStream: false});
 ```
 */
-export async function relayResponse(backendPort: number, response: ServerResponse, {isResumable = false, isStream = true}: RelayOptions): Promise<AttemptOutcome> {
+export async function relayResponse(backendPort: number, response: ServerResponse, {isResumable = false, isStream = true, requestBody}: RelayOptions): Promise<AttemptOutcome> {
 	const connection = await BackendConnection.open({
 		address: `${host}:${backendPort}`,
 		connectTimeoutMs: 1000,
@@ -50,7 +52,7 @@
 		getExtraHeaders: () => [],
 	});
 	const outcome = await new Promise<AttemptOutcome>(resolve => {
-		connection.send('GET / HTTP/1.1\r\n\r\n', undefined, new ResponseCollector({
+		connection.send(requestBody === undefined ? 'GET / HTTP/1.1\r\n\r\n' : `POST / HTTP/1.1\r\nContent-Length: ${requestBody.length}\r\n\r\n`, requestBody, new ResponseCollector({
 			attemptId: undefined,
 			isHead: false,
 			isStream,
--- a/packages/mulberrypitch-proxy/src/backend-connection.ts
+++ b/packages/mulberrypitch-proxy/src/backend-connection.ts
@@ -147,9 +147,7 @@
 			},
 		}, () => this.#exchange?.isHead === true);
 		socket.on('end', () => {
-			this.#hasEnded = true;
-			this.#parser.finish();
-			this.#fail('the back end closed the connection');
+			this.#onEndOfConnection();
 		});
 		socket.on('error', error => {
 			this.#fail(getMessage(error));
@@ -201,6 +199,21 @@
 		this.#close();
 	}
 
+	/**
+	Handles the orderly end of the connection, which completes a response without another end. If a part of the request is still to be sent, the back end
+	has not read it, and its process may have ended: nothing tells then whether the response is complete.
+	*/
+	#onEndOfConnection(): void {
+		this.#hasEnded = true;
+		if (this.#socket.writableLength > 0) {
+			this.#fail('the back end closed the connection before it had received the whole request');
+			return;
+		}
+
+		this.#parser.finish();
+		this.#fail('the back end closed the connection');
+	}
+
 	/** Parses received bytes. Returns whether to continue reading at once. */
 	#onData(data: Uint8Array): boolean {
 		this.#options.onData?.();
