Refuse responses with a status that HTTP does not define

Change: a status above 599 is no answer; the request may have run, so its caller gets 502.

Tests: hostile-heads (600 and 999, as a whole and as a stream) and plain-client (600 and 999) failed before.

--- a/packages/mulberrypitch-backends/src/__tests__/plain-client.test.ts
+++ b/packages/mulberrypitch-backends/src/__tests__/plain-client.test.ts
@@ -54,6 +54,13 @@
 	}
 });
 
+// Guards against a caller that gets as an answer what is none by the protocol.
+await t.test('an answer with a status that HTTP does not define is refused', async t => {
+	for (const status of ['000', '099', '600', '999']) {
+		await t.rejects(call(t, `HTTP/1.1 ${status} Odd\r\nContent-Length: 2\r\n\r\n{}`), {code: 'backend_failed', details: {isNotSent: false}}, status);
+	}
+});
+
 await t.test('an answer with a length, with chunks, or without a body is complete', async t => {
 	t.match(await call(t, 'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}'), {status: 200, body: '{}'});
 	t.match(await call(t, 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n'), {status: 200, body: '{}'});
--- a/packages/mulberrypitch-backends/src/plain-client.ts
+++ b/packages/mulberrypitch-backends/src/plain-client.ts
@@ -16,6 +16,8 @@
 /** The parts of a response that tell how its body ends. */
 type ResponseHead = Pick<Dispatcher.ResponseData, 'statusCode' | 'headers'>;
 
+/** Highest status that HTTP defines. */
+const highestStatus = 599;
 /** Statuses of responses that have no body. */
 const bodilessStatuses = new Set([204, 304]);
 
@@ -37,12 +39,10 @@
 				},
 				...(method !== 'GET' && {body: text}),
 			});
-			if (!isFramed(response)) {
+			const fault = findFault(response);
+			if (fault !== undefined) {
 				await response.body.dump();
-				throw new BackendFailedError(
-					`Back end ${call.address} answered ${response.statusCode} with neither Content-Length nor chunks, so that a complete answer looks like a broken one.`,
-					{isNotSent: false, status: response.statusCode},
-				);
+				throw new BackendFailedError(`Back end ${call.address} answered ${response.statusCode} ${fault}.`, {isNotSent: false, status: response.statusCode});
 			}
 
 			const pauseMs = getPauseMs(response);
@@ -62,6 +62,15 @@
 	}
 }
 
+/** Returns what keeps a response from counting as an answer, or `undefined`. */
+function findFault(response: ResponseHead): string | undefined {
+	if (response.statusCode > highestStatus) {
+		return 'which is no status of HTTP';
+	}
+
+	return isFramed(response) ? undefined : 'with neither Content-Length nor chunks, so that a complete answer looks like a broken one';
+}
+
 /** Reports whether the end of the response's body is marked by its length or a last chunk. Any other transfer coding ends with the connection. */
 function isFramed({statusCode, headers}: ResponseHead): boolean {
 	return bodilessStatuses.has(statusCode) || headers['content-length'] !== undefined || String(headers['transfer-encoding']).trim().toLowerCase() === 'chunked';
--- a/packages/mulberrypitch-proxy/src/__tests__/hostile-heads.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/hostile-heads.test.ts
@@ -91,8 +91,16 @@
 });
 
 for (const isStream of [false, true]) {
-	for (const text of ['HTTP/1.1 200 O\u0001K\r\n', 'HTTP/1.1 200 OK\r\nDate: Sat, 05 Dec\u0001 2026\r\n', 'HTTP/1.1 099 Low\r\n', 'HTTP/1.1 000 None\r\n', 'HTTP/1.1 200 OK\r\nA: b\u007F\r\n']) {
-		// Guards against an entry that ends since such a head throws out of the callback of the back end's socket.
+	for (const text of [
+		'HTTP/1.1 200 O\u0001K\r\n',
+		'HTTP/1.1 200 OK\r\nDate: Sat, 05 Dec\u0001 2026\r\n',
+		'HTTP/1.1 099 Low\r\n',
+		'HTTP/1.1 000 None\r\n',
+		'HTTP/1.1 600 High\r\n',
+		'HTTP/1.1 999 High\r\n',
+		'HTTP/1.1 200 OK\r\nA: b\u007F\r\n',
+	]) {
+		// Guards against an entry that ends since such a head throws out of the callback of the back end's socket, or that passes on what is no answer.
 		await t.test(`an attempt with the head ${JSON.stringify(text)} fails alone, ${isStream ? 'as a stream' : 'as a whole'}`, async t => {
 			const outcome = await relay(t, Buffer.from(`${text}Content-Type: text/event-stream\r\nContent-Length: 3\r\n\r\n:\n\n`, 'latin1'), isStream);
 			t.equal(outcome.kind, 'unknown');
--- a/packages/mulberrypitch-proxy/src/response-head.ts
+++ b/packages/mulberrypitch-proxy/src/response-head.ts
@@ -43,7 +43,8 @@
 
 /** Beginning of each status line. */
 const protocolName = 'HTTP/1.';
-const statusLine = /^HTTP\/1\.(?<minor>[01]) (?<status>[1-9]\d{2})(?: (?<reason>.*))?$/v;
+/** A status line with a status that HTTP defines; a client can't take another one for an answer. */
+const statusLine = /^HTTP\/1\.(?<minor>[01]) (?<status>[1-5]\d{2})(?: (?<reason>.*))?$/v;
 const headerName = /^[!#$%\u0026'*+\-.^_`\|~0-9A-Za-z]+$/v;
 /** A control character, which Node.js refuses to write in the value of a header or in the reason of a status line. */
 const controlCharacter = /[^\t\u0020-\u007E\u0080-\u00FF]/v;
