Hold what arrives from a back end in one piece of memory

Cause: what is held was a list of the parts that had arrived, and a part of one byte takes about a hundred. So limits in bytes did not bound the memory. A head was copied and searched from its beginning at each read.

Change: ByteBuffer holds the bytes in one piece, at most twice their size; the parser, the collector of responses, the splitter of events, readText and the client of engines use it. The parser searches each byte once.

--- a/packages/mulberrypitch-backends/src/__tests__/hostile-backends.test.ts
+++ b/packages/mulberrypitch-backends/src/__tests__/hostile-backends.test.ts
@@ -1,4 +1,5 @@
 /** Tests that no back end can fill a host with a part of an answer that does not end. */
+import {Buffer} from 'node:buffer';
 import net from 'node:net';
 import t, {type Test} from 'tap';
 import {assumeType} from '@mulberrypitch/errors/assume-type';
@@ -108,3 +109,23 @@
 	t.ok(await isGivenUp(t, {start: 'HTTP/1.1 500 Error\r\nTransfer-Encoding: chunked\r\n\r\n', piece: createChunk(letters)}, stream));
 	t.ok(await isGivenUp(t, {start: chunkedHead, piece: createChunk(letters)}, async address => client.exportCache({requestId: 'r', address, signal})));
 });
+
+// Guards against tokens that are lost or garbled where the bytes of a stream arrive one at a time.
+await t.test('the tokens of a stream that arrives one byte at a time are whole', async t => {
+	const client = new EngineClient();
+	t.teardown(async () => client.dispose());
+	const server = net.createServer(socket => {
+		socket.once('data', () => {
+			const bytes = Buffer.from(['ä€', String.raw`b\n`, '😀'].map(text => `data: {"choices":[{"text":"${text}"}]}\n\n`).join('') + 'data: [DONE]\n');
+			socket.write(chunkedHead + [...bytes].map(byte => `1\r\n${String.fromCodePoint(byte)}\r\n`).join('') + '0\r\n\r\n', 'latin1');
+		});
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, host, resolve);
+	});
+	t.teardown(() => {
+		server.close();
+	});
+	const tokens = await readAll(client.stream(createCall(`http://${host}:${assumeType<net.AddressInfo>(server.address()).port}`)));
+	t.strictSame(tokens, ['ä€', 'b\n', '😀']);
+});
--- a/packages/mulberrypitch-backends/src/engine-client.ts
+++ b/packages/mulberrypitch-backends/src/engine-client.ts
@@ -2,6 +2,7 @@
 import {assumeType} from '@mulberrypitch/errors/assume-type';
 import {Agent, request} from 'undici';
 import {BackendFailedError} from '@mulberrypitch/errors/catalogue';
+import {ByteBuffer} from '@mulberrypitch/lifecycle/byte-buffer';
 import {readText} from '@mulberrypitch/lifecycle/read-text';
 import {createBackendFailure} from './failure.js';
 import {getPauseMs} from './retry-after.js';
@@ -16,8 +17,9 @@
 const maxConnections = 256;
 /** Largest reply of the cache API in bytes. */
 const maxReplyBytes = 64 * 1024;
-/** Largest number of characters of a line of a stream. */
-const maxLineLength = 256 * 1024;
+/** Largest size in bytes of a line of a stream. */
+const maxLineBytes = 256 * 1024;
+const lineFeed = 0x0A;
 const dataPrefix = 'data: ';
 /** Data of the line with which an engine ends a complete stream. */
 const finishMarker = '[DONE]';
@@ -111,14 +113,14 @@
 `[DONE]` line, a line is too long, or a data line is not JSON.
 */
 async function * readTokens(body: AsyncIterable<Uint8Array>, address: string): AsyncGenerator<string, void> {
-	const decoder = new TextDecoder();
-	let incompleteLine = '';
+	const incompleteLine = new ByteBuffer();
 	for await (const data of body) {
-		incompleteLine += decoder.decode(data, {stream: true});
-		const lines = incompleteLine.split('\n');
-		incompleteLine = lines.pop()!;
-		if (incompleteLine.length > maxLineLength) {
-			throw new BackendFailedError(`Engine ${address} sent a line of more than ${maxLineLength} characters.`, {isNotSent: false});
+		const linesEnd = data.lastIndexOf(lineFeed) + 1;
+		incompleteLine.append(data.subarray(0, linesEnd));
+		const lines = linesEnd === 0 ? [] : incompleteLine.take().toString().split('\n');
+		incompleteLine.append(data.subarray(linesEnd));
+		if (incompleteLine.lengthBytes > maxLineBytes) {
+			throw new BackendFailedError(`Engine ${address} sent a line of more than ${maxLineBytes} bytes.`, {isNotSent: false});
 		}
 
 		for (const line of lines) {
--- a/packages/mulberrypitch-lifecycle/src/read-text.ts
+++ b/packages/mulberrypitch-lifecycle/src/read-text.ts
@@ -1,6 +1,6 @@
 /** Reads bodies that peers send, up to a limit. */
-import {Buffer} from 'node:buffer';
 import {TooLargeError} from '@mulberrypitch/errors/catalogue';
+import {ByteBuffer} from './byte-buffer.js';
 
 /** Limits on the body that is read. */
 export type BodyLimit = {
@@ -19,16 +19,14 @@
 ```
 */
 export async function readText(body: AsyncIterable<Uint8Array>, {maxBytes, subject}: BodyLimit): Promise<string> {
-	const parts: Uint8Array[] = [];
-	let lengthBytes = 0;
+	const received = new ByteBuffer();
 	for await (const part of body) {
-		lengthBytes += part.length;
-		if (lengthBytes > maxBytes) {
+		if (received.lengthBytes + part.length > maxBytes) {
 			throw new TooLargeError(subject, maxBytes);
 		}
 
-		parts.push(part);
+		received.append(part);
 	}
 
-	return Buffer.concat(parts).toString();
+	return received.bytes.toString();
 }
--- a/packages/mulberrypitch-proxy/src/event-splitter.ts
+++ b/packages/mulberrypitch-proxy/src/event-splitter.ts
@@ -1,6 +1,6 @@
 /** Splits a stream of server-sent events at event boundaries, and reads the events' identifiers. */
-import {Buffer} from 'node:buffer';
 import {ProtocolError} from '@mulberrypitch/errors/catalogue';
+import {ByteBuffer} from '@mulberrypitch/lifecycle/byte-buffer';
 import {EventBoundary} from './event-boundary.js';
 
 /** One or more complete events. */
@@ -19,7 +19,7 @@
 /** Buffers an event until it is complete. */
 export class EventSplitter {
 	readonly #boundary: EventBoundary;
-	#incomplete: Uint8Array[] = [];
+	readonly #incomplete = new ByteBuffer();
 
 	/** `boundary` scans the same stream, and nothing else. */
 	constructor(boundary = new EventBoundary()) {
@@ -37,12 +37,13 @@
 		}
 
 		if (completeBytes === 0) {
-			this.#incomplete.push(Buffer.from(data));
+			this.#incomplete.append(data);
 			return undefined;
 		}
 
-		const whole = Buffer.concat([...this.#incomplete, data.subarray(0, completeBytes)]);
-		this.#incomplete = [Buffer.from(data.subarray(completeBytes))];
+		this.#incomplete.append(data.subarray(0, completeBytes));
+		const whole = this.#incomplete.take();
+		this.#incomplete.append(data.subarray(completeBytes));
 		const text = whole.toString('latin1');
 		const lastId = [...text.matchAll(idLine)].at(-1)?.groups?.id;
 		return {data: whole, ...(lastId !== undefined && {lastId})};
@@ -50,8 +51,6 @@
 
 	/** Returns the incomplete rest at the end of a response, and clears it. */
 	takeRemainder(): Uint8Array {
-		const rest = Buffer.concat(this.#incomplete);
-		this.#incomplete = [];
-		return rest;
+		return this.#incomplete.take();
 	}
 }
--- a/packages/mulberrypitch-proxy/src/response-collector.ts
+++ b/packages/mulberrypitch-proxy/src/response-collector.ts
@@ -1,5 +1,5 @@
 /** Receives one response of a back end: relays a stream as it arrives, buffers any other response, and reports how it ended. */
-import {Buffer} from 'node:buffer';
+import {ByteBuffer} from '@mulberrypitch/lifecycle/byte-buffer';
 import {findHeader, framings, type ResponseHead} from './response-head.js';
 import {getEndToEndHeaders, type ResponseRelay} from './response-relay.js';
 import type {AttemptOutcome, BufferedResponse, NotRun} from './attempt-outcome.js';
@@ -45,8 +45,7 @@
 	readonly isHead: boolean;
 	readonly #options: ResponseCollectorOptions;
 	#head: ResponseHead | undefined;
-	#buffered: Uint8Array[] = [];
-	#bufferedBytes = 0;
+	readonly #buffered = new ByteBuffer();
 	#isRelaying = false;
 	#bodyBytes = 0;
 	/** Whether the outcome was reported before the end of the response. */
@@ -97,9 +96,8 @@
 			return;
 		}
 
-		this.#buffered.push(Buffer.from(data));
-		this.#bufferedBytes += data.length;
-		if (this.#bufferedBytes > maxBufferedBytes) {
+		this.#buffered.append(data);
+		if (this.#buffered.lengthBytes > maxBufferedBytes) {
 			this.#endBuffering();
 		}
 	}
@@ -107,7 +105,7 @@
 	/** Handles the end of the response, and reports the outcome. A stream that the back end broke off counts as failed, although its body has ended. */
 	onEnd(): void {
 		const {relay, connection, onOutcome} = this.#options;
-		const body = Buffer.concat(this.#buffered);
+		const body = this.#buffered.take();
 		if (this.#isBrokenOff(body)) {
 			connection.destroy();
 			this.onFailed('the back end ended the stream inside an event or before the first one');
@@ -144,8 +142,7 @@
 	#endBuffering(): void {
 		const {relay, connection, onOutcome} = this.#options;
 		const head = this.#head!;
-		const buffered = Buffer.concat(this.#buffered);
-		this.#buffered = [];
+		const buffered = this.#buffered.take();
 		if (!this.#isNotRun(head) && !isFailure(head) && !relay.hasStarted) {
 			this.#beginRelay();
 			this.#relay(buffered);
--- a/packages/mulberrypitch-proxy/src/response-parser.ts
+++ b/packages/mulberrypitch-proxy/src/response-parser.ts
@@ -1,13 +1,11 @@
 /** Parses HTTP/1.1 responses from the bytes of one connection. */
 import {Buffer} from 'node:buffer';
 import {ProtocolError} from '@mulberrypitch/errors/catalogue';
+import {ByteBuffer, type NodeBuffer} from '@mulberrypitch/lifecycle/byte-buffer';
 import {
 	checkTrailer, findBodyFraming, framings, mayBeginResponse, noBody, parseHead, requireNoStatusLine, type BodyFraming, type ResponseHead,
 } from './response-head.js';
 
-/** The type of a Node.js `Buffer`, which unlike a plain `Uint8Array` can be searched and decoded. */
-export type NodeBuffer = ReturnType<typeof Buffer.concat>;
-
 /** Receives the parts of responses in order. Interim responses (status 1xx) are left out. */
 export type ResponseListener = {
 	onHead(head: ResponseHead): void;
@@ -47,7 +45,10 @@
 	/** Reports whether the response whose head has just arrived has no body because of its request, such as HEAD. The parser itself handles status 204 and 304. */
 	readonly #isBodiless: () => boolean;
 	#state: State = states.head;
-	#buffered: Uint8Array = Buffer.alloc(0);
+	/** Received bytes of an incomplete part. */
+	readonly #incomplete = new ByteBuffer();
+	/** Number of bytes of the incomplete part in which its end was looked for. */
+	#searchedBytes = 0;
 	/** Bytes of the body or chunk that have not arrived yet. */
 	#remainingBytes = 0;
 	/** Bytes of the interim responses before the current head, or of the current response's trailers. */
@@ -67,13 +68,14 @@
 
 	/** Whether the bytes so far end inside a response, or an interim one. */
 	get isInsideResponse(): boolean {
-		return this.#state !== states.head || this.#headBytes > 0 || this.#buffered.length > 0;
+		return this.#state !== states.head || this.#headBytes > 0 || this.#incomplete.lengthBytes > 0;
 	}
 
 	/** Parses received bytes and calls the listener. Keeps an incomplete part until the next call. */
 	push(data: Uint8Array): void {
 		try {
-			this.#consumeAll(Buffer.concat([this.#buffered, data]));
+			this.#incomplete.append(data);
+			this.#consumeAll();
 		} finally {
 			this.#passBodyOn();
 		}
@@ -89,18 +91,29 @@
 		return true;
 	}
 
-	#consumeAll(data: NodeBuffer): void {
-		let rest = data;
-		this.#buffered = Buffer.alloc(0);
+	#consumeAll(): void {
+		const received = this.#incomplete.bytes;
+		let rest = received;
 		while (rest.length > 0) {
 			const next = this.#consume(rest);
 			if (next === undefined) {
-				this.#buffered = Buffer.from(rest);
-				return;
+				break;
 			}
 
+			this.#searchedBytes = 0;
 			rest = next;
 		}
+
+		this.#searchedBytes = rest.length;
+		if (rest.length < received.length) {
+			this.#incomplete.take();
+			this.#incomplete.append(rest);
+		}
+	}
+
+	/** Returns the position of a delimiter in the data, or -1. Looks only where it can end in bytes that were not searched before. */
+	#findEnd(data: NodeBuffer, delimiter: NodeBuffer): number {
+		return data.indexOf(delimiter, Math.max(0, this.#searchedBytes - delimiter.length + 1));
 	}
 
 	/** Parses a part of the data and returns the rest, or `undefined` when more bytes are needed. */
@@ -135,7 +148,7 @@
 	}
 
 	#consumeHead(data: NodeBuffer): NodeBuffer | undefined {
-		const end = data.indexOf(headEnd);
+		const end = this.#findEnd(data, headEnd);
 		checkLength(this.#headBytes + (end === -1 ? data.length : end), maxHeadBytes);
 		if (end === -1) {
 			checkStatusPrefix(data);
@@ -202,7 +215,7 @@
 	}
 
 	#consumeChunkSize(data: NodeBuffer): NodeBuffer | undefined {
-		const end = data.indexOf(lineEnd);
+		const end = this.#findEnd(data, lineEnd);
 		checkLength(end === -1 ? data.length : end, maxSizeLineBytes);
 		if (end === -1) {
 			return undefined;
@@ -234,7 +247,7 @@
 	}
 
 	#consumeTrailer(data: NodeBuffer): NodeBuffer | undefined {
-		const end = data.indexOf(lineEnd);
+		const end = this.#findEnd(data, lineEnd);
 		checkLength(this.#headBytes + (end === -1 ? data.length : end), maxHeadBytes);
 		if (end === -1) {
 			return undefined;
