Ask the next entry after any refusal but those that it would repeat

A refusal with another status than 503 ended a request that was passed on. Only 408 and 429 are repeated by the next entry; any other one that states that the request has not run leaves it free to be asked, as before the change of refusals. The tests of proxy and three files of platform pass (2839 asserts); no test tells the two apart, as entries send no other.

--- a/packages/mulberrypitch-proxy/src/forwarded-request.ts
+++ b/packages/mulberrypitch-proxy/src/forwarded-request.ts
@@ -42,8 +42,8 @@
 const maxTries = 3;
 /** An entry is tried only if more than this time, in milliseconds, is left before the deadline. */
 const minTryMs = 60;
-/** Status with which an entry refuses a request that it has no back end for, so that another entry may still serve it. */
-const noRoomStatus = 503;
+/** Statuses of refusals that another entry would repeat: the body came too late, or the quota is used up. */
+const repeatedStatuses = new Set([408, 429]);
 
 /** Handles one request until it is answered, refused, cut off or abandoned. */
 export class ForwardedRequest {
@@ -77,7 +77,7 @@
 			}
 		}
 
-		return signal.aborted ? {kind: 'abandoned'} : this.#endWithoutEntry();
+		return signal.aborted ? {kind: 'abandoned'} : this.#endRefused();
 	}
 
 	/** Returns how the request ends after an outcome, or `undefined` if another entry may be tried. */
@@ -109,16 +109,12 @@
 
 	/** Returns how a request ends that an entry refused, or could not be sent, or `undefined` if another entry may have room for it. */
 	#decideAfterRefusal(refusal: BufferedResponse | undefined): RequestEnd | undefined {
-		if (refusal === undefined || refusal.head.status === noRoomStatus) {
-			this.#refusal = refusal ?? this.#refusal;
-			return undefined;
-		}
-
-		this.#options.relay.deliver(refusal.head, refusal.body);
-		return {kind: 'answered'};
+		this.#refusal = refusal ?? this.#refusal;
+		return refusal !== undefined && repeatedStatuses.has(refusal.head.status) ? this.#endRefused() : undefined;
 	}
 
-	#endWithoutEntry(): RequestEnd {
+	/** Ends a request that no entry has taken, with the last refusal if there was one. */
+	#endRefused(): RequestEnd {
 		const {relay, service} = this.#options;
 		if (this.#refusal === undefined) {
 			return {kind: 'refused', service, reason: 'no back end and no other entry can be reached'};
