--- a/review/harness-3/runner.js
+++ b/review/harness-3/runner.js
@@ -1,5 +1,6 @@
 /** A sound runner of a plain service: it registers itself, runs requests in its slots, queues a few more and drops a request whose connection closes. */
 /* eslint-disable camelcase -- Fields of the wire format and of the settings. */
+import {Buffer} from 'node:buffer';
 import {createHash} from 'node:crypto';
 import http from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
@@ -16,6 +17,8 @@
 	runs = new Map();
 	/** Attempt ids of the requests that it answered. */
 	answered = new Set();
+	/** Bytes of the `Tenant` header of the requests that it began to work on, by attempt id. */
+	tenants = new Map();
 	/** Times in milliseconds at which it had handed over the whole answer to a request, by attempt id. */
 	finishedAt = new Map();
 	#deployment;
@@ -100,6 +103,7 @@
 		}
 
 		this.#running += 1;
+		this.tenants.set(attemptId, Buffer.from(String(request.headers.tenant ?? ''), 'latin1'));
 		this.runs.set(attemptId, [...(this.runs.get(attemptId) ?? []), this.#deployment.now]);
 		await sleep(workMs);
 		this.#running -= 1;
