--- a/packages/mulberrypitch-requests/src/__tests__/answer-version.test.ts
+++ b/packages/mulberrypitch-requests/src/__tests__/answer-version.test.ts
@@ -3,8 +3,9 @@
 import {ends} from '@mulberrypitch/control/types';
 import {codes} from '@mulberrypitch/errors/catalogue';
 import {
-	collectAnswer, createDocument, isWhole, RequestCluster, type Received,
-} from './request-cluster.js';
+	collectAnswer, createDocument, isWhole, type Received,
+} from './cluster-calls.js';
+import {RequestCluster} from './request-cluster.js';
 
 const holderName = 'host-1';
 const tokens = 400;
--- a/packages/mulberrypitch-requests/src/__tests__/planned-stop.test.ts
+++ b/packages/mulberrypitch-requests/src/__tests__/planned-stop.test.ts
@@ -1,9 +1,8 @@
 /** Tests what a host takes and keeps during a planned stop, on virtual time. */
 import t from 'tap';
 import {codes} from '@mulberrypitch/errors/catalogue';
-import {
-	collectAnswer, createDocument, isWhole, RequestCluster,
-} from './request-cluster.js';
+import {collectAnswer, createDocument, isWhole} from './cluster-calls.js';
+import {RequestCluster} from './request-cluster.js';
 
 const holderName = 'host-1';
 const stoppingName = 'host-2';
--- a/packages/mulberrypitch-requests/src/__tests__/poison.test.ts
+++ b/packages/mulberrypitch-requests/src/__tests__/poison.test.ts
@@ -3,8 +3,9 @@
 import {codes} from '@mulberrypitch/errors/catalogue';
 import {ends} from '@mulberrypitch/control/types';
 import {
-	createChat, createDocument, collectAnswer, isWhole, RequestCluster,
-} from './request-cluster.js';
+	createChat, createDocument, collectAnswer, isWhole,
+} from './cluster-calls.js';
+import {RequestCluster} from './request-cluster.js';
 
 const limitMs = 60_000;
 const tokens = 150;
--- a/packages/mulberrypitch-requests/src/__tests__/reclaim-experiment.ts
+++ b/packages/mulberrypitch-requests/src/__tests__/reclaim-experiment.ts
@@ -2,8 +2,9 @@
 import {ends} from '@mulberrypitch/control/types';
 import {SeededRandom} from '@mulberrypitch/lifecycle/random';
 import {
-	createDocument, collectAnswer, isWhole, RequestCluster, type Received,
-} from './request-cluster.js';
+	createDocument, collectAnswer, isWhole, type Received,
+} from './cluster-calls.js';
+import {RequestCluster} from './request-cluster.js';
 
 const engineCount = 6;
 const waveSize = 2;
--- a/packages/mulberrypitch-requests/src/__tests__/reclaim.test.ts
+++ b/packages/mulberrypitch-requests/src/__tests__/reclaim.test.ts
@@ -2,9 +2,8 @@
 import t from 'tap';
 import {planReclaim, type Reclaim} from '../reclaim-planner.js';
 import {reclaimModes, runReclaimExperiment} from './reclaim-experiment.js';
-import {
-	createDocument, collectAnswer, isWhole, RequestCluster,
-} from './request-cluster.js';
+import {createDocument, collectAnswer, isWhole} from './cluster-calls.js';
+import {RequestCluster} from './request-cluster.js';
 
 const maxDispatchDelayMs = 3000;
 const seeds = [1, 2];
--- a/packages/mulberrypitch-requests/src/__tests__/request-cluster.ts
+++ b/packages/mulberrypitch-requests/src/__tests__/request-cluster.ts
@@ -7,8 +7,7 @@
 import {ControlService} from '@mulberrypitch/control/control-service';
 import {ControlState} from '@mulberrypitch/control/control-state';
 import {Replica} from '@mulberrypitch/control/replica';
-import {ends, type Outcome} from '@mulberrypitch/control/types';
-import {countTokens, MemoryBackends} from '@mulberrypitch/fakes/memory-backends';
+import {MemoryBackends} from '@mulberrypitch/fakes/memory-backends';
 import {MemoryNetwork} from '@mulberrypitch/fakes/memory-transport';
 import {VirtualClock} from '@mulberrypitch/fakes/virtual-clock';
 import type {BackendCall} from '@mulberrypitch/backends/types';
@@ -18,14 +17,12 @@
 import {LeastLoadedRouter} from '@mulberrypitch/routing/router';
 import {MemoryLog} from '@mulberrypitch/storage/memory-log';
 import {RequestService} from '../request-service.js';
-import type {AcceptedRequest, IncomingCall} from '../types.js';
 import {ProcessTransport, type Step} from './process-transport.js';
 
 const group = 'main';
 const zones = ['palermo', 'catania', 'agrigento'];
 const announceIntervalMs = 1000;
 const startLimitMs = 20_000;
-const deadlineMs = 60_000;
 
 /** One host process of the simulated cluster. */
 export type ClusterHost = {
@@ -39,12 +36,6 @@
 /** Called at each step of each host. */
 export type StepListener = (host: string, step: Step) => void;
 
-/** The part of an answer that a reader has received so far. */
-export type Received = {
-	text: string;
-	outcome?: Outcome;
-};
-
 /** A cluster of several hosts and back ends with one control replica. */
 export class RequestCluster {
 	readonly clock = new VirtualClock();
@@ -315,120 +306,3 @@
 		return answer;
 	}
 }
-
-/**
-Creates a call that generates a document of a number of tokens.
-
-@example
-```
-const accepted = await host.requests.submit(createDocument('plan', 50));
-```
-*/
-export function createDocument(prompt: string, tokens: number, idempotencyKey?: string): IncomingCall {
-	return {
-		...createCall('advice', 'engine'),
-		body: {
-			// eslint-disable-next-line @typescript-eslint/naming-convention -- The wire format's own name.
-			method: 'POST', path: '/v1/completions', contentType: 'application/json', text: JSON.stringify({prompt, max_tokens: tokens}),
-		},
-		isIdempotent: true,
-		maxTokens: tokens,
-		...(idempotencyKey !== undefined && {idempotencyKey}),
-	};
-}
-
-/**
-Creates a call for a chat completion of some messages.
-
-@example
-```
-const accepted = await host.requests.submit(createChat(['Answer briefly.', 'Which filter?'], 50));
-```
-*/
-export function createChat(messages: readonly string[], tokens: number): IncomingCall {
-	return {
-		...createCall('advice', 'engine'),
-		body: {
-			method: 'POST',
-			path: '/v1/chat/completions',
-			contentType: 'application/json',
-			// eslint-disable-next-line @typescript-eslint/naming-convention -- The wire format's own name.
-			text: JSON.stringify({messages: messages.map(content => ({role: 'user', content})), max_tokens: tokens}),
-		},
-		isIdempotent: true,
-		maxTokens: tokens,
-	};
-}
-
-/**
-Creates a booking call, which is not idempotent.
-
-@example
-```
-const accepted = await host.requests.submit(createBooking('filter', 'key-1'));
-```
-*/
-export function createBooking(text: string, idempotencyKey: string): IncomingCall {
-	return {
-		...createCall('bookings', 'plain'),
-		body: {
-			method: 'POST', path: '/book', contentType: 'application/json', text,
-		},
-		idempotencyKey,
-	};
-}
-
-/**
-Collects an answer in the background while it streams.
-
-@example
-```
-const received = collectAnswer(accepted);
-```
-*/
-export function collectAnswer(accepted: AcceptedRequest, fromOffset = 0, signal: AbortSignal = new AbortController().signal): Received {
-	const received: Received = {text: ''};
-	void (async () => {
-		for await (const event of accepted.read(fromOffset, signal)) {
-			if (event.kind === 'chunk') {
-				received.text += event.chunk.text;
-			} else {
-				received.outcome = event.outcome;
-			}
-		}
-	})();
-
-	return received;
-}
-
-/**
-Reports whether a reader received all tokens of the document, with the digest that its outcome states.
-
-@example
-```
-t.ok(isWhole(received, 'plan', 50));
-```
-*/
-export function isWhole({text, outcome}: Received, prompt: string, tokens: number): boolean {
-	return outcome?.end === ends.answered
-		&& countTokens(text, prompt) === tokens
-		&& createHash('sha256').update(text).digest('hex') === outcome.digest;
-}
-
-function createCall(service: string, kind: 'engine' | 'plain'): IncomingCall {
-	return {
-		workspace: {
-			name: 'clinic', keyDigest: '', share: 1, maxInFlight: 1000, services: [],
-		},
-		service: {
-			name: service, kind, firstTokenMs: 500, betweenTokensMs: 100, deadlineMs, queueLimit: 1000, idempotentPaths: ['stock'],
-		},
-		body: {
-			method: 'POST', path: '/', contentType: 'application/json', text: '',
-		},
-		isIdempotent: false,
-		deadlineMs,
-		prefix: '',
-		maxTokens: 0,
-	};
-}
--- a/packages/mulberrypitch-requests/src/__tests__/request-failover.test.ts
+++ b/packages/mulberrypitch-requests/src/__tests__/request-failover.test.ts
@@ -2,8 +2,9 @@
 import t, {type Test} from 'tap';
 import {ends} from '@mulberrypitch/control/types';
 import {
-	createBooking, createDocument, collectAnswer, isWhole, RequestCluster,
-} from './request-cluster.js';
+	createBooking, createDocument, collectAnswer, isWhole,
+} from './cluster-calls.js';
+import {RequestCluster} from './request-cluster.js';
 
 const endLimitMs = 90_000;
 const holderName = 'host-1';
--- a/packages/mulberrypitch-requests/src/__tests__/request-simulation.ts
+++ b/packages/mulberrypitch-requests/src/__tests__/request-simulation.ts
@@ -4,9 +4,8 @@
 import {assumeType} from '@mulberrypitch/errors/assume-type';
 import {countTokens} from '@mulberrypitch/fakes/memory-backends';
 import {getRandomBetween, SeededRandom} from '@mulberrypitch/lifecycle/random';
-import {
-	createBooking, createDocument, isWhole, RequestCluster,
-} from './request-cluster.js';
+import {createBooking, createDocument, isWhole} from './cluster-calls.js';
+import {RequestCluster} from './request-cluster.js';
 import {SimulatedCaller} from './simulated-caller.js';
 
 /** Number of back-end crashes during one request after which the control group must assume that the request causes them, so that its quarantine is correct. */
--- a/packages/mulberrypitch-requests/src/__tests__/simulated-caller.ts
+++ b/packages/mulberrypitch-requests/src/__tests__/simulated-caller.ts
@@ -3,7 +3,8 @@
 import {CodedError} from '@mulberrypitch/errors/coded-error';
 import type {Random} from '@mulberrypitch/lifecycle/random';
 import type {AcceptedRequest, IncomingCall} from '../types.js';
-import type {ClusterHost, Received, RequestCluster} from './request-cluster.js';
+import type {Received} from './cluster-calls.js';
+import type {ClusterHost, RequestCluster} from './request-cluster.js';
 
 const retryDelayMs = 400;
 
