Tell back ends the names of workspaces and their own identifiers in UTF-8

What callers saw: with the workspaces "Łódź Print" and "Škoda Łuk" each request ran under a name that no workspace has ("Aódz Print"), or that another one could have; with "Račun" and "Ċentru" the back ends answered 400 to all.

Cause: createRequestHead put the names of the configuration into the head as they are, and the connection writes a head as one byte for each character, which keeps the low byte of any other character. Of č and Ċ that is a line break. The same holds for the identifier of the back end in the header beside it. Latin-1 letters arrived in Latin-1, so "Ã¼" could not have been told from "ü" in UTF-8 either.

The head refuses a name that no header can carry. What came in as bytes (the caller's headers, identifiers of events) is passed on as before.

--- a/packages/mulberrypitch-proxy/src/backend-connection.ts
+++ b/packages/mulberrypitch-proxy/src/backend-connection.ts
@@ -168,7 +168,7 @@
 		return this.#options.now() - this.#idleSince;
 	}
 
-	/** Sends a request. The connection must be idle. */
+	/** Sends a request. In its head, each character stands for one byte. The connection must be idle. */
 	send(head: string, body: Uint8Array | undefined, exchange: Exchange): void {
 		this.#exchange = exchange;
 		this.#sentAt = this.#options.now();
--- a/packages/mulberrypitch-proxy/src/request-head.ts
+++ b/packages/mulberrypitch-proxy/src/request-head.ts
@@ -1,4 +1,9 @@
-/** Builds the head of a request as it is sent to a back end. */
+/**
+ * Builds the head of a request as it is sent to a back end. In it, each character stands for one byte: the caller's own headers are passed on byte for
+ * byte, and names of this program are converted to UTF-8.
+ */
+import {assertInvariant} from '@mulberrypitch/errors/catalogue';
+import {encodeHeaderText, isHeaderText} from '@mulberrypitch/lifecycle/header-text';
 import type {Header} from './response-head.js';
 import {getEndToEndHeaders} from './response-relay.js';
 import type {HeaderNames} from './types.js';
@@ -19,7 +24,7 @@
 	/** Absent when the configuration requires no keys. */
 	readonly workspace: string | undefined;
 	readonly backendPriority: number;
-	/** Replaces the caller's own value when the proxy resumes a stream. */
+	/** Bytes, one character for each, that replace the caller's own value when the proxy resumes a stream. */
 	readonly lastEventId: string | undefined;
 	readonly bodyLength: number;
 	/** Whether to leave out the caller's `Authorization` header. */
@@ -50,11 +55,11 @@
 		.map(({name, value}) => `${name}: ${value}`);
 	lines.push(
 		`${names.deadline}: ${formatDeadline(fields.deadlineMs)}`,
-		`${names.expectedBackend}: ${fields.backendId}`,
+		formatName(names.expectedBackend, fields.backendId),
 		`${names.backendPriority}: ${fields.backendPriority}`,
 	);
 	if (fields.workspace !== undefined) {
-		lines.push(`${names.workspace}: ${fields.workspace}`);
+		lines.push(formatName(names.workspace, fields.workspace));
 	}
 
 	if (fields.lastEventId !== undefined) {
@@ -82,6 +87,12 @@
 	return formatHead({method, path}, lines, bodyLength);
 }
 
+/** Returns a line with a name of this program. A name that no header can carry is refused where it comes in, and would add lines to the head here. */
+function formatName(header: string, name: string): string {
+	assertInvariant(isHeaderText(name), `The value of ${header} can't be put into a head.`);
+	return `${header}: ${encodeHeaderText(name)}`;
+}
+
 function formatDeadline(deadlineMs: number): number {
 	return Math.max(1, Math.floor(deadlineMs));
 }
