Refuse configurations with names of workspaces that no header can carry

What callers saw: a configuration whose workspace is called "t\r\nmodel: m" was acknowledged, and each request of it reached its back end with a header "model: m" of its own. "t " arrived as "t", which may be the name of another workspace.

Cause: the check of a configuration asked of a name only that it is not empty.

Change: such a configuration gets 400 with the name and the reason. One that an earlier version has stored stays in force: requests of that workspace get 503 at once, and have not run.

--- a/packages/mulberrypitch-proxy/src/admission.ts
+++ b/packages/mulberrypitch-proxy/src/admission.ts
@@ -1,5 +1,6 @@
 /** Admission of requests by the configuration in force. */
 import type {IncomingMessage} from 'node:http';
+import {isHeaderText} from '@mulberrypitch/lifecycle/header-text';
 import type {RouteTable} from '@mulberrypitch/serving/route-table';
 import type {Route, Workspace} from '@mulberrypitch/serving/types';
 import type {LocalReply} from './local-replies.js';
@@ -33,7 +34,12 @@
 
 	const key = /^bearer (?<key>.+)$/iv.exec(request.headers.authorization ?? '')?.groups?.key ?? '';
 	const workspace = table.findWorkspace(key);
-	return workspace === undefined && !route.isPublic ? reject(401, 'unknown key') : {kind: 'admitted', route, workspace};
+	if (workspace === undefined) {
+		return route.isPublic ? {kind: 'admitted', route, workspace} : reject(401, 'unknown key');
+	}
+
+	// The check of configurations refuses such names, but earlier versions have stored some.
+	return isHeaderText(workspace.name) ? {kind: 'admitted', route, workspace} : reject(503, 'no header can carry the name of the workspace');
 }
 
 function reject(status: number, reason: string): Admission {
--- a/packages/mulberrypitch-serving/src/configuration-check.ts
+++ b/packages/mulberrypitch-serving/src/configuration-check.ts
@@ -1,5 +1,6 @@
 /** Validates a serving configuration. */
 import {BadRequestError} from '@mulberrypitch/errors/catalogue';
+import {isHeaderText} from '@mulberrypitch/lifecycle/header-text';
 import type {Route, ServingConfiguration, Workspace} from './types.js';
 
 /**
@@ -27,6 +28,7 @@
 		seenPrefixes.add(hostAndPrefix);
 	}
 
+	validateWorkspaceNames(workspaces);
 	validateKeys(workspaces);
 }
 
@@ -49,6 +51,14 @@
 	}
 }
 
+/** Checks that back ends can be told the names of workspaces, which they get in a header. */
+function validateWorkspaceNames(workspaces: readonly Workspace[]): void {
+	const unsendable = workspaces.find(({name}) => !isHeaderText(name));
+	if (unsendable !== undefined) {
+		throw new BadRequestError(`The name ${JSON.stringify(unsendable.name)} of a workspace has control characters or blanks at an end, which no header can carry.`);
+	}
+}
+
 function validateKeys(workspaces: readonly Workspace[]): void {
 	const owners = new Map<string, string>();
 	for (const {name, keys} of workspaces) {
