Find API keys by the bytes that callers send

What callers saw: with the key "klucz-ł" of the configuration each request got 401, in any encoding.

Cause: keys of the configuration are texts, and those of requests come as one character for each byte. Only keys whose letters Latin-1 has were equal, and only if the caller sent them in Latin-1.

Change: the table knows a key by its bytes in UTF-8, and by those in Latin-1 if it has all the letters, so that no caller is refused who was served before. A configuration in which such bytes are the key of two workspaces ("ü" and "Ã¼") is refused as one in which two share a key.

--- a/packages/mulberrypitch-serving/src/configuration-check.ts
+++ b/packages/mulberrypitch-serving/src/configuration-check.ts
@@ -1,6 +1,6 @@
 /** Validates a serving configuration. */
 import {BadRequestError} from '@mulberrypitch/errors/catalogue';
-import {isHeaderText} from '@mulberrypitch/lifecycle/header-text';
+import {getHeaderForms, isHeaderText} from '@mulberrypitch/lifecycle/header-text';
 import type {Route, ServingConfiguration, Workspace} from './types.js';
 
 /**
@@ -59,16 +59,17 @@
 	}
 }
 
+/** Checks that no key leads to two workspaces, whichever encoding its sender uses. */
 function validateKeys(workspaces: readonly Workspace[]): void {
 	const owners = new Map<string, string>();
 	for (const {name, keys} of workspaces) {
-		for (const key of keys) {
-			const owner = owners.get(key);
+		for (const form of keys.flatMap(key => getHeaderForms(key))) {
+			const owner = owners.get(form);
 			if (owner !== undefined && owner !== name) {
 				throw new BadRequestError(`Workspaces ${owner} and ${name} share a key.`);
 			}
 
-			owners.set(key, name);
+			owners.set(form, name);
 		}
 	}
 }
--- a/packages/mulberrypitch-serving/src/route-table.ts
+++ b/packages/mulberrypitch-serving/src/route-table.ts
@@ -1,4 +1,5 @@
 /** Looks up the route, the workspace and the service of a request. */
+import {getHeaderForms} from '@mulberrypitch/lifecycle/header-text';
 import type {
 	Route, ServiceProfile, ServingConfiguration, Workspace,
 } from './types.js';
@@ -31,8 +32,8 @@
 		}
 
 		for (const workspace of configuration.workspaces ?? []) {
-			for (const key of workspace.keys) {
-				this.#workspaces.set(key, workspace);
+			for (const form of workspace.keys.flatMap(key => getHeaderForms(key))) {
+				this.#workspaces.set(form, workspace);
 			}
 		}
 	}
@@ -66,7 +67,7 @@
 		return undefined;
 	}
 
-	/** Returns the workspace that owns an API key, or `undefined` if the key is unknown. */
+	/** Returns the workspace that owns an API key, as Node.js reads the key from a head, or `undefined` if the key is unknown. */
 	findWorkspace(key: string): Workspace | undefined {
 		return this.#workspaces.get(key);
 	}
