Find routes by the spelling of hosts and paths that callers use

What callers saw: a route whose host or prefix has letters beyond ASCII ("łódź.example", "/żółć/") got no request; all got 404.

Cause: callers send such a host as xn--… or in UTF-8, and such a path with escapes (Node.js refuses other bytes in it). Both were compared with the text of the configuration.

Change: route-keys.ts gives both sides the same spelling. Hosts beyond ASCII are compared as xn--…; in paths, only bytes that a path can't have as they are get escapes in upper case, so that paths which matched before match as before ("/a%2fb/" is still not "/a%2Fb/").

Tests: two in route-table.test.ts, which failed before; the search of all routes there holds as before.

--- a/packages/mulberrypitch-serving/src/__tests__/route-table.test.ts
+++ b/packages/mulberrypitch-serving/src/__tests__/route-table.test.ts
@@ -33,6 +33,34 @@
 	}));
 }
 
+// Guards against a route that the configuration has and no caller can use, since its host has letters beyond ASCII.
+await t.test('a host is found in each spelling that callers use', async t => {
+	const table = createTable([{name: 'city', host: 'Łódź.example', pathPrefix: '/'}, {name: 'plain', host: 'One.example', pathPrefix: '/'}]);
+	for (const spelling of ['xn--d-uga0v4h.example', 'XN--D-UGA0V4H.example:80', readFromHead('łódź.example'), readFromHead('ŁÓDŹ.EXAMPLE:80')]) {
+		t.equal(table.findRoute(spelling, '/')?.name, 'city', spelling);
+	}
+
+	t.equal(createTable([{name: 'café', host: 'café.example', pathPrefix: '/'}]).findRoute(readFromHead('café.example', 'latin1'), '/')?.name, 'café');
+	t.equal(table.findRoute('oNe.example:80', '/')?.name, 'plain');
+	t.equal(table.findRoute(readFromHead('łódż.example'), '/'), undefined);
+});
+
+// Guards against a route that the configuration has and no caller can use, since paths have other letters than prefixes.
+await t.test('a prefix is found in each spelling that paths have', async t => {
+	const table = createTable(['/żółć/', '/%C5%BCar/', '/a b/', '/a%2fb/'].map(pathPrefix => ({name: pathPrefix, host: 'h', pathPrefix})));
+	for (const [path, name] of [
+		['/%C5%BC%C3%B3%C5%82%C4%87/x', '/żółć/'],
+		['/%c5%bc%c3%b3%c5%82%c4%87/', '/żółć/'],
+		['/%c5%bcar/x?q=/', '/%C5%BCar/'],
+		['/a%20b/', '/a b/'],
+		['/a%2fb/', '/a%2fb/'],
+		['/a%2Fb/', undefined],
+		['/zolc/', undefined],
+	] as const) {
+		t.equal(table.findRoute('h', path)?.name, name, path);
+	}
+});
+
 // Guards against a caller who is refused with a key that the configuration has.
 await t.test('a key is found in UTF-8, and in Latin-1 if it has all the letters', async t => {
 	const workspace = assumeType<Workspace>({name: 'w', keys: ['klucz-łódź', 'clé', 'plain']});
--- a/packages/mulberrypitch-serving/src/route-table.ts
+++ b/packages/mulberrypitch-serving/src/route-table.ts
@@ -1,5 +1,6 @@
 /** Looks up the route, the workspace and the service of a request. */
-import {getHeaderForms} from '@mulberrypitch/lifecycle/header-text';
+import {decodeHeaderText, getHeaderForms} from '@mulberrypitch/lifecycle/header-text';
+import {getHostKey, getPathKey} from './route-keys.js';
 import type {
 	Route, ServiceProfile, ServingConfiguration, Workspace,
 } from './types.js';
@@ -21,14 +22,15 @@
 		this.configuration = configuration;
 		this.#services = new Map(configuration.services.map(service => [service.name, service]));
 		for (const route of configuration.routes) {
-			const host = route.host.toLowerCase();
+			const host = getHostKey(route.host);
+			const prefix = getPathKey(route.pathPrefix);
 			const hostRoutes = this.#routes.get(host) ?? {byPrefix: new Map(), maxPrefixLength: 0};
 			this.#routes.set(host, hostRoutes);
-			if (!hostRoutes.byPrefix.has(route.pathPrefix)) {
-				hostRoutes.byPrefix.set(route.pathPrefix, route);
+			if (!hostRoutes.byPrefix.has(prefix)) {
+				hostRoutes.byPrefix.set(prefix, route);
 			}
 
-			hostRoutes.maxPrefixLength = Math.max(hostRoutes.maxPrefixLength, route.pathPrefix.length);
+			hostRoutes.maxPrefixLength = Math.max(hostRoutes.maxPrefixLength, prefix.length);
 		}
 
 		for (const workspace of configuration.workspaces ?? []) {
@@ -44,19 +46,19 @@
 	}
 
 	/**
-	Returns the host's route with the longest path prefix that matches, or `undefined`. The host may include a port, and the path
-	a query.
+	Returns the host's route with the longest path prefix that matches, or `undefined`. Both are as Node.js reads them from a head. The host may
+	include a port, and the path a query.
 	*/
 	findRoute(host: string, path: string): Route | undefined {
-		const [name] = host.toLowerCase().split(':', 1);
-		const hostRoutes = this.#routes.get(name!);
+		const [name] = host.split(':', 1);
+		const hostRoutes = this.#routes.get(getHostKey(decodeHeaderText(name!)));
 		if (hostRoutes === undefined) {
 			return undefined;
 		}
 
 		const [pathOnly] = path.split('?', 1);
 		// Each prefix ends with a slash, which `configuration-check.ts` ensures, so only the prefixes that end at a slash of the path are looked up.
-		for (let prefix = pathOnly!.slice(0, hostRoutes.maxPrefixLength); prefix !== ''; prefix = prefix.slice(0, -1)) {
+		for (let prefix = getPathKey(pathOnly!).slice(0, hostRoutes.maxPrefixLength); prefix !== ''; prefix = prefix.slice(0, -1)) {
 			prefix = prefix.slice(0, prefix.lastIndexOf('/') + 1);
 			const route = hostRoutes.byPrefix.get(prefix);
 			if (route !== undefined) {
