Write the entry's own replies without converting the head a second time

What callers saw: a reply of the entry itself repeated an identifier of the attempt with other bytes than they had sent, if it has bytes beyond ASCII (C5 82 became C3 85 C2 82). To such a caller, and to an entry that had passed the request on, it is a reply to another request.

Cause: Node.js writes a body that is a text together with the head before it, as UTF-8, if the head states the length of the body. The head has the bytes of the caller, one character for each. Answers of back ends are not affected: their bodies are bytes.

Change: the body of such a reply is bytes.

--- a/packages/mulberrypitch-proxy/src/local-replies.ts
+++ b/packages/mulberrypitch-proxy/src/local-replies.ts
@@ -62,10 +62,11 @@
 			return;
 		}
 
-		const text = JSON.stringify({error: reason}) + '\n';
-		const headers = [...this.#createHeaders(response, text, retryAfter), ...this.#createPromise(request, status)];
+		// Bytes, since Node.js would write a text and the head before it as UTF-8 together, and the head has bytes of the caller.
+		const body = Buffer.from(JSON.stringify({error: reason}) + '\n');
+		const headers = [...this.#createHeaders(response, body.length, retryAfter), ...this.#createPromise(request, status)];
 		response.writeHead(status, headers.flatMap(({name, value}) => [name, value]));
-		response.end(text);
+		response.end(body);
 	}
 
 	/** Replies to bytes that are not a valid request, and closes the connection. */
@@ -82,13 +83,13 @@
 		return promisesNotRun(status) && getHeader(request, names.hop) !== undefined ? [{name: names.notRun, value: '1'}] : [];
 	}
 
-	#createHeaders(response: ServerResponse, text: string, retryAfter: string | undefined): readonly Header[] {
+	#createHeaders(response: ServerResponse, bodyLength: number, retryAfter: string | undefined): readonly Header[] {
 		const {names, getConnectionHeaders} = this.#options;
 		const {req: request} = response;
 		const attemptId = getHeader(request, names.attemptId);
 		return [
 			{name: 'Content-Type', value: 'application/json'},
-			{name: 'Content-Length', value: String(Buffer.byteLength(text))},
+			{name: 'Content-Length', value: String(bodyLength)},
 			...getConnectionHeaders(response),
 			...(attemptId === undefined ? [] : [{name: names.attemptId, value: attemptId}]),
 			...(retryAfter === undefined ? [] : [{name: 'Retry-After', value: retryAfter}]),
