Resume a stream only after an event whose identifier a header can carry

What callers saw: a back end breaks off a stream after an event whose identifier is empty, has a control character, or begins with a blank.

Cause: the identifier that a back end writes into a body is put into the head of the next request without asking whether a header can carry it.

Change: such a stream is cut, as one without identifiers is. Others go on as before, byte for byte.

--- a/packages/mulberrypitch-proxy/src/proxied-request.ts
+++ b/packages/mulberrypitch-proxy/src/proxied-request.ts
@@ -5,6 +5,7 @@
 import {Deferred} from '@mulberrypitch/lifecycle/background';
 import {codes} from '@mulberrypitch/errors/catalogue';
 import {CodedError, hasCode} from '@mulberrypitch/errors/coded-error';
+import {isHeaderText} from '@mulberrypitch/lifecycle/header-text';
 import {events} from '@mulberrypitch/logger/events';
 import {requestKinds} from '@mulberrypitch/serving/types';
 import {ResponseCollector} from './response-collector.js';
@@ -208,7 +209,7 @@
 		const isStream = route.kind === requestKinds.streaming;
 		return decideNextStep(outcome, {
 			isRetryable: route.kind === requestKinds.idempotent || (isStream && route.isResumable),
-			isResumable: isStream && route.isResumable && (relay.lastEventId !== undefined || !relay.hasStarted),
+			isResumable: isStream && route.isResumable && this.#canResume(),
 			hasStarted: relay.hasStarted,
 			runCount: this.#runCount,
 			maxAttempts: route.maxAttempts,
@@ -218,6 +219,12 @@
 		});
 	}
 
+	/** Reports whether another back end can be told where the stream goes on: at its beginning, or after an event whose identifier a header can carry. */
+	#canResume(): boolean {
+		const {lastEventId, hasStarted} = this.#options.relay;
+		return lastEventId === undefined ? !hasStarted : isHeaderText(lastEventId);
+	}
+
 	/** Records the outcome for the back end's outlier detection, and logs it unless the attempt succeeded. A response with status 500 or above counts as a failure. */
 	#recordOutcome(backend: KnownBackend, outcome: AttemptOutcome, step: NextStep): void {
 		const {logger, attemptId, relay, prompt} = this.#options;
