Redirect callers to hosts whose address has letters beyond ASCII

What callers saw: a host that drains ends, with all requests in progress, at the first caller whom it would redirect to a host with the public address http://łódź.example:8080. Settings accept such an address.

Cause: the address of the settings was put into the head as it is; Node.js refuses to write it, inside the handler of errors, so that nothing catches it.

Change: the location is the address as a URL has it, which is ASCII, with the path of the request unchanged.

Test: one in entry-server.test.ts; before, its caller got no reply and the error reached the top of the program.

--- a/packages/mulberrypitch-entry/src/__tests__/entry-server.test.ts
+++ b/packages/mulberrypitch-entry/src/__tests__/entry-server.test.ts
@@ -1,19 +1,32 @@
 /** Tests the HTTP server of a host that stops, over the loopback address. */
+import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import http, {type IncomingMessage} from 'node:http';
-import t from 'tap';
+import t, {type Test} from 'tap';
 import {hostDefaults} from '@mulberrypitch/config/defaults';
 import {assumeType} from '@mulberrypitch/errors/assume-type';
+import {DrainingError} from '@mulberrypitch/errors/catalogue';
 import {VirtualClock} from '@mulberrypitch/fakes/virtual-clock';
 import {SeededRandom} from '@mulberrypitch/lifecycle/random';
 import {SilentLogger} from '@mulberrypitch/logger/logger';
 import {MetricsRegistry} from '@mulberrypitch/metrics/registry';
 import {EntryServer, type EntryServerOptions} from '../entry-server.js';
 
-function createServer(): EntryServer {
+const key = 'klucz-ł';
+const otherHost = {
+	node: 'host-2', zone: 'z', isDraining: false, publicAddress: 'http://łódź.example:8080',
+};
+
+function createServer(options: Partial<Record<keyof EntryServerOptions, unknown>> = {}): EntryServer {
 	return new EntryServer(assumeType<EntryServerOptions>({
-		settings: {name: 'host-1', httpListen: '127.0.0.1:0', entriesTtlSeconds: Number(hostDefaults.entriesTtlSeconds)},
-		control: {sessions: [], isFresh: () => true},
+		settings: {
+			name: 'host-1', httpListen: '127.0.0.1:0', entriesTtlSeconds: Number(hostDefaults.entriesTtlSeconds), operatorToken: key, backendToken: 'b',
+		},
+		control: {
+			sessions: [], isFresh: () => true, async callLeader() {
+				return {};
+			},
+		},
 		requests: {},
 		metrics: new MetricsRegistry(),
 		clock: new VirtualClock(),
@@ -22,12 +35,13 @@
 		isOverloaded: () => false,
 		getDemand: () => 0,
 		getConfiguration: () => undefined,
+		...options,
 	}));
 }
 
-async function get(agent: http.Agent, port: number, path: string): Promise<IncomingMessage> {
+async function get(agent: http.Agent, port: number, path: string, headers: Readonly<Record<string, string>> = {}): Promise<IncomingMessage> {
 	const request = http.get({
-		host: '127.0.0.1', port, path, agent,
+		host: '127.0.0.1', port, path, agent, headers,
 	});
 	const [response] = assumeType<[IncomingMessage]>(await once(request, 'response'));
 	response.resume();
@@ -55,3 +69,29 @@
 		}
 	}
 });
+
+/** Starts a server, and returns a function that sends requests to it, with a key in the bytes of an encoding. */
+async function startServer(t: Test, options: Partial<Record<keyof EntryServerOptions, unknown>>) {
+	const server = createServer(options);
+	const port = await server.listen();
+	const agent = new http.Agent({keepAlive: true});
+	t.teardown(async () => {
+		agent.destroy();
+		await server.dispose();
+	});
+	return async (path: string, encoding: 'utf8' | 'latin1' = 'utf8', sentKey = key) =>
+		get(agent, port, path, {authorization: `Bearer ${Buffer.from(sentKey, encoding).toString('latin1')}`});
+}
+
+// Guards against a host that ends, with all its requests, when it redirects a caller to a host whose address has letters beyond Latin-1.
+await t.test('a host that stops redirects callers to a host whose address has any letters', async t => {
+	const send = await startServer(t, {
+		control: {sessions: [otherHost], isFresh: () => true},
+		getConfiguration() {
+			throw new DrainingError();
+		},
+	});
+	const {statusCode, headers} = await send('/v1/services/s/%c5%82?q=1');
+	t.equal(statusCode, 307);
+	t.equal(headers.location, 'http://xn--d-uga0v4h.example:8080/v1/services/s/%c5%82?q=1');
+});
--- a/packages/mulberrypitch-entry/src/entry-server.ts
+++ b/packages/mulberrypitch-entry/src/entry-server.ts
@@ -229,7 +229,7 @@
 
 		const otherEntry = this.#listEntries().entries[0];
 		if (hasCode(error, codes.draining) && otherEntry !== undefined) {
-			response.writeHead(temporaryRedirect, {location: `${otherEntry.address}${request.url}`});
+			response.writeHead(temporaryRedirect, {location: createLocation(otherEntry.address, request)});
 			response.end();
 			return;
 		}
@@ -321,6 +321,12 @@
 	}
 }
 
+/** Returns the address of a request at another host. That of the host may have letters that no header can carry; a URL has them in ASCII. */
+function createLocation(address: string, request: IncomingMessage): string {
+	const {href} = new URL(address);
+	return `${href.endsWith('/') ? href.slice(0, -1) : href}${request.url}`;
+}
+
 function getLastSegment(request: IncomingMessage): string {
 	return request.url!.split('?')[0]!.split('/').pop()!;
 }
