Take and send bearer tokens by their bytes

What callers saw: a key with letters beyond Latin-1 got 401 at a host, and so did any key beyond ASCII that was sent in UTF-8; the digest in the configuration was compared with that of the key as Node.js reads it from a head, one character for each byte. An operator with such a token was told that the host can't be reached, and so was one whose token file has two lines: the client refuses to write such a header.

Change: a host compares the digest of the bytes, and that of the letters that Latin-1 reads in them, so that nobody is refused who was served before. The command line sends a token in UTF-8, and refuses one that no header can carry with the name of its file.

--- a/packages/mulberrypitch-entry/src/__tests__/entry-server.test.ts
+++ b/packages/mulberrypitch-entry/src/__tests__/entry-server.test.ts
@@ -1,5 +1,6 @@
 /** Tests the HTTP server of a host that stops, over the loopback address. */
 import {Buffer} from 'node:buffer';
+import {createHash} from 'node:crypto';
 import {once} from 'node:events';
 import http, {type IncomingMessage} from 'node:http';
 import t, {type Test} from 'tap';
@@ -83,6 +84,12 @@
 		get(agent, port, path, {authorization: `Bearer ${Buffer.from(sentKey, encoding).toString('latin1')}`});
 }
 
+/** Returns a configuration with a workspace that has a key, and one service. */
+function createConfiguration(workspaceKey: string): unknown {
+	const keyDigest = createHash('sha256').update(workspaceKey).digest('hex');
+	return {workspaces: [{name: 'w', keyDigest, services: []}], services: [{name: 's', kind: 'plain', idempotentPaths: []}]};
+}
+
 // Guards against a host that ends, with all its requests, when it redirects a caller to a host whose address has letters beyond Latin-1.
 await t.test('a host that stops redirects callers to a host whose address has any letters', async t => {
 	const send = await startServer(t, {
@@ -95,3 +102,18 @@
 	t.equal(statusCode, 307);
 	t.equal(headers.location, 'http://xn--d-uga0v4h.example:8080/v1/services/s/%c5%82?q=1');
 });
+
+// Guards against a caller or an operator who is refused with a sound key, since it has letters beyond ASCII.
+await t.test('keys and tokens are taken in UTF-8, and in Latin-1 if it has all the letters', async t => {
+	for (const [name, encoding, isKnown] of [[key, 'utf8', true], [key, 'latin1', false], ['clé', 'utf8', true], ['clé', 'latin1', true], ['plain', 'utf8', true]] as const) {
+		const send = await startServer(t, {getConfiguration: () => createConfiguration(name)});
+		const {statusCode} = await send('/v1/services/none/a', encoding, name);
+		t.equal(statusCode, isKnown ? 404 : 401, `${name} in ${encoding}`);
+	}
+
+	const send = await startServer(t, {});
+	const {statusCode} = await send('/v1/admin/configuration');
+	t.equal(statusCode, 200);
+	const {statusCode: refused} = await send('/v1/admin/configuration', 'latin1');
+	t.equal(refused, 401);
+});
--- a/packages/mulberrypitch-entry/src/authentication.ts
+++ b/packages/mulberrypitch-entry/src/authentication.ts
@@ -9,7 +9,7 @@
 
 /**
 Returns the workspace to which the key of a request belongs. Throws `UnauthorizedError` when the request has no key or the key
-belongs to no workspace. The digest of the key is compared with that of every workspace in constant time, so that the duration
+belongs to no workspace. The digests of the key are compared with that of every workspace in constant time, so that the duration
 does not depend on the key.
 
 @example
@@ -18,19 +18,12 @@
 ```
 */
 export function getWorkspace(request: IncomingMessage, configuration: SharedConfiguration): Workspace {
-	const digest = createHash('sha256').update(getBearerToken(request)).digest();
-	let found: Workspace | undefined;
-	for (const workspace of configuration.workspaces) {
-		if (timingSafeEqual(digest, Buffer.from(workspace.keyDigest, 'hex'))) {
-			found = workspace;
-		}
-	}
-
-	if (found === undefined) {
+	const owners = getTokenDigests(request).flatMap(digest => findOwners(digest, configuration));
+	if (owners[0] === undefined) {
 		throw new UnauthorizedError('The key does not belong to a workspace.');
 	}
 
-	return found;
+	return owners[0];
 }
 
 /**
@@ -42,13 +35,27 @@
 ```
 */
 export function requireToken(request: IncomingMessage, token: string): void {
-	const expected = createHash('sha256').update(token).digest();
-	const given = createHash('sha256').update(getBearerToken(request)).digest();
-	if (!timingSafeEqual(expected, given)) {
+	const expected = getDigest(token);
+	if (!getTokenDigests(request).some(given => timingSafeEqual(expected, given))) {
 		throw new UnauthorizedError('The bearer token is not valid.');
 	}
 }
 
+/** Returns the workspaces whose key has a digest, all of which are compared. */
+function findOwners(digest: Uint8Array, {workspaces}: SharedConfiguration): Workspace[] {
+	return workspaces.filter(({keyDigest}) => timingSafeEqual(digest, Buffer.from(keyDigest, 'hex')));
+}
+
+/** Returns the digests of the token that a request has, as UTF-8 and as Latin-1: the sender may have used either. */
+function getTokenDigests(request: IncomingMessage): Uint8Array[] {
+	const token = getBearerToken(request);
+	return [getDigest(Buffer.from(token, 'latin1')), getDigest(token)];
+}
+
+function getDigest(token: string | Uint8Array): Uint8Array {
+	return createHash('sha256').update(token).digest();
+}
+
 function getBearerToken(request: IncomingMessage): string {
 	const {authorization} = request.headers;
 	if (!authorization?.startsWith(bearerPrefix)) {
--- a/packages/mulberrypitch/src/operator-client.ts
+++ b/packages/mulberrypitch/src/operator-client.ts
@@ -7,6 +7,7 @@
 import {
 	codes, PeerUnreachableError, ProtocolError, TimeoutError,
 } from '@mulberrypitch/errors/catalogue';
+import {encodeHeaderText} from '@mulberrypitch/lifecycle/header-text';
 import {SystemClock, type Clock} from '@mulberrypitch/lifecycle/clock';
 import {readText} from '@mulberrypitch/lifecycle/read-text';
 import {withTimeout} from '@mulberrypitch/lifecycle/with-timeout';
@@ -75,7 +76,7 @@
 		method,
 		signal,
 		headersTimeout: replyTimeoutMs,
-		headers: {authorization: `Bearer ${token}`, 'content-type': 'application/json'},
+		headers: {authorization: `Bearer ${encodeHeaderText(token)}`, 'content-type': 'application/json'},
 		...(body !== undefined && {body: JSON.stringify(body)}),
 	});
 	return {statusCode: response.statusCode, text: await readText(response.body, {maxBytes: maxReplyBytes, subject: `The reply of ${host}`})};
--- a/packages/mulberrypitch/src/options.ts
+++ b/packages/mulberrypitch/src/options.ts
@@ -3,6 +3,7 @@
 import path from 'node:path';
 import {getMessage} from '@mulberrypitch/errors/coded-error';
 import {SettingsError} from '@mulberrypitch/errors/catalogue';
+import {isHeaderText} from '@mulberrypitch/lifecycle/header-text';
 import {hostDefaults} from '@mulberrypitch/config/defaults';
 import type {Command} from 'cac';
 import type {OperatorEndpoint} from './operator-client.js';
@@ -45,10 +46,19 @@
 
 	return {
 		host: options.host,
-		token: options.tokenFile === undefined ? hostDefaults.loopbackSecret : readTextFile(options.tokenFile).trim(),
+		token: options.tokenFile === undefined ? hostDefaults.loopbackSecret : readToken(options.tokenFile),
 	};
 }
 
+function readToken(file: string): string {
+	const token = readTextFile(file).trim();
+	if (!isHeaderText(token)) {
+		throw new SettingsError(`The token in ${file} is empty or has control characters.`, 'Write the token on one line.');
+	}
+
+	return token;
+}
+
 /**
 Returns the text of a file named on the command line. Throws `SettingsError` if it can't be read.
 
