Answer 400 to a path whose service can't be decoded

What callers saw: /v1/services/%zz/a got 500 "internal", as a fault of the host.

Cause: the name of the service is decoded without asking whether it can be. Coordinators had a function that does; the host calls it too.

Test: one in entry-server.test.ts, which failed before.

--- a/packages/mulberrypitch-entry/src/__tests__/entry-server.test.ts
+++ b/packages/mulberrypitch-entry/src/__tests__/entry-server.test.ts
@@ -117,3 +117,12 @@
 	const {statusCode: refused} = await send('/v1/admin/configuration', 'latin1');
 	t.equal(refused, 401);
 });
+
+// Guards against a caller whose mistake is reported as a fault of the host.
+await t.test('a path whose service can\'t be decoded is a mistake of the caller', async t => {
+	const send = await startServer(t, {getConfiguration: () => createConfiguration(key)});
+	for (const path of ['/v1/services/%zz/a', '/v1/services/%C5/a', '/v1/services/%']) {
+		const {statusCode} = await send(path);
+		t.equal(statusCode, 400, path);
+	}
+});
--- a/packages/mulberrypitch-entry/src/caller-routes.ts
+++ b/packages/mulberrypitch-entry/src/caller-routes.ts
@@ -2,6 +2,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {BodyStore} from '@mulberrypitch/lifecycle/body-store';
 import {abortReason} from '@mulberrypitch/lifecycle/abort-reason';
+import {decodePathPart} from '@mulberrypitch/lifecycle/path-part';
 import {BadRequestError, NotFoundError, UnauthorizedError} from '@mulberrypitch/errors/catalogue';
 import type {ServiceConfiguration, SharedConfiguration, Workspace} from '@mulberrypitch/config/types';
 import {ends, type Outcome} from '@mulberrypitch/control/types';
@@ -73,7 +74,7 @@
 	const configuration = context.getConfiguration();
 	const workspace = getWorkspace(request, configuration);
 	const [name, ...segments] = request.url!.slice(servicesPath.length).split('/');
-	const service = requireService(configuration, workspace, decodeURIComponent(name!), 'plain');
+	const service = requireService(configuration, workspace, decodePathPart(name!), 'plain');
 	const method = request.method === 'GET' ? 'GET' : 'POST';
 	const call: IncomingCall = {
 		workspace,
