Send plain services the path of a call unchanged

What callers saw: /v1/services/desk/a/../b called the path /b of the service, and a backslash became a slash: another path than the caller's, than the one that the account records, and than the one by which the host decides whether the call may be repeated.

Cause: the path was put into a URL, which normalizes it.

Change: the client gets origin and path apart. A path in the address of the service still comes before that of the call.

--- a/packages/mulberrypitch-backends/src/plain-client.ts
+++ b/packages/mulberrypitch-backends/src/plain-client.ts
@@ -1,5 +1,5 @@
 /** HTTP client for plain services, which send one complete response to each call. */
-import {Agent, request, type Dispatcher} from 'undici';
+import {Agent, type Dispatcher} from 'undici';
 import {BackendFailedError} from '@mulberrypitch/errors/catalogue';
 import {readText} from '@mulberrypitch/lifecycle/read-text';
 import {createBackendFailure} from './failure.js';
@@ -30,9 +30,12 @@
 	async run(call: BackendCall): Promise<PlainAnswer> {
 		try {
 			const {method, text, contentType} = call.body;
-			const response = await request(`${call.address}${call.body.path}`, {
+			const {origin, basePath} = splitBaseAddress(call.address);
+			const response = await this.#agent.request({
+				origin,
+				// Not as part of a URL, which would be changed: `/a/../b` to `/b`, and a backslash to a slash.
+				path: `${basePath}${call.body.path}`,
 				method,
-				dispatcher: this.#agent,
 				signal: call.signal,
 				headers: {
 					'content-type': contentType, 'x-request-id': call.requestId, 'x-attempt': String(call.attempt),
@@ -62,6 +65,12 @@
 	}
 }
 
+/** Returns the parts of an address such as `http://127.0.0.1:8000/base`: its origin, and the path to which those of calls are added. */
+function splitBaseAddress(address: string): {readonly origin: string; readonly basePath: string} {
+	const {origin, pathname} = new URL(address);
+	return {origin, basePath: pathname === '/' && !address.endsWith('/') ? '' : pathname};
+}
+
 /** Returns what keeps a response from counting as an answer, or `undefined`. */
 function findFault(response: ResponseHead): string | undefined {
 	if (response.statusCode > highestStatus) {
