--- a/packages/mulberrypitch-proxy/src/view-client.ts
+++ b/packages/mulberrypitch-proxy/src/view-client.ts
@@ -56,6 +56,8 @@
 	/** Monotonic time in milliseconds of the last reply of a coordinator that was in contact with a leader. */
 	#inTouchAt = Number.NEGATIVE_INFINITY;
 	#repliedAt = Number.NEGATIVE_INFINITY;
+	/** Number of polls that have failed since the last one that did not. */
+	#failures = 0;
 	/** Address of the coordinator that replied last. */
 	#replied: string | undefined;
 	readonly #unresponsiveUntil = new Map<string, number>();
@@ -106,21 +108,20 @@
 
 	async #run(signal: AbortSignal): Promise<void> {
 		const {clock} = this.#options;
-		let failures = 0;
 		while (!signal.aborted) {
-			const address = this.#current ?? this.#chooseNext(failures);
-			const outcome = await this.#poll(address, watchTimeoutMs * (2 ** Math.min(maxTimeoutDoublings, Math.floor(failures / this.#addresses.length))));
+			const address = this.#current ?? this.#chooseNext(this.#failures);
+			const outcome = await this.#poll(address, watchTimeoutMs * (2 ** Math.min(maxTimeoutDoublings, Math.floor(this.#failures / this.#addresses.length))));
 			if (outcome !== 'failed') {
 				this.#current = outcome === 'replied' ? this.#chooseNearby(address) : this.#current;
-				failures = 0;
+				this.#failures = 0;
 				continue;
 			}
 
 			this.#failedAt.set(address, clock.now());
 			this.#current = undefined;
 			this.#addresses = [...new Set([...this.#addresses, ...this.#options.getSeeds()])];
-			failures += 1;
-			await clock.sleep(failures % this.#addresses.length === 0 ? allFailedPauseMs : nextCoordinatorPauseMs, signal);
+			this.#failures += 1;
+			await clock.sleep(this.#failures % this.#addresses.length === 0 ? allFailedPauseMs : nextCoordinatorPauseMs, signal);
 		}
 	}
 
@@ -169,9 +170,12 @@
 	/** Polls a coordinator once. Fails unless its reply was applied and it is in contact with a leader. */
 	async #watch(address: string, timeoutMs: number, poll: number): Promise<'replied' | 'failed'> {
 		const {transport, createRequest, onReply, logger, clock, getSeeds} = this.#options;
+		const startedAt = clock.now();
+		let limitMs = timeoutMs;
 		try {
 			const request = createRequest();
-			const reply = await transport.call<ViewReply>(address, methods.watch, request, {timeoutMs: timeoutMs + ((request.waitMs ?? defaultWaitMs) - defaultWaitMs)});
+			limitMs += (request.waitMs ?? defaultWaitMs) - defaultWaitMs;
+			const reply = await transport.call<ViewReply>(address, methods.watch, request, {timeoutMs: limitMs});
 			if (poll !== this.#polls) {
 				return 'replied';
 			}
@@ -199,7 +203,9 @@
 				// The reply is malformed or can't be applied. The next one, or that of another coordinator, may be sound.
 				logger.log(events.taskFailed, {task: 'view', coordinator: address, reason: getMessage(error)});
 			} else if (this.#current !== undefined) {
-				logger.log(events.viewStale, {coordinator: address, code: error.code, ageMs: Math.round(this.ageMs)});
+				logger.log(events.viewStale, {
+					coordinator: address, code: error.code, ageMs: Math.round(this.ageMs), timeoutMs: limitMs, tookMs: Math.round(clock.now() - startedAt),
+				});
 			}
 
 			return 'failed';
@@ -209,7 +215,7 @@
 	#logRegained(address: string): void {
 		if (this.#current === undefined) {
 			const {ageMs} = this;
-			this.#options.logger.log(events.viewRegained, {coordinator: address, ageMs: Number.isFinite(ageMs) ? Math.round(ageMs) : undefined});
+			this.#options.logger.log(events.viewRegained, {coordinator: address, ageMs: Number.isFinite(ageMs) ? Math.round(ageMs) : undefined, failures: this.#failures});
 		}
 	}
 }
