Exchange the origins of streams in parts

Cause: an entry that polls a coordinator for the first time, or after a restart of either, got the origins of all streams of the last minute in one reply, and reported all that it knew in the next poll. The site begins some 640 streams a second: after 30 s that is over 400 KB, which a link of 7 to 10 Mbit/s carries in 0.4 s and more, so that the poll times out. The entry asks the next coordinator, which sends all again. Change: both sides exchange about 16 Ki characters of attempts a poll, the newest first, as configurations are. An entry of the version before is still sent all.

--- a/packages/mulberrypitch-coordinator/src/view-service.ts
+++ b/packages/mulberrypitch-coordinator/src/view-service.ts
@@ -5,10 +5,10 @@
 import {events} from '@mulberrypitch/logger/events';
 import type {Logger} from '@mulberrypitch/logger/logger';
 import type {BackendRoster} from '@mulberrypitch/serving/backend-roster';
-import type {OriginTable} from '@mulberrypitch/serving/origin-table';
+import {groupOrigins, type OriginTable} from '@mulberrypitch/serving/origin-table';
 import {QuarantineList} from '@mulberrypitch/serving/quarantine-list';
 import {
-	defaultWaitMs, type EntryStatus, type GossipReply, type GossipRequest, type OriginChanges, type OriginReport, type StoredConfiguration, type ViewReply, type ViewRequest,
+	defaultWaitMs, type EntryStatus, type GossipReply, type GossipRequest, type OriginChanges, type StoredConfiguration, type ViewReply, type ViewRequest,
 } from '@mulberrypitch/serving/view-messages';
 import type {ConfigurationDistribution} from './configuration-distribution.js';
 import {CrashEvidence} from './crash-evidence.js';
@@ -109,7 +109,7 @@
 				mayRunRestricted: restricted.length > 0 && directory.getRestrictedRunner() === status.name,
 			},
 			limits: directory.getLimitShares(status.name),
-			origins: this.#getOriginChanges(report),
+			origins: this.#getOriginChanges(request),
 			entryCount: Math.max(1, directory.count),
 			coordinators: getCoordinators(),
 			nearby: this.#getNearby(status.zone),
@@ -174,10 +174,17 @@
 			: {configuration: stored};
 	}
 
-	#getOriginChanges(report: OriginReport | undefined): OriginChanges {
+	#getOriginChanges({origins: report, readsOriginParts = false}: ViewRequest): OriginChanges {
 		const {origins, epoch} = this.#options;
-		const known = report?.known.find(position => position.epoch === epoch);
-		return {epoch, position: origins.position, groups: origins.getSince(known?.position ?? 0)};
+		const known = report?.known.find(position => position.epoch === epoch) ?? {position: 0};
+		if (!readsOriginParts) {
+			return {epoch, position: origins.position, groups: origins.getSince(known.position)};
+		}
+
+		const {records, position, missingBefore} = origins.getPart(known);
+		return {
+			epoch, position, groups: groupOrigins(records), ...(missingBefore > 0 && {missingBefore}),
+		};
 	}
 
 	/** Returns the addresses of the coordinators in a zone that this one hears, itself included. */
--- a/packages/mulberrypitch-proxy/src/__tests__/stream-resumption.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/stream-resumption.test.ts
@@ -128,3 +128,23 @@
 	t.same(reports.map(report => report.begun), [begun, begun, [], begun, [], [], []]);
 	t.same(origins.createReport().known, [{epoch: 'c-2', position: 5}, {epoch: 'c-1', position: 6}]);
 });
+
+// Guards against a report of all origins at once, and against a coordinator that is told only a part because another one replied in between.
+await t.test('a coordinator that may have just started is told all origins in parts, also if another one gets a part', t => {
+	const {origins} = createResumption([]);
+	const attemptIds = Array.from({length: 3000}, (_, index) => String(index).padStart(16, '0'));
+	origins.createReport();
+	origins.apply({epoch: 'c-1', position: 3000, groups: [{service: 's', version: 'v1', attemptIds}]}, true);
+	const told = new Map<string, Set<string>>();
+	for (const epoch of ['c-2', 'c-3', 'c-2', 'c-2', 'c-3', 'c-2', 'c-2', 'c-2', 'c-3', 'c-3', 'c-3', 'c-3']) {
+		const reported = origins.createReport().begun.flatMap(group => group.attemptIds);
+		t.ok(reported.length <= 1025, `${reported.length} origins in a report`);
+		told.set(epoch, new Set([...(told.get(epoch) ?? []), ...reported]));
+		origins.apply({epoch, position: 0, groups: []}, true);
+	}
+
+	t.equal(told.get('c-2')?.size, 3000);
+	t.equal(told.get('c-3')?.size, 3000);
+	t.same(origins.createReport().begun, []);
+	t.end();
+});
--- a/packages/mulberrypitch-proxy/src/entry.ts
+++ b/packages/mulberrypitch-proxy/src/entry.ts
@@ -335,6 +335,7 @@
 			rosterEpoch: this.#backends.epoch,
 			rosterVersion: this.#backends.version,
 			origins: this.#origins.createReport(),
+			readsOriginParts: true,
 			...(speeds !== undefined && {speeds, skipsSpeeds: this.#speeds.skipsSpeeds}),
 			waitMs: this.#origins.isReplyAwaited ? 0 : this.#pace.getWaitMs(),
 		};
--- a/packages/mulberrypitch-proxy/src/stream-origins.ts
+++ b/packages/mulberrypitch-proxy/src/stream-origins.ts
@@ -5,7 +5,9 @@
 import {Notification} from '@mulberrypitch/lifecycle/background';
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
 import {groupOrigins, OriginTable} from '@mulberrypitch/serving/origin-table';
-import type {OriginChanges, OriginReport, StreamOrigin} from '@mulberrypitch/serving/view-messages';
+import type {
+	KnownOrigins, OriginChanges, OriginReport, StreamOrigin,
+} from '@mulberrypitch/serving/view-messages';
 
 /** Time in milliseconds for which an origin is reported even though a coordinator has it, since that one may end before it passes it on. */
 const reportMs = 1000;
@@ -31,14 +33,14 @@
 	#own: readonly OwnOrigin[] = [];
 	/** Origins in the report that the last request carried. */
 	#reported: readonly OwnOrigin[] = [];
-	/** Positions by epoch, the one of the last reply last. */
-	readonly #positions = new Map<string, number>();
-	/** Epochs of coordinators that were told everything. */
-	readonly #toldAll = new Set<string>();
-	/** Whether the next report holds everything, since the coordinator may have just started. */
-	#mustReportAll = false;
-	/** Whether the report that the last request carried holds everything. */
-	#hasReportedAll = false;
+	/** What this entry knows of the origins of each coordinator, by epoch, the one of the last reply last. */
+	readonly #known = new Map<string, KnownOrigins>();
+	/** Position in the own table before which a coordinator has not been told the origins, by epoch; zero once it was told all. It may have just started. */
+	readonly #untoldBefore = new Map<string, number>();
+	/** Epoch of the coordinator that replied last. */
+	#lastEpoch = '';
+	/** Position before which that coordinator has not been told the origins once it has the last report. */
+	#reportedBefore = 0;
 	/** Number of reports so far, and the last one to which a coordinator in contact with a leader has replied. */
 	#reports = 0;
 	#answeredReport = 0;
@@ -106,10 +108,12 @@
 		this.#own = this.#own.filter(({begunAt, isAcknowledged}) => !isAcknowledged || begunAt >= since);
 		this.#reported = this.#own;
 		this.#reports += 1;
-		this.#hasReportedAll = this.#mustReportAll;
+		const {records, missingBefore} = this.#table.getPart({position: this.#table.position, missingBefore: this.#untoldBefore.get(this.#lastEpoch) ?? 0});
+		this.#reportedBefore = missingBefore;
+		const told = new Set(records.map(({attemptId}) => attemptId));
 		return {
-			known: [...this.#positions].map(([epoch, position]) => ({epoch, position})),
-			begun: this.#mustReportAll ? this.#table.getSince(0) : groupOrigins(this.#own),
+			known: [...this.#known].map(([epoch, known]) => ({epoch, ...known})),
+			begun: groupOrigins([...records, ...this.#own.filter(({attemptId}) => !told.has(attemptId))]),
 		};
 	}
 
@@ -129,27 +133,26 @@
 	}
 
 	/** Applies what a coordinator tells. Returns whether any origin is new. */
-	#learn({epoch, position, groups}: OriginChanges, isInTouch: boolean): boolean {
+	#learn({epoch, position, missingBefore, groups}: OriginChanges, isInTouch: boolean): boolean {
 		for (const own of this.#reported) {
 			own.isAcknowledged ||= isInTouch;
 		}
 
-		if (this.#hasReportedAll) {
-			this.#toldAll.add(epoch);
-		}
-
-		this.#mustReportAll = !this.#toldAll.has(epoch);
-		this.#rememberPosition(epoch, position);
+		// Another coordinator than the one before got a part of what that one lacks, and is told all from the next report on.
+		const isSame = epoch === this.#lastEpoch;
+		this.#untoldBefore.set(epoch, isSame ? this.#reportedBefore : this.#untoldBefore.get(epoch) ?? this.#table.position);
+		this.#lastEpoch = epoch;
+		this.#remember(epoch, {position, ...(missingBefore !== undefined && {missingBefore})});
 		return this.#table.merge(groups);
 	}
 
-	#rememberPosition(epoch: string, position: number): void {
-		this.#positions.delete(epoch);
-		this.#positions.set(epoch, position);
-		if (this.#positions.size > maxEpochs) {
-			const [oldest] = this.#positions.keys();
-			this.#positions.delete(oldest!);
-			this.#toldAll.delete(oldest!);
+	#remember(epoch: string, known: KnownOrigins): void {
+		this.#known.delete(epoch);
+		this.#known.set(epoch, known);
+		if (this.#known.size > maxEpochs) {
+			const [oldest] = this.#known.keys();
+			this.#known.delete(oldest!);
+			this.#untoldBefore.delete(oldest!);
 		}
 	}
 
--- a/packages/mulberrypitch-serving/src/origin-table.ts
+++ b/packages/mulberrypitch-serving/src/origin-table.ts
@@ -1,6 +1,6 @@
 /** Where streams began, as entries and coordinators remember it: the service and the software version of the first back end. */
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
-import type {OriginGroup, StreamOrigin} from './view-messages.js';
+import type {KnownOrigins, OriginGroup, StreamOrigin} from './view-messages.js';
 
 /** Time in milliseconds for which an origin is remembered: longer than callers come again for a stream. */
 const retentionMs = 60_000;
@@ -14,6 +14,15 @@
 	readonly addedAt: number;
 };
 
+/** Some of the origins that a reader lacks, and what it knows with them. */
+export type OriginPart = Required<KnownOrigins> & {
+	/** In the order in which they became known here. */
+	readonly records: ReadonlyArray<Pick<OriginRecord, 'attemptId' | 'origin'>>;
+};
+
+/** Number of characters of attempts from which on no more origins are sent at once. The slowest link carries as many in 25 ms. */
+export const partCharacters = 16 * 1024;
+
 /** Holds origins in the order in which they became known here. */
 export class OriginTable {
 	readonly #clock: Clock;
@@ -68,6 +77,35 @@
 		return groupOrigins(this.#records.slice(Math.max(0, position - this.#forgotten)));
 	}
 
+	/** Returns the newest origins that a reader lacks, as many as are sent at once. Callers take their streams up soon, so the newest ones are needed first. */
+	getPart({position, missingBefore = 0}: KnownOrigins): OriginPart {
+		const end = this.position;
+		const newest = this.#takeBackwards(end, position, partCharacters);
+		const isComplete = newest.start <= Math.max(position, this.#forgotten);
+		if (!isComplete) {
+			return {records: newest.records, position: end, missingBefore: newest.start};
+		}
+
+		const older = this.#takeBackwards(missingBefore, 0, partCharacters - newest.characters);
+		return {
+			records: [...older.records, ...newest.records], position: end, missingBefore: older.start <= this.#forgotten ? 0 : older.start,
+		};
+	}
+
+	/** Returns the last origins between two positions whose attempts have up to about a number of characters, and the position of the first one. */
+	#takeBackwards(end: number, start: number, maxCharacters: number): {start: number; characters: number; records: readonly OriginRecord[]} {
+		const first = Math.max(0, start - this.#forgotten);
+		const last = Math.max(first, end - this.#forgotten);
+		let index = last;
+		let characters = 0;
+		while (index > first && characters < maxCharacters) {
+			index -= 1;
+			characters += this.#records[index]!.attemptId.length;
+		}
+
+		return {start: index + this.#forgotten, characters, records: this.#records.slice(index, last)};
+	}
+
 	#forgetOldest(): void {
 		const before = this.#clock.now() - retentionMs;
 		const firstKept = this.#records.findIndex(({addedAt}) => addedAt >= before);
--- a/packages/mulberrypitch-serving/src/view-messages.ts
+++ b/packages/mulberrypitch-serving/src/view-messages.ts
@@ -126,16 +126,26 @@
 	readonly position: number;
 };
 
+/** Which origins of a coordinator an entry knows: all from one position to another. */
+export type KnownOrigins = {
+	readonly position: number;
+	/** Position before which origins are missing; absent if none is. */
+	readonly missingBefore?: number;
+};
+
 /** Origins of streams that an entry reports to a coordinator, and the ones that it has from it. */
 export type OriginReport = {
 	/** Positions at the coordinators that replied last, since the entry doesn't know which one it calls. */
-	readonly known: readonly OriginPosition[];
+	readonly known: ReadonlyArray<OriginPosition & KnownOrigins>;
 	/** Streams that began at the entry, or all that it knows of if the coordinator may have just started. */
 	readonly begun: readonly OriginGroup[];
 };
 
-/** The origins that a coordinator has learned since its position in the report, or all that it knows if the report has none. */
-export type OriginChanges = OriginPosition & {
+/**
+The origins that a coordinator has learned since its position in the report, or all that it knows if the report has none. An entry that reads parts gets
+the newest ones that it lacks, and the others with the replies that follow.
+*/
+export type OriginChanges = OriginPosition & KnownOrigins & {
 	readonly groups: readonly OriginGroup[];
 };
 
@@ -185,6 +195,8 @@
 	readonly speeds?: SpeedReport;
 	/** Whether the reply to a report of speeds should leave the speeds out, since the entry has recent ones; absent without a report, or from an entry of an earlier version. */
 	readonly skipsSpeeds?: boolean;
+	/** Whether the entry reads origins in parts; absent from an entry of an earlier version. */
+	readonly readsOriginParts?: boolean;
 	/** Whether the entry reads configurations in parts; absent from an entry of an earlier version. */
 	readonly readsParts?: boolean;
 	/** Newest version of which the entry has the first part while it reads a configuration; absent if it reads none. The coordinator offers only newer ones. */
