Let the timeout of polls follow the time that replies take

Cause: each poll was given 400 ms, at one coordinator after the other; only when all had failed was the time doubled, and the first reply reset it. While replies took longer than that, for whatever reason, a view was as old as the timeouts at all coordinators and the next poll together: 2.8 s with five of them where replies take 0.45 s, 7.5 s where they take 0.9 s (test on virtual time), against a bound of 2.5 s. Change: each timeout in a row doubles the next one, up to 1.6 s as before, and while replies are slow the timeout is twice the longest time that one took in the last 5 s. Coordinators that don't reply at all are still left after 400 ms where the others reply fast.

--- a/packages/mulberrypitch-proxy/src/__tests__/view-client.test.ts
+++ b/packages/mulberrypitch-proxy/src/__tests__/view-client.test.ts
@@ -186,3 +186,57 @@
 		t.ok(oldestMs <= calmMs + 100, `${oldestMs} ms with a hurry each ${hurryMs} ms, ${calmMs} ms without`);
 	}
 });
+
+/** Returns the greatest age in milliseconds of the view of an entry whose five coordinators all begin to take longer to reply, and how many polls failed. */
+async function measureSlowView(replyMs: number): Promise<{oldestMs: number; failures: number}> {
+	const clock = new VirtualClock();
+	const coordinators = ['a', 'b', 'c', 'd', 'e'];
+	const state = {replyMs: 20, failures: 0};
+	const client = new ViewClient({
+		getSeeds: () => coordinators.slice(0, 3),
+		transport: assumeType<Transport>({
+			async call(_address: string, _method: string, _request: unknown, {timeoutMs}: {timeoutMs: number}) {
+				const isLate = state.replyMs > timeoutMs;
+				await clock.sleep(isLate ? timeoutMs : state.replyMs);
+				if (isLate) {
+					state.failures += 1;
+					throw new TimeoutError('watch', timeoutMs);
+				}
+
+				return {coordinators, isInTouch: true};
+			},
+		}),
+		clock,
+		random: new SeededRandom(1),
+		logger: new SilentLogger(),
+		createRequest: () => assumeType<ViewRequest>({}),
+		onReply() {
+			// The test reads the age of the view.
+		},
+	});
+	client.start();
+	await clock.runFor(5000);
+	state.replyMs = replyMs;
+	let oldestMs = 0;
+	for (let passedMs = 0; passedMs < 20_000; passedMs += 50) {
+		await clock.runFor(50);
+		oldestMs = Math.max(oldestMs, client.ageMs);
+	}
+
+	const disposed = client.dispose();
+	await clock.runFor(3000);
+	await disposed;
+	return {oldestMs, failures: state.failures};
+}
+
+/** Age of a view in milliseconds from which a leave or a configuration reaches the entry too late. */
+const maxViewAgeMs = 2500;
+
+// Guards against entries with an old view, which send requests to back ends that left, since they give up replies that take longer than usual at one coordinator after the other.
+await t.test('the view of an entry stays recent while all coordinators take up to a second to reply', async t => {
+	for (const replyMs of [450, 600, 900]) {
+		const {oldestMs, failures} = await measureSlowView(replyMs);
+		t.ok(oldestMs < maxViewAgeMs, `${oldestMs} ms old where replies take ${replyMs} ms`);
+		t.ok(failures <= 2, `${failures} polls failed`);
+	}
+});
--- a/packages/mulberrypitch-proxy/src/view-client.ts
+++ b/packages/mulberrypitch-proxy/src/view-client.ts
@@ -13,6 +13,7 @@
 	defaultWaitMs, methods, type ViewReply, type ViewRequest,
 } from '@mulberrypitch/serving/view-messages';
 import type {Transport} from '@mulberrypitch/transport/types';
+import {PollTimeout} from './poll-timeout.js';
 
 /** Dependencies and settings of a view client. */
 export type ViewClientOptions = {
@@ -27,10 +28,6 @@
 	readonly onReply: (reply: ViewReply) => void;
 };
 
-/** Timeout in milliseconds of a poll with the default wait; a longer wait adds to it. It doubles each time that all coordinators have failed, up to a limit. */
-const watchTimeoutMs = 400;
-/** Maximum number of doublings of that timeout. */
-const maxTimeoutDoublings = 2;
 /** Time in milliseconds for which a coordinator that did not reply is asked only after all others. */
 const unresponsiveMs = 3000;
 /** Time in milliseconds for which an entry does not return to a coordinator of its zone whose poll has failed. */
@@ -48,6 +45,7 @@
 export class ViewClient implements Resource {
 	readonly #options: ViewClientOptions;
 	readonly #resources = new DisposableStore();
+	readonly #timeout: PollTimeout;
 	#addresses: readonly string[];
 	/** Addresses of the coordinators in the zone of the entry, as last told. */
 	#nearby: readonly string[] = [];
@@ -71,6 +69,7 @@
 
 	constructor(options: ViewClientOptions) {
 		this.#options = options;
+		this.#timeout = new PollTimeout(options.clock);
 		this.#addresses = options.getSeeds();
 	}
 
@@ -110,7 +109,7 @@
 		const {clock} = this.#options;
 		while (!signal.aborted) {
 			const address = this.#current ?? this.#chooseNext(this.#failures);
-			const outcome = await this.#poll(address, watchTimeoutMs * (2 ** Math.min(maxTimeoutDoublings, Math.floor(this.#failures / this.#addresses.length))));
+			const outcome = await this.#poll(address);
 			if (outcome !== 'failed') {
 				this.#current = outcome === 'replied' ? this.#chooseNearby(address) : this.#current;
 				this.#failures = 0;
@@ -126,7 +125,7 @@
 	}
 
 	/** Polls a coordinator until it has replied, the poll has failed, or the next one is in a hurry. */
-	async #poll(address: string, timeoutMs: number): Promise<'replied' | 'failed' | 'hurried'> {
+	async #poll(address: string): Promise<'replied' | 'failed' | 'hurried'> {
 		const {clock} = this.#options;
 		const ended = new AbortController();
 		const startedAt = clock.now();
@@ -137,7 +136,7 @@
 		};
 
 		const canHurry = this.#current !== undefined && !this.#hasHurried;
-		const outcome = await Promise.race([this.#watch(address, timeoutMs, this.#polls), ...(canHurry ? [waitForHurry()] : [])]);
+		const outcome = await Promise.race([this.#watch(address, this.#polls), ...(canHurry ? [waitForHurry()] : [])]);
 		ended.abort();
 		this.#hasHurried = outcome === 'hurried';
 		if (outcome === 'hurried') {
@@ -168,13 +167,14 @@
 	}
 
 	/** Polls a coordinator once. Fails unless its reply was applied and it is in contact with a leader. */
-	async #watch(address: string, timeoutMs: number, poll: number): Promise<'replied' | 'failed'> {
+	async #watch(address: string, poll: number): Promise<'replied' | 'failed'> {
 		const {transport, createRequest, onReply, logger, clock, getSeeds} = this.#options;
 		const startedAt = clock.now();
-		let limitMs = timeoutMs;
+		let limitMs = this.#timeout.currentMs;
 		try {
 			const request = createRequest();
-			limitMs += (request.waitMs ?? defaultWaitMs) - defaultWaitMs;
+			const {waitMs = defaultWaitMs} = request;
+			limitMs += waitMs - defaultWaitMs;
 			const reply = await transport.call<ViewReply>(address, methods.watch, request, {timeoutMs: limitMs});
 			if (poll !== this.#polls) {
 				return 'replied';
@@ -182,6 +182,7 @@
 
 			this.#repliedAt = clock.now();
 			this.#replied = address;
+			this.#timeout.recordReply(Math.max(0, this.#repliedAt - startedAt - waitMs));
 			this.#unresponsiveUntil.delete(address);
 			onReply(reply);
 			this.#addresses = [...new Set([...reply.coordinators, ...getSeeds()])];
@@ -199,12 +200,17 @@
 			}
 
 			this.#unresponsiveUntil.set(address, clock.now() + unresponsiveMs);
+			const tookMs = clock.now() - startedAt;
+			if (tookMs >= limitMs) {
+				this.#timeout.recordTimeout();
+			}
+
 			if (!(error instanceof CodedError)) {
 				// The reply is malformed or can't be applied. The next one, or that of another coordinator, may be sound.
 				logger.log(events.taskFailed, {task: 'view', coordinator: address, reason: getMessage(error)});
 			} else if (this.#current !== undefined) {
 				logger.log(events.viewStale, {
-					coordinator: address, code: error.code, ageMs: Math.round(this.ageMs), timeoutMs: limitMs, tookMs: Math.round(clock.now() - startedAt),
+					coordinator: address, code: error.code, ageMs: Math.round(this.ageMs), timeoutMs: limitMs, tookMs: Math.round(tookMs),
 				});
 			}
 
