Let a reply that has arrived count although its call has timed out

Cause: timers run before the event loop reads sockets. A process that was busy for longer than a timeout failed its calls although the replies had arrived, and closed the connections as lost. Change: a call that has timed out fails after one more turn of the event loop, in which arrived replies are read.

--- a/packages/mulberrypitch-transport/src/connection.ts
+++ b/packages/mulberrypitch-transport/src/connection.ts
@@ -1,8 +1,6 @@
 /** The client side of a connection between processes. */
 import type net from 'node:net';
-import {
-	JSONRPCClient, JSONRPCErrorException, type JSONRPCResponse,
-} from 'json-rpc-2.0';
+import {JSONRPCClient, type JSONRPCResponse} from 'json-rpc-2.0';
 import {assumeType} from '@mulberrypitch/errors/assume-type';
 import {
 	codes, PeerUnreachableError, ProtocolError, TimeoutError,
@@ -25,6 +23,8 @@
 	#isLost = false;
 	/** Number of replies received. If a call times out and no reply came since its start, the connection is closed as lost. */
 	#replyCount = 0;
+	/** Number of calls so far, which identifies the last one. */
+	#callCount = 0;
 
 	constructor(address: Address, socket: net.Socket) {
 		this.#address = address;
@@ -36,23 +36,28 @@
 
 	/** Makes a call. Throws `PeerUnreachableError` when the connection is lost before the reply. */
 	async request(method: string, parameters: unknown, timeoutMs: number): Promise<unknown> {
-		const client = this.#client.timeout(timeoutMs, id => ({
-			jsonrpc: '2.0', id, error: {code: jsonRpcServerError, message: 'timeout', data: new TimeoutError(method, timeoutMs).toWire()},
-		}));
 		const lost = new Deferred<never>();
 		const repliesBefore = this.#replyCount;
+		this.#callCount += 1;
+		const id = this.#callCount;
+		const timer = setTimeout(() => {
+			this.#expire(id, new TimeoutError(method, timeoutMs));
+		}, timeoutMs);
 		this.#calls.add(lost);
 		try {
 			this.#requireOpen();
-			return await Promise.race([client.request(method, parameters), lost.promise]);
+			const reply = this.#client.requestAdvanced({
+				jsonrpc: '2.0', id, method, params: parameters,
+			});
+			return getResult(await Promise.race([reply, lost.promise]));
 		} catch (error) {
-			const failure = fromRpcError(error);
-			if (hasCode(failure, codes.timeout) && this.#replyCount === repliesBefore) {
+			if (hasCode(error, codes.timeout) && this.#replyCount === repliesBefore) {
 				this.#socket.destroy();
 			}
 
-			throw failure;
+			throw error;
 		} finally {
+			clearTimeout(timer);
 			this.#calls.delete(lost);
 		}
 	}
@@ -78,6 +83,13 @@
 		}
 	}
 
+	/** Fails a call that has timed out, unless its reply has arrived: this process may have been too busy to read it. */
+	#expire(id: number, failure: TimeoutError): void {
+		setImmediate(() => {
+			this.#client.receive({jsonrpc: '2.0', id, error: {code: jsonRpcServerError, message: 'timeout', data: failure.toWire()}});
+		});
+	}
+
 	#requireOpen(): void {
 		if (this.#isLost) {
 			throw new PeerUnreachableError(this.#address);
@@ -85,11 +97,12 @@
 	}
 }
 
-function fromRpcError(error: unknown): unknown {
-	if (!(error instanceof JSONRPCErrorException)) {
-		return error;
+/** Returns the result in a reply. Throws the failure that it states. */
+function getResult({result, error}: JSONRPCResponse): unknown {
+	if (error === undefined) {
+		return result;
 	}
 
 	const wire = assumeType<WireFailure | undefined>(error.data);
-	return wire?.code === undefined ? new ProtocolError(error.message) : createErrorFromWire(wire);
+	throw wire?.code === undefined ? new ProtocolError(error.message) : createErrorFromWire(wire);
 }
