Move the exchange of origins out of what requests wait for

Cause: StreamOrigins had two jobs, to let requests wait for an origin, and to keep account of what each coordinator was told and has told; the second one grew with parts. Change: OriginExchange does the second. Behaviour is the same; the tests of stream-resumption, sole-version and origin-transfer are unchanged and pass.

--- a/packages/mulberrypitch-proxy/src/stream-origins.ts
+++ b/packages/mulberrypitch-proxy/src/stream-origins.ts
@@ -4,43 +4,17 @@
  */
 import {Notification} from '@mulberrypitch/lifecycle/background';
 import type {Clock} from '@mulberrypitch/lifecycle/clock';
-import {groupOrigins, OriginTable} from '@mulberrypitch/serving/origin-table';
-import type {
-	KnownOrigins, OriginChanges, OriginReport, StreamOrigin,
-} from '@mulberrypitch/serving/view-messages';
-
-/** Time in milliseconds for which an origin is reported even though a coordinator has it, since that one may end before it passes it on. */
-const reportMs = 1000;
-
-/** Number of starts of coordinators whose positions are remembered. */
-const maxEpochs = 16;
-
-type OwnOrigin = {
-	readonly attemptId: string;
-	readonly origin: StreamOrigin;
-	/** Monotonic time in milliseconds. */
-	readonly begunAt: number;
-	isAcknowledged: boolean;
-};
-
-/** Keeps the origins of streams, and exchanges them with a coordinator. */
+import {OriginTable} from '@mulberrypitch/serving/origin-table';
+import type {OriginChanges, OriginReport, StreamOrigin} from '@mulberrypitch/serving/view-messages';
+import {OriginExchange} from './origin-exchange.js';
+
+/** Keeps the origins of streams, and lets requests wait for one that is not known yet. */
 export class StreamOrigins {
 	readonly #clock: Clock;
 	readonly #onUrgent: () => void;
 	readonly #table: OriginTable;
 	readonly #changes = new Notification();
-	/** Origins of this entry that are to be reported. */
-	#own: readonly OwnOrigin[] = [];
-	/** Origins in the report that the last request carried. */
-	#reported: readonly OwnOrigin[] = [];
-	/** What this entry knows of the origins of each coordinator, by epoch, the one of the last reply last. */
-	readonly #known = new Map<string, KnownOrigins>();
-	/** Position in the own table before which a coordinator has not been told the origins, by epoch; zero once it was told all. It may have just started. */
-	readonly #untoldBefore = new Map<string, number>();
-	/** Epoch of the coordinator that replied last. */
-	#lastEpoch = '';
-	/** Position before which that coordinator has not been told the origins once it has the last report. */
-	#reportedBefore = 0;
+	readonly #exchange: OriginExchange;
 	/** Number of reports so far, and the last one to which a coordinator in contact with a leader has replied. */
 	#reports = 0;
 	#answeredReport = 0;
@@ -52,6 +26,7 @@
 		this.#clock = clock;
 		this.#onUrgent = onUrgent;
 		this.#table = new OriginTable(clock);
+		this.#exchange = new OriginExchange(clock, this.#table);
 	}
 
 	/** Whether a request waits to be told where its stream began. */
@@ -72,9 +47,7 @@
 	/** Records where a stream of this entry began. */
 	record(attemptId: string, origin: StreamOrigin): void {
 		this.#table.add(attemptId, origin);
-		this.#own = [...this.#own, {
-			attemptId, origin, begunAt: this.#clock.now(), isAcknowledged: false,
-		}];
+		this.#exchange.addOwn(attemptId, origin);
 		this.#onUrgent();
 	}
 
@@ -104,17 +77,8 @@
 
 	/** Returns what the next request to a coordinator carries. */
 	createReport(): OriginReport {
-		const since = this.#clock.now() - reportMs;
-		this.#own = this.#own.filter(({begunAt, isAcknowledged}) => !isAcknowledged || begunAt >= since);
-		this.#reported = this.#own;
 		this.#reports += 1;
-		const {records, missingBefore} = this.#table.getPart({position: this.#table.position, missingBefore: this.#untoldBefore.get(this.#lastEpoch) ?? 0});
-		this.#reportedBefore = missingBefore;
-		const told = new Set(records.map(({attemptId}) => attemptId));
-		return {
-			known: [...this.#known].map(([epoch, known]) => ({epoch, ...known})),
-			begun: groupOrigins([...records, ...this.#own.filter(({attemptId}) => !told.has(attemptId))]),
-		};
+		return this.#exchange.createReport();
 	}
 
 	/**
@@ -126,36 +90,12 @@
 			this.#answeredReport = this.#reports;
 		}
 
-		const hasLearned = changes !== undefined && this.#learn(changes, isInTouch);
+		const hasLearned = changes !== undefined && this.#exchange.apply(changes, isInTouch);
 		if (hasLearned || this.isReplyAwaited) {
 			this.#changes.notify();
 		}
 	}
 
-	/** Applies what a coordinator tells. Returns whether any origin is new. */
-	#learn({epoch, position, missingBefore, groups}: OriginChanges, isInTouch: boolean): boolean {
-		for (const own of this.#reported) {
-			own.isAcknowledged ||= isInTouch;
-		}
-
-		// Another coordinator than the one before got a part of what that one lacks, and is told all from the next report on.
-		const isSame = epoch === this.#lastEpoch;
-		this.#untoldBefore.set(epoch, isSame ? this.#reportedBefore : this.#untoldBefore.get(epoch) ?? this.#table.position);
-		this.#lastEpoch = epoch;
-		this.#remember(epoch, {position, ...(missingBefore !== undefined && {missingBefore})});
-		return this.#table.merge(groups);
-	}
-
-	#remember(epoch: string, known: KnownOrigins): void {
-		this.#known.delete(epoch);
-		this.#known.set(epoch, known);
-		if (this.#known.size > maxEpochs) {
-			const [oldest] = this.#known.keys();
-			this.#known.delete(oldest!);
-			this.#untoldBefore.delete(oldest!);
-		}
-	}
-
 	/** Waits for replies until a condition is met or the time is over. */
 	async #waitUntil(isReached: () => boolean, maxWaitMs: number): Promise<void> {
 		if (isReached() || maxWaitMs <= 0) {
